--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# install: .venv with locked dependencies; the other targets depend on it.
+ORGANISATION ?= himal
+PYTHON ?= python3
+STAMP := .venv/.installed
+
+.PHONY: install test demo lint format
+install: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x .venv/bin/python || $(PYTHON) -m venv .venv
+	.venv/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	.venv/bin/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+test: install
+	.venv/bin/python -m pytest -q
+
+demo: install
+	.venv/bin/python -m benchmarks demo --organisation $(ORGANISATION)
+
+lint: install
+	.venv/bin/pyink --check --quiet src standins benchmarks tests tools
+	.venv/bin/ruff check src standins benchmarks tests tools
+	.venv/bin/python tools/check_imports.py src standins benchmarks tests tools
+
+format: install
+	.venv/bin/ruff check --fix --quiet src standins benchmarks tests tools
+	.venv/bin/pyink --quiet src standins benchmarks tests tools
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios and the measures of the project, on real processes."""
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,389 @@
+"""All processes of one organisation on loopback, behind the fault proxy."""
+
+import base64
+import contextlib
+import json
+import pathlib
+import signal
+import urllib.error
+import urllib.request
+
+import msgspec
+
+from benchmarks import organisations
+from benchmarks import processes
+from standins import fault_proxy
+from standins import platform as platform_standin
+from swiftstile import ids
+from swiftstile.platform import base
+
+__all__ = ["EntryVm", "Fleet", "Server"]
+
+_READY_S = 40.0
+_SETTINGS = """[vm]
+id = {vm}
+failure_domain = {domain}
+organisations = {organisation}
+
+[platform]
+table_url = http://127.0.0.1:{platform}
+objects_url = http://127.0.0.1:{platform}
+vms_url = http://127.0.0.1:{platform}/view/{view}
+timeout_s = 2
+poll_interval_s = 1
+
+[router]
+listen = 127.0.0.1:{router}
+metrics = 127.0.0.1:{router_metrics}
+
+[coordinator]
+listen = 127.0.0.1:{coordinator}
+metrics = 127.0.0.1:{coordinator_metrics}
+"""
+
+
+class EntryVm:
+    """An entry VM: a router and a coordinator."""
+
+    def __init__(self, name: str, domain: str, ports: list[int]):
+        self.name = name
+        self.domain = domain
+        self.router_port, self.router_metrics = ports[0], ports[1]
+        self.coordinator_port, self.coordinator_metrics = ports[2], ports[3]
+        self.router: processes.Process | None = None
+        self.coordinator: processes.Process | None = None
+        self.state = base.VmState.LIVE
+
+
+class Server:
+    """An upstream VM with one server."""
+
+    def __init__(self, name, domain, service, port, journal):
+        self.name = name
+        self.domain = domain
+        self.service: organisations.Service = service
+        self.port = port
+        self.journal: pathlib.Path = journal
+        self.process: processes.Process | None = None
+        self.state = base.VmState.LIVE
+
+
+class Fleet:
+    """Starts everything, and breaks parts of it when asked.
+
+    Attributes:
+        vms: Entry VMs, by name.
+        servers: Upstream servers, by name.
+    """
+
+    def __init__(
+        self,
+        organisation: organisations.Organisation,
+        folder: pathlib.Path,
+        seed: int,
+        service_ms: float = 2.0,
+        server_options: dict[str, list[str]] | None = None,
+    ):
+        self.organisation = organisation
+        self.vms: dict[str, EntryVm] = {}
+        self.servers: dict[str, Server] = {}
+        self._folder = folder
+        self._seed = seed
+        self._service_ms = service_ms
+        self._server_options = server_options or {}
+        self._platform_port, *self._proxy_ports = processes.free_ports(
+            1 + len(organisations.DOMAINS)
+        )
+        self._platform: processes.Process | None = None
+        self._proxies: list[processes.Process] = []
+        # Port by (calling domain, name of what is called).
+        self._links: dict[tuple[str, str], int] = {}
+        self._lay_out()
+
+    def _lay_out(self) -> None:
+        domains = organisations.DOMAINS
+        for index in range(self.organisation.vms_per_domain * len(domains)):
+            domain = domains[index % len(domains)]
+            name = f"vm-{domain}{index // len(domains) + 1}"
+            self.vms[name] = EntryVm(name, domain, processes.free_ports(4))
+        for service in self.organisation.services:
+            ports = processes.free_ports(service.servers)
+            for index, port in enumerate(ports):
+                name = f"{service.name}-{index + 1:02d}"
+                domain = domains[index % len(domains)]
+                journal = self._folder / f"{name}.journal"
+                self.servers[name] = Server(
+                    name, domain, service, port, journal
+                )
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_exc) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Starts all processes, rolls the bundle and waits until it serves."""
+        self._start_standins()
+        self._add_links()
+        self.publish_vms()
+        for vm in self.vms.values():
+            self._start_vm(vm)
+        self._roll_bundle()
+        processes.wait_until(self.is_ready, _READY_S, "fleet ready", 0.2)
+
+    def stop(self) -> None:
+        """Kills all processes."""
+        for process in self.all_processes():
+            process.send(signal.SIGKILL)
+        for process in self.all_processes():
+            process.wait(10)
+
+    def all_processes(self) -> list[processes.Process]:
+        """Returns every process that was started."""
+        found = [self._platform, *self._proxies]
+        found += [server.process for server in self.servers.values()]
+        for vm in self.vms.values():
+            found += [vm.router, vm.coordinator]
+        return [process for process in found if process is not None]
+
+    def _process(self, name, module, args) -> processes.Process:
+        process = processes.Process(name, module, args, self._folder)
+        process.start()
+        return process
+
+    def _start_standins(self) -> None:
+        port = str(self._platform_port)
+        args = ["--port", port, "--seed", str(self._seed)]
+        self._platform = self._process("platform", "standins.platform", args)
+        for domain, number in zip(
+            organisations.DOMAINS, self._proxy_ports, strict=True
+        ):
+            self._proxies.append(
+                self._process(
+                    f"proxy-{domain}",
+                    "standins.fault_proxy",
+                    ["--port", str(number)],
+                )
+            )
+        for server in self.servers.values():
+            self.start_server(server)
+        for number in [self._platform_port, *self._proxy_ports]:
+            processes.wait_until(
+                lambda port=number: _answers(port), _READY_S, "stand-ins"
+            )
+
+    def start_server(self, server: Server) -> None:
+        """Starts an upstream server."""
+        args = [
+            *("--port", str(server.port)),
+            *("--journal", str(server.journal)),
+            *("--organisation", self.organisation.name),
+            *("--service", server.service.name),
+            *("--service-ms", str(self._service_ms)),
+        ]
+        if server.service.keyed and self.organisation.checks_fence:
+            args.append("--fenced")
+        args += self._server_options.get(server.name, [])
+        server.process = self._process(server.name, "standins.upstream", args)
+
+    def _add_links(self) -> None:
+        targets = {"platform": self._platform_port}
+        targets |= {s.name: s.port for s in self.servers.values()}
+        targets |= {v.name: v.coordinator_port for v in self.vms.values()}
+        for domain, control in zip(
+            organisations.DOMAINS, self._proxy_ports, strict=True
+        ):
+            ports = processes.free_ports(len(targets))
+            links = []
+            for (name, target), port in zip(
+                targets.items(), ports, strict=True
+            ):
+                label = f"{domain}>{self.domain_of(name)}:{name}"
+                links.append(fault_proxy.Link(label, port, target))
+                self._links[domain, name] = port
+            processes.post(
+                f"http://127.0.0.1:{control}/links", msgspec.json.encode(links)
+            )
+
+    def domain_of(self, name: str) -> str:
+        """Returns the failure domain of a VM or server; `-` for neither."""
+        found = self.vms.get(name) or self.servers.get(name)
+        return found.domain if found else "-"
+
+    def publish_vms(self) -> None:
+        """Shows the VM list, as it is now, to each failure domain."""
+        for domain in organisations.DOMAINS:
+            listed = [self._entry(vm, domain) for vm in self.vms.values()]
+            listed += [
+                self._upstream(server, domain)
+                for server in self.servers.values()
+            ]
+            url = f"http://127.0.0.1:{self._platform_port}/view/{domain}/vms"
+            processes.post(url, msgspec.json.encode(listed), "PUT")
+
+    def _entry(self, vm: EntryVm, viewer: str) -> base.Vm:
+        return base.Vm(
+            ids.VmId(vm.name),
+            base.VmKind.ENTRY,
+            ids.FailureDomain(vm.domain),
+            vm.state,
+            control_address=f"127.0.0.1:{self._links[viewer, vm.name]}",
+            data_address=f"127.0.0.1:{vm.router_port}",
+            organisations=(ids.OrganisationId(self.organisation.name),),
+        )
+
+    def _upstream(self, server: Server, viewer: str) -> base.Vm:
+        return base.Vm(
+            ids.VmId(server.name),
+            base.VmKind.UPSTREAM,
+            ids.FailureDomain(server.domain),
+            server.state,
+            data_address=f"127.0.0.1:{self._links[viewer, server.name]}",
+            group=f"{self.organisation.name}-{server.service.name}",
+        )
+
+    def settings_file(self, vm: EntryVm) -> pathlib.Path:
+        """Writes the settings of an entry VM and returns the file."""
+        path = self._folder / f"{vm.name}.ini"
+        path.write_text(
+            _SETTINGS.format(
+                vm=vm.name,
+                domain=vm.domain,
+                view=vm.domain,
+                organisation=self.organisation.name,
+                platform=self._links[vm.domain, "platform"],
+                router=vm.router_port,
+                router_metrics=vm.router_metrics,
+                coordinator=vm.coordinator_port,
+                coordinator_metrics=vm.coordinator_metrics,
+            )
+        )
+        return path
+
+    def _start_vm(self, vm: EntryVm) -> None:
+        self.start_coordinator(vm)
+        self.start_router(vm)
+
+    def start_router(self, vm: EntryVm) -> None:
+        """Starts the router of an entry VM."""
+        vm.router = self._daemon(vm, "router")
+
+    def start_coordinator(self, vm: EntryVm) -> None:
+        """Starts the coordinator of an entry VM."""
+        vm.coordinator = self._daemon(vm, "coordinator")
+
+    def _daemon(self, vm: EntryVm, role: str) -> processes.Process:
+        path = self.settings_file(vm)
+        args = [role, "--settings", str(path)]
+        return self._process(f"{vm.name}-{role}", "swiftstile", args)
+
+    def run_cli(self, *args: str) -> dict:
+        """Runs a command of the command line; returns its JSON."""
+        settings = self.settings_file(next(iter(self.vms.values())))
+        words = [*args, "--settings", str(settings), "--json"]
+        process = processes.Process("cli", "swiftstile", words, self._folder)
+        log = self._folder / "cli.log"
+        log.unlink(missing_ok=True)
+        process.start()
+        status = process.wait(30)
+        if status != 0:
+            raise RuntimeError(f"{args} ended with {status}: {log.read_text()}")
+        return json.loads(log.read_text())
+
+    def _roll_bundle(self) -> None:
+        path = self._folder / "bundle.ini"
+        path.write_text(self.organisation.bundle())
+        approved = self.run_cli("bundle", "approve", str(path))
+        version = str(approved["version"])
+        self.run_cli("bundle", "roll", self.organisation.name, version)
+
+    def status(self, port: int) -> dict | None:
+        """Returns the status of a daemon by its metrics port, or None."""
+        with contextlib.suppress(urllib.error.URLError, OSError, ValueError):
+            url = f"http://127.0.0.1:{port}/status"
+            with urllib.request.urlopen(url, timeout=2) as response:
+                return json.load(response)
+        return None
+
+    def is_ready(self) -> bool:
+        """Returns whether every router knows the owners of every key."""
+        keyed = {
+            f"{self.organisation.name}/{service.name}"
+            for service in self.organisation.services
+            if service.keyed
+        }
+        for vm in self.vms.values():
+            state = self.status(vm.router_metrics)
+            if not state or len(state["services"]) != len(
+                self.organisation.services
+            ):
+                return False
+            if not all(
+                state["services"][name]["assignment_version"] for name in keyed
+            ):
+                return False
+        return True
+
+    def holder(self, service: str) -> EntryVm | None:
+        """Returns the VM that coordinates a service."""
+        name = f"{self.organisation.name}/{service}"
+        for vm in self.vms.values():
+            if vm.coordinator is None or not vm.coordinator.is_running():
+                continue
+            state = self.status(vm.coordinator_metrics)
+            if state and state["services"].get(name, {}).get("holding"):
+                return vm
+        return None
+
+    def keyed_service(self) -> organisations.Service:
+        """Returns the service that is divided by key."""
+        services = self.organisation.services
+        return next(service for service in services if service.keyed)
+
+    def keyed_servers(self) -> list[Server]:
+        """Returns the servers of the service that is divided by key."""
+        return [s for s in self.servers.values() if s.service.keyed]
+
+    def fault(self, pattern: str, kind: str, delay_s: float = 0.0) -> None:
+        """Sets a fault on all links that match, like `a>b:server-*`."""
+        fault = fault_proxy.Fault(pattern, fault_proxy.FaultKind(kind), delay_s)
+        for control in self._proxy_ports:
+            processes.post(
+                f"http://127.0.0.1:{control}/faults", msgspec.json.encode(fault)
+            )
+
+    def platform_faults(self, **faults) -> None:
+        """Makes the platform misbehave, or with nothing named, behave."""
+        body = msgspec.json.encode(platform_standin.Faults(**faults))
+        processes.post(f"http://127.0.0.1:{self._platform_port}/faults", body)
+
+    def platform_stats(self) -> dict[str, int]:
+        """Returns the reads and writes that the platform served so far."""
+        url = f"http://127.0.0.1:{self._platform_port}/stats"
+        with urllib.request.urlopen(url, timeout=5) as response:
+            return json.load(response)
+
+    def assignment(self) -> dict:
+        """Returns the keyed service's assignment row from the table."""
+        name = f"{self.organisation.name}/{self.keyed_service().name}"
+        url = f"http://127.0.0.1:{self._platform_port}/table?key=assignment/{name}"
+        with urllib.request.urlopen(url, timeout=5) as response:
+            rows = json.load(response)
+        value = base64.b64decode(rows[0]["value"])
+        return json.loads(value)["assignment"]
+
+
+def _answers(port: int) -> bool:
+    try:
+        urllib.request.urlopen(f"http://127.0.0.1:{port}/", timeout=1).close()
+    except urllib.error.HTTPError:
+        return True
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,123 @@
+"""Starts, stops, freezes and measures processes of a run."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+
+__all__ = ["Process", "free_ports", "post", "wait_until"]
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Process:
+    """One process that this run started."""
+
+    def __init__(
+        self, name: str, module: str, args: list[str], folder: pathlib.Path
+    ):
+        self.name = name
+        self._module = module
+        self._args = args
+        self._log = folder / f"{name}.log"
+        self._child: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Starts it, or starts it again."""
+        with self._log.open("ab") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", self._module, *self._args],
+                cwd=_ROOT,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to it."""
+        if self._child is not None and self._child.poll() is None:
+            self._child.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills it and waits for its end."""
+        self.send(signal.SIGKILL)
+        self.wait(10)
+
+    def wait(self, timeout_s: float) -> int | None:
+        """Waits for its end; returns the exit status, None if it runs on."""
+        if self._child is None:
+            return None
+        try:
+            return self._child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def is_running(self) -> bool:
+        """Returns whether it runs."""
+        return self._child is not None and self._child.poll() is None
+
+    def pin(self, cpus: set[int]) -> None:
+        """Lets it run on these processors only, with all its threads."""
+        for thread in os.listdir(f"/proc/{self._child.pid}/task"):
+            os.sched_setaffinity(int(thread), cpus)
+
+    def cpu_s(self) -> float:
+        """Returns the processor time it has used, in seconds."""
+        with contextlib.suppress(OSError):
+            text = pathlib.Path(f"/proc/{self._child.pid}/stat").read_text()
+            fields = text.rpartition(")")[2].split()
+            return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+        return 0.0
+
+    def memory_bytes(self) -> int:
+        """Returns its resident memory, in bytes."""
+        with contextlib.suppress(OSError):
+            text = pathlib.Path(f"/proc/{self._child.pid}/statm").read_text()
+            return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+        return 0
+
+    def log_tail(self, lines: int = 20) -> str:
+        """Returns the last lines that it printed."""
+        text = self._log.read_text(errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports of loopback that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for entry in sockets:
+            entry.bind(("127.0.0.1", 0))
+        return [entry.getsockname()[1] for entry in sockets]
+    finally:
+        for entry in sockets:
+            entry.close()
+
+
+def post(url: str, body: bytes, method: str = "POST") -> bytes:
+    """Sends a body and returns the answer's."""
+    request = urllib.request.Request(url, data=body, method=method)
+    with urllib.request.urlopen(request, timeout=30) as response:
+        return response.read()
+
+
+def wait_until(condition, timeout_s: float, what: str, look_s: float = 0.05):
+    """Waits until `condition()` is true, and returns what it returned.
+
+    Raises:
+        TimeoutError: It wasn't in time.
+    """
+    end = time.monotonic() + timeout_s
+    while True:
+        result = condition()
+        if result:
+            return result
+        if time.monotonic() > end:
+            raise TimeoutError(f"not in {timeout_s} s: {what}")
+        time.sleep(look_s)
--- /dev/null
+++ b/src/swiftstile/__init__.py
@@ -0,0 +1,3 @@
+"""A router for servers that own keys exclusively."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/swiftstile/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line as `python -m swiftstile`."""
+
+import sys
+
+from swiftstile import cli
+
+if __name__ == "__main__":
+    sys.exit(cli.main())
--- /dev/null
+++ b/src/swiftstile/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned bundles: model, commands and queries."""
--- /dev/null
+++ b/src/swiftstile/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs around the library."""
--- /dev/null
+++ b/src/swiftstile/daemons/coordinator.py
@@ -0,0 +1,189 @@
+"""The coordinator daemon of an entry VM: control, never on the data path."""
+
+import asyncio
+
+from swiftstile import clocks
+from swiftstile import ids
+from swiftstile import logs
+from swiftstile import metrics
+from swiftstile import settings as settings_lib
+from swiftstile.bundles import model
+from swiftstile.bundles import watch as bundle_watch
+from swiftstile.daemons import inspection
+from swiftstile.membership import vms
+from swiftstile.ownership import keeper as keeper_lib
+from swiftstile.ownership import leases
+from swiftstile.peers import links
+from swiftstile.peers import messages
+
+__all__ = ["CoordinatorDaemon"]
+
+
+class CoordinatorDaemon(links.ControlHandler, inspection.Inspectable):
+    """Takes its share of coordinator leases and answers control messages."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        me: leases.Candidate,
+        bundles: bundle_watch.BundleWatch,
+        directory: vms.VmDirectory,
+        book: leases.PromiseBook,
+        meters: metrics.Meters,
+        make_keeper,
+    ):
+        self._settings = settings
+        self._me = me
+        self._bundles = bundles
+        self._directory = directory
+        self._book = book
+        self._meters = meters
+        self._make_keeper = make_keeper
+        self._leaving = False
+        self._keepers: dict[ids.ServiceId, keeper_lib.LeaseKeeper] = {}
+        self._tasks: dict[ids.ServiceId, asyncio.Task] = {}
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Works until `stopping` is set, then gives its leases up."""
+        self._bundles.changes.subscribe(self._on_bundle)
+        await self._directory.refresh()
+        server = links.ControlServer(
+            self._settings.coordinator.listen,
+            self,
+            self._meters,
+            self._settings.coordinator.max_control_links,
+        )
+        tasks = [
+            asyncio.create_task(self._bundles.run()),
+            asyncio.create_task(self._directory.run()),
+            asyncio.create_task(server.run()),
+        ]
+        stop = asyncio.create_task(stopping.wait())
+        logs.logger.info("coordinator started")
+        try:
+            await asyncio.wait(
+                [stop, *tasks], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in tasks:
+                if task.done():
+                    task.result()
+            await self._leave()
+        finally:
+            for task in [stop, *tasks, *self._tasks.values()]:
+                task.cancel()
+
+    async def _leave(self) -> None:
+        self._leaving = True
+        keepers = self._keepers.values()
+        await asyncio.gather(*(keeper.release() for keeper in keepers))
+        logs.logger.info("coordinator stopped")
+
+    def _on_bundle(self, change: bundle_watch.BundleInForce) -> None:
+        organisation = change.bundle.organisation
+        wanted = {
+            ids.ServiceId(organisation, name): spec
+            for name, spec in change.bundle.services.items()
+            if spec.ownership is model.Ownership.KEYED
+        }
+        for service in set(self._tasks) - set(wanted):
+            if service.organisation == organisation:
+                self._tasks.pop(service).cancel()
+                self._keepers.pop(service)
+        for service in set(wanted) - set(self._tasks):
+            keeper = self._make_keeper(service)
+            self._keepers[service] = keeper
+            self._tasks[service] = asyncio.create_task(keeper.run())
+
+    async def handle(self, message: messages.Message) -> messages.Message:
+        """See base class."""
+        match message:
+            case messages.Ping():
+                return self._pong()
+            case messages.AskPromise():
+                return self._promise(message)
+            case messages.Resigned():
+                return self._resigned(message)
+            case messages.Locate():
+                return self._locate(message)
+            case messages.Watch():
+                return await self._watch(message)
+        return messages.Refused(f"can't answer {type(message).__name__}")
+
+    def _pong(self) -> messages.Pong:
+        return messages.Pong(
+            self._me.vm,
+            self._me.incarnation,
+            self._bundles.reachable.value,
+            self._leaving,
+        )
+
+    def _promise(self, ask: messages.AskPromise) -> messages.Message:
+        if ask.candidate != self._me.incarnation:
+            return messages.Refused("meant for another run of this process")
+        duration = min(ask.duration_s, self._settings.coordinator.promise_s)
+        keeper = self._keepers.get(ask.service)
+        if keeper is not None:
+            keeper.note_holder(ask.holder, ask.epoch)
+        granted = (
+            duration == ask.duration_s
+            and not self._leaving
+            and self._book.promise(
+                ask.service, ask.epoch, clocks.monotonic(), duration
+            )
+        )
+        known = keeper.known.epoch if keeper and keeper.known else ask.epoch
+        return messages.Promised(granted, known)
+
+    def _resigned(self, message: messages.Resigned) -> messages.Message:
+        if message.candidate != self._me.incarnation:
+            return messages.Refused("meant for another run of this process")
+        self._book.release(message.service, message.epoch)
+        return messages.Promised(False, message.epoch)
+
+    def _locate(self, ask: messages.Locate) -> messages.Located:
+        keeper = self._keepers.get(ask.service)
+        if keeper is None or keeper.known is None:
+            return messages.Located(ids.VmId(""), ids.Epoch(0))
+        return messages.Located(keeper.known.holder.vm, keeper.known.epoch)
+
+    async def _watch(self, watch: messages.Watch) -> messages.Message:
+        keeper = self._keepers.get(watch.service)
+        active = keeper.active if keeper else None
+        if active is None or active.assignment is None:
+            return messages.NotHolder()
+        return await active.watch(watch)
+
+    def status(self) -> dict[str, object]:
+        """See base class."""
+        return {
+            "vm": self._me.vm,
+            "incarnation": self._me.incarnation,
+            "failure_domain": self._settings.vm.failure_domain,
+            "platform_reachable": self._bundles.reachable.value,
+            "leaving": self._leaving,
+            "bundles": {
+                name: entry.version
+                for name, entry in self._bundles.by_organisation.items()
+            },
+            "services": {
+                str(service): _service_status(keeper)
+                for service, keeper in self._keepers.items()
+            },
+            "meters": self._meters.snapshot(),
+        }
+
+
+def _service_status(keeper: keeper_lib.LeaseKeeper) -> dict[str, object]:
+    known, active = keeper.known, keeper.active
+    status: dict[str, object] = {
+        "holder": known.holder.vm if known else None,
+        "epoch": known.epoch if known else None,
+        "candidates": [c.vm for c in known.candidates] if known else [],
+        "holding": active is not None,
+    }
+    if active is not None and active.assignment is not None:
+        status["assignment_version"] = active.assignment.version
+        status["slices"] = len(active.assignment.slices)
+        status["slices_moving"] = len(active.withheld)
+        status["servers_in_trouble"] = active.servers_in_trouble()
+    return status
--- /dev/null
+++ b/src/swiftstile/daemons/inspection.py
@@ -0,0 +1,44 @@
+"""The endpoint for metrics and status of a daemon."""
+
+import abc
+
+from aiohttp import web
+import msgspec
+import prometheus_client
+
+from swiftstile import settings as settings_lib
+
+__all__ = ["Inspectable", "start"]
+
+
+class Inspectable(abc.ABC):
+    """A daemon that can tell its state."""
+
+    @abc.abstractmethod
+    def status(self) -> dict[str, object]:
+        """Returns the state, ready for JSON."""
+
+
+async def start(address: str, daemon: Inspectable) -> web.AppRunner:
+    """Serves `/metrics`, `/status` and `/health`."""
+
+    async def metrics(_request: web.Request) -> web.Response:
+        body = prometheus_client.generate_latest()
+        return web.Response(body=body, content_type="text/plain")
+
+    async def status(_request: web.Request) -> web.Response:
+        body = msgspec.json.encode(daemon.status())
+        return web.Response(body=body, content_type="application/json")
+
+    async def health(_request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    app = web.Application()
+    app.router.add_get("/metrics", metrics)
+    app.router.add_get("/status", status)
+    app.router.add_get("/health", health)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    host, port = settings_lib.split_address(address)
+    await web.TCPSite(runner, host, port).start()
+    return runner
--- /dev/null
+++ b/src/swiftstile/ini.py
@@ -0,0 +1,112 @@
+"""Reads INI text into typed sections and lists every fault at once."""
+
+from collections.abc import Mapping
+import configparser
+import typing
+
+import msgspec
+
+from swiftstile import errors
+
+__all__ = ["Fault", "describe", "parse", "to_section"]
+
+T = typing.TypeVar("T", bound=msgspec.Struct)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One thing wrong with one option of one section."""
+
+    section: str
+    option: str
+    problem: str
+
+    def __str__(self) -> str:
+        option = f" {self.option}" if self.option else ""
+        return f"[{self.section}]{option}: {self.problem}"
+
+
+def parse(text: str, source: str) -> configparser.ConfigParser:
+    """Splits INI text into sections.
+
+    Args:
+        text: The whole text.
+        source: Name of the file, for errors.
+
+    Raises:
+        SettingsError: The text isn't INI.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None, inline_comment_prefixes=(";",)
+    )
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        first_line = str(error).splitlines()[0]
+        raise errors.SettingsError(
+            first_line, step="parse", peer=source
+        ) from error
+    return parser
+
+
+def to_section(
+    kind: type[T], section: str, options: Mapping[str, str]
+) -> tuple[T | None, list[Fault]]:
+    """Converts the options of one section.
+
+    Args:
+        kind: The struct that describes the section. A tuple field is
+            written as a list separated by commas.
+        section: Name of the section, for faults.
+        options: Text by option name.
+
+    Returns:
+        The section, or None when there is a fault, and all faults.
+    """
+    fields = {
+        field.encode_name: field for field in msgspec.structs.fields(kind)
+    }
+    faults = [
+        Fault(section, option, f"unknown option; known: {', '.join(fields)}")
+        for option in options
+        if option not in fields
+    ]
+    values: dict[str, object] = {}
+    for name, field in fields.items():
+        if name in options:
+            _convert(field, section, options[name], values, faults)
+        elif field.required:
+            expected = _expected(field.type)
+            faults.append(Fault(section, name, f"missing; expected {expected}"))
+    return (None, faults) if faults else (kind(**values), [])
+
+
+def describe(kind: type[msgspec.Struct]) -> list[str]:
+    """Returns the option names of a section."""
+    return [field.encode_name for field in msgspec.structs.fields(kind)]
+
+
+def _convert(field, section, text, values, faults):
+    value: object = text
+    if _base_type(field.type) is tuple:
+        value = [part.strip() for part in text.split(",") if part.strip()]
+    try:
+        values[field.name] = msgspec.convert(value, field.type, strict=False)
+    except msgspec.ValidationError as error:
+        problem = f"{error}; expected {_expected(field.type)}, got {text!r}"
+        faults.append(Fault(section, field.encode_name, problem))
+
+
+def _base_type(kind):
+    if typing.get_origin(kind) is typing.Annotated:
+        kind = typing.get_args(kind)[0]
+    return typing.get_origin(kind) or kind
+
+
+def _expected(kind) -> str:
+    base = _base_type(kind)
+    if base is tuple:
+        return "a list separated by commas"
+    if hasattr(base, "__members__"):
+        return "one of " + ", ".join(member.value for member in base)
+    names = {bool: "true or false", int: "a whole number", float: "a number"}
+    return names.get(base, "text")
--- /dev/null
+++ b/src/swiftstile/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs exist and which of them answer."""
--- /dev/null
+++ b/src/swiftstile/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Who owns which keys: slices, leases and coordination."""
--- /dev/null
+++ b/src/swiftstile/ownership/coordination.py
@@ -0,0 +1,341 @@
+"""The work of a held lease: assigns slices, moves them, answers routers."""
+
+import asyncio
+import math
+
+from swiftstile import clocks
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile import logs
+from swiftstile import metrics
+from swiftstile import settings as settings_lib
+from swiftstile.bundles import model
+from swiftstile.membership import vms
+from swiftstile.ownership import custody as custody_lib
+from swiftstile.ownership import documents
+from swiftstile.ownership import holder as holder_lib
+from swiftstile.ownership import placement as placement_lib
+from swiftstile.ownership import slices
+from swiftstile.peers import messages
+from swiftstile.platform import base
+from swiftstile.platform import settle
+
+__all__ = ["Coordination"]
+
+_TICK_S = 0.1
+_HISTORY = 64
+# How long to wait for all listed servers before the first assignment.
+_FIRST_SERVERS_S = 1.5
+_REBALANCE_INTERVAL_S = 1.0
+_STORE_RETRY_S = 0.2
+# A planned move that isn't written by then is called off.
+_MOVE_LIMIT_S = 5.0
+
+
+class Coordination:
+    """Coordinates one service under one held lease.
+
+    Attributes:
+        assignment: What is in force: durable, and announced to routers.
+        withheld: Slices that no server is granted, by start, as they move.
+    """
+
+    def __init__(
+        self,
+        holder: holder_lib.Holder,
+        spec: model.ServiceSpec,
+        directory: vms.VmDirectory,
+        custody: custody_lib.Custody,
+        store: documents.AssignmentStore,
+        table: base.Table,
+        placement: placement_lib.PlacementPolicy,
+        settings: settings_lib.CoordinatorSettings,
+        meters: metrics.Meters,
+        changed: asyncio.Event,
+        released: bool,
+    ):
+        self.assignment: slices.Assignment | None = None
+        self.withheld: dict[int, ids.ServerId] = {}
+        self._holder = holder
+        self._spec = spec
+        self._directory = directory
+        self._custody = custody
+        self._store = store
+        self._table = table
+        self._placement = placement
+        self._settings = settings
+        self._meters = meters
+        self._changed = changed
+        self._row_version = base.ABSENT
+        self._announced = asyncio.Condition()
+        self._history: dict[int, slices.Assignment] = {}
+        self._tasks: dict[ids.ServerId, asyncio.Task] = {}
+        self._addresses: dict[ids.ServerId, str] = {}
+        self._withheld_at = 0.0
+        self._rebalanced_at = clocks.monotonic()
+        self._free_from = clocks.monotonic() + custody.takeover_wait_s(released)
+
+    async def run(self) -> None:
+        """Coordinates until the lease is lost.
+
+        Raises:
+            LeaseLostError: Another process coordinates.
+        """
+        keeping = asyncio.create_task(self._holder.run())
+        planning = asyncio.create_task(self._plan_forever())
+        try:
+            done, _ = await asyncio.wait(
+                {keeping, planning}, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            tasks = [keeping, planning, *self._tasks.values()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def watch(self, request: messages.Watch) -> messages.WatchReply:
+        """Answers a router, as soon as there is a newer assignment."""
+        self._custody.note_watch(request, clocks.monotonic())
+        if self._version() <= request.version:
+            await self._wait_newer(request.version, request.wait_s)
+        delta = None
+        if self._version() > request.version:
+            base_version = self._history.get(request.version)
+            delta = self.assignment.delta_from(base_version)
+        lease_s = self._custody.note_watch(request, clocks.monotonic())
+        return messages.WatchReply(self._holder.lease.epoch, delta, lease_s)
+
+    def servers_in_trouble(self) -> list[ids.ServerId]:
+        """Returns the servers that don't answer."""
+        sessions_by_server = self._custody.by_server.items()
+        return [
+            name for name, session in sessions_by_server if not session.live
+        ]
+
+    def _version(self) -> int:
+        return self.assignment.version if self.assignment else 0
+
+    async def _wait_newer(self, version: int, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s), self._announced:
+                await self._announced.wait_for(
+                    lambda: self._version() > version
+                )
+        except TimeoutError:
+            return
+
+    async def _plan_forever(self) -> None:
+        await self._load()
+        while True:
+            self._sync_sessions()
+            await self._step()
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(_TICK_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                assignment, self._row_version = await self._store.read()
+                break
+            except errors.PlatformUnavailableError:
+                await asyncio.sleep(_STORE_RETRY_S)
+        if assignment is not None:
+            await self._announce(assignment)
+            return
+        await self._wait_for_servers()
+        servers = sorted(self._usable())
+        first = slices.initial(
+            servers, self._spec.slices_per_server, self._holder.lease.epoch
+        )
+        while not await self._write(first, "first assignment"):
+            await asyncio.sleep(_STORE_RETRY_S)
+
+    async def _wait_for_servers(self) -> None:
+        end = clocks.monotonic() + _FIRST_SERVERS_S
+        while True:
+            self._sync_sessions()
+            listed = self._directory.group(self._spec.upstream_group)
+            complete = listed and len(self._usable()) == len(listed)
+            late = clocks.monotonic() > end and self._usable()
+            if complete or late:
+                return
+            await asyncio.sleep(_TICK_S)
+
+    def _sync_sessions(self) -> None:
+        listed = self._directory.group(self._spec.upstream_group)
+        for server, vm in listed.items():
+            if self._addresses.get(server) != vm.data_address:
+                self._close_session(server)
+                self._open_session(server, vm.data_address)
+        for server in set(self._tasks) - set(listed):
+            if self._custody.by_server[server].failing:
+                self._close_session(server)
+        for task in self._tasks.values():
+            if task.done():
+                task.result()
+
+    def _open_session(self, server: ids.ServerId, address: str) -> None:
+        session = self._custody.open(server, address)
+        self._custody.by_server[server] = session
+        self._addresses[server] = address
+        self._tasks[server] = asyncio.create_task(session.run())
+
+    def _close_session(self, server: ids.ServerId) -> None:
+        if server in self._tasks:
+            self._tasks.pop(server).cancel()
+            self._addresses.pop(server)
+            self._custody.by_server.pop(server)
+            # What it may still hold lapses; nothing is free before that.
+            lapse = clocks.monotonic() + self._settings.server_lease_s
+            self._free_from = max(self._free_from, lapse)
+
+    def _usable(self) -> set[ids.ServerId]:
+        listed = self._directory.group(self._spec.upstream_group)
+        return {
+            server
+            for server, session in self._custody.by_server.items()
+            if session.live
+            and server in listed
+            and listed[server].state is base.VmState.LIVE
+        }
+
+    async def _step(self) -> None:
+        now = clocks.monotonic()
+        self._custody.expire(now)
+        self._call_off_late(now)
+        usable = self._usable()
+        self._withhold_unserved(usable)
+        if not self.withheld:
+            self._withhold_uneven(usable, now)
+        await self._withdraw()
+        self._custody.publish(self.assignment, set(self.withheld))
+        if now >= self._free_from:
+            await self._give_free(usable, now)
+
+    def _withhold_unserved(self, usable: set[ids.ServerId]) -> None:
+        """Starts to move slices off servers that are gone, or leaving."""
+        for piece in self.assignment.slices:
+            if piece.server in usable or not usable:
+                continue
+            session = self._custody.by_server.get(piece.server)
+            if session is None or session.failing or self._is_leaving(piece):
+                self._withhold(piece.start, slices.NO_OWNER)
+
+    def _is_leaving(self, piece: slices.Slice) -> bool:
+        vm = self._directory.by_id.get(ids.VmId(piece.server))
+        return vm is not None and vm.state is base.VmState.LEAVING
+
+    def _withhold_uneven(self, usable: set[ids.ServerId], now: float) -> None:
+        if now < self._rebalanced_at + _REBALANCE_INTERVAL_S:
+            return
+        self._rebalanced_at = now
+        moves = self._placement.rebalance(
+            self.assignment, usable, self._spec.churn_budget
+        )
+        for start, target in moves.items():
+            self._withhold(start, target)
+
+    def _withhold(self, start: int, target: ids.ServerId) -> None:
+        if not self.withheld:
+            self._withheld_at = clocks.monotonic()
+        self.withheld.setdefault(start, target)
+
+    def _call_off_late(self, now: float) -> None:
+        """Gives slices back to their owners if the table won't have it."""
+        if self.withheld and now > self._withheld_at + _MOVE_LIMIT_S:
+            self.withheld.clear()
+
+    async def _withdraw(self) -> None:
+        moves = self._custody.withdraw(self.assignment, set(self.withheld))
+        if moves:
+            await self._move(moves, "withdrawn before a move")
+
+    async def _give_free(self, usable: set[ids.ServerId], now: float) -> None:
+        free = [
+            piece
+            for start in self.withheld
+            if (piece := self.assignment.at(ids.KeyHash(start)))
+            and self._custody.is_free(piece, now)
+        ]
+        planned = {
+            piece.start: self.withheld[piece.start]
+            for piece in free
+            if self.withheld[piece.start] in usable
+        }
+        orphans = [piece for piece in free if piece.start not in planned]
+        moves = self._placement.place(self.assignment, orphans, usable)
+        reason = "owner gone or leaving" if moves else "rebalanced"
+        moves |= planned
+        if moves and await self._move(moves, reason):
+            for start in moves:
+                self.withheld.pop(start, None)
+            self._custody.publish(self.assignment, set(self.withheld))
+            self._changed.set()
+
+    async def _move(self, moves: dict[int, ids.ServerId], reason: str) -> bool:
+        epoch = self._holder.lease.epoch
+        return await self._write(self.assignment.moved(moves, epoch), reason)
+
+    async def _write(self, wanted: slices.Assignment, reason: str) -> bool:
+        """Makes an assignment durable, then announces it.
+
+        Returns:
+            Whether it is in force. If not, it will not be.
+        """
+        change = self._change(wanted, reason)
+        try:
+            writes = await self._store.writes(wanted, self._row_version, change)
+            async with self._holder.table_lock:
+                guarded = [self._holder.check_write(), *writes]
+                await settle.settled_transact(self._table, guarded, math.inf)
+        except errors.PlatformUnavailableError:
+            return False
+        except errors.ConflictError as error:
+            raise holder_lib.LeaseLostError(
+                str(error), step="write assignment", peer=""
+            ) from error
+        self._row_version += 1
+        self._meters.ownership.add("slices-moved", change.moved)
+        logs.logger.info(
+            "assignment written",
+            service=str(self._holder.service),
+            version=wanted.version,
+            reason=reason,
+            moved=change.moved,
+        )
+        await self._announce(wanted)
+        return True
+
+    def _change(self, wanted, reason) -> documents.OwnershipChange:
+        old = self.assignment
+        moved = [
+            piece
+            for piece in wanted.slices
+            if old and old.at(ids.KeyHash(piece.start)).server != piece.server
+        ]
+        width = sum(wanted.end_of(piece) - piece.start for piece in moved)
+        sources = {old.at(ids.KeyHash(p.start)).server for p in moved}
+        return documents.OwnershipChange(
+            wanted.version,
+            wanted.epoch,
+            clocks.wall_ms(),
+            self._holder.lease.holder.vm,
+            reason,
+            len(moved),
+            round(width / (1 << 64), 9),
+            tuple(sorted(sources)),
+            tuple(sorted({piece.server for piece in moved})),
+        )
+
+    async def _announce(self, assignment: slices.Assignment) -> None:
+        async with self._announced:
+            self.assignment = assignment
+            self._history[assignment.version] = assignment
+            self._history.pop(assignment.version - _HISTORY, None)
+            self._announced.notify_all()
--- /dev/null
+++ b/src/swiftstile/ownership/documents.py
@@ -0,0 +1,129 @@
+"""Assignments as the platform keeps them, and who changed them and why."""
+
+import hashlib
+
+import msgspec
+
+from swiftstile import codec
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile.ownership import slices
+from swiftstile.platform import base
+
+__all__ = [
+    "AssignmentStore",
+    "OwnershipChange",
+    "assignment_key",
+    "change_key",
+    "change_prefix",
+]
+
+# Longer documents go to the object store, and the row names them.
+_INLINE_BYTES = 64 << 10
+
+
+class OwnershipChange(msgspec.Struct, frozen=True):
+    """Audit record of one version of an assignment.
+
+    Attributes:
+        version: The version.
+        epoch: Epoch of the coordinator.
+        at_ms: Milliseconds since the Unix epoch, by the writer's clock.
+        actor: VM of the coordinator.
+        reason: Why ownership changed.
+        moved: Slices that changed owner.
+        share: Share of the hash space that changed owner, from 0 to 1.
+        sources: Servers that lost slices.
+        targets: Servers that gained slices.
+    """
+
+    version: int
+    epoch: ids.Epoch
+    at_ms: int
+    actor: ids.VmId
+    reason: str
+    moved: int
+    share: float
+    sources: tuple[ids.ServerId, ...]
+    targets: tuple[ids.ServerId, ...]
+
+
+class _Stored(msgspec.Struct):
+    assignment: slices.Assignment | None = None
+    object_name: str = ""
+
+
+def assignment_key(service: ids.ServiceId) -> str:
+    """Returns the key of a service's assignment row."""
+    return f"assignment/{service}"
+
+
+def change_prefix(organisation: ids.OrganisationId) -> str:
+    """Returns the prefix of an organisation's ownership audit."""
+    return f"ownership-audit/{organisation}/"
+
+
+def change_key(service: ids.ServiceId, version: int) -> str:
+    """Returns the key of one audit record; keys sort by version."""
+    prefix = change_prefix(service.organisation)
+    return f"{prefix}{service.service}/{version:012d}"
+
+
+class AssignmentStore:
+    """Reads and prepares writes of the assignment of one service."""
+
+    def __init__(
+        self,
+        service: ids.ServiceId,
+        table: base.Table,
+        objects: base.ObjectStore,
+    ):
+        self._service = service
+        self._table = table
+        self._objects = objects
+
+    async def read(self) -> tuple[slices.Assignment | None, int]:
+        """Returns the assignment, None for none, and its row's version."""
+        row = await self._table.read(assignment_key(self._service))
+        if row is None:
+            return None, base.ABSENT
+        stored = codec.from_json(row.value, _Stored)
+        assignment = stored.assignment
+        if assignment is None:
+            assignment = await self._fetch(stored.object_name)
+        assignment.check()
+        return assignment, row.version
+
+    async def writes(
+        self,
+        assignment: slices.Assignment,
+        row_version: int,
+        change: OwnershipChange,
+    ) -> list[base.Write]:
+        """Returns the writes that put an assignment and its record in place.
+
+        A long body is stored first, so that no row names a missing one.
+        """
+        stored = _Stored(assignment)
+        value = codec.to_json(stored)
+        if len(value) > _INLINE_BYTES:
+            name = f"assignments-{hashlib.sha256(value).hexdigest()}"
+            await self._objects.put(name, value)
+            value = codec.to_json(_Stored(object_name=name))
+        return [
+            base.Write(assignment_key(self._service), row_version, value),
+            base.Write(
+                change_key(self._service, change.version),
+                base.ABSENT,
+                codec.to_json(change),
+            ),
+        ]
+
+    async def _fetch(self, name: str) -> slices.Assignment:
+        body = await self._objects.get(name)
+        stored = codec.from_json(body or b"{}", _Stored)
+        if stored.assignment is None:
+            raise errors.ControlMessageError(
+                "no such body", step="read assignment", peer=name
+            )
+        return stored.assignment
--- /dev/null
+++ b/src/swiftstile/ownership/scouts.py
@@ -0,0 +1,91 @@
+"""Finds coordinators that answer, to be candidates for a lease."""
+
+import asyncio
+
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile.membership import vms
+from swiftstile.ownership import leases
+from swiftstile.peers import links
+from swiftstile.peers import messages
+from swiftstile.platform import base
+
+__all__ = ["CANDIDATES", "Scout"]
+
+# Two candidates in two other failure domains: the loss of any domain leaves
+# one that may take over, and each one more is one more that must answer.
+CANDIDATES = 2
+
+
+class Scout:
+    """Pings the entry VMs of an organisation."""
+
+    def __init__(
+        self,
+        me: leases.Candidate,
+        directory: vms.VmDirectory,
+        peers: links.Links,
+        timeout_s: float,
+    ):
+        self._me = me
+        self._directory = directory
+        self._peers = peers
+        self._timeout_s = timeout_s
+
+    def address(self, vm: ids.VmId) -> str:
+        """Returns the control address of a VM.
+
+        Raises:
+            PeerUnavailableError: The VM isn't listed.
+        """
+        listed = self._directory.by_id.get(vm)
+        if listed is None:
+            raise errors.PeerUnavailableError(
+                "not listed", step="find VM", peer=vm
+            )
+        return listed.control_address
+
+    async def choose(
+        self, service: ids.ServiceId, keep: list[leases.Candidate]
+    ) -> tuple[leases.Candidate, ...]:
+        """Returns candidates: those to keep, then VMs that answer.
+
+        They are in as many failure domains other than this VM's as can be.
+        """
+        chosen = list(keep)
+        answered = await self._answering(service.organisation)
+        while len(chosen) < CANDIDATES:
+            taken = [c.vm for c in chosen] + [self._me.vm]
+            rest = [pong for pong in answered if pong.vm not in taken]
+            if not rest:
+                break
+            best = min(rest, key=lambda pong: self._cost(pong, taken))
+            chosen.append(leases.Candidate(best.vm, best.incarnation))
+        return tuple(chosen)
+
+    def _cost(self, pong: messages.Pong, taken: list[ids.VmId]):
+        domains = [self._domain(vm) for vm in taken]
+        crowd = domains.count(self._domain(pong.vm))
+        return crowd, not pong.table_reachable, pong.vm
+
+    def _domain(self, vm: ids.VmId) -> str:
+        listed = self._directory.by_id.get(vm)
+        return listed.failure_domain if listed else ""
+
+    async def _answering(self, organisation) -> list[messages.Pong]:
+        listed = self._directory.entry_vms(organisation)
+        pongs = await asyncio.gather(*(self._ping(vm) for vm in listed))
+        return [pong for pong in pongs if pong and not pong.leaving]
+
+    async def _ping(self, vm: base.Vm) -> messages.Pong | None:
+        if vm.id == self._me.vm or vm.state is base.VmState.LEAVING:
+            return None
+        link = self._peers.to(vm.control_address)
+        try:
+            return await link.call(
+                messages.Ping(self._me.incarnation),
+                messages.Pong,
+                self._timeout_s,
+            )
+        except errors.SwiftstileError:
+            return None
--- /dev/null
+++ b/src/swiftstile/ownership/sessions.py
@@ -0,0 +1,198 @@
+"""One task for each server of a service: grants and renews its lease."""
+
+import abc
+import asyncio
+
+from swiftstile import clocks
+from swiftstile import errors
+from swiftstile import hashing
+from swiftstile import ids
+from swiftstile import settings as settings_lib
+from swiftstile.ownership import grants
+from swiftstile.ownership import holder as holder_lib
+from swiftstile.ownership import leases
+
+__all__ = ["FencedSession", "ProbedSession", "ServerSession", "set_digest"]
+
+# A server is failing when it missed this many calls one after the other.
+_MISSES = 2
+# Wait before the next call to a server that missed one or is draining.
+_HURRY_S = 0.02
+
+
+class ServerSession(abc.ABC):
+    """Talks to one server.
+
+    Attributes:
+        server: The server.
+        changed: Set when there is something for the planner to look at.
+    """
+
+    def __init__(
+        self,
+        server: ids.ServerId,
+        address: str,
+        control: grants.UpstreamControl,
+        settings: settings_lib.CoordinatorSettings,
+        changed: asyncio.Event,
+    ):
+        self.server = server
+        self.changed = changed
+        self._address = address
+        self._control = control
+        self._settings = settings
+        self._misses = 0
+        self._answered = False
+        self._hurry = False
+        self._due = asyncio.Event()
+
+    @property
+    def live(self) -> bool:
+        """Whether the server answers, and may be given slices."""
+        return self._answered and self._misses == 0
+
+    @property
+    def failing(self) -> bool:
+        """Whether the server didn't answer several calls in a row."""
+        return self._misses >= _MISSES
+
+    def wake(self) -> None:
+        """Makes the next call happen now."""
+        self._due.set()
+
+    async def run(self) -> None:
+        """Calls the server until cancelled."""
+        while True:
+            self._due.clear()
+            was = (self.live, self.failing)
+            try:
+                await self._call()
+                self._misses = 0
+                self._answered = True
+            except errors.PeerUnavailableError:
+                self._misses += 1
+            if (self.live, self.failing) != was:
+                self.changed.set()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        hurry = self._hurry or 0 < self._misses < _MISSES
+        wait = _HURRY_S if hurry else self._settings.renew_interval_s
+        try:
+            async with asyncio.timeout(wait):
+                await self._due.wait()
+        except TimeoutError:
+            return
+
+    @abc.abstractmethod
+    async def _call(self) -> None:
+        """Calls the server once. Raises PeerUnavailableError."""
+
+
+class ProbedSession(ServerSession):
+    """A server that takes no grants, only looked at."""
+
+    async def _call(self) -> None:
+        await self._control.probe(self._address)
+
+
+class FencedSession(ServerSession):
+    """A server that accepts fenced grants.
+
+    Attributes:
+        may_hold: Slices that the server may still own.
+    """
+
+    def __init__(self, *args, holder: holder_lib.Holder):
+        super().__init__(*args)
+        self.may_hold: set[grants.GrantedSlice] = set()
+        self._holder = holder
+        self._wanted: tuple[grants.GrantedSlice, ...] = ()
+        self._granted_until = 0.0
+        self._sequence = 0
+        self._clock: leases.ServerClock | None = None
+        self._held_digest = ""
+
+    def want(self, wanted: tuple[grants.GrantedSlice, ...]) -> None:
+        """Sets the slices that the server shall own."""
+        if wanted != self._wanted:
+            self._wanted = wanted
+            self.wake()
+
+    def expire(self, now: float) -> None:
+        """Forgets what the server can no longer own, as its lease lapsed."""
+        if now > self._granted_until + clocks.DRIFT_MARGIN_S:
+            self.may_hold.clear()
+
+    async def _call(self) -> None:
+        try:
+            if self._clock is None:
+                await self._look()
+            await self._grant()
+        except errors.PeerUnavailableError:
+            # Nothing more is granted until the server answers a look, or its
+            # lease would be renewed by messages that it may read later.
+            self._clock = None
+            raise
+
+    async def _look(self) -> None:
+        reply = await self._control.look(self._address, self._holder.service)
+        self._note_clock(reply)
+        self._held_digest = reply.digest
+
+    async def _grant(self) -> None:
+        now = clocks.monotonic()
+        lease_end = now + self._settings.server_lease_s
+        end = min(lease_end, self._holder.validity.until())
+        if end <= now:
+            return
+        wanted = self._wanted
+        digest = set_digest(wanted)
+        self._sequence += 1
+        service = self._holder.service
+        grant = grants.Grant(
+            service.organisation,
+            service.service,
+            self._clock.instance,
+            self._holder.lease.epoch,
+            self._sequence,
+            self._clock.expiry(end),
+            digest,
+            None if digest == self._held_digest else wanted,
+        )
+        # Noted before it is sent: it may take effect without an answer.
+        self.may_hold.update(wanted)
+        self._granted_until = max(self._granted_until, end)
+        reply = await self._control.grant(self._address, grant)
+        self._note(reply, digest, wanted)
+
+    def _note(self, reply, digest, wanted) -> None:
+        if reply.epoch > self._holder.lease.epoch:
+            raise holder_lib.LeaseLostError(
+                f"server saw epoch {reply.epoch}",
+                step="grant",
+                peer=self._address,
+            )
+        if not reply.accepted:
+            self._held_digest = ""
+            raise errors.PeerUnavailableError(
+                reply.reason, step="grant", peer=self._address
+            )
+        self._note_clock(reply)
+        self._held_digest = digest
+        self._hurry = reply.draining > 0
+        if not reply.draining and self.may_hold != set(wanted):
+            self.may_hold = set(wanted)
+            self.changed.set()
+
+    def _note_clock(self, reply: grants.GrantReply) -> None:
+        received_at = clocks.monotonic()
+        self._clock = leases.ServerClock(
+            reply.instance, reply.clock, received_at
+        )
+
+
+def set_digest(wanted: tuple[grants.GrantedSlice, ...]) -> str:
+    """Returns a short name of a set of slices."""
+    text = ";".join(f"{p.start},{p.end},{p.fence}" for p in wanted)
+    return f"{hashing.text_hash(text):016x}"
--- /dev/null
+++ b/src/swiftstile/ownership/upstream_http.py
@@ -0,0 +1,78 @@
+"""Control of upstream servers over HTTP and JSON."""
+
+import aiohttp
+import msgspec
+
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile import metrics
+from swiftstile.ownership import grants
+
+__all__ = ["CLOCK_PATH", "GRANT_PATH", "HttpUpstreamControl"]
+
+GRANT_PATH = "/swiftstile/v1/grant"
+CLOCK_PATH = "/swiftstile/v1/clock"
+
+
+class HttpUpstreamControl(grants.UpstreamControl):
+    """Sends grants as JSON by POST."""
+
+    def __init__(self, timeout_s: float, meters: metrics.Meters):
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._meters = meters
+        self._session: aiohttp.ClientSession | None = None
+
+    async def look(
+        self, address: str, service: ids.ServiceId
+    ) -> grants.GrantReply:
+        """See base class."""
+        params = {
+            "organisation": service.organisation,
+            "service": service.service,
+        }
+        return await self._call("GET", address, CLOCK_PATH, params=params)
+
+    async def grant(
+        self, address: str, grant: grants.Grant
+    ) -> grants.GrantReply:
+        """See base class."""
+        body = msgspec.json.encode(grant)
+        self._meters.control_bytes.add("server-sent", len(body))
+        return await self._call("POST", address, GRANT_PATH, data=body)
+
+    async def probe(self, address: str) -> None:
+        """See base class. Any HTTP answer will do."""
+        await self._request("GET", address, "/", {})
+
+    async def _call(self, method, address, path, **options):
+        body = await self._request(method, address, path, options)
+        try:
+            return msgspec.json.decode(body, type=grants.GrantReply)
+        except msgspec.MsgspecError as error:
+            raise errors.PeerUnavailableError(
+                f"malformed answer: {error}", step="call server", peer=address
+            ) from error
+
+    async def _request(self, method, address, path, options) -> bytes:
+        self._meters.control_messages.add("server")
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=self._timeout,
+                connector=aiohttp.TCPConnector(limit=0),
+            )
+        try:
+            async with self._session.request(
+                method, f"http://{address}{path}", **options
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise errors.PeerUnavailableError(
+                repr(error), step="call server", peer=address
+            ) from error
+        self._meters.control_bytes.add("server-received", len(body))
+        return body
+
+    async def close(self) -> None:
+        """See base class."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/src/swiftstile/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Control links between the system's own processes."""
--- /dev/null
+++ b/src/swiftstile/peers/links.py
@@ -0,0 +1,181 @@
+"""Control links: requests and answers over pynng."""
+
+import abc
+import asyncio
+import typing
+
+import pynng
+
+from swiftstile import errors
+from swiftstile import logs
+from swiftstile import metrics
+from swiftstile.peers import messages
+
+__all__ = ["ControlHandler", "ControlServer", "Link", "Links"]
+
+# pynng's name for a request that is never sent again by itself.
+_NEVER = -1
+_MAX_MESSAGE_BYTES = 4 << 20
+_MAX_PARALLEL_HANDSHAKES_MS = 200
+
+T = typing.TypeVar("T")
+
+
+class Link:
+    """A link to one peer. Calls may run at the same time."""
+
+    def __init__(self, address: str, meters: metrics.Meters):
+        self._address = address
+        self._meters = meters
+        self._socket: pynng.Req0 | None = None
+
+    async def call(
+        self,
+        message: messages.Message,
+        expected: type[T],
+        timeout_s: float,
+    ) -> T:
+        """Sends a message and returns the answer.
+
+        Raises:
+            PeerTimeoutError: No answer in time. The connection is given up,
+                as something between may have lost track of it.
+            ControlMessageError: An answer of another kind.
+        """
+        step = f"call {type(message).__name__}"
+        try:
+            async with asyncio.timeout(timeout_s):
+                data = await self._exchange(messages.CODEC.encode(message))
+        except (TimeoutError, pynng.NNGException) as error:
+            self.close()
+            raise errors.PeerTimeoutError(
+                repr(error), step=step, peer=self._address
+            ) from error
+        answer = messages.CODEC.decode(data, self._address)
+        if not isinstance(answer, expected):
+            raise errors.ControlMessageError(
+                f"got {answer}", step=step, peer=self._address
+            )
+        return answer
+
+    async def _exchange(self, data: bytes) -> bytes:
+        if self._socket is None:
+            self._socket = self._dial()
+        self._meters.control_bytes.add("peer-sent", len(data))
+        self._meters.control_messages.add("peer")
+        context = self._socket.new_context()
+        try:
+            await context.asend(data)
+            answer = await context.arecv()
+        finally:
+            _close_quietly(context)
+        self._meters.control_bytes.add("peer-received", len(answer))
+        return answer
+
+    def _dial(self) -> pynng.Req0:
+        socket = pynng.Req0(resend_time=_NEVER)
+        socket.recv_max_size = _MAX_MESSAGE_BYTES
+        socket.reconnect_time_min = 50
+        socket.reconnect_time_max = _MAX_PARALLEL_HANDSHAKES_MS
+        socket.dial(f"tcp://{self._address}", block=False)
+        return socket
+
+    def close(self) -> None:
+        """Closes the connection; the next call opens another."""
+        if self._socket is not None:
+            _close_quietly(self._socket)
+            self._socket = None
+
+
+class Links:
+    """All links of a process, by address."""
+
+    def __init__(self, meters: metrics.Meters):
+        self._meters = meters
+        self._by_address: dict[str, Link] = {}
+
+    def to(self, address: str) -> Link:
+        """Returns the link to an address."""
+        link = self._by_address.get(address)
+        if link is None:
+            link = Link(address, self._meters)
+            self._by_address[address] = link
+        return link
+
+    def retain(self, addresses: set[str]) -> None:
+        """Closes links to addresses that are no longer listed."""
+        for address in set(self._by_address) - addresses:
+            self._by_address.pop(address).close()
+
+    def close(self) -> None:
+        """Closes all links."""
+        self.retain(set())
+
+
+class ControlHandler(abc.ABC):
+    """Answers control messages."""
+
+    @abc.abstractmethod
+    async def handle(self, message: messages.Message) -> messages.Message:
+        """Returns the answer to a message."""
+
+
+class ControlServer:
+    """Listens for control messages, one task for each that is in progress."""
+
+    def __init__(
+        self,
+        address: str,
+        handler: ControlHandler,
+        meters: metrics.Meters,
+        parallel: int,
+    ):
+        self._address = address
+        self._handler = handler
+        self._meters = meters
+        self._parallel = parallel
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        with pynng.Rep0() as socket:
+            socket.recv_max_size = _MAX_MESSAGE_BYTES
+            socket.listen(f"tcp://{self._address}")
+            async with asyncio.TaskGroup() as group:
+                for _ in range(self._parallel):
+                    group.create_task(self._serve(socket))
+
+    async def _serve(self, socket: pynng.Rep0) -> None:
+        context = socket.new_context()
+        try:
+            while True:
+                data = await context.arecv()
+                self._meters.control_bytes.add("peer-received", len(data))
+                answer = messages.CODEC.encode(await self._answer(data))
+                self._meters.control_bytes.add("peer-sent", len(answer))
+                self._meters.control_messages.add("peer")
+                await self._send(context, answer)
+        finally:
+            _close_quietly(context)
+
+    async def _send(self, context, answer: bytes) -> None:
+        try:
+            await context.asend(answer)
+        except pynng.NNGException as error:
+            # The asker is gone; it asks again on another connection.
+            logs.logger.debug("answer not sent", error=repr(error))
+
+    async def _answer(self, data: bytes) -> messages.Message:
+        try:
+            message = messages.CODEC.decode(data)
+            return await self._handler.handle(message)
+        except errors.SwiftstileError as error:
+            self._meters.control_messages.add("refused")
+            return messages.Refused(str(error))
+
+
+def _close_quietly(closable) -> None:
+    try:
+        closable.close()
+    except pynng.NNGException:
+        # It was closed by the other side or by a close of its socket.
+        return
--- /dev/null
+++ b/src/swiftstile/peers/messages.py
@@ -0,0 +1,148 @@
+"""Messages between the system's own processes."""
+
+import msgspec
+
+from swiftstile import codec
+from swiftstile import ids
+from swiftstile.ownership import slices
+
+__all__ = [
+    "CODEC",
+    "AskPromise",
+    "Locate",
+    "Located",
+    "Message",
+    "NotHolder",
+    "Ping",
+    "Pong",
+    "Promised",
+    "Refused",
+    "Resigned",
+    "Watch",
+    "WatchReply",
+]
+
+
+class Ping(msgspec.Struct, tag="ping", frozen=True):
+    """Asks whether a coordinator is there."""
+
+    sender: ids.Incarnation
+
+
+class Pong(msgspec.Struct, tag="pong", frozen=True):
+    """Answers a ping.
+
+    Attributes:
+        vm: VM that answers.
+        incarnation: Process that answers.
+        table_reachable: Whether it reached the table when it last tried.
+        leaving: It is shutting down; don't choose it for anything new.
+    """
+
+    vm: ids.VmId
+    incarnation: ids.Incarnation
+    table_reachable: bool
+    leaving: bool = False
+
+
+class AskPromise(msgspec.Struct, tag="ask-promise", frozen=True):
+    """A holder asks a candidate not to take over for a time."""
+
+    service: ids.ServiceId
+    epoch: ids.Epoch
+    holder: ids.VmId
+    candidate: ids.Incarnation
+    duration_s: float
+
+
+class Promised(msgspec.Struct, tag="promised", frozen=True):
+    """A candidate's answer."""
+
+    granted: bool
+    epoch: ids.Epoch
+
+
+class Resigned(msgspec.Struct, tag="resigned", frozen=True):
+    """A holder tells a candidate that it released its lease."""
+
+    service: ids.ServiceId
+    epoch: ids.Epoch
+    candidate: ids.Incarnation
+
+
+class Locate(msgspec.Struct, tag="locate", frozen=True):
+    """Asks who coordinates a service."""
+
+    service: ids.ServiceId
+
+
+class Located(msgspec.Struct, tag="located", frozen=True):
+    """Who coordinates, as far as the answerer knows; empty for unknown."""
+
+    holder: ids.VmId
+    epoch: ids.Epoch
+
+
+class Watch(msgspec.Struct, tag="watch", frozen=True):
+    """A router asks for what changed, and waits for it.
+
+    Attributes:
+        service: The service.
+        vm: VM of the router.
+        router: Process of the router.
+        version: Version of the assignment it has; 0 for none.
+        oldest_in_flight: Oldest version that a request in flight was sent
+            under; its own version when there is none.
+        wait_s: Longest wait for a change, in seconds.
+        failing: Servers that refused connections to this router lately.
+    """
+
+    service: ids.ServiceId
+    vm: ids.VmId
+    router: ids.Incarnation
+    version: int
+    oldest_in_flight: int
+    wait_s: float
+    failing: tuple[ids.ServerId, ...] = ()
+
+
+class WatchReply(msgspec.Struct, tag="watch-reply", frozen=True):
+    """What changed since the router's version.
+
+    Attributes:
+        epoch: Epoch of the coordinator.
+        delta: What changed; None for nothing.
+        route_lease_s: How long, from when the router asked, it may send to
+            servers that don't check fences.
+    """
+
+    epoch: ids.Epoch
+    delta: slices.Delta | None
+    route_lease_s: float
+
+
+class NotHolder(msgspec.Struct, tag="not-holder", frozen=True):
+    """The answerer doesn't coordinate that service."""
+
+
+class Refused(msgspec.Struct, tag="refused", frozen=True):
+    """The message wasn't understood or isn't allowed."""
+
+    reason: str
+
+
+Message = (
+    Ping
+    | Pong
+    | AskPromise
+    | Promised
+    | Resigned
+    | Locate
+    | Located
+    | Watch
+    | WatchReply
+    | NotHolder
+    | Refused
+)
+
+CODEC: codec.MessageCodec[Message] = codec.MessageCodec(Message)
--- /dev/null
+++ b/src/swiftstile/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the outside systems, and their HTTP adapters."""
--- /dev/null
+++ b/src/swiftstile/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The request path: admission, balancing and forwarding."""
--- /dev/null
+++ b/src/swiftstile/routing/front.py
@@ -0,0 +1,118 @@
+"""The side of the router that faces callers."""
+
+import asyncio
+
+from aiohttp import web
+import msgspec
+
+from swiftstile import clocks
+from swiftstile import logs
+from swiftstile import metrics
+from swiftstile import settings as settings_lib
+from swiftstile.routing import dispatch
+from swiftstile.routing import outcomes
+
+__all__ = ["ErrorBody", "Front"]
+
+# Idle connections of callers are kept this long.
+_KEEPALIVE_S = 75.0
+
+
+class ErrorBody(msgspec.Struct):
+    """What a caller reads when there is no answer."""
+
+    reason: str
+    outcome: str
+    step: str
+    peer: str
+    message: str
+
+
+class Front:
+    """Serves callers over HTTP."""
+
+    def __init__(
+        self,
+        settings: settings_lib.RouterSettings,
+        dispatcher: dispatch.Dispatcher,
+        meters: metrics.Meters,
+        instruments: metrics.Instruments,
+    ):
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._meters = meters
+        self._latency = instruments.latency
+        self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._is_leaving = False
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            auto_decompress=False,
+            access_log=None,
+            keepalive_timeout=_KEEPALIVE_S,
+            max_line_size=self._settings.max_header_bytes,
+            max_field_size=self._settings.max_header_bytes,
+        )
+        self._runner = web.ServerRunner(
+            server, shutdown_timeout=self._settings.drain_timeout_s
+        )
+        await self._runner.setup()
+        host, port = settings_lib.split_address(self._settings.listen)
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await self._site.start()
+
+    async def drain(self) -> None:
+        """Takes no new connections and finishes what is in flight."""
+        self._is_leaving = True
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        started = clocks.monotonic()
+        try:
+            response = await self._dispatcher.answer(request)
+            outcome = outcomes.Outcome.ANSWERED
+        except outcomes.RequestError as error:
+            response = self._refusal(request, error)
+            outcome = error.outcome
+            self._meters.refusals.add(error.reason)
+        except asyncio.CancelledError:
+            self._meters.requests.add("cancelled")
+            raise
+        except Exception as error:
+            logs.logger.exception("request failed")
+            response = self._refusal(request, _internal(error))
+            outcome = outcomes.Outcome.UNKNOWN
+        if self._is_leaving:
+            response.force_close()
+        self._meters.requests.add(outcome.value)
+        self._latency.record(clocks.monotonic() - started)
+        return response
+
+    def _refusal(self, request, error) -> web.Response:
+        body = ErrorBody(
+            error.reason,
+            error.outcome.value,
+            error.step,
+            error.peer,
+            str(error),
+        )
+        response = web.Response(
+            status=error.status,
+            body=msgspec.json.encode(body),
+            content_type="application/json",
+            headers={outcomes.OUTCOME_HEADER: error.outcome.value},
+        )
+        if error.retry_after_s is not None:
+            response.headers["Retry-After"] = str(error.retry_after_s)
+        if request.body_exists and not request.content.is_eof():
+            # The rest of the body would be read as the next request.
+            response.force_close()
+        return response
+
+
+def _internal(error: Exception) -> outcomes.UnknownOutcomeError:
+    return outcomes.UnknownOutcomeError(repr(error), step="handle request")
--- /dev/null
+++ b/src/swiftstile/routing/owners.py
@@ -0,0 +1,188 @@
+"""The assignment of a keyed service, as a router follows it."""
+
+import asyncio
+
+from swiftstile import clocks
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile import logs
+from swiftstile.membership import vms
+from swiftstile.ownership import slices
+from swiftstile.peers import links
+from swiftstile.peers import messages
+
+__all__ = ["OwnerTable", "OwnerWatch"]
+
+_LOCATE_TIMEOUT_S = 0.3
+_LOCATE_RETRY_S = 0.1
+
+
+class OwnerTable:
+    """Last known owners of a service's keys, and the lease to use them.
+
+    Attributes:
+        assignment: Last known assignment; None before the first.
+        lease_until: Until when requests may go to servers that don't check
+            fences, on `clocks.monotonic`.
+        failing: Servers that refused connections lately.
+    """
+
+    def __init__(self):
+        self.assignment: slices.Assignment | None = None
+        self.lease_until = 0.0
+        self.failing: set[ids.ServerId] = set()
+        self._changed = asyncio.Event()
+        self._in_flight: dict[int, int] = {}
+
+    @property
+    def version(self) -> int:
+        """Version of the assignment; 0 for none."""
+        return self.assignment.version if self.assignment else 0
+
+    def update(self, assignment: slices.Assignment) -> None:
+        """Takes a newer assignment and wakes all that wait for one."""
+        self.assignment = assignment
+        self._wake()
+
+    def extend_lease(self, until: float) -> None:
+        """Extends the route lease, and wakes all that wait for it."""
+        had_lapsed = self.lease_until < clocks.monotonic()
+        self.lease_until = max(self.lease_until, until)
+        if had_lapsed:
+            self._wake()
+
+    async def wait_change(self, wait_s: float) -> None:
+        """Waits for the next update, for `wait_s` seconds at most."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(wait_s):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    def enter(self, version: int) -> None:
+        """Notes that a request was sent under a version."""
+        self._in_flight[version] = self._in_flight.get(version, 0) + 1
+
+    def leave(self, version: int) -> None:
+        """Notes that a request sent under a version can't run any more."""
+        self._in_flight[version] -= 1
+        if not self._in_flight[version]:
+            del self._in_flight[version]
+
+    def oldest_in_flight(self) -> int:
+        """Returns the oldest version that a request may run under."""
+        return min(self._in_flight, default=self.version)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class OwnerWatch:
+    """Follows the coordinator of one service, whoever it is."""
+
+    def __init__(
+        self,
+        service: ids.ServiceId,
+        vm: ids.VmId,
+        router: ids.Incarnation,
+        table: OwnerTable,
+        directory: vms.VmDirectory,
+        peers: links.Links,
+        wait_s: float,
+        timeout_s: float,
+    ):
+        self._service = service
+        self._vm = vm
+        self._router = router
+        self._table = table
+        self._directory = directory
+        self._peers = peers
+        self._wait_s = wait_s
+        self._timeout_s = timeout_s
+        self._epoch = ids.Epoch(0)
+        self.holder = ids.VmId("")
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            located = await self._locate()
+            if located is not None:
+                await self._follow(located)
+            await asyncio.sleep(_LOCATE_RETRY_S)
+
+    async def _locate(self) -> messages.Located | None:
+        """Asks all VMs of the organisation, and believes the newest."""
+        listed = self._directory.entry_vms(self._service.organisation)
+        answers = await asyncio.gather(
+            *(self._ask(vm.control_address) for vm in listed)
+        )
+        known = [a for a in answers if a and a.epoch >= max(self._epoch, 1)]
+        return max(known, key=lambda a: a.epoch, default=None)
+
+    async def _ask(self, address: str) -> messages.Located | None:
+        try:
+            return await self._peers.to(address).call(
+                messages.Locate(self._service),
+                messages.Located,
+                _LOCATE_TIMEOUT_S,
+            )
+        except errors.SwiftstileError:
+            return None
+
+    async def _follow(self, located: messages.Located) -> None:
+        vm = self._directory.by_id.get(located.holder)
+        if vm is None:
+            return
+        link = self._peers.to(vm.control_address)
+        try:
+            while True:
+                await self._watch_once(link)
+                self._note_holder(located.holder)
+        except errors.SwiftstileError as error:
+            logs.logger.debug("coordinator lost", error=str(error))
+
+    async def _watch_once(self, link: links.Link) -> None:
+        table = self._table
+        request = messages.Watch(
+            self._service,
+            self._vm,
+            self._router,
+            table.version,
+            table.oldest_in_flight(),
+            self._wait_s,
+            tuple(table.failing),
+        )
+        asked_at = clocks.monotonic()
+        reply = await link.call(request, messages.WatchReply, self._timeout_s)
+        if reply.epoch < self._epoch:
+            raise errors.ControlMessageError(
+                f"epoch {reply.epoch} is over", step="watch", peer=""
+            )
+        self._epoch = reply.epoch
+        if reply.delta is not None:
+            table.update(self._applied(reply.delta))
+        # The lease counts from when it was asked for, which is earlier than
+        # the coordinator's own count of it.
+        table.extend_lease(asked_at + reply.route_lease_s)
+
+    def _applied(self, delta: slices.Delta) -> slices.Assignment:
+        if delta.base == 0:
+            return slices.Assignment(delta.version, delta.epoch, delta.changed)
+        try:
+            return self._table.assignment.apply(delta)
+        except (AttributeError, KeyError, ValueError) as error:
+            raise errors.ControlMessageError(
+                repr(error), step="apply delta", peer=str(self._service)
+            ) from error
+
+    def _note_holder(self, holder: ids.VmId) -> None:
+        if holder != self.holder:
+            self.holder = holder
+            logs.logger.info(
+                "following coordinator",
+                service=str(self._service),
+                holder=holder,
+                epoch=self._epoch,
+            )
--- /dev/null
+++ b/src/swiftstile/settings.py
@@ -0,0 +1,187 @@
+"""Settings of one process, read from an INI file and checked."""
+
+import pathlib
+
+import msgspec
+
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile import ini
+
+__all__ = [
+    "CoordinatorSettings",
+    "LogSettings",
+    "PlatformSettings",
+    "RouterSettings",
+    "Settings",
+    "VmSettings",
+    "load",
+    "split_address",
+]
+
+
+class VmSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """[vm]: what this VM is and whom it serves."""
+
+    id: ids.VmId
+    failure_domain: ids.FailureDomain
+    organisations: tuple[ids.OrganisationId, ...]
+    region: str = "default"
+
+
+class PlatformSettings(msgspec.Struct, frozen=True):
+    """[platform]: where the platform's services are.
+
+    Attributes:
+        table_url: Base URL of the table service.
+        objects_url: Base URL of the object store.
+        vms_url: Base URL of the VM list.
+        timeout_s: Longest wait for one answer, in seconds.
+        poll_interval_s: Between two looks at bundles and VMs, in seconds.
+    """
+
+    table_url: str
+    objects_url: str
+    vms_url: str
+    timeout_s: float = 2.0
+    poll_interval_s: float = 1.0
+
+
+class RouterSettings(msgspec.Struct, frozen=True):
+    """[router]: the request path.
+
+    Attributes:
+        listen: `host:port` for callers.
+        metrics: `host:port` of the metrics endpoint; empty for none.
+        max_header_bytes: Longest header field, in bytes.
+        drain_timeout_s: Longest wait for requests in flight at shutdown.
+    """
+
+    listen: str
+    metrics: str = ""
+    max_header_bytes: int = 8190
+    drain_timeout_s: float = 60.0
+
+
+class CoordinatorSettings(msgspec.Struct, frozen=True):
+    """[coordinator]: control between VMs.
+
+    Attributes:
+        listen: `host:port` for control links.
+        metrics: `host:port` of the metrics and status endpoint; empty for
+            none.
+        promise_s: How long a candidate promises not to take over.
+        server_lease_s: Longest lease given to a server.
+        renew_interval_s: Between two renewals of a promise or lease.
+        call_timeout_s: Longest wait for a peer or server to answer.
+        outage_tolerance_s: How long a holder goes on without the table.
+        max_control_links: Requests served at the same time.
+    """
+
+    listen: str
+    metrics: str = ""
+    promise_s: float = 0.9
+    server_lease_s: float = 0.9
+    renew_interval_s: float = 0.2
+    call_timeout_s: float = 0.3
+    outage_tolerance_s: float = 900.0
+    max_control_links: int = 64
+
+
+class LogSettings(msgspec.Struct, frozen=True):
+    """[log]: structured logs.
+
+    Attributes:
+        level: Lowest level that is written.
+        json: One JSON object a line instead of text.
+    """
+
+    level: str = "INFO"
+    json: bool = False
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """All settings of one process."""
+
+    vm: VmSettings
+    platform: PlatformSettings
+    router: RouterSettings | None = None
+    coordinator: CoordinatorSettings | None = None
+    log: LogSettings = LogSettings()
+
+
+_SECTIONS: dict[str, type[msgspec.Struct]] = {
+    "vm": VmSettings,
+    "platform": PlatformSettings,
+    "router": RouterSettings,
+    "coordinator": CoordinatorSettings,
+    "log": LogSettings,
+}
+_REQUIRED = ("vm", "platform")
+_ADDRESS_OPTIONS = (
+    ("router", "listen"),
+    ("router", "metrics"),
+    ("coordinator", "listen"),
+    ("coordinator", "metrics"),
+)
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads a settings file.
+
+    Raises:
+        SettingsError: Names the file and every fault in it.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            f"can't be read: {error}", step="read settings", peer=str(path)
+        ) from error
+    parser = ini.parse(text, str(path))
+    sections, faults = {}, _unknown_sections(parser)
+    for name, kind in _SECTIONS.items():
+        if parser.has_section(name):
+            sections[name], found = ini.to_section(kind, name, parser[name])
+            faults += found
+        elif name in _REQUIRED:
+            faults.append(ini.Fault(name, "", "section missing"))
+    faults += _bad_addresses(sections)
+    if faults:
+        raise errors.SettingsError(
+            "; ".join(map(str, faults)), step="check settings", peer=str(path)
+        )
+    return Settings(**sections)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits `host:port`.
+
+    Raises:
+        ValueError: It has another form.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"expected host:port, got {address!r}")
+    return host, int(port)
+
+
+def _unknown_sections(parser) -> list[ini.Fault]:
+    known = ", ".join(_SECTIONS)
+    return [
+        ini.Fault(name, "", f"unknown section; known: {known}")
+        for name in parser.sections()
+        if name not in _SECTIONS
+    ]
+
+
+def _bad_addresses(sections) -> list[ini.Fault]:
+    faults = []
+    for section, option in _ADDRESS_OPTIONS:
+        value = getattr(sections.get(section), option, "")
+        try:
+            if value:
+                split_address(value)
+        except ValueError as error:
+            faults.append(ini.Fault(section, option, str(error)))
+    return faults
--- /dev/null
+++ b/src/swiftstile/wiring.py
@@ -0,0 +1,192 @@
+"""The composition root: builds each daemon from its settings."""
+
+import asyncio
+
+from swiftstile import ids
+from swiftstile import metrics
+from swiftstile import settings as settings_lib
+from swiftstile.bundles import commands
+from swiftstile.bundles import queries
+from swiftstile.bundles import watch as bundle_watch
+from swiftstile.daemons import coordinator
+from swiftstile.daemons import router
+from swiftstile.membership import vms
+from swiftstile.ownership import coordination
+from swiftstile.ownership import custody
+from swiftstile.ownership import documents
+from swiftstile.ownership import holder as holder_lib
+from swiftstile.ownership import keeper
+from swiftstile.ownership import leases
+from swiftstile.ownership import placement
+from swiftstile.ownership import scouts
+from swiftstile.ownership import upstream_http
+from swiftstile.peers import links
+from swiftstile.platform import http as platform_http
+from swiftstile.routing import dispatch
+from swiftstile.routing import forwarding
+from swiftstile.routing import front
+from swiftstile.routing import owners
+from swiftstile.routing import routes
+
+__all__ = ["Wiring"]
+
+# A router's watch waits this long for a change, and this much longer for
+# the answer.
+_WATCH_WAIT_S = 0.25
+_WATCH_MARGIN_S = 0.3
+
+
+class Wiring:
+    """Makes the parts of one process; each method makes new ones."""
+
+    def __init__(self, settings: settings_lib.Settings):
+        self._settings = settings
+        platform = settings.platform
+        self.table = platform_http.HttpTable(
+            platform.table_url, platform.timeout_s
+        )
+        self.objects = platform_http.HttpObjectStore(
+            platform.objects_url, platform.timeout_s
+        )
+        self._vm_list = platform_http.HttpVmList(
+            platform.vms_url, platform.timeout_s
+        )
+        self._meters = metrics.Meters()
+
+    def queries(self) -> queries.BundleQueries:
+        """Returns the queries on bundles."""
+        return queries.BundleQueries(self.table, self.objects)
+
+    def commands(self, operator: str) -> commands.BundleCommands:
+        """Returns the commands on bundles, for one operator."""
+        return commands.BundleCommands(self.table, self.objects, operator)
+
+    def coordinator(self) -> coordinator.CoordinatorDaemon:
+        """Returns the coordinator daemon."""
+        settings = self._settings.coordinator
+        vm = self._settings.vm
+        metrics.Instruments(self._meters, metrics.provider())
+        me = leases.Candidate(vm.id, ids.new_incarnation(vm.id))
+        directory = self._directory()
+        book = leases.PromiseBook()
+        bundles = self._bundle_watch()
+        peers = links.Links(self._meters)
+        scout = scouts.Scout(me, directory, peers, settings.call_timeout_s)
+        control = upstream_http.HttpUpstreamControl(
+            settings.call_timeout_s, self._meters
+        )
+
+        def make_keeper(service: ids.ServiceId) -> keeper.LeaseKeeper:
+            def build(lease, row_version, taken_at, released):
+                holder = holder_lib.Holder(
+                    service,
+                    lease,
+                    row_version,
+                    taken_at,
+                    self.table,
+                    peers,
+                    scout,
+                    settings,
+                )
+                spec = bundles.by_organisation[
+                    service.organisation
+                ].bundle.services[service.service]
+                changed = asyncio.Event()
+                kind = (
+                    custody.FencedCustody
+                    if spec.checks_fence
+                    else custody.RoutedCustody
+                )
+                work = coordination.Coordination(
+                    holder,
+                    spec,
+                    directory,
+                    kind(holder, control, settings, changed),
+                    documents.AssignmentStore(
+                        service, self.table, self.objects
+                    ),
+                    self.table,
+                    placement.EvenPlacement(),
+                    settings,
+                    self._meters,
+                    changed,
+                    released,
+                )
+                return holder, work
+
+            listed = directory.entry_vms(service.organisation)
+            return keeper.LeaseKeeper(
+                service,
+                me,
+                self.table,
+                book,
+                scout,
+                build,
+                keeper.rank(service, me.vm, [entry.id for entry in listed]),
+                settings.outage_tolerance_s,
+            )
+
+        return coordinator.CoordinatorDaemon(
+            self._settings,
+            me,
+            bundles,
+            directory,
+            book,
+            self._meters,
+            make_keeper,
+        )
+
+    def router(self) -> router.RouterDaemon:
+        """Returns the router daemon."""
+        vm = self._settings.vm
+        instruments = metrics.Instruments(self._meters, metrics.provider())
+        directory = self._directory()
+        peers = links.Links(self._meters)
+        table = routes.RouteTable()
+        forwarder = forwarding.Forwarder(self._meters)
+        incarnation = ids.new_incarnation(vm.id)
+
+        def make_watch(service, owner_table) -> owners.OwnerWatch:
+            return owners.OwnerWatch(
+                service,
+                vm.id,
+                incarnation,
+                owner_table,
+                directory,
+                peers,
+                _WATCH_WAIT_S,
+                _WATCH_WAIT_S + _WATCH_MARGIN_S,
+            )
+
+        return router.RouterDaemon(
+            self._settings,
+            self._bundle_watch(),
+            directory,
+            table,
+            forwarder,
+            front.Front(
+                self._settings.router,
+                dispatch.Dispatcher(table, forwarder),
+                self._meters,
+                instruments,
+            ),
+            self._meters,
+            make_watch,
+        )
+
+    async def close(self) -> None:
+        """Frees the connections to the platform."""
+        await self.table.close()
+        await self.objects.close()
+        await self._vm_list.close()
+
+    def _directory(self) -> vms.VmDirectory:
+        interval_s = self._settings.platform.poll_interval_s
+        return vms.VmDirectory(self._vm_list, interval_s)
+
+    def _bundle_watch(self) -> bundle_watch.BundleWatch:
+        return bundle_watch.BundleWatch(
+            self.queries(),
+            self._settings.vm.organisations,
+            self._settings.platform.poll_interval_s,
+        )
--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,199 @@
+"""TCP proxy between the processes of a test, which injects faults.
+
+Each link has a name like `a>server-3`: who calls, and whom. `POST /links`
+adds links, `POST /faults` sets the fault of all links that match a pattern.
+"""
+
+import argparse
+import asyncio
+import enum
+import fnmatch
+
+from aiohttp import web
+import msgspec
+import uvloop
+
+__all__ = ["Fault", "FaultKind", "Link", "main"]
+
+
+class FaultKind(enum.Enum):
+    """What happens to a link."""
+
+    NONE = "none"
+    # Connections break and new ones are refused.
+    RESET = "reset"
+    # Nothing passes, on old connections and new ones; nothing breaks.
+    BLACKHOLE = "blackhole"
+    # Connections that are open now stay silent; new ones work.
+    SILENT = "silent"
+    # Everything passes later.
+    DELAY = "delay"
+
+
+class Fault(msgspec.Struct):
+    """A fault for all links whose names match.
+
+    Attributes:
+        pattern: As in a shell: `*` and `?`.
+        kind: What happens.
+        delay_s: For `DELAY`: by how much, in seconds.
+    """
+
+    pattern: str
+    kind: FaultKind
+    delay_s: float = 0.0
+
+
+class Link(msgspec.Struct):
+    """Listens on a port of loopback and passes on to another."""
+
+    name: str
+    port: int
+    target: int
+
+
+class _Pipe(asyncio.Protocol):
+    """One end of a connection; `other` is the end it passes data to."""
+
+    def __init__(self, route: "_Route", other: "_Pipe | None"):
+        self.route = route
+        self.other = other
+        self.transport: asyncio.Transport | None = None
+        self.is_silent = False
+        self._early: list[bytes] = []
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.route.pipes.add(self)
+        if self.other is None:
+            self.other = _Pipe(self.route, self)
+            self._connecting = asyncio.ensure_future(self._connect())
+        for data in self._early:
+            transport.write(data)
+        self._early.clear()
+
+    async def _connect(self):
+        loop = asyncio.get_running_loop()
+        target = self.route.link.target
+        try:
+            await loop.create_connection(
+                lambda: self.other, "127.0.0.1", target
+            )
+        except OSError:
+            self.transport.abort()
+
+    def data_received(self, data):
+        fault = self.route.fault
+        if self.is_silent or fault.kind is FaultKind.BLACKHOLE:
+            # What was dropped can't be made up for: the stream stays silent.
+            self.is_silent = True
+        elif fault.kind is FaultKind.DELAY:
+            loop = asyncio.get_running_loop()
+            loop.call_later(fault.delay_s, self._pass_on, data)
+        else:
+            self._pass_on(data)
+
+    def _pass_on(self, data):
+        other = self.other
+        if other.transport is None:
+            other._early.append(data)
+        elif not other.transport.is_closing():
+            other.transport.write(data)
+
+    def pause_writing(self):
+        if self.other and self.other.transport:
+            self.other.transport.pause_reading()
+
+    def resume_writing(self):
+        if self.other and self.other.transport:
+            self.other.transport.resume_reading()
+
+    def connection_lost(self, exc):
+        self.route.pipes.discard(self)
+        if self.is_silent or self.route.fault.kind is FaultKind.BLACKHOLE:
+            return
+        if self.other and self.other.transport:
+            self.other.transport.close()
+
+
+class _Route:
+
+    def __init__(self, link: Link):
+        self.link = link
+        self.fault = Fault("*", FaultKind.NONE)
+        self.pipes: set[_Pipe] = set()
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, "127.0.0.1", self.link.port, backlog=512
+        )
+
+    def _accept(self) -> asyncio.Protocol:
+        return _Pipe(self, None)
+
+    async def set_fault(self, fault: Fault) -> None:
+        """Applies a fault to the connections there are, and to new ones."""
+        if fault.kind is FaultKind.SILENT:
+            for pipe in self.pipes:
+                pipe.is_silent = True
+            return
+        was, self.fault = self.fault, fault
+        if fault.kind is FaultKind.RESET and self._server is not None:
+            self._server.close()
+            self._server = None
+            for pipe in list(self.pipes):
+                pipe.transport.abort()
+        if was.kind is FaultKind.BLACKHOLE:
+            for pipe in list(self.pipes):
+                if pipe.is_silent:
+                    pipe.transport.abort()
+        if fault.kind is not FaultKind.RESET and self._server is None:
+            await self.open()
+
+
+class _Proxy:
+
+    def __init__(self):
+        self._by_name: dict[str, _Route] = {}
+
+    async def add(self, request: web.Request) -> web.Response:
+        links = msgspec.json.decode(await request.read(), type=list[Link])
+        for link in links:
+            route = _Route(link)
+            await route.open()
+            self._by_name[link.name] = route
+        return web.Response(text="ok")
+
+    async def fault(self, request: web.Request) -> web.Response:
+        fault = msgspec.json.decode(await request.read(), type=Fault)
+        matched = 0
+        for name, route in self._by_name.items():
+            if fnmatch.fnmatchcase(name, fault.pattern):
+                await route.set_fault(fault)
+                matched += 1
+        return web.Response(text=str(matched))
+
+
+def main() -> None:
+    """Serves until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    args = parser.parse_args()
+
+    async def run() -> None:
+        proxy = _Proxy()
+        app = web.Application(client_max_size=16 << 20)
+        app.router.add_post("/links", proxy.add)
+        app.router.add_post("/faults", proxy.fault)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", args.port).start()
+        await asyncio.Event().wait()
+
+    uvloop.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/journal.py
@@ -0,0 +1,78 @@
+"""The journal of an upstream stand-in: what ran, and what was owned when.
+
+Lines of JSON, each written at once, so that they outlive a kill.
+"""
+
+import os
+import pathlib
+
+import msgspec
+
+__all__ = ["Draining", "Entry", "Journal", "Own", "Renew", "Run", "read"]
+
+
+class Run(msgspec.Struct, tag="run", array_like=True):
+    """A request ran: it took effect at `commit`.
+
+    Times are seconds on the clock that all processes of a machine share.
+    """
+
+    request_id: str
+    idempotency_key: str
+    key: str
+    position: int
+    fence: int
+    start: float
+    commit: float
+
+
+class Own(msgspec.Struct, tag="own", array_like=True):
+    """A grant gave the server another set of slices.
+
+    Attributes:
+        at: When.
+        until: End of the lease.
+        slices: (start, end, fence) of each.
+        service: The service.
+    """
+
+    at: float
+    until: float
+    slices: list[tuple[int, int, int]]
+    service: str
+
+
+class Renew(msgspec.Struct, tag="renew", array_like=True):
+    """A grant extended the lease of the same set."""
+
+    at: float
+    until: float
+
+
+class Draining(msgspec.Struct, tag="draining", array_like=True):
+    """The last request on slices that were released has ended."""
+
+    at: float
+
+
+Entry = Run | Own | Renew | Draining
+_DECODER = msgspec.json.Decoder(Entry)
+
+
+class Journal:
+    """Appends entries to a file."""
+
+    def __init__(self, path: str):
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._file = os.open(path, flags, 0o644)
+        self._encoder = msgspec.json.Encoder()
+
+    def write(self, entry: Entry) -> None:
+        """Appends one entry."""
+        os.write(self._file, self._encoder.encode(entry) + b"\n")
+
+
+def read(path: pathlib.Path) -> list[Entry]:
+    """Returns all entries of a journal, in the order they were written."""
+    lines = path.read_bytes().splitlines()
+    return [_DECODER.decode(line) for line in lines if line]
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,178 @@
+"""Stand-in for the platform: table, object store and VM list over HTTP.
+
+Everything is in memory. `POST /faults` makes it fail: an outage, slow
+answers, answers that are lost after the write took effect, lagging reads.
+"""
+
+import argparse
+import asyncio
+import base64
+import random
+
+from aiohttp import web
+import msgspec
+import uvloop
+
+from swiftstile.platform import http as platform_http
+
+__all__ = ["Faults", "PlatformStandin", "main"]
+
+
+class Faults(msgspec.Struct):
+    """How the platform misbehaves.
+
+    Attributes:
+        outage: Refuse everything.
+        delay_s: Wait before each answer, in seconds.
+        lose_answers: Share of writes whose answer is lost, from 0 to 1.
+        lag_reads: Share of reads that show the row before the last write.
+        frozen_vms: Keep showing the VM list as it is now.
+    """
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_answers: float = 0.0
+    lag_reads: float = 0.0
+    frozen_vms: bool = False
+
+
+class PlatformStandin:
+    """Keeps rows, objects and VM lists, and injects faults."""
+
+    def __init__(self, seed: int):
+        self.faults = Faults()
+        self.reads = 0
+        self.writes = 0
+        self._random = random.Random(seed)
+        self._rows: dict[str, tuple[bytes, int]] = {}
+        self._older: dict[str, tuple[bytes, int]] = {}
+        self._attempts: set[str] = set()
+        self._objects: dict[str, bytes] = {}
+        self._vms_by_view: dict[str, bytes] = {}
+
+    def app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(client_max_size=64 << 20)
+        app.router.add_get("/table", self._read)
+        app.router.add_post("/table", self._transact)
+        app.router.add_put("/objects/{name}", self._put)
+        app.router.add_get("/objects/{name}", self._get)
+        app.router.add_get("/view/{view}/vms", self._vms)
+        app.router.add_put("/view/{view}/vms", self._set_vms)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/stats", self._stats)
+        return app
+
+    async def _disturb(self) -> None:
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.outage:
+            raise web.HTTPServiceUnavailable(text="outage")
+
+    async def _read(self, request: web.Request) -> web.Response:
+        await self._disturb()
+        self.reads += 1
+        key = request.query.get("key")
+        prefix = request.query.get("prefix", "")
+        keys = [key] if key is not None else sorted(self._rows)
+        found = [
+            self._row_body(name)
+            for name in keys
+            if name in self._rows
+            and (key is not None or name.startswith(prefix))
+        ]
+        return _json([row for row in found if row is not None])
+
+    def _row_body(self, key: str) -> platform_http.RowBody | None:
+        value, version = self._rows[key]
+        if self._random.random() < self.faults.lag_reads:
+            if key not in self._older:
+                return None
+            value, version = self._older[key]
+        text = base64.b64encode(value).decode()
+        return platform_http.RowBody(key, text, version)
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        await self._disturb()
+        self.writes += 1
+        body = msgspec.json.decode(
+            await request.read(), type=platform_http.TransactBody
+        )
+        if body.attempt not in self._attempts:
+            for write in body.writes:
+                version = self._rows.get(write.key, (b"", 0))[1]
+                if version != write.expected_version:
+                    text = f"{write.key} is at {version}"
+                    return web.Response(status=409, text=text)
+            self._apply(body)
+        if self._random.random() < self.faults.lose_answers:
+            request.transport.abort()
+        return _json({})
+
+    def _apply(self, body: platform_http.TransactBody) -> None:
+        self._attempts.add(body.attempt)
+        for write in body.writes:
+            if write.value is not None:
+                if write.key in self._rows:
+                    self._older[write.key] = self._rows[write.key]
+                value = base64.b64decode(write.value)
+                version = write.expected_version + 1
+                self._rows[write.key] = (value, version)
+
+    async def _put(self, request: web.Request) -> web.Response:
+        await self._disturb()
+        self.writes += 1
+        self._objects[request.match_info["name"]] = await request.read()
+        return _json({})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        await self._disturb()
+        self.reads += 1
+        body = self._objects.get(request.match_info["name"])
+        if body is None:
+            raise web.HTTPNotFound
+        return web.Response(body=body)
+
+    async def _vms(self, request: web.Request) -> web.Response:
+        await self._disturb()
+        body = self._vms_by_view.get(request.match_info["view"], b"[]")
+        return web.Response(body=body)
+
+    async def _set_vms(self, request: web.Request) -> web.Response:
+        if not self.faults.frozen_vms:
+            view = request.match_info["view"]
+            self._vms_by_view[view] = await request.read()
+        return _json({})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self.faults = msgspec.json.decode(await request.read(), type=Faults)
+        return _json({})
+
+    async def _stats(self, _request: web.Request) -> web.Response:
+        return _json({"reads": self.reads, "writes": self.writes})
+
+
+def _json(document: object) -> web.Response:
+    return web.Response(body=msgspec.json.encode(document))
+
+
+def main() -> None:
+    """Serves until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+
+    async def run() -> None:
+        runner = web.AppRunner(
+            PlatformStandin(args.seed).app(), access_log=None
+        )
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", args.port).start()
+        await asyncio.Event().wait()
+
+    uvloop.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,284 @@
+"""Stand-in for an upstream server: slots, fenced grants and a journal.
+
+It answers any path. Query parameters shape the answer: `ms` is the time that
+a request takes, `bytes` the length of the answer.
+"""
+
+import argparse
+import asyncio
+import hashlib
+import time
+import uuid
+
+from aiohttp import web
+import msgspec
+import uvloop
+
+from standins import journal as journal_lib
+from swiftstile import clocks
+from swiftstile import hashing
+from swiftstile.ownership import grants
+from swiftstile.ownership import upstream_http
+from swiftstile.routing import outcomes
+
+__all__ = ["Ownership", "UpstreamStandin", "main"]
+
+_QUEUE_LIMIT = 64
+
+
+class Ownership:
+    """What a server owns, under fenced grants.
+
+    Attributes:
+        ignores_fence: Accepts any grant and any request; for proving that a
+            broken server is found out.
+    """
+
+    def __init__(self, journal: journal_lib.Journal, ignores_fence: bool):
+        self.ignores_fence = ignores_fence
+        self.instance = uuid.uuid4().hex
+        self.epoch = 0
+        self._journal = journal
+        self._sequence = 0
+        self._digest = ""
+        self._expires = 0.0
+        self._slices: tuple[grants.GrantedSlice, ...] = ()
+        self._draining: dict[grants.GrantedSlice, float] = {}
+        self._in_flight: dict[grants.GrantedSlice, int] = {}
+
+    def look(self) -> grants.GrantReply:
+        """Returns the clock and what is held."""
+        return self._reply(True)
+
+    def grant(self, grant: grants.Grant) -> grants.GrantReply:
+        """Accepts a grant unless it is old, late or for another run."""
+        now = clocks.monotonic()
+        problem = self._problem(grant, now)
+        if problem and not self.ignores_fence:
+            return self._reply(False, problem)
+        self.epoch, self._sequence = grant.epoch, grant.sequence
+        if grant.slices is not None and grant.digest != self._digest:
+            self._take(grant, now)
+        else:
+            self._expires = grant.expires
+            self._journal.write(journal_lib.Renew(now, grant.expires))
+        return self._reply(True)
+
+    def find(
+        self, position: int, fence: int, now: float
+    ) -> grants.GrantedSlice | None:
+        """Returns the slice that allows a new request, or None."""
+        if now >= self._expires and not self.ignores_fence:
+            return None
+        for piece in self._slices:
+            if piece.start <= position < piece.end:
+                is_allowed = piece.fence == fence or self.ignores_fence
+                return piece if is_allowed else None
+        return None
+
+    def may_commit(self, piece: grants.GrantedSlice, now: float) -> bool:
+        """Returns whether a request on a slice may still take effect."""
+        if self.ignores_fence:
+            return True
+        if piece in self._draining:
+            return now < self._draining[piece]
+        return piece in self._slices and now < self._expires
+
+    def enter(self, piece: grants.GrantedSlice) -> None:
+        """Notes a request in flight on a slice."""
+        self._in_flight[piece] = self._in_flight.get(piece, 0) + 1
+
+    def leave(self, piece: grants.GrantedSlice) -> None:
+        """Notes that a request on a slice ended."""
+        self._in_flight[piece] -= 1
+        if not self._in_flight[piece]:
+            del self._in_flight[piece]
+            if self._draining.pop(piece, None) and not self._draining:
+                self._journal.write(journal_lib.Draining(clocks.monotonic()))
+
+    def _problem(self, grant: grants.Grant, now: float) -> str:
+        if grant.instance != self.instance:
+            return "another run of this server"
+        if (grant.epoch, grant.sequence) <= (self.epoch, self._sequence):
+            return "a newer grant was seen"
+        if grant.expires <= now:
+            return "the lease is over"
+        if grant.slices is None and grant.digest != self._digest:
+            return "another set of slices is held"
+        return ""
+
+    def _take(self, grant: grants.Grant, now: float) -> None:
+        released = set(self._slices) - set(grant.slices)
+        for piece in released & set(self._in_flight):
+            self._draining[piece] = self._expires
+        self._slices = tuple(grant.slices)
+        self._digest = grant.digest
+        self._expires = grant.expires
+        parts = [(p.start, p.end, p.fence) for p in self._slices]
+        service = f"{grant.organisation}/{grant.service}"
+        self._journal.write(journal_lib.Own(now, grant.expires, parts, service))
+
+    def _reply(self, accepted: bool, reason: str = "") -> grants.GrantReply:
+        draining = sum(self._in_flight.get(p, 0) for p in self._draining)
+        return grants.GrantReply(
+            self.instance,
+            clocks.monotonic(),
+            accepted,
+            self.epoch,
+            self._digest,
+            draining,
+            reason,
+        )
+
+
+class UpstreamStandin:
+    """Answers requests of one service within its slots."""
+
+    def __init__(
+        self,
+        ownership: Ownership | None,
+        journal: journal_lib.Journal,
+        organisation: str,
+        service: str,
+        slots: int,
+        service_s: float,
+    ):
+        self._ownership = ownership
+        self._journal = journal
+        self._organisation = organisation
+        self._service = service
+        self._slots = asyncio.Semaphore(slots)
+        self._service_s = service_s
+        self._waiting = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        if request.path == upstream_http.GRANT_PATH and self._ownership:
+            grant = msgspec.json.decode(await request.read(), type=grants.Grant)
+            return _json(self._ownership.grant(grant))
+        if request.path == upstream_http.CLOCK_PATH and self._ownership:
+            return _json(self._ownership.look())
+        if request.path == "/":
+            return web.Response(text="ok")
+        digest = hashlib.sha256()
+        async for chunk in request.content.iter_any():
+            digest.update(chunk)
+        return await self._run(request, digest.hexdigest())
+
+    async def _run(self, request, digest: str) -> web.Response:
+        headers = request.headers
+        deadline_ms = int(headers.get(outcomes.DEADLINE_HEADER, 1 << 60))
+        if self._waiting >= _QUEUE_LIMIT:
+            return _not_run(request, 503, "busy")
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            return await self._run_in_slot(request, digest, deadline_ms)
+        finally:
+            self._slots.release()
+
+    async def _run_in_slot(self, request, digest, deadline_ms) -> web.Response:
+        headers = request.headers
+        key = headers.get(outcomes.KEY_HEADER, "")
+        fence = int(headers.get(outcomes.FENCE_HEADER, 0))
+        position = hashing.key_hash(self._organisation, self._service, key)
+        start = clocks.monotonic()
+        piece = None
+        is_direct = request.path.startswith("/direct")
+        if self._ownership and not is_direct:
+            piece = self._ownership.find(position, fence, start)
+            if piece is None:
+                return _not_run(request, 421, "not the owner")
+            self._ownership.enter(piece)
+        try:
+            service_s = float(request.query.get("ms", -1)) / 1000
+            await asyncio.sleep(self._service_s if service_s < 0 else service_s)
+            # One reading of the clock both for the check and the journal: a
+            # pause after it can't make the effect look allowed.
+            commit = clocks.monotonic()
+            if piece and not self._ownership.may_commit(piece, commit):
+                return _not_run(request, 421, "not the owner any more")
+            if time.time_ns() // 1_000_000 >= deadline_ms:
+                return _not_run(request, 503, "deadline past")
+            self._journal.write(
+                journal_lib.Run(
+                    headers.get(outcomes.REQUEST_ID_HEADER, ""),
+                    headers.get(outcomes.IDEMPOTENCY_HEADER, ""),
+                    key,
+                    position,
+                    fence,
+                    start,
+                    commit,
+                )
+            )
+            return _answer(request, digest)
+        finally:
+            if piece:
+                self._ownership.leave(piece)
+
+
+def _answer(request, digest: str) -> web.Response:
+    request_id = request.headers.get(outcomes.REQUEST_ID_HEADER, "")
+    size = int(request.query.get("bytes", 0))
+    head = f"{request_id} {digest} ".encode()
+    return web.Response(
+        body=head.ljust(size, b"."),
+        headers={outcomes.REQUEST_ID_HEADER: request_id},
+    )
+
+
+def _not_run(request, status: int, text: str) -> web.Response:
+    request_id = request.headers.get(outcomes.REQUEST_ID_HEADER, "")
+    headers = {
+        outcomes.REQUEST_ID_HEADER: request_id,
+        outcomes.OUTCOME_HEADER: outcomes.Outcome.NOT_RUN.value,
+    }
+    return web.Response(status=status, text=text, headers=headers)
+
+
+def _json(document: msgspec.Struct) -> web.Response:
+    return web.Response(body=msgspec.json.encode(document))
+
+
+def main() -> None:
+    """Serves until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--journal", required=True)
+    parser.add_argument("--organisation", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--slots", type=int, default=3)
+    parser.add_argument("--service-ms", type=float, default=2.0)
+    parser.add_argument("--fenced", action="store_true")
+    parser.add_argument("--ignores-fence", action="store_true")
+    args = parser.parse_args()
+
+    async def run() -> None:
+        journal = journal_lib.Journal(args.journal)
+        ownership = None
+        if args.fenced:
+            ownership = Ownership(journal, args.ignores_fence)
+        standin = UpstreamStandin(
+            ownership,
+            journal,
+            args.organisation,
+            args.service,
+            args.slots,
+            args.service_ms / 1000,
+        )
+        server = web.Server(
+            standin.handle, access_log=None, handler_cancellation=True
+        )
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", args.port, backlog=512).start()
+        await asyncio.Event().wait()
+
+    uvloop.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/check_imports.py
@@ -0,0 +1,53 @@
+"""Checks that modules are imported, not names from them.
+
+Usage: `python tools/check_imports.py FOLDER...`; exits 1 if any file fails.
+As in the Google Python Style Guide, typing and collections.abc are exempt.
+"""
+
+import ast
+import importlib.util
+import pathlib
+import sys
+
+_EXEMPT = {"typing", "collections.abc"}
+# `logger` is the whole of loguru: the module holds nothing else to use.
+_EXEMPT_NAMES = {("loguru", "logger")}
+
+
+def _is_module(name: str) -> bool:
+    try:
+        return importlib.util.find_spec(name) is not None
+    except (ImportError, ValueError):
+        return False
+
+
+def problems(path: pathlib.Path) -> list[str]:
+    """Returns a line for each imported name that isn't a module."""
+    found = []
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.ImportFrom) or node.module in _EXEMPT:
+            continue
+        for alias in node.names:
+            if (node.module, alias.name) in _EXEMPT_NAMES:
+                continue
+            if not _is_module(f"{node.module}.{alias.name}"):
+                where = f"{path}:{node.lineno}"
+                found.append(f"{where}: {alias.name} isn't a module")
+    return found
+
+
+def main() -> int:
+    """Checks all files below the folders that are named."""
+    sys.path.insert(0, str(pathlib.Path.cwd()))
+    files = [
+        path
+        for name in sys.argv[1:]
+        for path in pathlib.Path(name).rglob("*.py")
+    ]
+    found = [line for path in sorted(files) for line in problems(path)]
+    print("\n".join(found) or f"{len(files)} files import modules only")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
