Measuring tool: steady and crash-server on real processes

Cause: no decision could be weighed without figures. Change: load generator, journals' evidence, measures, scenarios, demo table.

--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,111 @@
+"""Command line of the measuring tool: `python -m benchmarks SCENARIO`."""
+
+import argparse
+import pathlib
+import signal
+import sys
+import tempfile
+
+import msgspec
+
+from benchmarks import fleet as fleet_lib
+from benchmarks import measures
+from benchmarks import organisations
+from benchmarks import run as run_lib
+from benchmarks import scenarios
+from benchmarks import speed
+from benchmarks import table
+from swiftstile import clocks
+
+__all__ = ["main"]
+
+
+def main() -> int:
+    """Runs one scenario; returns 0 if all that must be zero is zero."""
+    args = _parser().parse_args()
+    if args.list:
+        for name, kind in scenarios.BY_NAME.items():
+            print(f"{name:<26}{kind().describe()}")
+        return 0
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    is_demo = args.scenario == "demo"
+    kind = scenarios.BY_NAME["crash-server" if is_demo else args.scenario]
+    with tempfile.TemporaryDirectory(prefix="swiftstile-") as folder:
+        report = _run(kind(), args, pathlib.Path(folder))
+    if is_demo:
+        print(table.render(report))
+    else:
+        print(msgspec.json.encode(report).decode())
+    return 0 if table.is_clean(report) else 1
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m benchmarks",
+        description="Runs real processes behind the fault proxy, sends a mixed"
+        " load and prints one JSON object on the last line of standard output."
+        " `demo` prints a table instead.",
+    )
+    parser.add_argument(
+        "scenario",
+        nargs="?",
+        default="steady",
+        choices=["demo", *scenarios.BY_NAME],
+    )
+    parser.add_argument("--list", action="store_true", help="list scenarios")
+    parser.add_argument(
+        "--organisation",
+        default="himal",
+        choices=sorted(organisations.BY_NAME),
+    )
+    parser.add_argument("--seconds", type=float, help="how long the load runs")
+    parser.add_argument("--rate", type=float, help="requests a second")
+    parser.add_argument("--seed", type=int, default=1)
+    return parser
+
+
+def _run(scenario, args, folder: pathlib.Path) -> measures.Report:
+    organisation = organisations.BY_NAME[args.organisation]
+    seconds = args.seconds or scenario.seconds
+    fleet = fleet_lib.Fleet(organisation, folder, args.seed)
+    run = run_lib.Run(
+        fleet, folder, args.seed, seconds, args.rate or scenario.rate
+    )
+    run.say(
+        f"starting {len(fleet.vms)} entry VMs and {len(fleet.servers)} servers"
+    )
+    with fleet:
+        run.say("ready; measuring control without load")
+        use = run.idle_use()
+        store_before = fleet.platform_stats()
+        begin = clocks.monotonic()
+        run.say(f"load for {seconds} s")
+        callers = run.start_load(run.plan())
+        try:
+            scenario.disturb(run)
+            records = callers.records()
+        finally:
+            callers.kill()
+        end = clocks.monotonic()
+        store_after = fleet.platform_stats()
+        sends = run.sends_per_request(len(records))
+        direct = []
+        if scenario.name == "steady":
+            run.say("the same load straight to the servers")
+            direct = run.start_load(run.direct_plan()).records()
+            run.extra |= speed.measure(run)
+        run.say("computing")
+        window = (begin + 0.5, min(end, begin + seconds))
+        return run.report(
+            scenario.name,
+            records,
+            direct,
+            use,
+            window,
+            (store_before, store_after),
+            sends,
+        )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,8 +13,10 @@
 from benchmarks import organisations
 from benchmarks import processes
 from standins import fault_proxy
+from standins import journal
 from standins import platform as platform_standin
 from swiftstile import ids
+from swiftstile.ownership import slices
 from swiftstile.platform import base
 
 __all__ = ["EntryVm", "Fleet", "Server"]
@@ -42,6 +44,10 @@
 """
 
 
+class _AssignmentRow(msgspec.Struct):
+    assignment: slices.Assignment
+
+
 class EntryVm:
     """An entry VM: a router and a coordinator."""
 
@@ -219,13 +225,27 @@
     def publish_vms(self) -> None:
         """Shows the VM list, as it is now, to each failure domain."""
         for domain in organisations.DOMAINS:
-            listed = [self._entry(vm, domain) for vm in self.vms.values()]
-            listed += [
-                self._upstream(server, domain)
-                for server in self.servers.values()
-            ]
-            url = f"http://127.0.0.1:{self._platform_port}/view/{domain}/vms"
-            processes.post(url, msgspec.json.encode(listed), "PUT")
+            self._publish_view(domain)
+
+    def _publish_view(self, domain: str) -> None:
+        listed = [self._entry(vm, domain) for vm in self.vms.values()]
+        listed += [
+            self._upstream(server, domain) for server in self.servers.values()
+        ]
+        url = f"http://127.0.0.1:{self._platform_port}/view/{domain}/vms"
+        processes.post(url, msgspec.json.encode(listed), "PUT")
+
+    def bypass_proxy(self, vm: EntryVm) -> None:
+        """Restarts a VM's router with a view of the real addresses."""
+        real = {v.name: v.coordinator_port for v in self.vms.values()}
+        real |= {s.name: s.port for s in self.servers.values()}
+        for name, port in real.items():
+            self._links["direct", name] = port
+        self._links["direct", "platform"] = self._platform_port
+        self._publish_view("direct")
+        vm.router.kill()
+        vm.router = self._daemon(vm, "router", "direct")
+        processes.wait_until(self.is_ready, _READY_S, "router ready", 0.2)
 
     def _entry(self, vm: EntryVm, viewer: str) -> base.Vm:
         return base.Vm(
@@ -248,16 +268,23 @@
             group=f"{self.organisation.name}-{server.service.name}",
         )
 
-    def settings_file(self, vm: EntryVm) -> pathlib.Path:
-        """Writes the settings of an entry VM and returns the file."""
+    def settings_file(self, vm: EntryVm, view: str = "") -> pathlib.Path:
+        """Writes the settings of an entry VM and returns the file.
+
+        Args:
+            vm: The VM.
+            view: Whose VM list and links it uses; its failure domain's if
+                empty.
+        """
+        view = view or vm.domain
         path = self._folder / f"{vm.name}.ini"
         path.write_text(
             _SETTINGS.format(
                 vm=vm.name,
                 domain=vm.domain,
-                view=vm.domain,
+                view=view,
                 organisation=self.organisation.name,
-                platform=self._links[vm.domain, "platform"],
+                platform=self._links[view, "platform"],
                 router=vm.router_port,
                 router_metrics=vm.router_metrics,
                 coordinator=vm.coordinator_port,
@@ -278,8 +305,8 @@
         """Starts the coordinator of an entry VM."""
         vm.coordinator = self._daemon(vm, "coordinator")
 
-    def _daemon(self, vm: EntryVm, role: str) -> processes.Process:
-        path = self.settings_file(vm)
+    def _daemon(self, vm, role, view="") -> processes.Process:
+        path = self.settings_file(vm, view)
         args = [role, "--settings", str(path)]
         return self._process(f"{vm.name}-{role}", "swiftstile", args)
 
@@ -369,14 +396,29 @@
         with urllib.request.urlopen(url, timeout=5) as response:
             return json.load(response)
 
-    def assignment(self) -> dict:
-        """Returns the keyed service's assignment row from the table."""
-        name = f"{self.organisation.name}/{self.keyed_service().name}"
-        url = f"http://127.0.0.1:{self._platform_port}/table?key=assignment/{name}"
+    def assignments(self) -> list[slices.Assignment]:
+        """Returns all versions of the keyed service's assignment."""
+        service = f"{self.organisation.name}/{self.keyed_service().name}"
+        url = (
+            f"http://127.0.0.1:{self._platform_port}/history"
+            f"?key=assignment/{service}"
+        )
         with urllib.request.urlopen(url, timeout=5) as response:
-            rows = json.load(response)
-        value = base64.b64decode(rows[0]["value"])
-        return json.loads(value)["assignment"]
+            values = json.load(response)
+        return [
+            msgspec.json.decode(
+                base64.b64decode(value), type=_AssignmentRow
+            ).assignment
+            for value in values
+        ]
+
+    def journals(self) -> dict[str, list[journal.Entry]]:
+        """Returns the journals of all servers, by server."""
+        return {
+            name: journal.read(server.journal)
+            for name, server in self.servers.items()
+            if server.journal.exists()
+        }
 
 
 def _answers(port: int) -> bool:
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,233 @@
+"""Callers: sends a mixed load and keeps a record of each request.
+
+Runs as a process of its own: `python -m benchmarks.load PLAN`, where PLAN is
+a JSON file. Records are written as MessagePack when the load ends.
+"""
+
+import asyncio
+import hashlib
+import itertools
+import pathlib
+import random
+import sys
+import uuid
+
+import aiohttp
+import msgspec
+import uvloop
+
+from swiftstile import clocks
+from swiftstile.routing import outcomes
+
+__all__ = ["Plan", "Record", "ServicePlan", "read_records"]
+
+_CLIENT_TIMEOUT_S = 15.0
+_TRANSPORT_FAILED = "transport"
+
+
+class ServicePlan(msgspec.Struct):
+    """The load on one service.
+
+    Attributes:
+        name: Name of the service.
+        share: Share of the requests, from 0 to 1.
+        keyed: Whether requests carry a key.
+        protected_share: Share of requests that are not repeatable.
+        direct_ports: Ports of its servers, to bypass the routers; else empty.
+    """
+
+    name: str
+    share: float
+    keyed: bool
+    protected_share: float
+    direct_ports: list[int] = []
+
+
+class Plan(msgspec.Struct):
+    """One load.
+
+    Attributes:
+        organisation: Whose services are called.
+        services: What is called.
+        ports: Ports of the routers.
+        seconds: How long requests are sent.
+        rate: Requests a second in all, by a Poisson process; 0 for as many
+            as `callers` get answered.
+        callers: Callers that ask one request after the other; for rate 0.
+        keys: Number of keys in use; the n-th is drawn with weight 1/n**skew.
+        skew: How uneven the keys are.
+        seed: Seed of all random choices.
+        answer_bytes: Length of an answer.
+        body_bytes: Length of a protected request's body.
+        timeout_ms: Deadline that requests carry.
+        records: File that the records go to.
+    """
+
+    organisation: str
+    services: list[ServicePlan]
+    ports: list[int]
+    seconds: float
+    rate: float
+    seed: int
+    records: str
+    callers: int = 32
+    keys: int = 2000
+    skew: float = 0.9
+    answer_bytes: int = 200
+    body_bytes: int = 300
+    timeout_ms: int = 5000
+
+
+class Record(msgspec.Struct, array_like=True):
+    """What one caller saw.
+
+    Attributes:
+        request_id: Id of the request.
+        service: Service it was for.
+        key: Its key; empty for none.
+        is_protected: Whether it was marked as not repeatable.
+        sent_at: When it was sent, on the machine's shared clock.
+        latency_s: Until the whole answer was read, or it failed.
+        status: HTTP status; 0 if the connection failed.
+        outcome: What the header said, or `transport`.
+        is_crossed: The answer belongs to another request, or is partial.
+    """
+
+    request_id: str
+    service: str
+    key: str
+    is_protected: bool
+    sent_at: float
+    latency_s: float
+    status: int
+    outcome: str
+    is_crossed: bool
+
+
+def read_records(path: pathlib.Path) -> list[Record]:
+    """Returns the records of a load."""
+    return msgspec.msgpack.decode(path.read_bytes(), type=list[Record])
+
+
+class _Callers:
+
+    def __init__(self, plan: Plan):
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._records: list[Record] = []
+        weights = [1 / (n + 1) ** plan.skew for n in range(plan.keys)]
+        self._key_weights = list(itertools.accumulate(weights))
+        self._shares = list(
+            itertools.accumulate(service.share for service in plan.services)
+        )
+        self._ports = itertools.cycle(plan.ports)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> list[Record]:
+        """Sends the load and returns the records."""
+        timeout = aiohttp.ClientTimeout(total=_CLIENT_TIMEOUT_S)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            timeout=timeout, connector=connector
+        ) as self._session:
+            if self._plan.rate:
+                await self._run_open()
+            else:
+                end = clocks.monotonic() + self._plan.seconds
+                await asyncio.gather(
+                    *(self._run_caller(end) for _ in range(self._plan.callers))
+                )
+        return self._records
+
+    async def _run_open(self) -> None:
+        due = start = clocks.monotonic()
+        running: set[asyncio.Task] = set()
+        while due < start + self._plan.seconds:
+            wait = due - clocks.monotonic()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            task = asyncio.create_task(self._ask(due))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            due += self._random.expovariate(self._plan.rate)
+        await asyncio.gather(*running)
+
+    async def _run_caller(self, end: float) -> None:
+        while clocks.monotonic() < end:
+            await self._ask(clocks.monotonic())
+
+    async def _ask(self, due: float) -> None:
+        plan = self._plan
+        service = self._random.choices(plan.services, cum_weights=self._shares)[
+            0
+        ]
+        is_protected = self._random.random() < service.protected_share
+        request_id = f"{self._random.getrandbits(96):024x}"
+        key = self._key() if service.keyed else ""
+        url, headers = self._address(service, key, request_id)
+        body = None
+        if is_protected:
+            body = self._random.randbytes(plan.body_bytes)
+            headers[outcomes.IDEMPOTENCY_HEADER] = request_id
+        record = Record(
+            request_id, service.name, key, is_protected, due, 0, 0, "", False
+        )
+        try:
+            await self._exchange(url, headers, body, record)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            record.outcome = _TRANSPORT_FAILED
+        record.latency_s = clocks.monotonic() - due
+        self._records.append(record)
+
+    async def _exchange(self, url, headers, body, record: Record) -> None:
+        method = "POST" if body is not None else "GET"
+        async with self._session.request(
+            method, url, headers=headers, data=body
+        ) as response:
+            answer = await response.read()
+            record.status = response.status
+            record.outcome = response.headers.get(outcomes.OUTCOME_HEADER, "")
+            if record.outcome == outcomes.Outcome.ANSWERED.value:
+                record.is_crossed = not self._is_whole(
+                    answer, record.request_id, body
+                )
+
+    def _is_whole(self, answer: bytes, request_id: str, body) -> bool:
+        digest = hashlib.sha256(body or b"").hexdigest()
+        head = f"{request_id} {digest} ".encode()
+        return answer == head.ljust(self._plan.answer_bytes, b".")
+
+    def _key(self) -> str:
+        index = self._random.choices(
+            range(self._plan.keys), cum_weights=self._key_weights
+        )[0]
+        return f"key-{index}"
+
+    def _address(self, service: ServicePlan, key: str, request_id: str):
+        query = f"?bytes={self._plan.answer_bytes}"
+        headers = {
+            outcomes.REQUEST_ID_HEADER: request_id,
+            outcomes.TIMEOUT_HEADER: str(self._plan.timeout_ms),
+        }
+        if service.keyed:
+            headers[outcomes.KEY_HEADER] = key
+        if service.direct_ports:
+            port = self._random.choice(service.direct_ports)
+            return f"http://127.0.0.1:{port}/direct{query}", headers
+        port = next(self._ports)
+        path = f"/{self._plan.organisation}/{service.name}/item{query}"
+        return f"http://127.0.0.1:{port}{path}", headers
+
+
+def main() -> None:
+    """Sends the load that a plan describes."""
+    plan_file = pathlib.Path(sys.argv[1])
+    plan = msgspec.json.decode(plan_file.read_bytes(), type=Plan)
+    records = uvloop.run(_Callers(plan).run())
+    partial = pathlib.Path(f"{plan.records}.{uuid.uuid4().hex}")
+    partial.write_bytes(msgspec.msgpack.encode(records))
+    partial.rename(plan.records)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/speed.py
@@ -0,0 +1,85 @@
+"""Speed of one router pinned to one core, against going straight."""
+
+import os
+import time
+
+from benchmarks import measures
+from benchmarks import run as run_lib
+
+__all__ = ["measure"]
+
+_CALLERS = 2
+_SECONDS = 5.0
+_CONNECTIONS = 24
+_HALF = 0.5
+
+
+def measure(run: run_lib.Run) -> dict[str, object]:
+    """Returns requests/s a core, and what the router adds at half of it.
+
+    One VM's router runs on one core alone and reaches the servers without
+    the fault proxy; load and servers share the others. Both halves of the
+    comparison run side by side, half of the rate each.
+    """
+    vm = next(iter(run.fleet.vms.values()))
+    cpus = sorted(os.sched_getaffinity(0))
+    run.fleet.bypass_proxy(vm)
+    others = set(cpus[1:])
+    for process in run.fleet.all_processes():
+        process.pin({cpus[0]} if process is vm.router else others)
+    run.say("speed: as many requests as one router answers")
+    top_rate, busy = _top_rate(run, vm)
+    run.say(f"speed: {top_rate:.0f} requests/s; half of it, and direct")
+    half = _side_by_side(run, vm, top_rate * _HALF)
+    return {
+        "requests_per_s_per_core": round(top_rate / busy, 1),
+        "router_busy": round(busy, 3),
+        "half_rate": round(top_rate * _HALF, 1),
+        **half,
+    }
+
+
+def _top_rate(run: run_lib.Run, vm) -> tuple[float, float]:
+    callers = [
+        run.start_load(
+            run.plan(
+                ports=[vm.router_port],
+                rate=0,
+                seconds=_SECONDS,
+                callers=_CONNECTIONS,
+            )
+        )
+        for _ in range(_CALLERS)
+    ]
+    time.sleep(1.5)
+    cpu, begin = vm.router.cpu_s(), time.monotonic()
+    time.sleep(_SECONDS - 2.5)
+    busy = (vm.router.cpu_s() - cpu) / (time.monotonic() - begin)
+    records = [record for each in callers for record in each.records()]
+    first = min(record.sent_at for record in records)
+    window = (first + 1.0, first + _SECONDS - 1.0)
+    done = sum(
+        window[0] <= record.sent_at + record.latency_s < window[1]
+        for record in records
+        if record.status == 200
+    )
+    return done / (window[1] - window[0]), busy
+
+
+def _side_by_side(run: run_lib.Run, vm, rate: float) -> dict[str, object]:
+    via_plan = run.plan(ports=[vm.router_port], rate=rate / 2, seconds=_SECONDS)
+    via = [run.start_load(via_plan)]
+    again = run.plan(ports=[vm.router_port], rate=rate / 2, seconds=_SECONDS)
+    via.append(run.start_load(again))
+    direct = run.start_load(run.direct_plan(rate=rate / 2, seconds=_SECONDS))
+    routed = [record for each in via for record in each.records()]
+    routed_ms = measures.percentiles(measures.latencies(routed), 1000)
+    straight_ms = measures.percentiles(
+        measures.latencies_of_all(direct.records()), 1000
+    )
+    return {
+        "half_rate_ms": routed_ms,
+        "half_rate_direct_ms": straight_ms,
+        "added_p50_ms": round(routed_ms.p50 - straight_ms.p50, 3),
+        "added_p99_ms": round(routed_ms.p99 - straight_ms.p99, 3),
+    }
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -3,6 +3,7 @@
 Names and units are documented in docs/operators/metrics.md.
 """
 
+import aiohttp
 from opentelemetry import metrics as otel
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk
@@ -48,6 +49,25 @@
         self.control_messages = Counts()
         self.ownership = Counts()
 
+    def count_http(
+        self, kind: str, response: aiohttp.ClientResponse, sent: int
+    ):
+        """Counts a control exchange over HTTP: bodies and heads.
+
+        Args:
+            kind: Whom it was with; first part of the label.
+            response: The answer, whose body was read.
+            sent: Length of the request's body, in bytes.
+        """
+        asked = response.request_info
+        head = sum(len(k) + len(v) + 4 for k, v in asked.headers.items())
+        line = len(asked.method) + len(asked.url.raw_path_qs) + 12
+        self.control_bytes.add(f"{kind}-sent", head + line + sent)
+        head = sum(len(k) + len(v) + 4 for k, v in response.raw_headers)
+        received = head + (response.content_length or 0)
+        self.control_bytes.add(f"{kind}-received", received)
+        self.control_messages.add(kind)
+
     def snapshot(self) -> dict[str, dict[str, float]]:
         """Returns every counter by metric name and label."""
         return {name: counts.by_label() for name, counts in vars(self).items()}
--- a/src/swiftstile/ownership/upstream_http.py
+++ b/src/swiftstile/ownership/upstream_http.py
@@ -37,7 +37,6 @@
     ) -> grants.GrantReply:
         """See base class."""
         body = msgspec.json.encode(grant)
-        self._meters.control_bytes.add("server-sent", len(body))
         return await self._call("POST", address, GRANT_PATH, data=body)
 
     async def probe(self, address: str) -> None:
@@ -54,7 +53,6 @@
             ) from error
 
     async def _request(self, method, address, path, options) -> bytes:
-        self._meters.control_messages.add("server")
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 timeout=self._timeout,
@@ -65,11 +63,12 @@
                 method, f"http://{address}{path}", **options
             ) as response:
                 body = await response.read()
+                sent = len(options.get("data", b""))
+                self._meters.count_http("server", response, sent)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise errors.PeerUnavailableError(
                 repr(error), step="call server", peer=address
             ) from error
-        self._meters.control_bytes.add("server-received", len(body))
         return body
 
     async def close(self) -> None:
--- a/src/swiftstile/platform/http.py
+++ b/src/swiftstile/platform/http.py
@@ -7,6 +7,7 @@
 
 from swiftstile import errors
 from swiftstile import ids
+from swiftstile import metrics
 from swiftstile.platform import base
 
 __all__ = ["HttpObjectStore", "HttpTable", "HttpVmList", "TransactBody"]
@@ -40,12 +41,11 @@
 
 class _Client:
 
-    def __init__(self, url: str, timeout_s: float):
+    def __init__(self, url: str, timeout_s: float, meters: metrics.Meters):
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
+        self._meters = meters
         self._session: aiohttp.ClientSession | None = None
-        self.reads = 0
-        self.writes = 0
 
     async def request(self, method, path, step, **options):
         """Returns (status, body); raises PlatformUnavailableError."""
@@ -53,7 +53,10 @@
             async with self._opened().request(
                 method, self._url + path, **options
             ) as response:
-                return response.status, await response.read()
+                body = await response.read()
+                sent = len(options.get("data", b""))
+                self._meters.count_http("platform", response, sent)
+                return response.status, body
         except _ERRORS as error:
             raise errors.PlatformUnavailableError(
                 repr(error), step=step, peer=self._url
@@ -79,18 +82,11 @@
 
 
 class HttpTable(base.Table):
-    """The table service over HTTP.
+    """The table service over HTTP."""
 
-    Attributes:
-        reads: Read requests sent so far.
-        writes: Transactions sent so far.
-    """
-
-    def __init__(self, url: str, timeout_s: float):
+    def __init__(self, url: str, timeout_s: float, meters: metrics.Meters):
         self._url = url
-        self._client = _Client(url, timeout_s)
-        self.reads = 0
-        self.writes = 0
+        self._client = _Client(url, timeout_s, meters)
 
     async def read(self, key: str) -> base.Row | None:
         """See base class."""
@@ -102,7 +98,6 @@
         return await self._query("scan rows", {"prefix": prefix})
 
     async def _query(self, step, params) -> list[base.Row]:
-        self.reads += 1
         status, body = await self._client.request(
             "GET", "/table", step, params=params
         )
@@ -117,7 +112,6 @@
         self, writes: list[base.Write], attempt: ids.AttemptId
     ) -> None:
         """See base class."""
-        self.writes += 1
         body = TransactBody(attempt, [_write_body(write) for write in writes])
         step = f"write {writes[0].key}"
         try:
@@ -156,9 +150,9 @@
 class HttpObjectStore(base.ObjectStore):
     """The object store over HTTP."""
 
-    def __init__(self, url: str, timeout_s: float):
+    def __init__(self, url: str, timeout_s: float, meters: metrics.Meters):
         self._url = url
-        self._client = _Client(url, timeout_s)
+        self._client = _Client(url, timeout_s, meters)
 
     async def put(self, name: str, body: bytes) -> None:
         """See base class."""
@@ -185,9 +179,9 @@
 class HttpVmList(base.VmList):
     """The VM list over HTTP."""
 
-    def __init__(self, url: str, timeout_s: float):
+    def __init__(self, url: str, timeout_s: float, meters: metrics.Meters):
         self._url = url
-        self._client = _Client(url, timeout_s)
+        self._client = _Client(url, timeout_s, meters)
 
     async def fetch(self) -> list[base.Vm]:
         """See base class."""
--- a/src/swiftstile/routing/dispatch.py
+++ b/src/swiftstile/routing/dispatch.py
@@ -54,15 +54,16 @@
         progress = _Progress(hold_until)
         while True:
             try:
+                choice = await route.choose(inbound, progress.hold_until)
                 return await self._attempt(
-                    request, inbound, body, route, progress
+                    request, inbound, body, route, choice
                 )
             except outcomes.RequestError as error:
                 if not self._may_repeat(error, inbound, body, progress):
                     raise self._final(error, progress) from error
+                await self._pause(error, inbound, route, choice)
 
-    async def _attempt(self, request, inbound, body, route, progress):
-        choice = await route.choose(inbound, progress.hold_until)
+    async def _attempt(self, request, inbound, body, route, choice):
         await choice.target.acquire(choice.end)
         is_whole = False
         route.sent(choice)
@@ -72,9 +73,8 @@
             )
             is_whole = True
             return response
-        except outcomes.NotStartedError as error:
+        except outcomes.NotStartedError:
             is_whole = True
-            await self._pause(error, inbound, route, choice)
             raise
         finally:
             choice.target.release()
--- a/src/swiftstile/routing/forwarding.py
+++ b/src/swiftstile/routing/forwarding.py
@@ -119,6 +119,8 @@
             ) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self._meters.sends.add("unknown")
+            if isinstance(error, (aiohttp.ClientConnectionError, OSError)):
+                target.note_failure()
             raise outcomes.UnknownOutcomeError(
                 f"no whole answer: {error!r}",
                 step="read answer",
--- a/src/swiftstile/wiring.py
+++ b/src/swiftstile/wiring.py
@@ -41,17 +41,17 @@
 
     def __init__(self, settings: settings_lib.Settings):
         self._settings = settings
+        self._meters = metrics.Meters()
         platform = settings.platform
         self.table = platform_http.HttpTable(
-            platform.table_url, platform.timeout_s
+            platform.table_url, platform.timeout_s, self._meters
         )
         self.objects = platform_http.HttpObjectStore(
-            platform.objects_url, platform.timeout_s
+            platform.objects_url, platform.timeout_s, self._meters
         )
         self._vm_list = platform_http.HttpVmList(
-            platform.vms_url, platform.timeout_s
+            platform.vms_url, platform.timeout_s, self._meters
         )
-        self._meters = metrics.Meters()
 
     def queries(self) -> queries.BundleQueries:
         """Returns the queries on bundles."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -47,6 +47,7 @@
         self._rows: dict[str, tuple[bytes, int]] = {}
         self._older: dict[str, tuple[bytes, int]] = {}
         self._attempts: set[str] = set()
+        self._history: dict[str, list[str]] = {}
         self._objects: dict[str, bytes] = {}
         self._vms_by_view: dict[str, bytes] = {}
 
@@ -61,6 +62,7 @@
         app.router.add_put("/view/{view}/vms", self._set_vms)
         app.router.add_post("/faults", self._set_faults)
         app.router.add_get("/stats", self._stats)
+        app.router.add_get("/history", self._show_history)
         return app
 
     async def _disturb(self) -> None:
@@ -118,6 +120,7 @@
                 value = base64.b64decode(write.value)
                 version = write.expected_version + 1
                 self._rows[write.key] = (value, version)
+                self._history.setdefault(write.key, []).append(write.value)
 
     async def _put(self, request: web.Request) -> web.Response:
         await self._disturb()
@@ -148,6 +151,10 @@
         self.faults = msgspec.json.decode(await request.read(), type=Faults)
         return _json({})
 
+    async def _show_history(self, request: web.Request) -> web.Response:
+        """All values that a row had, oldest first, in base64."""
+        return _json(self._history.get(request.query["key"], []))
+
     async def _stats(self, _request: web.Request) -> web.Response:
         return _json({"reads": self.reads, "writes": self.writes})
 
