--- a/src/swiftstile/daemons/router.py
+++ b/src/swiftstile/daemons/router.py
@@ -129,6 +129,7 @@
         return {
             "vm": self._settings.vm.id,
             "failure_domain": self._settings.vm.failure_domain,
+            "in_flight": self._front.in_flight,
             "platform_reachable": self._bundles.reachable.value,
             "bundles": {
                 name: entry.version
--- a/src/swiftstile/routing/front.py
+++ b/src/swiftstile/routing/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from aiohttp import http_exceptions
 from aiohttp import web
 import msgspec
 
@@ -16,6 +17,7 @@
 
 # Idle connections of callers are kept this long.
 _KEEPALIVE_S = 75.0
+_HEADER_TOO_LARGE = 431
 
 
 class ErrorBody(msgspec.Struct):
@@ -28,8 +30,32 @@
     message: str
 
 
+class _Connection(web.RequestHandler):
+    """A caller's connection, whose parse errors carry the outcome too."""
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        is_long = isinstance(exc, http_exceptions.LineTooLong)
+        status = _HEADER_TOO_LARGE if is_long else status
+        response = super().handle_error(request, status, exc, message)
+        # Up to here nothing was sent to any server.
+        outcome = outcomes.Outcome.NOT_RUN.value
+        response.headers[outcomes.OUTCOME_HEADER] = outcome
+        return response
+
+
+class _Server(web.Server):
+    """Makes connections of the kind above."""
+
+    def __call__(self) -> web.RequestHandler:
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+
 class Front:
-    """Serves callers over HTTP."""
+    """Serves callers over HTTP.
+
+    Attributes:
+        in_flight: Requests that have no answer yet.
+    """
 
     def __init__(
         self,
@@ -45,10 +71,11 @@
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
         self._is_leaving = False
+        self.in_flight = 0
 
     async def start(self) -> None:
         """Starts to listen."""
-        server = web.Server(
+        server = _Server(
             self._handle,
             handler_cancellation=True,
             auto_decompress=False,
@@ -72,6 +99,13 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         started = clocks.monotonic()
+        self.in_flight += 1
+        try:
+            return await self._respond(request, started)
+        finally:
+            self.in_flight -= 1
+
+    async def _respond(self, request, started) -> web.StreamResponse:
         try:
             response = await self._dispatcher.answer(request)
             outcome = outcomes.Outcome.ANSWERED
--- a/src/swiftstile/settings.py
+++ b/src/swiftstile/settings.py
@@ -147,6 +147,7 @@
         elif name in _REQUIRED:
             faults.append(ini.Fault(name, "", "section missing"))
     faults += _bad_addresses(sections)
+    faults += _bad_times(sections)
     if faults:
         raise errors.SettingsError(
             "; ".join(map(str, faults)), step="check settings", peer=str(path)
@@ -185,3 +186,23 @@
         except ValueError as error:
             faults.append(ini.Fault(section, option, str(error)))
     return faults
+
+
+def _bad_times(sections) -> list[ini.Fault]:
+    faults = [
+        ini.Fault(section, option, f"expected more than 0, got {value}")
+        for section, entry in sections.items()
+        if entry is not None
+        for option, value in msgspec.structs.asdict(entry).items()
+        if option.endswith("_s") and not value > 0
+    ]
+    control = sections.get("coordinator")
+    if control is not None and not faults:
+        # A lease must outlive two renewals of which the first gets no answer.
+        least = 2 * control.renew_interval_s + control.call_timeout_s
+        faults += [
+            ini.Fault("coordinator", option, f"expected more than {least:g}")
+            for option in ("promise_s", "server_lease_s")
+            if getattr(control, option) <= least
+        ]
+    return faults
--- /dev/null
+++ b/tests/integration/callers.py
@@ -0,0 +1,55 @@
+"""A small caller for tests, which can also send what no client would."""
+
+import http.client
+import json
+import socket
+
+from benchmarks import fleet as fleet_lib
+from standins import journal
+
+
+class Answer:
+    """Status, headers and body of an answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def outcome(self) -> str | None:
+        return self.headers.get("Swiftstile-Outcome")
+
+    @property
+    def reason(self) -> str:
+        return json.loads(self.body)["reason"]
+
+
+def ask(port, path, method="GET", body=None, headers=None, timeout=15):
+    """Sends one request on a connection of its own."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return Answer(response.status, response.headers, response.read())
+    finally:
+        connection.close()
+
+
+def ask_raw(port: int, data: bytes) -> Answer:
+    """Sends bytes as they are and reads an answer."""
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as sock:
+        sock.sendall(data)
+        response = http.client.HTTPResponse(sock)
+        response.begin()
+        return Answer(response.status, response.headers, response.read())
+
+
+def runs_of(fleet: fleet_lib.Fleet, request_id: str) -> list[journal.Run]:
+    """Returns the runs of one request in all journals."""
+    return [
+        entry
+        for entries in fleet.journals().values()
+        for entry in entries
+        if isinstance(entry, journal.Run) and entry.request_id == request_id
+    ]
--- /dev/null
+++ b/tests/unit/test_leases.py
@@ -0,0 +1,205 @@
+"""Lease rules under arbitrary orders of pause, loss, delay and lost answers."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from swiftstile import clocks
+from swiftstile import ids
+from swiftstile.ownership import leases
+from tests import builders
+
+PROMISE_S = 0.9
+TOLERANCE_S = 30.0
+VMS = ("a", "b", "c")
+CLIENTS = strategies.sampled_from(VMS)
+
+
+class Process:
+    """What one coordinator knows: its promises and the lease it may hold."""
+
+    def __init__(self, name):
+        self.me = builders.candidate(name)
+        self.book = leases.PromiseBook()
+        self.validity = None
+        self.epoch = ids.Epoch(0)
+        self.unsettled = None
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Messages are delivered late or never; a write may land at any time."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.processes = {name: Process(name) for name in VMS}
+        self.row_version = 1
+        self.row_epoch = ids.Epoch(1)
+        self.row_candidates = tuple(builders.candidate(n) for n in "bc")
+        self.asks = []
+        self.replies = []
+        self._hold(self.processes["a"], ids.Epoch(1), self.now)
+
+    def _hold(self, process, epoch, sent_at):
+        process.epoch = epoch
+        process.book.note_epoch(builders.SERVICE, epoch)
+        process.validity = leases.Validity(TOLERANCE_S, sent_at)
+        process.validity.require(self.row_candidates)
+
+    @stateful.rule(by=strategies.sampled_from([0.01, 0.2, 0.5, 0.93, 2.0]))
+    def time_passes(self, by):
+        self.now += by
+
+    @stateful.rule(name=CLIENTS)
+    def send_take_over(self, name):
+        process = self.processes[name]
+        if process.unsettled or process.me not in self.row_candidates:
+            return
+        if process.book.begin_take_over(builders.SERVICE, self.now):
+            process.unsettled = (self.row_version, self.row_epoch + 1, self.now)
+            self.asks = self.asks[-6:]
+
+    @stateful.rule(name=CLIENTS)
+    def write_lands(self, name):
+        """The table applies a write that is on its way; no answer yet."""
+        process = self.processes[name]
+        if not process.unsettled or process.unsettled[0] != self.row_version:
+            return
+        expected, epoch, _ = process.unsettled
+        self.row_version, self.row_epoch = expected + 1, ids.Epoch(epoch)
+        others = [p.me for p in self.processes.values() if p is not process]
+        self.row_candidates = tuple(others)
+        # From here on another process may own what the row gives it.
+        for other in self.processes.values():
+            if other is not process and other.validity is not None:
+                assert other.validity.until() <= self.now
+
+    @stateful.rule(name=CLIENTS)
+    def take_over_is_settled(self, name):
+        """The writer learns what became of its write, late or not."""
+        process = self.processes[name]
+        if not process.unsettled:
+            return
+        expected, epoch, sent_at = process.unsettled
+        won = self.row_version > expected and self.row_epoch == epoch
+        if self.row_version == expected:
+            return
+        process.unsettled = None
+        process.book.end_take_over(builders.SERVICE)
+        if won and self.row_candidates == tuple(
+            p.me for p in self.processes.values() if p is not process
+        ):
+            self._hold(process, ids.Epoch(epoch), sent_at)
+
+    @stateful.rule(name=CLIENTS)
+    def take_over(self, name):
+        """A whole take-over without any delay."""
+        self.send_take_over(name)
+        self.write_lands(name)
+        self.take_over_is_settled(name)
+
+    @stateful.rule(name=CLIENTS)
+    def renew(self, name):
+        """Both candidates are asked, and answer at once."""
+        for candidate in VMS:
+            self.ask_promise(name, candidate)
+            if self.asks:
+                self.ask_arrives(len(self.asks) - 1)
+            if self.replies:
+                self.reply_arrives(len(self.replies) - 1)
+
+    @stateful.rule(name=CLIENTS, candidate=CLIENTS)
+    def ask_promise(self, name, candidate):
+        holder = self.processes[name]
+        if holder.validity is None or name == candidate:
+            return
+        self.asks.append((name, candidate, holder.epoch, self.now))
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def ask_arrives(self, index):
+        if not self.asks:
+            return
+        # Not removed: it may arrive again.
+        name, target, epoch, asked_at = self.asks[index % len(self.asks)]
+        granted = self.processes[target].book.promise(
+            builders.SERVICE, epoch, self.now, PROMISE_S
+        )
+        if granted:
+            self.replies.append((name, target, epoch, asked_at))
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def reply_arrives(self, index):
+        if not self.replies:
+            return
+        name, target, epoch, asked_at = self.replies[index % len(self.replies)]
+        holder = self.processes[name]
+        if holder.validity is not None and holder.epoch == epoch:
+            duration = PROMISE_S - clocks.DRIFT_MARGIN_S
+            candidate = self.processes[target].me.incarnation
+            holder.validity.note_promise(candidate, asked_at, duration)
+
+    @stateful.rule(name=CLIENTS)
+    def restart(self, name):
+        """The process forgets all; its incarnation is in no row any more."""
+        fresh = Process(name)
+        fresh.me = leases.Candidate(
+            ids.VmId(name), ids.Incarnation(f"{name}#{self.now}")
+        )
+        self.processes[name] = fresh
+
+    @stateful.invariant()
+    def at_most_one_valid_holder(self):
+        valid = [
+            process
+            for process in self.processes.values()
+            if process.validity and process.validity.until() > self.now
+        ]
+        assert len(valid) <= 1
+
+
+TestLeases = LeaseMachine.TestCase
+TestLeases.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=60, deadline=None
+)
+
+
+@hypothesis.given(
+    offset=strategies.floats(-1e6, 1e6),
+    there=strategies.floats(0, 5),
+    back=strategies.floats(0, 5),
+    lease=strategies.floats(0, 2),
+)
+def test_server_lease_ends_there_before_it_ends_here(
+    offset, there, back, lease
+):
+    """However long messages take, and however far apart the clocks are."""
+    sent_at = 1000.0
+    read_at = sent_at + there
+    received_at = read_at + back
+    clock = leases.ServerClock("i", read_at + offset, received_at)
+    end = received_at + lease
+    ends_there = clock.expiry(end) - offset
+    assert ends_there <= end + 1e-6
+
+
+def test_no_promise_while_a_take_over_is_unsettled():
+    book = leases.PromiseBook()
+    assert book.promise(builders.SERVICE, ids.Epoch(1), 10.0, 1.0)
+    assert not book.begin_take_over(builders.SERVICE, 11.0)
+    assert book.begin_take_over(builders.SERVICE, 11.1)
+    assert not book.promise(builders.SERVICE, ids.Epoch(1), 11.2, 1.0)
+    book.end_take_over(builders.SERVICE)
+    assert book.promise(builders.SERVICE, ids.Epoch(1), 11.3, 1.0)
+
+
+def test_validity_needs_every_candidate_and_a_recent_write():
+    first, second = builders.candidate("a"), builders.candidate("b")
+    validity = leases.Validity(30.0, 100.0)
+    validity.require((first, second))
+    validity.note_promise(first.incarnation, 100.0, 1.0)
+    assert validity.until() == 0.0
+    validity.note_promise(second.incarnation, 100.5, 1.0)
+    assert validity.until() == 101.0
+    validity.note_promise(first.incarnation, 150.0, 1.0)
+    validity.note_promise(second.incarnation, 150.0, 1.0)
+    assert validity.until() == 130.0
