--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -238,7 +238,7 @@
         positions = measures.key_positions(self.fleet, records)
         outcome = [record.outcome for record in records]
         source, unavailable = self._unavailable(
-            records, journals, list(positions.values()), window
+            records, journals, positions, window
         )
         seconds = window[1] - window[0]
         return measures.Report(
@@ -274,10 +274,14 @@
     def _unavailable(self, records, journals, positions, window):
         """Time without an able owner, of the keys that were without one."""
         if not self.fleet.organisation.checks_fence:
-            waits = measures.waits_by_key(records)
+            first = self.fleet.assignments()[0]
+            waits = measures.waits_by_key(records, positions, first)
             return "callers", measures.percentiles(waits or [0.0])
         gaps = evidence.gaps_by_position(
-            evidence.intervals(journals), positions, *window, self._unable
+            evidence.intervals(journals),
+            list(positions.values()),
+            *window,
+            self._unable,
         )
         affected = [gap for gap in gaps if gap > 0]
         return "grants", measures.percentiles(affected or [0.0])
--- a/src/swiftstile/ownership/coordination.py
+++ b/src/swiftstile/ownership/coordination.py
@@ -97,14 +97,17 @@
 
     async def watch(self, request: messages.Watch) -> messages.WatchReply:
         """Answers a router, as soon as there is a newer assignment."""
-        self._custody.note_watch(request, clocks.monotonic())
+        received_at = clocks.monotonic()
+        self._custody.note_watch(request)
         if self._version() <= request.version:
             await self._wait_newer(request.version, request.wait_s)
         delta = None
         if self._version() > request.version:
             base_version = self._history.get(request.version)
             delta = self.assignment.delta_from(base_version)
-        lease_s = self._custody.note_watch(request, clocks.monotonic())
+        # The router counts its lease from when it asked, which is before the
+        # request came here: the time that it was held counts too.
+        lease_s = max(0.0, self._custody.extend_routes(request) - received_at)
         return messages.WatchReply(self._holder.lease.epoch, delta, lease_s)
 
     def servers_in_trouble(self) -> list[ids.ServerId]:
--- a/src/swiftstile/ownership/custody.py
+++ b/src/swiftstile/ownership/custody.py
@@ -70,9 +70,16 @@
     def expire(self, now: float) -> None:
         """Forgets what has lapsed."""
 
-    def note_watch(self, watch: messages.Watch, now: float) -> float:
-        """Notes what a router says, and returns its route lease in seconds."""
-        del watch, now
+    def note_watch(self, watch: messages.Watch) -> None:
+        """Notes what a router says of itself."""
+
+    def extend_routes(self, watch: messages.Watch) -> float:
+        """Extends a router's lease.
+
+        Returns:
+            Its end, on `clocks.monotonic`; 0 where routers need none.
+        """
+        del watch
         return 0.0
 
 
@@ -183,14 +190,21 @@
         lease = self._settings.promise_s if released else 0.0
         return lease + CLOCK_ERROR_S
 
-    def note_watch(self, watch: messages.Watch, now: float) -> float:
+    def note_watch(self, watch: messages.Watch) -> None:
+        """See base class."""
+        self._router(watch).oldest_in_flight = watch.oldest_in_flight
+        self._changed.set()
+
+    def extend_routes(self, watch: messages.Watch) -> float:
         """See base class."""
-        lease_s = max(0.0, self._holder.validity.until() - now)
+        until = self._holder.validity.until()
+        router = self._router(watch)
+        router.lease_until = max(router.lease_until, until)
+        return until
+
+    def _router(self, watch: messages.Watch) -> _Router:
         router = self._by_router.get(watch.router)
         if router is None:
-            router = _Router(0.0, 0)
+            router = _Router(0.0, watch.oldest_in_flight)
             self._by_router[watch.router] = router
-        router.lease_until = max(router.lease_until, now + lease_s)
-        router.oldest_in_flight = watch.oldest_in_flight
-        self._changed.set()
-        return lease_s
+        return router
--- a/src/swiftstile/routing/dispatch.py
+++ b/src/swiftstile/routing/dispatch.py
@@ -17,7 +17,10 @@
 _MAX_UNKNOWN = 2
 # Attempts that servers refused because they were too busy.
 _MAX_SHED = 4
-_SHED_WAIT_S = 0.05
+# Between two attempts that servers refused: doubled each time, so that a held
+# request costs few attempts.
+_FIRST_WAIT_S = 0.05
+_LONGEST_WAIT_S = 1.0
 
 
 class _Progress:
@@ -27,6 +30,13 @@
         self.hold_until = hold_until
         self.unknown = 0
         self.shed = 0
+        self.pauses = 0
+
+    def next_wait_s(self) -> float:
+        """Returns how long to wait before the next attempt, in seconds."""
+        wait = min(_FIRST_WAIT_S * 2**self.pauses, _LONGEST_WAIT_S)
+        self.pauses += 1
+        return wait * random.uniform(0.75, 1.25)
 
 
 class Dispatcher:
@@ -61,7 +71,8 @@
             except outcomes.RequestError as error:
                 if not self._may_repeat(error, inbound, body, progress):
                     raise self._final(error, progress) from error
-                await self._pause(error, inbound, route, choice)
+                left = max(0.0, inbound.remaining_s())
+                await route.pause(choice, min(left, progress.next_wait_s()))
 
     async def _attempt(self, request, inbound, body, route, choice):
         await choice.target.acquire(choice.end)
@@ -80,12 +91,6 @@
             choice.target.release()
             route.ended(choice, is_whole)
 
-    async def _pause(self, error, inbound, route, choice) -> None:
-        left = max(0.0, inbound.remaining_s())
-        if isinstance(error, forwarding.ShedError):
-            left = min(left, _SHED_WAIT_S * random.uniform(0.5, 1.5))
-        await route.pause(choice, left)
-
     def _may_repeat(self, error, inbound, body, progress) -> bool:
         if inbound.remaining_s() <= 0 or not body.can_repeat:
             return False
--- a/src/swiftstile/routing/forwarding.py
+++ b/src/swiftstile/routing/forwarding.py
@@ -22,6 +22,7 @@
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _KEEPALIVE_S = 10.0
+_CONNECT_TIMEOUT_S = 1.0
 
 _HOP_BY_HOP = frozenset(
     {
@@ -78,7 +79,9 @@
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=_KEEPALIVE_S
             ),
-            timeout=aiohttp.ClientTimeout(total=None),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=_CONNECT_TIMEOUT_S
+            ),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -108,10 +111,14 @@
         """
         target = choice.target
         started = clocks.monotonic()
+        target.note_sent()
         try:
             async with asyncio.timeout(choice.end - started):
                 response = await self._exchange(request, inbound, body, choice)
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             target.note_failure()
             self._meters.sends.add("connect-failed")
             raise outcomes.NotStartedError(
@@ -119,8 +126,7 @@
             ) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self._meters.sends.add("unknown")
-            if isinstance(error, (aiohttp.ClientConnectionError, OSError)):
-                target.note_failure()
+            target.note_failure()
             raise outcomes.UnknownOutcomeError(
                 f"no whole answer: {error!r}",
                 step="read answer",
--- a/src/swiftstile/routing/routes.py
+++ b/src/swiftstile/routing/routes.py
@@ -29,7 +29,6 @@
 _LEASE_MARGIN_S = 0.02
 # Less of a route lease than this isn't worth starting a request on.
 _LEAST_LEASE_S = 0.1
-_SHARED_RETRY_S = 0.05
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -116,7 +115,7 @@
     async def pause(self, choice: Choice, wait_s: float) -> None:
         """See base class."""
         if self.owners.version == choice.version:
-            await self.owners.wait_change(min(wait_s, _HOLD_LOOK_S))
+            await self.owners.wait_change(wait_s)
 
     def _choice(self, inbound: inbound_lib.Inbound) -> Choice | None:
         assignment = self.owners.assignment
@@ -180,7 +179,7 @@
         """See base class."""
         while True:
             listed = list(self.targets.by_server.values())
-            usable = [t for t in listed if not t.is_penalised()] or listed
+            usable = [t for t in listed if t.is_answering()] or listed
             if usable:
                 target = self._policy.choose(usable)
                 none = ids.Fence(0), ids.Epoch(0), 0
@@ -194,7 +193,7 @@
 
     async def pause(self, choice: Choice, wait_s: float) -> None:
         """See base class."""
-        await asyncio.sleep(min(wait_s, _SHARED_RETRY_S))
+        await asyncio.sleep(wait_s)
 
 
 class RouteTable:
--- a/src/swiftstile/routing/targets.py
+++ b/src/swiftstile/routing/targets.py
@@ -10,9 +10,13 @@
 
 __all__ = ["Target", "Targets"]
 
-# A server that refused a connection isn't tried for this long, unless no
-# other is left.
-_PENALTY_S = 0.5
+# A server that failed isn't tried for this long, unless no other is left;
+# doubled with each failure in a row.
+_FIRST_PENALTY_S = 0.5
+_LONGEST_PENALTY_S = 4.0
+# A server that answered nothing for this long, while something was sent to
+# it, is passed over.
+_SILENCE_S = 1.0
 # Weight of the newest sample in the smoothed latency.
 _LATENCY_WEIGHT = 0.1
 
@@ -38,7 +42,9 @@
         self._queue_limit = queue_limit
         self._waiting: list[tuple[float, int, asyncio.Future]] = []
         self._order = itertools.count()
-        self._failed_at = float("-inf")
+        self._penalised_until = float("-inf")
+        self._failures = 0
+        self._silent_since = float("inf")
 
     @property
     def outstanding(self) -> int:
@@ -46,17 +52,35 @@
         return self.in_use + len(self._waiting)
 
     def is_penalised(self) -> bool:
-        """Returns whether it refused a connection a moment ago."""
-        return clocks.monotonic() < self._failed_at + _PENALTY_S
+        """Returns whether it failed a moment ago."""
+        return clocks.monotonic() < self._penalised_until
+
+    def is_answering(self) -> bool:
+        """Returns whether it neither failed nor fell silent."""
+        now = clocks.monotonic()
+        is_silent = now - self._silent_since > _SILENCE_S
+        return now >= self._penalised_until and not is_silent
+
+    def note_sent(self) -> None:
+        """Notes that a request is sent to it."""
+        self._silent_since = min(self._silent_since, clocks.monotonic())
 
     def note_failure(self) -> None:
-        """Notes that it refused a connection."""
-        self._failed_at = clocks.monotonic()
+        """Notes that a connection or a request to it failed."""
+        penalty = _FIRST_PENALTY_S * 2**self._failures
+        now = clocks.monotonic()
+        self._penalised_until = now + min(penalty, _LONGEST_PENALTY_S)
+        self._failures += 1
+        self._silent_since = float("inf")
 
     def note_answer(self, latency_s: float) -> None:
         """Notes an answer and how long it took, in seconds."""
         self.latency_s += _LATENCY_WEIGHT * (latency_s - self.latency_s)
-        self._failed_at = float("-inf")
+        self._penalised_until = float("-inf")
+        self._failures = 0
+        self._silent_since = (
+            clocks.monotonic() if self.in_use > 1 else float("inf")
+        )
 
     async def acquire(self, deadline: float) -> None:
         """Waits for a slot; the earliest deadline goes first.
