Placement that follows load; hot keys get slices of their own

Cause: slices were evened out by number; fifteen hot keys with half of the load left the busiest server at 2 to 3.3 times the mean for good. Coordination found its own load table under the name of a method; renamed.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -102,7 +102,7 @@
         store_before = fleet.platform_stats()
         begin = clocks.monotonic()
         run.say(f"load for {seconds} s")
-        callers = run.start_load(run.plan())
+        callers = run.start_load(scenario.load(run))
         try:
             scenario.disturb(run)
             records = callers.records()
@@ -110,6 +110,7 @@
             callers.kill()
         end = clocks.monotonic()
         store_after = fleet.platform_stats()
+        scenario.conclude(run, begin, min(end, begin + seconds))
         sends = run.sends_per_request(len(records))
         direct = []
         if scenario.name == "steady":
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -153,7 +153,18 @@
         for vm in self.vms.values():
             self._start_vm(vm)
         self._roll_bundle()
-        processes.wait_until(self.is_ready, _READY_S, "fleet ready", 0.2)
+        try:
+            processes.wait_until(self.is_ready, _READY_S, "fleet ready", 0.2)
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}\n{self.logs_of_dead()}") from error
+
+    def logs_of_dead(self) -> str:
+        """Returns the last lines of each process that ended by itself."""
+        return "\n".join(
+            f"{process.name}:\n{process.log_tail()}"
+            for process in self.all_processes()
+            if not process.is_running()
+        )
 
     def stop(self) -> None:
         """Kills all processes."""
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -59,6 +59,9 @@
         keys: Number of keys in use; the n-th is drawn with weight 1/n**skew.
         skew: How uneven the keys are.
         seed: Seed of all random choices.
+        hot_keys: Number of keys that are hot at the same time.
+        hot_share: Share of keyed requests that go to them, from 0 to 1.
+        shift_s: After this time other keys are hot, in seconds.
         answer_bytes: Length of an answer.
         body_bytes: Length of a protected request's body.
         timeout_ms: Deadline that requests carry.
@@ -75,6 +78,9 @@
     callers: int = 32
     keys: int = 2000
     skew: float = 0.9
+    hot_keys: int = 0
+    hot_share: float = 0.0
+    shift_s: float = 60.0
     answer_bytes: int = 200
     body_bytes: int = 300
     timeout_ms: int = 5000
@@ -124,6 +130,7 @@
         )
         self._ports = itertools.cycle(plan.ports)
         self._session: aiohttp.ClientSession | None = None
+        self._started = clocks.monotonic()
 
     async def run(self) -> list[Record]:
         """Sends the load and returns the records."""
@@ -219,6 +226,10 @@
         return answer == head.ljust(self._plan.answer_bytes, b".")
 
     def _key(self) -> str:
+        plan = self._plan
+        if self._random.random() < plan.hot_share:
+            turn = int((clocks.monotonic() - self._started) / plan.shift_s)
+            return f"hot-{turn}-{self._random.randrange(plan.hot_keys)}"
         index = self._random.choices(
             range(self._plan.keys), cum_weights=self._key_weights
         )[0]
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -18,6 +18,7 @@
     "churn_keys",
     "control_use",
     "imbalance",
+    "imbalance_between",
     "key_positions",
     "latencies",
     "latencies_of_all",
@@ -115,6 +116,25 @@
     return round(max(loads) / mean, 3) if mean else None
 
 
+def imbalance_between(
+    fleet: fleet_lib.Fleet,
+    journals: dict[str, list[journal_lib.Entry]],
+    begin: float,
+    end: float,
+) -> float | None:
+    """Returns the imbalance of what ran in a window of time."""
+    cut = {
+        name: [
+            entry
+            for entry in entries
+            if isinstance(entry, journal_lib.Run)
+            and begin <= entry.commit < end
+        ]
+        for name, entries in journals.items()
+    }
+    return imbalance(fleet, cut)
+
+
 def key_positions(
     fleet: fleet_lib.Fleet, records: list[load.Record]
 ) -> dict[str, int]:
--- a/benchmarks/organisations.py
+++ b/benchmarks/organisations.py
@@ -33,6 +33,7 @@
         services: Its services.
         checks_fence: Whether its keyed servers check fences.
         churn_budget: Largest share of the hash space moved at a time.
+        slices_per_server: How finely keys are spread.
         vms_per_domain: Entry VMs in each failure domain.
     """
 
@@ -41,6 +42,7 @@
     checks_fence: bool
     churn_budget: float
     vms_per_domain: int = 3
+    slices_per_server: int = 16
 
     def bundle(self) -> str:
         """Returns its bundle as INI text."""
@@ -53,6 +55,7 @@
                 f"ownership = {keyed}\n"
                 f"checks_fence = {str(self.checks_fence).lower()}\n"
                 f"churn_budget = {self.churn_budget}\n"
+                f"slices_per_server = {self.slices_per_server}\n"
                 "max_body_bytes = 1073741824\n"
             )
         return "\n".join(parts)
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -5,6 +5,8 @@
 import time
 
 from benchmarks import fleet as fleet_lib
+from benchmarks import load
+from benchmarks import measures
 from benchmarks import run as run_lib
 
 __all__ = ["BY_NAME", "Scenario", "TwoFaults"]
@@ -20,6 +22,13 @@
     seconds = 12.0
     rate = 300.0
 
+    def load(self, run: run_lib.Run) -> load.Plan:
+        """Returns the load of this scenario."""
+        return run.plan()
+
+    def conclude(self, run: run_lib.Run, begin: float, end: float) -> None:
+        """Adds figures of its own to `run.extra`, after the load."""
+
     @abc.abstractmethod
     def disturb(self, run: run_lib.Run) -> None:
         """Does the damage; runs while the load does."""
@@ -222,7 +231,40 @@
                 wait.result()
 
 
+class HotKeys(Scenario):
+    """Fifteen keys draw half of the load, and others after a while."""
+
+    name = "hot-keys"
+    seconds = 36.0
+    rate = 500.0
+    _turns = 2
+    _window_s = 3.0
+
+    def load(self, run: run_lib.Run) -> load.Plan:
+        """See base class."""
+        return run.plan(
+            hot_keys=15, hot_share=0.5, shift_s=run.seconds / self._turns
+        )
+
+    def disturb(self, run: run_lib.Run) -> None:
+        """See base class. The load does it."""
+
+    def conclude(self, run: run_lib.Run, begin: float, end: float) -> None:
+        """See base class."""
+        journals = run.fleet.journals()
+        at, series = begin, []
+        while at + self._window_s <= end:
+            until = at + self._window_s
+            series.append(
+                measures.imbalance_between(run.fleet, journals, at, until)
+            )
+            at = until
+        run.extra["imbalance_by_3s"] = series
+        run.extra["slices"] = len(run.fleet.assignments()[-1].slices)
+
+
 _ALL: list[type[Scenario]] = [
+    HotKeys,
     Steady,
     CrashServer,
     FreezeServer,
--- a/src/swiftstile/bundles/model.py
+++ b/src/swiftstile/bundles/model.py
@@ -61,6 +61,8 @@
         slices_per_server: How finely keys are spread.
         churn_budget: Largest share of the hash space that one round of
             rebalancing moves, from 0 to 1.
+        imbalance_target: Load of the busiest server over the mean that is
+            good enough; nothing is moved below it.
         protected_methods: HTTP methods that are not repeatable.
         max_body_bytes: Longest request body, in bytes.
         deadline_ms: Deadline of a request that names none, in milliseconds.
@@ -78,6 +80,7 @@
     connections: int = 100
     slices_per_server: int = 16
     churn_budget: float = 0.1
+    imbalance_target: float = 1.25
     protected_methods: tuple[str, ...] = ("POST",)
     max_body_bytes: int = 1 << 20
     deadline_ms: int = 5000
@@ -161,6 +164,7 @@
         "connections": (1, 100_000),
         "slices_per_server": (1, 4096),
         "churn_budget": (0, 1),
+        "imbalance_target": (1.01, 100),
         "max_body_bytes": (0, 1 << 40),
         "deadline_ms": (1, spec.max_deadline_ms),
         "max_deadline_ms": (1, 3_600_000),
--- a/src/swiftstile/ownership/coordination.py
+++ b/src/swiftstile/ownership/coordination.py
@@ -14,6 +14,7 @@
 from swiftstile.ownership import custody as custody_lib
 from swiftstile.ownership import documents
 from swiftstile.ownership import holder as holder_lib
+from swiftstile.ownership import load as load_lib
 from swiftstile.ownership import placement as placement_lib
 from swiftstile.ownership import slices
 from swiftstile.peers import messages
@@ -26,7 +27,7 @@
 _HISTORY = 64
 # How long to wait for all listed servers before the first assignment.
 _FIRST_SERVERS_S = 1.5
-_REBALANCE_INTERVAL_S = 1.0
+_REBALANCE_INTERVAL_S = 3.0
 _STORE_RETRY_S = 0.2
 # A planned move that isn't written by then is called off.
 _MOVE_LIMIT_S = 5.0
@@ -66,6 +67,7 @@
         self._settings = settings
         self._meters = meters
         self._changed = changed
+        self._load = load_lib.LoadTable()
         self._row_version = base.ABSENT
         self._announced = asyncio.Condition()
         self._history: dict[int, slices.Assignment] = {}
@@ -100,6 +102,8 @@
         """Answers a router, as soon as there is a newer assignment."""
         received_at = clocks.monotonic()
         self._custody.note_watch(request)
+        if request.load is not None:
+            self._load.note(request.router, request.load, received_at)
         if self._version() <= request.version:
             await self._wait_newer(request.version, request.wait_s)
         delta = None
@@ -131,7 +135,7 @@
             return
 
     async def _plan_forever(self) -> None:
-        await self._load()
+        await self._restore()
         while True:
             self._sync_sessions()
             await self._step()
@@ -142,7 +146,7 @@
             except TimeoutError:
                 continue
 
-    async def _load(self) -> None:
+    async def _restore(self) -> None:
         while True:
             try:
                 assignment, self._row_version = await self._store.read()
@@ -217,7 +221,7 @@
         usable = self._usable()
         self._withhold_unserved(usable)
         if not self.withheld and now >= self._free_from:
-            self._withhold_uneven(usable, now)
+            await self._withhold_uneven(usable, now)
         await self._withdraw()
         self._publish()
         if now >= self._free_from:
@@ -236,15 +240,33 @@
         vm = self._directory.by_id.get(ids.VmId(piece.server))
         return vm is not None and vm.state is base.VmState.LEAVING
 
-    def _withhold_uneven(self, usable: set[ids.ServerId], now: float) -> None:
+    async def _withhold_uneven(
+        self, usable: set[ids.ServerId], now: float
+    ) -> None:
         if now < self._rebalanced_at + _REBALANCE_INTERVAL_S:
             return
         self._rebalanced_at = now
-        moves = self._placement.rebalance(
-            self.assignment, usable, self._spec.churn_budget
+        plan = self._placement.rebalance(
+            self.assignment,
+            usable,
+            self._load.view(self.assignment, now),
+            self._spec.churn_budget,
         )
-        for start, target in moves.items():
+        for start, target in plan.moves.items():
             self._withhold(start, target)
+        await self._reshape(plan)
+
+    async def _reshape(self, plan: placement_lib.Plan) -> None:
+        """Splits and joins slices; no key gets another owner by that."""
+        epoch = self._holder.lease.epoch
+        if plan.splits:
+            parts = self.assignment.split(list(plan.splits), epoch)
+            await self._write(parts, "hot keys split off")
+            # The moves that it was for come next, not a round later.
+            self._rebalanced_at -= _REBALANCE_INTERVAL_S
+        if plan.merges:
+            whole = self.assignment.merged(set(plan.merges), epoch)
+            await self._write(whole, "cooled keys joined")
 
     def _withhold(self, start: int, target: ids.ServerId) -> None:
         if not self.withheld:
@@ -274,7 +296,8 @@
             if self.withheld[piece.start] in usable
         }
         orphans = [piece for piece in free if piece.start not in planned]
-        moves = self._placement.place(self.assignment, orphans, usable)
+        load = self._load.view(self.assignment, now)
+        moves = self._placement.place(self.assignment, orphans, usable, load)
         reason = "owner gone or leaving" if moves else "rebalanced"
         moves |= planned
         if moves and await self._move(moves, reason):
--- a/src/swiftstile/ownership/placement.py
+++ b/src/swiftstile/ownership/placement.py
@@ -1,69 +1,103 @@
-"""Policies that choose which server owns a slice."""
+"""Policies that choose which server owns a slice.
+
+They were compared by `python -m benchmarks.placement`; see
+docs/design/placement.md.
+"""
 
 import abc
 
+import msgspec
+
+from swiftstile import hashing
 from swiftstile import ids
+from swiftstile.ownership import load as load_lib
 from swiftstile.ownership import slices
 
-__all__ = ["EvenPlacement", "PlacementPolicy"]
+__all__ = [
+    "EvenPlacement",
+    "GreedyPlacement",
+    "IsolatingPlacement",
+    "PlacementPolicy",
+    "Plan",
+]
+
+# Slices of hot keys that exist at the same time, at most.
+_MAX_HOT = 64
+# A key is worth a slice of its own from this share of a server's mean load,
+# and keeps it down to the lower one, or noise would split and join it in turn.
+_HOT_SHARE = 0.1
+_WARM_SHARE = 0.03
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """One round of rebalancing.
+
+    Attributes:
+        splits: Positions where new slices start; owners stay.
+        merges: Starts of slices to join to the one before, of one owner.
+        moves: New owners, by start of the slice.
+    """
+
+    splits: tuple[int, ...] = ()
+    merges: tuple[int, ...] = ()
+    moves: dict[int, ids.ServerId] = {}
 
 
 class PlacementPolicy(abc.ABC):
     """Decides where slices go."""
 
-    @abc.abstractmethod
-    def place(
-        self,
-        assignment: slices.Assignment,
-        orphans: list[slices.Slice],
-        servers: set[ids.ServerId],
-    ) -> dict[int, ids.ServerId]:
-        """Returns an owner for each slice that has none, by start."""
-
     @abc.abstractmethod
     def rebalance(
         self,
         assignment: slices.Assignment,
         servers: set[ids.ServerId],
+        load: load_lib.LoadView,
         budget: float,
-    ) -> dict[int, ids.ServerId]:
-        """Returns planned moves, by start of the slice.
+    ) -> Plan:
+        """Returns one round of rebalancing.
 
         Args:
             assignment: What is in force; each slice has a live owner.
             servers: Servers that may own.
+            load: Load on the assignment.
             budget: Largest share of the hash space to move, from 0 to 1.
         """
 
-
-class EvenPlacement(PlacementPolicy):
-    """Gives each server the same number of slices, moving as few as it can."""
-
     def place(
         self,
         assignment: slices.Assignment,
         orphans: list[slices.Slice],
         servers: set[ids.ServerId],
+        load: load_lib.LoadView,
     ) -> dict[int, ids.ServerId]:
-        """See base class."""
-        counts = self._counts(assignment, servers)
+        """Returns an owner for each slice that has none, by start.
+
+        The heaviest goes first, each to the server with the least to do.
+        """
+        counts = _counts(assignment, servers)
+        loads = load.by_server(assignment, servers)
         moves: dict[int, ids.ServerId] = {}
-        for piece in orphans:
-            if not counts:
-                break
-            target = min(counts, key=lambda server: (counts[server], server))
+        by_weight = sorted(orphans, key=lambda p: -load.by_start[p.start])
+        for piece in by_weight if servers else []:
+            target = min(loads, key=lambda s: (loads[s], counts[s], s))
             moves[piece.start] = target
+            loads[target] += load.by_start[piece.start]
             counts[target] += 1
         return moves
 
+
+class EvenPlacement(PlacementPolicy):
+    """Gives each server the same number of slices, whatever their load."""
+
     def rebalance(
         self,
         assignment: slices.Assignment,
         servers: set[ids.ServerId],
+        load: load_lib.LoadView,
         budget: float,
-    ) -> dict[int, ids.ServerId]:
+    ) -> Plan:
         """See base class."""
-        counts = self._counts(assignment, servers)
+        counts = _counts(assignment, servers)
         allowed = int(budget * len(assignment.slices))
         moves: dict[int, ids.ServerId] = {}
         for piece in assignment.slices:
@@ -74,11 +108,152 @@
                 moves[piece.start] = least
                 counts[piece.server] -= 1
                 counts[least] += 1
-        return moves
+        return Plan(moves=moves)
 
-    def _counts(self, assignment, servers) -> dict[ids.ServerId, int]:
-        counts = dict.fromkeys(servers, 0)
-        for piece in assignment.slices:
-            if piece.server in counts:
-                counts[piece.server] += 1
-        return counts
+
+class GreedyPlacement(PlacementPolicy):
+    """Moves slices from the busiest server to the idlest while it helps."""
+
+    def __init__(self, target: float):
+        """Creates the policy.
+
+        Args:
+            target: Busiest over mean load that is good enough, above 1.
+        """
+        self._target = target
+        self._fallback = EvenPlacement()
+
+    def rebalance(
+        self,
+        assignment: slices.Assignment,
+        servers: set[ids.ServerId],
+        load: load_lib.LoadView,
+        budget: float,
+    ) -> Plan:
+        """See base class. Without load, slices are evened out by number."""
+        loads = load.by_server(assignment, servers)
+        if len(loads) < 2:
+            return Plan()
+        if sum(loads.values()) <= 0 or not _owns_all(assignment, servers):
+            return self._fallback.rebalance(assignment, servers, load, budget)
+        return Plan(moves=self._moves(assignment, loads, load, budget))
+
+    def _moves(self, assignment, loads, load, budget):
+        mean = sum(loads.values()) / len(loads)
+        left = budget * hashing.HASH_SPACE
+        moves: dict[int, ids.ServerId] = {}
+        while True:
+            busiest = max(loads, key=lambda s: (loads[s], s))
+            idlest = min(loads, key=lambda s: (loads[s], s))
+            if loads[busiest] <= self._target * mean:
+                return moves
+            room = loads[busiest] - loads[idlest]
+            piece = self._best(assignment, busiest, moves, load, room, left)
+            if piece is None:
+                return moves
+            moves[piece.start] = idlest
+            left -= assignment.end_of(piece) - piece.start
+            loads[busiest] -= load.by_start[piece.start]
+            loads[idlest] += load.by_start[piece.start]
+
+    def _best(self, assignment, server, moves, load, room, left):
+        """Returns the slice whose move helps most, or None."""
+        movable = [
+            piece
+            for piece in assignment.of(server)
+            if piece.start not in moves
+            and 0 < load.by_start[piece.start] < room
+            and assignment.end_of(piece) - piece.start <= left
+        ]
+        return max(
+            movable,
+            key=lambda piece: self._gain(assignment, piece, load, room),
+            default=None,
+        )
+
+    def _gain(self, assignment, piece, load, room) -> float:
+        """How good a move is; the best halves the difference."""
+        del assignment
+        return -abs(load.by_start[piece.start] - room / 2)
+
+
+class IsolatingPlacement(GreedyPlacement):
+    """Gives hot keys slices of their own, and moves those first.
+
+    A slice of width one carries much load and costs one key of churn.
+    """
+
+    def rebalance(
+        self,
+        assignment: slices.Assignment,
+        servers: set[ids.ServerId],
+        load: load_lib.LoadView,
+        budget: float,
+    ) -> Plan:
+        """See base class."""
+        hot = self._over(_HOT_SHARE, servers, load)
+        splits = tuple(
+            start
+            for position in sorted(hot)
+            for start in (position, position + 1)
+            if start < hashing.HASH_SPACE
+            and assignment.at(ids.KeyHash(start)).start != start
+        )
+        if splits:
+            return Plan(splits=splits)
+        plan = super().rebalance(assignment, servers, load, budget)
+        if plan.moves:
+            return plan
+        # Only what nobody waits for is left: joining what cooled.
+        warm = self._over(_WARM_SHARE, servers, load)
+        merges, returns = self._cooled(assignment, warm, servers)
+        return Plan(merges=merges) if merges else Plan(moves=returns)
+
+    def _over(self, share, servers, load) -> set[int]:
+        """Returns keys above a share of a server's mean load."""
+        total = sum(load.by_start.values())
+        floor = share * total / max(1, len(servers))
+        by_rate = sorted(load.by_position.items(), key=lambda item: -item[1])
+        return {p for p, rate in by_rate[:_MAX_HOT] if rate > floor > 0}
+
+    def _cooled(self, assignment, hot, servers):
+        """Slices of keys that are hot no more: joined, or first moved back."""
+        merges: list[int] = []
+        returns: dict[int, ids.ServerId] = {}
+        for before, piece in zip(
+            assignment.slices, assignment.slices[1:], strict=False
+        ):
+            is_narrow = 1 in (
+                assignment.end_of(piece) - piece.start,
+                assignment.end_of(before) - before.start,
+            )
+            if not is_narrow or piece.start in hot or before.start in hot:
+                continue
+            if before.server == piece.server:
+                merges.append(piece.start)
+            elif (
+                before.server in servers
+                and assignment.end_of(piece) - piece.start == 1
+            ):
+                returns[piece.start] = before.server
+        return tuple(merges), returns
+
+    def _gain(self, assignment, piece, load, room) -> float:
+        """Load that is moved for each key of churn, and not too much of it."""
+        rate = load.by_start[piece.start]
+        width = assignment.end_of(piece) - piece.start
+        fit = 1 - abs(rate - room / 2) / room
+        return fit + (1.0 if width == 1 and rate <= room / 2 else 0.0)
+
+
+def _counts(assignment, servers) -> dict[ids.ServerId, int]:
+    counts = dict.fromkeys(sorted(servers), 0)
+    for piece in assignment.slices:
+        if piece.server in counts:
+            counts[piece.server] += 1
+    return counts
+
+
+def _owns_all(assignment, servers) -> bool:
+    """Whether each server owns something: a new one is filled by number."""
+    return set(servers) <= {piece.server for piece in assignment.slices}
--- a/src/swiftstile/ownership/slices.py
+++ b/src/swiftstile/ownership/slices.py
@@ -120,6 +120,31 @@
         slices = sorted([*self.slices, *parts], key=lambda p: p.start)
         return Assignment(self.version + 1, epoch, tuple(slices))
 
+    def merged(self, starts: set[int], epoch: ids.Epoch) -> "Assignment":
+        """Returns the next version, with slices joined to the one before.
+
+        The joined slice gets a new fence, as its parts may differ in theirs.
+
+        Args:
+            starts: Starts of slices whose owner is that of the one before.
+                Others are passed over.
+            epoch: Epoch of the writer.
+        """
+        version = self.version + 1
+        slices: list[Slice] = []
+        for piece in self.slices:
+            if (
+                slices
+                and piece.start in starts
+                and slices[-1].server == piece.server
+            ):
+                whole = slices.pop()
+                fence = ids.Fence(version)
+                slices.append(Slice(whole.start, whole.server, fence))
+            else:
+                slices.append(piece)
+        return Assignment(version, epoch, tuple(slices))
+
     def delta_from(self, older: "Assignment | None") -> Delta:
         """Returns what leads from an older version to this one."""
         if older is None:
--- a/src/swiftstile/peers/messages.py
+++ b/src/swiftstile/peers/messages.py
@@ -4,6 +4,7 @@
 
 from swiftstile import codec
 from swiftstile import ids
+from swiftstile.ownership import load as load_lib
 from swiftstile.ownership import slices
 
 __all__ = [
@@ -95,7 +96,7 @@
         oldest_in_flight: Oldest version that a request in flight was sent
             under; its own version when there is none.
         wait_s: Longest wait for a change, in seconds.
-        failing: Servers that refused connections to this router lately.
+        load: Requests since the last report; None if it isn't due yet.
     """
 
     service: ids.ServiceId
@@ -104,7 +105,7 @@
     version: int
     oldest_in_flight: int
     wait_s: float
-    failing: tuple[ids.ServerId, ...] = ()
+    load: load_lib.LoadReport | None = None
 
 
 class WatchReply(msgspec.Struct, tag="watch-reply", frozen=True):
--- a/src/swiftstile/routing/owners.py
+++ b/src/swiftstile/routing/owners.py
@@ -7,6 +7,7 @@
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile.membership import vms
+from swiftstile.ownership import load as load_lib
 from swiftstile.ownership import slices
 from swiftstile.peers import links
 from swiftstile.peers import messages
@@ -15,6 +16,8 @@
 
 _LOCATE_TIMEOUT_S = 0.3
 _LOCATE_RETRY_S = 0.1
+# Between two load reports: hot keys change within minutes.
+_REPORT_INTERVAL_S = 3.0
 
 
 class OwnerTable:
@@ -24,13 +27,13 @@
         assignment: Last known assignment; None before the first.
         lease_until: Until when requests may go to servers that don't check
             fences, on `clocks.monotonic`.
-        failing: Servers that refused connections lately.
+        sketch: Counts requests for the next load report.
     """
 
     def __init__(self):
         self.assignment: slices.Assignment | None = None
         self.lease_until = 0.0
-        self.failing: set[ids.ServerId] = set()
+        self.sketch = load_lib.Sketch()
         self._changed = asyncio.Event()
         self._in_flight: dict[int, int] = {}
 
@@ -102,6 +105,7 @@
         self._wait_s = wait_s
         self._timeout_s = timeout_s
         self._epoch = ids.Epoch(0)
+        self._reported_at = clocks.monotonic()
         self.holder = ids.VmId("")
 
     async def run(self) -> None:
@@ -168,7 +172,7 @@
             table.version,
             table.oldest_in_flight(),
             self._wait_s,
-            tuple(table.failing),
+            self._load_report(),
         )
         asked_at = clocks.monotonic()
         reply = await link.call(request, messages.WatchReply, self._timeout_s)
@@ -183,6 +187,14 @@
         # the coordinator's own count of it.
         table.extend_lease(asked_at + reply.route_lease_s)
 
+    def _load_report(self) -> load_lib.LoadReport | None:
+        now = clocks.monotonic()
+        since = now - self._reported_at
+        if since < _REPORT_INTERVAL_S:
+            return None
+        self._reported_at = now
+        return self._table.sketch.take(since)
+
     def _applied(self, delta: slices.Delta) -> slices.Assignment:
         try:
             following = self._following(delta)
--- a/src/swiftstile/wiring.py
+++ b/src/swiftstile/wiring.py
@@ -107,7 +107,7 @@
                         service, self.table, self.objects
                     ),
                     self.table,
-                    placement.EvenPlacement(),
+                    placement.IsolatingPlacement(spec.imbalance_target),
                     settings,
                     self._meters,
                     changed,
