Hand-overs without a tick's wait; routers are told after servers know

Cause: planned moves left keys without an owner for 0.11 s: a session's news that came during a planning step was forgotten and waited for the next tick; and routers learned of the new owner before the owner did, were refused, and backed off. Change: the event is cleared before the step; routers are told when the servers that gained slices have confirmed, or after 0.1 s.

--- a/src/swiftstile/ownership/coordination.py
+++ b/src/swiftstile/ownership/coordination.py
@@ -29,6 +29,9 @@
 _FIRST_SERVERS_S = 1.5
 _REBALANCE_INTERVAL_S = 3.0
 _STORE_RETRY_S = 0.2
+# Longest wait for servers to know what they gained before routers do.
+_EFFECTIVE_S = 0.1
+_EFFECTIVE_LOOK_S = 0.002
 # A planned move that isn't written by then is called off.
 _MOVE_LIMIT_S = 5.0
 
@@ -37,7 +40,8 @@
     """Coordinates one service under one held lease.
 
     Attributes:
-        assignment: What is in force: durable, and announced to routers.
+        assignment: What is in force: durable. Routers are told of it when
+            the servers that gained slices know, or they would refuse.
         withheld: Slices that no server is granted, by start, as they move.
     """
 
@@ -57,6 +61,7 @@
     ):
         self.assignment: slices.Assignment | None = None
         self.withheld: dict[int, ids.ServerId] = {}
+        self._told: slices.Assignment | None = None
         self._holder = holder
         self._spec = spec
         self._directory = directory
@@ -109,7 +114,7 @@
         delta = None
         if self._version() > request.version:
             base_version = self._history.get(request.version)
-            delta = self.assignment.delta_from(base_version)
+            delta = self._told.delta_from(base_version)
         # The router counts its lease from when it asked, which is before the
         # request came here: the time that it was held counts too.
         lease_s = max(0.0, self._custody.extend_routes(request) - received_at)
@@ -123,7 +128,7 @@
         ]
 
     def _version(self) -> int:
-        return self.assignment.version if self.assignment else 0
+        return self._told.version if self._told else 0
 
     async def _wait_newer(self, version: int, wait_s: float) -> None:
         try:
@@ -137,9 +142,10 @@
     async def _plan_forever(self) -> None:
         await self._restore()
         while True:
+            # Cleared first: what changes during the step is looked at next.
+            self._changed.clear()
             self._sync_sessions()
             await self._step()
-            self._changed.clear()
             try:
                 async with asyncio.timeout(_TICK_S):
                     await self._changed.wait()
@@ -301,9 +307,6 @@
         reason = "owner gone or leaving" if moves else "rebalanced"
         moves |= planned
         if moves and await self._move(moves, reason):
-            for start in moves:
-                self.withheld.pop(start, None)
-            self._publish()
             self._changed.set()
 
     def _publish(self) -> None:
@@ -316,11 +319,23 @@
 
     async def _move(self, moves: dict[int, ids.ServerId], reason: str) -> bool:
         epoch = self._holder.lease.epoch
-        return await self._write(self.assignment.moved(moves, epoch), reason)
+        wanted = self.assignment.moved(moves, epoch)
+        given = {s for s, owner in moves.items() if owner != slices.NO_OWNER}
+        return await self._write(wanted, reason, given)
 
-    async def _write(self, wanted: slices.Assignment, reason: str) -> bool:
+    async def _write(
+        self,
+        wanted: slices.Assignment,
+        reason: str,
+        given: frozenset[int] | set[int] = frozenset(),
+    ) -> bool:
         """Makes an assignment durable, then announces it.
 
+        Args:
+            wanted: The next version.
+            reason: Why, for the audit record.
+            given: Withheld slices that have a new owner in it, by start.
+
         Returns:
             Whether it is in force. If not, it will not be.
         """
@@ -337,6 +352,8 @@
                 str(error), step="write assignment", peer=""
             ) from error
         self._row_version += 1
+        for start in given:
+            self.withheld.pop(start, None)
         self._meters.ownership.add("slices-moved", change.moved)
         logs.logger.info(
             "assignment written",
@@ -370,8 +387,24 @@
         )
 
     async def _announce(self, assignment: slices.Assignment) -> None:
+        old, self.assignment = self.assignment, assignment
+        self._publish()
+        if old is not None:
+            await self._wait_effective(old, assignment)
         async with self._announced:
-            self.assignment = assignment
+            self._told = assignment
             self._history[assignment.version] = assignment
             self._history.pop(assignment.version - _HISTORY, None)
             self._announced.notify_all()
+
+    async def _wait_effective(self, old, new) -> None:
+        gained = {
+            piece.server
+            for piece in new.slices
+            if old.at(ids.KeyHash(piece.start)).server != piece.server
+        }
+        end = clocks.monotonic() + _EFFECTIVE_S
+        while clocks.monotonic() < end:
+            if self._custody.is_effective(gained):
+                return
+            await asyncio.sleep(_EFFECTIVE_LOOK_S)
--- a/src/swiftstile/ownership/custody.py
+++ b/src/swiftstile/ownership/custody.py
@@ -70,6 +70,11 @@
     def expire(self, now: float) -> None:
         """Forgets what has lapsed."""
 
+    def is_effective(self, servers: set[ids.ServerId]) -> bool:
+        """Returns whether servers that answer know what they own now."""
+        del servers
+        return True
+
     def note_watch(self, watch: messages.Watch) -> None:
         """Notes what a router says of itself."""
 
@@ -136,6 +141,14 @@
         """
         return self._settings.server_lease_s if released else 0.0
 
+    def is_effective(self, servers: set[ids.ServerId]) -> bool:
+        """See base class."""
+        return all(
+            session.is_settled
+            for server in servers
+            if (session := self.by_server.get(server)) and session.live
+        )
+
     def expire(self, now: float) -> None:
         """See base class."""
         for session in self.by_server.values():
--- a/src/swiftstile/ownership/sessions.py
+++ b/src/swiftstile/ownership/sessions.py
@@ -112,6 +112,7 @@
         self.may_hold: set[grants.GrantedSlice] = set()
         self._holder = holder
         self._wanted: tuple[grants.GrantedSlice, ...] = ()
+        self._wanted_digest = set_digest(())
         self._granted_until = 0.0
         self._sequence = 0
         self._clock: leases.ServerClock | None = None
@@ -121,8 +122,14 @@
         """Sets the slices that the server shall own."""
         if wanted != self._wanted:
             self._wanted = wanted
+            self._wanted_digest = set_digest(wanted)
             self.wake()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the server said that it holds just what it shall own."""
+        return self._held_digest == self._wanted_digest
+
     def holds_anything(self) -> bool:
         """See base class."""
         return bool(self.may_hold)
@@ -154,8 +161,7 @@
         end = min(lease_end, self._holder.validity.until())
         if end <= now:
             return
-        wanted = self._wanted
-        digest = set_digest(wanted)
+        wanted, digest = self._wanted, self._wanted_digest
         self._sequence += 1
         service = self._holder.service
         grant = grants.Grant(
