Audit trail of ownership on the command line

Cause: each change of ownership was recorded, and nothing showed it. Conclusion: a test compares the trail with the versions of the assignment.

--- a/src/swiftstile/cli.py
+++ b/src/swiftstile/cli.py
@@ -20,6 +20,7 @@
 from swiftstile import wiring
 from swiftstile.bundles import model
 from swiftstile.daemons import inspection
+from swiftstile.ownership import documents
 
 __all__ = ["main"]
 
@@ -146,6 +147,11 @@
     audit.add_argument("organisation")
     audit.add_argument("--actor", help="only entries of one operator")
     audit.add_argument("--action", help="only entries of one action")
+    audit.add_argument(
+        "--ownership",
+        metavar="SERVICE",
+        help="changes of ownership of a service instead of bundles",
+    )
     audit.set_defaults(run=_audit)
     for command in (status, audit):
         _add_settings(command)
@@ -307,6 +313,8 @@
 
 
 def _audit(args) -> int:
+    if args.ownership is not None:
+        return _audit_ownership(args)
     organisation = ids.OrganisationId(args.organisation)
     entries = _with_platform(
         args, lambda parts: parts.queries().audit(organisation)
@@ -325,6 +333,28 @@
     return _print(args, chosen, "\n".join(lines) or "no entries")
 
 
+def _audit_ownership(args) -> int:
+    service = ids.ServiceId(
+        ids.OrganisationId(args.organisation), ids.ServiceName(args.ownership)
+    )
+    changes = _with_platform(
+        args, lambda parts: documents.changes(parts.table, service)
+    )
+    chosen = [
+        change
+        for change in changes
+        if args.actor in (None, change.actor)
+        and args.action in (None, change.reason)
+    ]
+    lines = [
+        f"{c.version:>6}  {c.at_ms}  {c.actor}  epoch {c.epoch}  {c.reason}"
+        f"  {c.moved} slices, {c.share:.2%} of keys"
+        f"  {', '.join(c.sources)} -> {', '.join(c.targets)}"
+        for c in chosen
+    ]
+    return _print(args, chosen, "\n".join(lines) or "no changes")
+
+
 def _status(args) -> int:
     settings = settings_lib.load(args.settings)
     own = [
--- a/src/swiftstile/ownership/documents.py
+++ b/src/swiftstile/ownership/documents.py
@@ -16,6 +16,7 @@
     "assignment_key",
     "change_key",
     "change_prefix",
+    "changes",
 ]
 
 # Longer documents go to the object store, and the row names them.
@@ -69,6 +70,15 @@
     return f"{prefix}{service.service}/{version:012d}"
 
 
+async def changes(
+    table: base.Table, service: ids.ServiceId
+) -> list[OwnershipChange]:
+    """Returns the audit records of a service's ownership, oldest first."""
+    prefix = change_prefix(service.organisation) + service.service + "/"
+    rows = await table.scan(prefix)
+    return [codec.from_json(row.value, OwnershipChange) for row in rows]
+
+
 class AssignmentStore:
     """Reads and prepares writes of the assignment of one service."""
 
--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -195,3 +195,14 @@
     fleet.start_coordinator(holder)
     processes.wait_until(fleet.is_ready, 20, "coordinator back")
     assert overlaps(fleet) == 0
+
+
+def test_each_change_of_ownership_is_in_the_audit_trail(fleet):
+    versions = [a.version for a in fleet.assignments()]
+    entries = fleet.run_cli("audit", "tiny", "--ownership", "store")
+    assert [entry["version"] for entry in entries] == versions
+    assert all(entry["actor"] and entry["reason"] for entry in entries)
+    mine = fleet.run_cli(
+        "audit", "tiny", "--ownership", "store", "--actor", "nobody"
+    )
+    assert mine == []
