Planned moves only while the table is quick; called off when it refuses

Cause: a planned move leaves its slices without an owner until its write is done. With a table that takes 1.5 s a write, rebalancing left keys of healthy servers without an owner for 1.5 s (store-slow, p50 of the gaps 1.513 s), and in an outage a refused write kept them so for up to 5 s. Change: a move starts only if a read answers within 0.1 s; a refused write calls the move off at once; after a failure the table is left alone for a random 0.3 to 0.9 s. Conclusion: a test refuses writes while a server leaves; its key is answered throughout.

--- a/src/swiftstile/ownership/coordination.py
+++ b/src/swiftstile/ownership/coordination.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 
 from swiftstile import clocks
 from swiftstile import errors
@@ -29,6 +30,10 @@
 _FIRST_SERVERS_S = 1.5
 _REBALANCE_INTERVAL_S = 3.0
 _STORE_RETRY_S = 0.2
+# The table is quick if it answers a read in this time.
+_QUICK_S = 0.1
+# Shortest and longest rest after the table failed.
+_STORE_REST_S = (0.3, 0.9)
 # Longest wait for servers to know what they gained before routers do.
 _EFFECTIVE_S = 0.1
 _EFFECTIVE_LOOK_S = 0.002
@@ -77,6 +82,7 @@
         self._tasks: dict[ids.ServerId, asyncio.Task] = {}
         self._addresses: dict[ids.ServerId, str] = {}
         self._withheld_at = 0.0
+        self._write_from = 0.0
         self._published: tuple | None = None
         self._rebalanced_at = clocks.monotonic()
         self._free_from = clocks.monotonic() + custody.takeover_wait_s(released)
@@ -207,22 +213,50 @@
         self._custody.expire(now)
         self._call_off_late(now)
         usable = self._usable()
-        self._withhold_unserved(usable)
+        await self._withhold_unserved(usable)
         if not self.withheld and now >= self._free_from:
             await self._withhold_uneven(usable, now)
-        await self._withdraw()
+        if now >= self._write_from:
+            await self._withdraw()
         self._publish()
-        if now >= self._free_from:
+        if now >= max(self._free_from, self._write_from):
             await self._give_free(usable, now)
 
-    def _withhold_unserved(self, usable: set[ids.ServerId]) -> None:
+    async def _withhold_unserved(self, usable: set[ids.ServerId]) -> None:
         """Starts to move slices off servers that are gone, or leaving."""
+        leaving = []
         for piece in self.assignment.slices:
             if piece.server in usable or not usable:
                 continue
             session = self._custody.by_server.get(piece.server)
-            if session is None or session.failing or self._is_leaving(piece):
+            if session is None or session.failing:
                 self._withhold(piece.start, slices.NO_OWNER)
+            elif self._is_leaving(piece) and piece.start not in self.withheld:
+                leaving.append(piece.start)
+        if leaving and await self._table_is_quick():
+            for start in leaving:
+                self._withhold(start, slices.NO_OWNER)
+
+    async def _table_is_quick(self) -> bool:
+        """Whether a planned move would be written at once.
+
+        Its slices have no owner until then, which only a crash is worth.
+        """
+        now = clocks.monotonic()
+        if now < self._write_from:
+            return False
+        try:
+            async with asyncio.timeout(_QUICK_S):
+                await self._store.read()
+        except (TimeoutError, errors.SwiftstileError):
+            self._put_off_writes()
+            return False
+        return True
+
+    def _put_off_writes(self) -> None:
+        # Spread, so that all coordinators don't come back at once.
+        wait = random.uniform(*_STORE_REST_S)
+        self._write_from = clocks.monotonic() + wait
 
     def _is_leaving(self, piece: slices.Slice) -> bool:
         vm = self._directory.by_id.get(ids.VmId(piece.server))
@@ -240,8 +274,9 @@
             self._load.view(self.assignment, now),
             self._spec.churn_budget,
         )
-        for start, target in plan.moves.items():
-            self._withhold(start, target)
+        if plan.moves and await self._table_is_quick():
+            for start, target in plan.moves.items():
+                self._withhold(start, target)
         await self._reshape(plan)
 
     async def _reshape(self, plan: placement_lib.Plan) -> None:
@@ -262,9 +297,14 @@
         self.withheld.setdefault(start, target)
 
     def _call_off_late(self, now: float) -> None:
-        """Gives slices back to their owners if the table won't have it."""
+        """Gives slices back to their owners if a move takes too long."""
         if self.withheld and now > self._withheld_at + _MOVE_LIMIT_S:
-            self.withheld.clear()
+            self._call_off()
+
+    def _call_off(self) -> None:
+        """Gives slices back; those of dead servers are withheld again."""
+        self._meters.ownership.add("moves-called-off", len(self.withheld))
+        self.withheld.clear()
 
     async def _withdraw(self) -> None:
         moves = self._custody.withdraw(self.assignment, set(self.withheld))
@@ -321,13 +361,18 @@
         Returns:
             Whether it is in force. If not, it will not be.
         """
-        change = self._change(wanted, reason)
+        actor = self._holder.lease.holder.vm
+        change = documents.change_between(
+            self.assignment, wanted, actor, reason
+        )
         try:
             writes = await self._store.writes(wanted, self._row_version, change)
             async with self._holder.table_lock:
                 guarded = [self._holder.check_write(), *writes]
                 await settle.settled_transact(self._table, guarded, math.inf)
         except errors.PlatformUnavailableError:
+            self._put_off_writes()
+            self._call_off()
             return False
         except errors.ConflictError as error:
             raise holder_lib.LeaseLostError(
@@ -347,27 +392,6 @@
         await self._announce(wanted)
         return True
 
-    def _change(self, wanted, reason) -> documents.OwnershipChange:
-        old = self.assignment
-        moved = [
-            piece
-            for piece in wanted.slices
-            if old and old.at(ids.KeyHash(piece.start)).server != piece.server
-        ]
-        width = sum(wanted.end_of(piece) - piece.start for piece in moved)
-        sources = {old.at(ids.KeyHash(p.start)).server for p in moved}
-        return documents.OwnershipChange(
-            wanted.version,
-            wanted.epoch,
-            clocks.wall_ms(),
-            self._holder.lease.holder.vm,
-            reason,
-            len(moved),
-            round(width / (1 << 64), 9),
-            tuple(sorted(sources)),
-            tuple(sorted({piece.server for piece in moved})),
-        )
-
     async def _announce(self, assignment: slices.Assignment) -> None:
         old, self.assignment = self.assignment, assignment
         self._publish()
--- a/src/swiftstile/ownership/documents.py
+++ b/src/swiftstile/ownership/documents.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from swiftstile import clocks
 from swiftstile import codec
 from swiftstile import errors
+from swiftstile import hashing
 from swiftstile import ids
 from swiftstile.ownership import slices
 from swiftstile.platform import base
@@ -14,6 +16,7 @@
     "AssignmentStore",
     "OwnershipChange",
     "assignment_key",
+    "change_between",
     "change_key",
     "change_prefix",
     "changes",
@@ -70,6 +73,43 @@
     return f"{prefix}{service.service}/{version:012d}"
 
 
+def change_between(
+    old: slices.Assignment | None,
+    new: slices.Assignment,
+    actor: ids.VmId,
+    reason: str,
+) -> OwnershipChange:
+    """Returns the audit record of one version.
+
+    Args:
+        old: The version before; None for the first.
+        new: The version.
+        actor: VM of the coordinator.
+        reason: Why ownership changes.
+    """
+    owner_before = {
+        piece.start: old.at(ids.KeyHash(piece.start)).server if old else None
+        for piece in new.slices
+    }
+    moved = [
+        piece
+        for piece in new.slices
+        if owner_before[piece.start] not in (None, piece.server)
+    ]
+    width = sum(new.end_of(piece) - piece.start for piece in moved)
+    return OwnershipChange(
+        new.version,
+        new.epoch,
+        clocks.wall_ms(),
+        actor,
+        reason,
+        len(moved),
+        round(width / hashing.HASH_SPACE, 9),
+        tuple(sorted({owner_before[piece.start] for piece in moved})),
+        tuple(sorted({piece.server for piece in moved})),
+    )
+
+
 async def changes(
     table: base.Table, service: ids.ServiceId
 ) -> list[OwnershipChange]:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,6 +23,7 @@
 
     Attributes:
         outage: Refuse everything.
+        refuse_writes: Refuse transactions, and answer reads.
         delay_s: Wait before each answer, in seconds.
         lose_answers: Share of writes whose answer is lost, from 0 to 1.
         lag_reads: Share of reads that show the row before the last write.
@@ -30,6 +31,7 @@
     """
 
     outage: bool = False
+    refuse_writes: bool = False
     delay_s: float = 0.0
     lose_answers: float = 0.0
     lag_reads: float = 0.0
@@ -96,6 +98,8 @@
 
     async def _transact(self, request: web.Request) -> web.Response:
         await self._disturb()
+        if self.faults.refuse_writes:
+            raise web.HTTPServiceUnavailable(text="read only")
         self.writes += 1
         body = msgspec.json.decode(
             await request.read(), type=platform_http.TransactBody
--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -197,6 +197,36 @@
     assert overlaps(fleet) == 0
 
 
+def called_off(fleet) -> int:
+    state = fleet.status(fleet.keyed_holder().coordinator_metrics)
+    return state["meters"]["ownership"].get("moves-called-off", 0)
+
+
+def test_a_planned_move_that_the_table_refuses_costs_no_key_its_owner(fleet):
+    key = "refused"
+    old = fleet.servers[owner_of(fleet, key)]
+    before = called_off(fleet)
+    fleet.platform.faults(refuse_writes=True)
+    old.state = base.VmState.LEAVING
+    fleet.publish_vms()
+    answers = []
+
+    def tried_three_times():
+        answers.append(ask(fleet, key))
+        return called_off(fleet) >= before + 3
+
+    try:
+        processes.wait_until(tried_three_times, 20, "moves called off")
+    finally:
+        fleet.platform.faults()
+    assert {answer.status for answer in answers} == {200}
+    wait_moved(fleet, key, old.name)
+    old.state = base.VmState.LIVE
+    fleet.publish_vms()
+    assert ask(fleet, key).status == 200
+    assert overlaps(fleet) == 0
+
+
 def test_each_change_of_ownership_is_in_the_audit_trail(fleet):
     versions = [a.version for a in fleet.assignments()]
     entries = fleet.run_cli("audit", "tiny", "--ownership", "store")
