Test of the audit trail: slices may move while it reads

Cause: the test compared the trail with versions read before it; slices that moved in between made it fail. Ruled out: a missing record. Change: the trail must be the beginning of the versions read after it, and hold all that were read before it; as strict, without the race.

--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -228,9 +228,13 @@
 
 
 def test_each_change_of_ownership_is_in_the_audit_trail(fleet):
-    versions = [a.version for a in fleet.assignments()]
+    before = [a.version for a in fleet.assignments()]
     entries = fleet.run_cli("audit", "tiny", "--ownership", "store")
-    assert [entry["version"] for entry in entries] == versions
+    after = [a.version for a in fleet.assignments()]
+    # Slices may go on moving meanwhile; no version is without its record.
+    listed = [entry["version"] for entry in entries]
+    assert listed == after[: len(listed)]
+    assert len(before) <= len(listed) <= len(after)
     assert all(entry["actor"] and entry["reason"] for entry in entries)
     mine = fleet.run_cli(
         "audit", "tiny", "--ownership", "store", "--actor", "nobody"
