Requests stuck at a server that lost their key are sent to the new owner

Change: when a key gets another owner, repeatable attempts at the old one end 0.25 s later and are repeated; protected ones wait for their answer.

--- a/src/swiftstile/routing/dispatch.py
+++ b/src/swiftstile/routing/dispatch.py
@@ -80,7 +80,7 @@
         route.sent(choice)
         try:
             response = await self._forwarder.send(
-                request, inbound, body, choice
+                request, inbound, body, choice, route
             )
             is_whole = True
             return response
--- a/src/swiftstile/routing/forwarding.py
+++ b/src/swiftstile/routing/forwarding.py
@@ -102,6 +102,7 @@
         inbound: inbound_lib.Inbound,
         body: bodies.Body,
         choice: routes.Choice,
+        route: routes.ServiceRoute,
     ) -> web.StreamResponse:
         """Sends one attempt and returns the caller's response.
 
@@ -113,8 +114,11 @@
         started = clocks.monotonic()
         target.note_sent()
         try:
-            async with asyncio.timeout(choice.end - started):
-                response = await self._exchange(request, inbound, body, choice)
+            async with asyncio.timeout(choice.end - started) as limit:
+                with route.watching(choice, inbound, limit):
+                    response = await self._exchange(
+                        request, inbound, body, choice
+                    )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/src/swiftstile/routing/owners.py
+++ b/src/swiftstile/routing/owners.py
@@ -1,6 +1,8 @@
 """The assignment of a keyed service, as a router follows it."""
 
 import asyncio
+import itertools
+import typing
 
 from swiftstile import clocks
 from swiftstile import errors
@@ -21,6 +23,14 @@
 # Longest wait for older requests to end before the next question.
 _SETTLE_S = 0.05
 _SETTLE_LOOK_S = 0.003
+# An answer that is on its way when the owner changes gets this long to come.
+_RESCUE_S = 0.25
+
+
+class _Attempt(typing.NamedTuple):
+    position: ids.KeyHash
+    server: ids.ServerId
+    limit: asyncio.Timeout
 
 
 class OwnerTable:
@@ -39,6 +49,8 @@
         self.sketch = load_lib.Sketch()
         self._changed = asyncio.Event()
         self._in_flight: dict[int, int] = {}
+        self._attempts: dict[int, _Attempt] = {}
+        self._tickets = itertools.count()
 
     @property
     def version(self) -> int:
@@ -49,6 +61,38 @@
         """Takes a newer assignment and wakes all that wait for one."""
         self.assignment = assignment
         self._wake()
+        soon = asyncio.get_running_loop().time() + _RESCUE_S
+        for attempt in self._attempts.values():
+            if assignment.at(attempt.position).server != attempt.server:
+                limit = attempt.limit
+                limit.reschedule(min(soon, limit.when()))
+
+    def watch_attempt(
+        self,
+        position: ids.KeyHash,
+        server: ids.ServerId,
+        limit: asyncio.Timeout,
+    ) -> int:
+        """Ends an attempt early if its key gets another owner.
+
+        In a planned move the old owner has answered by then. Otherwise it is
+        dead or frozen, and the attempt may be repeated at the new one.
+
+        Args:
+            position: Position of the key.
+            server: Where the attempt is sent.
+            limit: What ends it.
+
+        Returns:
+            A ticket for `forget_attempt`.
+        """
+        ticket = next(self._tickets)
+        self._attempts[ticket] = _Attempt(position, server, limit)
+        return ticket
+
+    def forget_attempt(self, ticket: int) -> None:
+        """Forgets an attempt that has ended."""
+        self._attempts.pop(ticket, None)
 
     def extend_lease(self, until: float) -> None:
         """Extends the route lease, and wakes all that wait for it."""
--- a/src/swiftstile/routing/routes.py
+++ b/src/swiftstile/routing/routes.py
@@ -2,6 +2,8 @@
 
 import abc
 import asyncio
+import collections.abc
+import contextlib
 
 import msgspec
 
@@ -82,6 +84,17 @@
     def sent(self, choice: Choice) -> None:
         """Notes that an attempt is sent."""
 
+    @contextlib.contextmanager
+    def watching(
+        self,
+        choice: Choice,
+        inbound: inbound_lib.Inbound,
+        limit: asyncio.Timeout,
+    ) -> collections.abc.Iterator[None]:
+        """While inside, may end the attempt early through its limit."""
+        del choice, inbound, limit
+        yield
+
     def ended(self, choice: Choice, is_whole: bool) -> None:
         """Notes that an attempt ended, with its whole answer or not."""
 
@@ -117,6 +130,24 @@
         if self.owners.version == choice.version:
             await self.owners.wait_change(wait_s)
 
+    @contextlib.contextmanager
+    def watching(
+        self,
+        choice: Choice,
+        inbound: inbound_lib.Inbound,
+        limit: asyncio.Timeout,
+    ) -> collections.abc.Iterator[None]:
+        """See base class. Only what is repeatable is ended early."""
+        if not inbound.repeatable:
+            yield
+            return
+        server = choice.target.server
+        ticket = self.owners.watch_attempt(inbound.position, server, limit)
+        try:
+            yield
+        finally:
+            self.owners.forget_attempt(ticket)
+
     def _choice(self, inbound: inbound_lib.Inbound) -> Choice | None:
         assignment = self.owners.assignment
         if assignment is None:
