Remove what nothing uses; say what status shows

Cause: a read of the tree as a newcomer: an error class, a method and a function had no caller, and the help of status promised all VMs.

--- a/src/swiftstile/cli.py
+++ b/src/swiftstile/cli.py
@@ -131,7 +131,7 @@
 
 def _add_looks(commands) -> None:
     status = commands.add_parser(
-        "status", help="show the state of all listed entry VMs"
+        "status", help="show the state of this VM's daemons, or of others"
     )
     status.add_argument("organisation")
     status.add_argument(
--- a/src/swiftstile/errors.py
+++ b/src/swiftstile/errors.py
@@ -11,7 +11,6 @@
     "PlatformUnavailableError",
     "SettingsError",
     "SwiftstileError",
-    "UpstreamError",
 ]
 
 
@@ -67,7 +66,3 @@
 
 class PeerTimeoutError(PeerUnavailableError):
     """A peer didn't answer in time."""
-
-
-class UpstreamError(SwiftstileError):
-    """An upstream's control endpoint refused or failed."""
--- a/src/swiftstile/ini.py
+++ b/src/swiftstile/ini.py
@@ -8,7 +8,7 @@
 
 from swiftstile import errors
 
-__all__ = ["Fault", "describe", "parse", "to_section"]
+__all__ = ["Fault", "parse", "to_section"]
 
 T = typing.TypeVar("T", bound=msgspec.Struct)
 
@@ -80,11 +80,6 @@
     return (None, faults) if faults else (kind(**values), [])
 
 
-def describe(kind: type[msgspec.Struct]) -> list[str]:
-    """Returns the option names of a section."""
-    return [field.encode_name for field in msgspec.structs.fields(kind)]
-
-
 def _convert(field, section, text, values, faults):
     value: object = text
     if _base_type(field.type) is tuple:
--- a/src/swiftstile/ownership/holder.py
+++ b/src/swiftstile/ownership/holder.py
@@ -65,10 +65,6 @@
         self._scout = scout
         self._settings = settings
 
-    def is_valid(self) -> bool:
-        """Returns whether the lease runs now."""
-        return clocks.monotonic() < self.validity.until()
-
     def check_write(self) -> base.Write:
         """Returns the condition that a write of this holder depends on."""
         return base.Write(leases.lease_key(self.service), self.row_version)
