Ending attempts early: not those that end anyway, nor answers on the way

Cause: found by reading the change. When a key moved while an attempt was just timing out, giving it another end raised in the update of owners and ended the task that follows the coordinator. Change: expired limits are left alone; once the head of an answer has come the attempt gets its own end back. A counter of the holder is set where the others are.

--- a/src/swiftstile/ownership/holder.py
+++ b/src/swiftstile/ownership/holder.py
@@ -64,6 +64,7 @@
         self._peers = peers
         self._scout = scout
         self._settings = settings
+        self._last_replacement = 0.0
 
     def check_write(self) -> base.Write:
         """Returns the condition that a write of this holder depends on."""
@@ -167,8 +168,6 @@
             self._last_replacement = now
             await self._replace({c.incarnation for c in silent})
 
-    _last_replacement = 0.0
-
     async def _replace(self, silent: set[ids.Incarnation]) -> None:
         keep = [c for c in self.lease.candidates if c.incarnation not in silent]
         candidates = await self._scout.choose(self.service, keep)
--- a/src/swiftstile/routing/forwarding.py
+++ b/src/swiftstile/routing/forwarding.py
@@ -1,6 +1,7 @@
 """One attempt at one server: sends the request and brings the answer back."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 from aiohttp import web
@@ -115,9 +116,10 @@
         target.note_sent()
         try:
             async with asyncio.timeout(choice.end - started) as limit:
-                with route.watching(choice, inbound, limit):
+                with contextlib.ExitStack() as watch:
+                    watch.enter_context(route.watching(choice, inbound, limit))
                     response = await self._exchange(
-                        request, inbound, body, choice
+                        request, inbound, body, choice, watch
                     )
         except (
             aiohttp.ClientConnectorError,
@@ -140,7 +142,7 @@
         target.note_answer(clocks.monotonic() - started)
         return response
 
-    async def _exchange(self, request, inbound, body, choice):
+    async def _exchange(self, request, inbound, body, choice, watch):
         address = choice.target.address
         async with self._session.request(
             inbound.method,
@@ -149,6 +151,8 @@
             headers=_request_headers(request, inbound, body, choice),
             allow_redirects=False,
         ) as answer:
+            # It ran and its answer is on the way, which a move mustn't cut off.
+            watch.close()
             self._check(answer, inbound, choice)
             headers = _answer_headers(answer, inbound)
             length = answer.content_length
--- a/src/swiftstile/routing/owners.py
+++ b/src/swiftstile/routing/owners.py
@@ -63,8 +63,10 @@
         self._wake()
         soon = asyncio.get_running_loop().time() + _RESCUE_S
         for attempt in self._attempts.values():
-            if assignment.at(attempt.position).server != attempt.server:
-                limit = attempt.limit
+            limit = attempt.limit
+            has_moved = assignment.at(attempt.position).server != attempt.server
+            # One that is ending already can't be given another end.
+            if has_moved and not limit.expired():
                 limit.reschedule(min(soon, limit.when()))
 
     def watch_attempt(
--- a/src/swiftstile/routing/routes.py
+++ b/src/swiftstile/routing/routes.py
@@ -91,7 +91,7 @@
         inbound: inbound_lib.Inbound,
         limit: asyncio.Timeout,
     ) -> collections.abc.Iterator[None]:
-        """While inside, may end the attempt early through its limit."""
+        """Until the answer begins, may end the attempt early by its limit."""
         del choice, inbound, limit
         yield
 
@@ -142,11 +142,14 @@
             yield
             return
         server = choice.target.server
+        end = limit.when()
         ticket = self.owners.watch_attempt(inbound.position, server, limit)
         try:
             yield
         finally:
             self.owners.forget_attempt(ticket)
+            if not limit.expired():
+                limit.reschedule(end)
 
     def _choice(self, inbound: inbound_lib.Inbound) -> Choice | None:
         assignment = self.owners.assignment
