--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -43,7 +43,7 @@
 # loses there when the link is the slow part, in seconds.
 OTHER_DOMAIN_S = 0.03
 # The same for large bodies, which use the scarce bandwidth between domains.
-OTHER_DOMAIN_LARGE_S = 0.25
+OTHER_DOMAIN_LARGE_S = 0.6
 # Shortest time after which a caller is asked back, in seconds.
 LEAST_RETRY_AFTER_S = 0.1
 # A service without any target: about two heartbeats of the upstreams.
@@ -67,6 +67,11 @@
     target: targets.Target
 
 
+def prior_s(route: model.Route) -> float:
+    """Returns the work time that is assumed for a route, in seconds."""
+    return WORK_PER_OBJECTIVE * route.objective_s
+
+
 class ServiceTimes:
     """Mean time that upstreams take for the requests of a route."""
 
@@ -75,8 +80,7 @@
 
     def expected_s(self, route: model.Route) -> float:
         """Returns the time of a target of mean speed, in seconds."""
-        known = self._mean_by_route.get(route.name)
-        return known or WORK_PER_OBJECTIVE * route.objective_s
+        return self._mean_by_route.get(route.name) or prior_s(route)
 
     def note(self, route: model.Route, normal_s: float) -> None:
         """Takes in a measured time, divided by the target's slowness."""
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -21,12 +21,15 @@
 from swiftstile.gateway import owners
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import renewals
+from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
 
 __all__ = ["GatewayDaemon"]
 
 # Between two rounds of what isn't urgent.
 TICK_S = 0.1
+# Between two tellings of how fast targets are.
+SPEEDS_INTERVAL_S = 0.8
 # After the order to stop, callers go on coming this long: the balancer asks
 # once a second and takes a VM out after two misses.
 LINGER_S = 3.2
@@ -54,6 +57,7 @@
         registry: registry_lib.Registry,
         followers: dict[str, follow.TableFollower],
         retry_budget: budget.RetryBudget,
+        speed_book: speeds.SpeedBook,
         log: decisions.BoundedLines,
         make_keeper,
         grace_s: float,
@@ -74,6 +78,8 @@
         self._registry = registry
         self._followers = followers
         self._budget = retry_budget
+        self._speeds = speed_book
+        self._speeds_at = 0.0
         self._log = log
         self._make_keeper = make_keeper
         self._grace_s = grace_s
@@ -136,18 +142,16 @@
     def _report(self, sequence: int) -> gossip.Report:
         now = clocks.monotonic()
         store = self._followers["state"]
+        shared, local = self._counts()
         return gossip.Report(
-            self._node.node,
-            self._node.incarnation,
+            gossip.short_run(self._node.incarnation),
             sequence,
             self._leads.is_leader,
             self._is_leaving,
-            store.silent_s(now),
-            {
-                target.id: (target.own, target.waiting)
-                for target in self._book.by_id.values()
-                if target.own or target.waiting
-            },
+            round(store.silent_s(now), 1),
+            shared,
+            local,
+            self._speeds_to_tell(now),
             {
                 service: key_map.version
                 for service, key_map in self._maps.by_service.items()
@@ -156,15 +160,33 @@
             sorted(self._renewing.unreachable),
         )
 
+    def _counts(self) -> tuple[gossip.Counts, gossip.Counts]:
+        shared, local = {}, {}
+        for target in self._book.by_id.values():
+            if target.own or target.waiting:
+                is_shared = target.upstream.service in self._maps.by_service
+                counts = shared if is_shared else local
+                counts[target.id] = (target.own, target.waiting)
+        return shared, local
+
+    def _speeds_to_tell(self, now: float):
+        if now - self._speeds_at < SPEEDS_INTERVAL_S:
+            return {}
+        self._speeds_at = now
+        return self._speeds.tell(now)
+
     def on_report(self, peer: gossip.Peer, now: float) -> None:
         """Takes in how busy targets are by a peer's requests."""
         node = peer.row.node
         for target in self._book.by_id.values():
-            counted = peer.report.counts.get(target.id)
+            counted = peer.report.shared.get(target.id)
+            counted = counted or peer.report.local.get(target.id)
             if counted is not None:
                 target.peers[node] = (*counted, now)
             else:
                 target.peers.pop(node, None)
+        if peer.report.speeds:
+            self._speeds.hear(node, peer.report.speeds, now)
         self._gate.pump()
 
     async def _housekeeping(self) -> None:
@@ -172,6 +194,8 @@
             await asyncio.sleep(TICK_S)
             now = clocks.monotonic()
             self._registry.tick(now)
+            for target in self._book.by_id.values():
+                target.slowness = self._speeds.ratio(target.id, now)
             heard = self._peers.heard(now)
             domain = self._node.domain
             near = sum(peer.row.domain == domain for peer in heard)
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -180,19 +180,19 @@
         if verdict.load is not None:
             target.note_load(verdict.load)
         if verdict.kind is not interfaces.AnswerKind.RAN:
-            await self._refusal(head, connection, target)
+            await self._refusal(head, verdict, connection, target)
         if not verdict.is_sound:
             raise outcomes.UnknownOutcomeError(
                 "unsigned or encoded", step="check answer", peer=target.id
             )
         return await self._body(head, verdict, target, connection)
 
-    async def _refusal(self, head, connection, target) -> None:
-        kind = (
-            outcomes.MisdirectedError
-            if head.status == _MISDIRECTED
-            else outcomes.NotRunError
-        )
+    async def _refusal(self, head, verdict, connection, target) -> None:
+        kind = outcomes.NotRunError
+        if verdict.kind is interfaces.AnswerKind.MISDIRECTED:
+            kind = outcomes.MisdirectedError
+            if verdict.answered_by not in ("", target.id):
+                kind = outcomes.ReplacedError
         try:
             await head.payload.read()
             connection.finish(head)
@@ -222,9 +222,6 @@
         return Answer(head.status, headers, body, head.payload, verdict, finish)
 
 
-_MISDIRECTED = 421
-
-
 async def _send_stream(call: Call, connection) -> None:
     is_chunked = call.length is None
     async for piece in call.stream:
--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -20,6 +20,12 @@
 class TableFollower:
     """Keeps the rows of a table as the store last told them.
 
+    Args:
+        name: Name of the table.
+        table: The table.
+        apply: Called with rows that changed.
+        batch_s: Pause after each change, for tables that change in bursts.
+
     Attributes:
         name: Name of the table, for logs.
         rows: Rows by key.
@@ -36,6 +42,7 @@
         name: str,
         table: interfaces.StateTable,
         apply: collections.abc.Callable[[list[interfaces.Change]], None],
+        batch_s: float = 0.0,
     ):
         self.name = name
         self.rows: dict[str, interfaces.Change] = {}
@@ -46,6 +53,7 @@
         self.is_loaded = False
         self._table = table
         self._apply = apply
+        self._batch_s = batch_s
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -66,13 +74,18 @@
         if not self.is_loaded:
             self._replace(await self._table.read_all())
             return
-        changes = await self._table.wait_for_changes(self.version)
+        changes = await self._table.wait_for_changes(
+            self.version, self.failing_since is not None
+        )
         if changes is None:
             logs.logger.info("history dropped, reading all", table=self.name)
             self._replace(await self._table.read_all())
             return
         self._merge(changes.rows)
         self.version = max(self.version, changes.version)
+        if changes.rows and self._batch_s:
+            # What changes in the meantime comes with the next call.
+            await asyncio.sleep(self._batch_s)
 
     def _replace(self, snapshot: interfaces.Snapshot) -> None:
         if snapshot.version < self.version:
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -14,6 +14,7 @@
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile.gateway import model
+from swiftstile.gateway import speeds
 
 __all__ = ["Hold", "NodeRow", "Peer", "Peers", "Report"]
 
@@ -21,7 +22,7 @@
 # fraction of the shortest work of the users (72 ms).
 NEAR_INTERVAL_S = 0.025
 # The same to other domains, whose bytes are dear.
-FAR_INTERVAL_S = 0.3
+FAR_INTERVAL_S = 0.35
 # Between two reports when nothing changed: three may be lost before a peer
 # counts as silent.
 HEARTBEAT_S = 0.25
@@ -31,6 +32,8 @@
 SILENT_AFTER_S = 1.0
 # Datagrams beyond this are cut into pieces by the network; none is as large.
 MAX_BYTES = 8192
+# Characters of an incarnation that tell runs apart in reports.
+RUN_LENGTH = 8
 
 
 class NodeRow(msgspec.Struct, array_like=True):
@@ -63,29 +66,40 @@
     open_s: float
 
 
+# By upstream: requests there, and waiting for it alone.
+Counts = dict[model.UpstreamId, tuple[int, int]]
+
+
+def short_run(incarnation: ids.Incarnation) -> str:
+    """Returns the name of a run as reports carry it."""
+    return incarnation[-RUN_LENGTH:]
+
+
 class Report(msgspec.Struct, array_like=True):
     """What one VM tells the others.
 
     Attributes:
-        node: Who tells.
-        incarnation: Its run.
+        run: Short name of the run that tells.
         sequence: Grows with each report of a run.
         is_leader: It believes that it plans who owns which keys.
         is_leaving: It is shutting down.
         store_silent_s: Since when the store hasn't answered it; 0 if it does.
-        counts: Requests at upstreams: (there, waiting for it alone).
+        shared: Requests at upstreams that all domains send to.
+        local: The same at upstreams that their own domain sends to first.
+        speeds: What this VM measured, now and then.
         versions: Version of the key map that it follows, by service.
         holds: By service and owner, for slots that are leaving.
         unreachable: Upstreams that it can't reach.
     """
 
-    node: model.NodeId
-    incarnation: ids.Incarnation
+    run: str
     sequence: int
     is_leader: bool
     is_leaving: bool
     store_silent_s: float
-    counts: dict[model.UpstreamId, tuple[int, int]]
+    shared: Counts
+    local: Counts
+    speeds: speeds.Samples
     versions: dict[ids.ServiceName, int]
     holds: dict[ids.ServiceName, dict[model.UpstreamId, Hold]]
     unreachable: list[model.UpstreamId]
@@ -114,6 +128,16 @@
         return self.report is not None and now - self.heard_at < SILENT_AFTER_S
 
 
+def _state(report: Report) -> tuple:
+    """Returns what all VMs should know soon when it changes."""
+    return (
+        report.is_leader,
+        report.versions,
+        report.unreachable,
+        report.is_leaving,
+    )
+
+
 class _Socket(asyncio.DatagramProtocol):
 
     def __init__(self, receive):
@@ -143,8 +167,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._near_at = self._far_at = 0.0
-        self._near_sent: object = None
-        self._far_sent: object = None
+        self._near_sent: tuple = ()
+        self._far_sent: tuple = ()
 
     def apply(self, row: NodeRow | None, node: model.NodeId, now: float):
         """Takes in a registration; None when it was removed."""
@@ -197,42 +221,55 @@
 
     def _send(self, report: Report) -> None:
         now = clocks.monotonic()
-        content = (
-            report.counts,
-            report.is_leader,
-            report.versions,
-            report.unreachable,
-            report.is_leaving,
-        )
-        urgent = bool(report.holds)
-        near = self._is_due(
-            now, self._near_at, content != self._near_sent, NEAR_INTERVAL_S
-        )
-        far_every = URGENT_INTERVAL_S if urgent else FAR_INTERVAL_S
-        far = self._is_due(
-            now, self._far_at, urgent or content != self._far_sent, far_every
-        )
-        if not near and not far:
-            return
+        content = (report.shared, report.local, *_state(report))
+        near_s = HEARTBEAT_S if content == self._near_sent else NEAR_INTERVAL_S
+        state = _state(report)
+        is_urgent = bool(report.holds) or state != self._far_sent
+        far_s = URGENT_INTERVAL_S if is_urgent else FAR_INTERVAL_S
+        # Timers are a little early or late; half a tick is close enough.
+        slack_s = NEAR_INTERVAL_S / 2
+        near = now - self._near_at >= near_s - slack_s
+        far = now - self._far_at >= far_s - slack_s
+        if near:
+            self._near_at, self._near_sent = now, content
+            self._send_near(report, now)
+        if far:
+            self._far_at, self._far_sent = now, state
+            self._send_far(report, now)
+
+    def _send_near(self, report: Report, now: float) -> None:
         self._sequence = report.sequence
         data = self._encoder.encode(report)
         for peer in self.by_node.values():
-            if peer.row.is_retired and not peer.is_heard(now):
+            if peer.row.domain == self.me.domain:
+                self._send_to(peer, data, now)
+
+    def _send_far(self, report: Report, now: float) -> None:
+        self._sequence = report.sequence
+        full = msgspec.structs.replace(report, local={})
+        thin = msgspec.structs.replace(full, speeds={})
+        data = self._encoder.encode(thin)
+        for peer in self.by_node.values():
+            if peer.row.domain == self.me.domain:
                 continue
-            is_near = peer.row.domain == self.me.domain
-            if near if is_near else far:
-                host, _, port = peer.row.address.rpartition(":")
-                self._transport.sendto(data, (host, int(port)))
-        if near:
-            self._near_at, self._near_sent = now, content
-        if far:
-            self._far_at, self._far_sent = now, content
+            # Speeds of upstreams matter to the one that places keys.
+            told = peer.report
+            if report.speeds and told is not None and told.is_leader:
+                self._send_to(peer, self._encoder.encode(full), now)
+            else:
+                self._send_to(peer, data, now)
+
+    def _send_to(self, peer: Peer, data: bytes, now: float) -> None:
+        if peer.row.is_retired and not peer.is_heard(now):
+            return
+        host, _, port = peer.row.address.rpartition(":")
+        self._transport.sendto(data, (host, int(port)))
 
-    @staticmethod
-    def _is_due(now, sent_at, is_changed, interval_s) -> bool:
-        # Timers are a little early or late; half a tick is close enough.
-        every = interval_s if is_changed else HEARTBEAT_S
-        return now - sent_at >= every - NEAR_INTERVAL_S / 2
+    def _find(self, run: str) -> Peer | None:
+        for peer in self.by_node.values():
+            if short_run(peer.row.incarnation) == run:
+                return peer
+        return None
 
     def _receive(self, data: bytes, sender) -> None:
         try:
@@ -243,10 +280,8 @@
             )
             logs.logger.warning("report dropped", error=str(problem))
             return
-        peer = self.by_node.get(report.node)
+        peer = self._find(report.run)
         if peer is None:
-            return
-        if peer.row.incarnation != report.incarnation:
             # Its registration will follow, or this is of an earlier run.
             return
         known = peer.report
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -16,6 +16,8 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import owners
 from swiftstile.gateway import shares
+from swiftstile.gateway import speeds
+from swiftstile.gateway import targets
 
 __all__ = ["Handler"]
 
@@ -60,8 +62,10 @@
         gate: gate_lib.Gate,
         sender: exchange.Exchange,
         dialect: interfaces.RequestDialect,
+        book: targets.TargetBook,
         key_owners: owners.KeyOwners,
         retry_budget: budget.RetryBudget,
+        speed_book: speeds.SpeedBook,
         log: decisions.BoundedLines,
         store: follow.TableFollower,
         meters: metrics.Meters,
@@ -70,8 +74,10 @@
         self._gate = gate
         self._sender = sender
         self._dialect = dialect
+        self._book = book
         self._owners = key_owners
         self._budget = retry_budget
+        self._speeds = speed_book
         self._log = log
         self._store = store
         self._meters = meters
@@ -207,13 +213,14 @@
         if isinstance(error, outcomes.MisdirectedError):
             progress.misdirected += 1
             if waiter.owner is None:
-                # Another server has the address.
-                target.note_failure(now)
                 waiter.excluded.add(target.id)
             else:
                 self._owners.note_misdirected(
                     waiter.service, call.inbound.key, now
                 )
+        elif isinstance(error, outcomes.ReplacedError):
+            self._book.mark_replaced(target, now)
+            waiter.excluded.add(target.id)
         elif isinstance(error, outcomes.UpstreamUnreachableError):
             target.note_failure(now)
         elif isinstance(error, outcomes.NotRunError):
@@ -269,9 +276,10 @@
         self._meters.sends.add("answered")
         slots = target.upstream.slots
         if target.occupied(now) <= slots and answer.status < 300:
-            factor = max(target.slowness, 0.1)
-            target.note_answer(now, took_s, waiter.expected_s)
-            self._times.note(waiter.route, took_s / factor)
+            target.note_answer(now)
+            prior_s = admission.prior_s(waiter.route)
+            self._speeds.note(target.id, took_s / prior_s, now)
+            self._times.note(waiter.route, took_s / target.slowness)
         self._log.note(
             decisions.RequestDecision(
                 call.inbound.attempt_id,
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -72,9 +72,16 @@
         """
 
     @abc.abstractmethod
-    async def wait_for_changes(self, after: int) -> Snapshot | None:
+    async def wait_for_changes(
+        self, after: int, is_probe: bool
+    ) -> Snapshot | None:
         """Returns rows changed since version `after`, none after a while.
 
+        Args:
+            after: Newest version that is known.
+            is_probe: Answer at once: the store just failed, and a call that
+                waits would tell of its return too late.
+
         Returns:
             None when the store no longer knows the changes since then; the
             whole table has to be read.
@@ -110,6 +117,8 @@
     # It knows a newer fence for some of the keys.
     FENCED = "fenced"
     REJECTED = "rejected"
+    # Another server runs at the address: the one that was meant has ended.
+    REPLACED = "replaced"
 
 
 class UpstreamControl(abc.ABC):
@@ -187,6 +196,7 @@
         is_signed: Whether the server vouches for the body.
         is_sound: Whether a success may be passed on to the caller.
         load: How busy the server was, if it says.
+        answered_by: The server that answered, if it says.
     """
 
     kind: AnswerKind
@@ -194,6 +204,7 @@
     is_signed: bool
     is_sound: bool
     load: Load | None
+    answered_by: str
 
 
 class RequestDialect(abc.ABC):
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -18,6 +18,7 @@
 from swiftstile.gateway import moves
 from swiftstile.gateway import renewals
 from swiftstile.gateway import settle
+from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
 
 __all__ = ["MAP_PREFIX", "MapKeeper"]
@@ -33,6 +34,11 @@
 # Most slots that are moved at a time only to even things out: about a tenth,
 # so that no owner's keys are on the move all at once.
 MOVE_BATCH = 400
+# Between two rounds of evening out: about what the effect of one takes to show.
+EVEN_OUT_EVERY_S = 1.5
+# Bounds of a target's speed over the mean, for its share of the keys. A slow
+# one keeps a few, which tell when it is fast again.
+SLOWEST_WEIGHT, FASTEST_WEIGHT = 0.1, 2.0
 # Calls to one upstream at the same time, when it releases slots: its busy
 # slots answer only when their work has ended.
 _RELEASE_PARALLEL = 16
@@ -59,6 +65,7 @@
         service: ids.ServiceName,
         maps: renewals.KeyMaps,
         book: targets.TargetBook,
+        speed_book: speeds.SpeedBook,
         peers: gossip.Peers,
         renewing: renewals.Renewals,
         leads: leadership.Leadership,
@@ -70,6 +77,8 @@
         self._service = service
         self._maps = maps
         self._book = book
+        self._speeds = speed_book
+        self._evened_at = 0.0
         self._peers = peers
         self._renewing = renewing
         self._leads = leads
@@ -106,7 +115,7 @@
     def _weights(self, now: float) -> dict[model.UpstreamId, float]:
         group = self._book.by_service.get(self._service, {})
         weights = {
-            target.id: float(max(1, target.upstream.slots))
+            target.id: self._weight(target, now)
             for target in group.values()
             if target.leaving_since is None
         }
@@ -115,6 +124,12 @@
         self._members = set(weights)
         return weights
 
+    def _weight(self, target: targets.Target, now: float) -> float:
+        """Returns how much a target can do: its slots over its slowness."""
+        ratio = self._speeds.ratio(target.id, now)
+        speed = 1.0 / min(max(ratio, 1 / FASTEST_WEIGHT), 1 / SLOWEST_WEIGHT)
+        return max(1, target.upstream.slots) * speed
+
     async def _first_deal(self, weights, now: float) -> None:
         if not weights or now - self._members_at < SETTLED_S:
             return
@@ -131,7 +146,9 @@
             if index not in current.leaving
         ]
         moving = lost
-        if not lost and not current.leaving and weights:
+        is_due = now - self._evened_at >= EVEN_OUT_EVERY_S
+        if weights and is_due and not lost and not current.leaving:
+            self._evened_at = now
             moving = keyplan.surplus(current, weights, MOVE_BATCH)
         if not moving:
             return
@@ -203,13 +220,7 @@
     def _is_replaced(self, owner: model.UpstreamId) -> bool:
         """Whether another upstream runs at its address, so that it ended."""
         target = self._book.by_id.get(owner)
-        if target is None:
-            return False
-        return any(
-            other.upstream.address == target.upstream.address
-            for other in self._book.by_id.values()
-            if other is not target and not other.is_gone
-        )
+        return target is not None and target.is_replaced
 
     def _start_release(self, current, owner, source, slots, now) -> None:
         target = self._book.by_id.get(owner)
--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -9,7 +9,7 @@
 
 # A target may own this part more than its share before slots are moved away:
 # moving costs its callers more than so small an imbalance.
-TOLERANCE = 0.08
+TOLERANCE = 0.15
 
 
 def deal(
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -13,6 +13,7 @@
     "NotReadyError",
     "NotRunError",
     "RefusedError",
+    "ReplacedError",
     "TimedOutError",
     "UnknownOutcomeError",
     "UpstreamUnreachableError",
@@ -92,11 +93,17 @@
 
 
 class MisdirectedError(NotRunError):
-    """Another server runs at that address, or it doesn't hold the key."""
+    """The server doesn't hold the key."""
 
     reason = "misdirected"
 
 
+class ReplacedError(NotRunError):
+    """Another server runs at that address; the one that was meant has ended."""
+
+    reason = "replaced"
+
+
 class UpstreamUnreachableError(NotRunError):
     """No connection could be opened; nothing was sent."""
 
--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -59,8 +59,8 @@
         index = key_map.index_of(key)
         slot = key_map.slots[index]
         target = self._book.by_id.get(slot.owner)
-        if target is None:
-            return None, LOST_OWNER_S
+        if target is None or target.is_replaced:
+            return None, HAND_OVER_S
         changed = self._maps.changed_at[service].get(index, 0.0)
         if now - changed < FIRST_GRANT_S:
             return None, changed + FIRST_GRANT_S - now
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -228,6 +228,9 @@
                 book.note_lost(run, clocks.monotonic())
         self._meters.ownership.add(f"grant-{result.value}")
         self._granted_at[_name(service, key_map, run)] = now
+        if result is interfaces.GrantResult.REPLACED:
+            self._book.mark_replaced(target, now)
+            return False
         if result is not interfaces.GrantResult.HELD:
             logs.logger.warning(
                 "grant refused",
--- /dev/null
+++ b/src/swiftstile/gateway/speeds.py
@@ -0,0 +1,93 @@
+"""How fast upstreams are, from the answers that all VMs got.
+
+One VM sees too few answers of one upstream to tell its speed, so VMs tell each
+other their sums. Old answers count less: speeds change.
+"""
+
+from swiftstile.gateway import model
+
+__all__ = ["SpeedBook", "Samples"]
+
+# An answer counts half after this long: a slow upstream shows within seconds.
+HALF_LIFE_S = 4.0
+# Answers at mean speed that are taken for granted; with less, a few odd
+# requests would move keys.
+PRIOR_COUNT = 4.0
+# Ratios are bounded so that one odd request doesn't outweigh all others.
+LEAST_RATIO, GREATEST_RATIO = 0.2, 12.0
+# What a peer told longer ago than this is forgotten.
+PEER_LIFE_S = 4.0
+_LEAST_COUNT = 0.1
+# On the wire, counts are in tenths and ratios in hundredths.
+_COUNT_UNIT, _RATIO_UNIT = 0.1, 0.01
+
+# Count and ratio by upstream, in the units above.
+Samples = dict[model.UpstreamId, tuple[int, int]]
+
+
+class _Decayed:
+
+    def __init__(self):
+        self.total = 0.0
+        self.count = 0.0
+        self.at = 0.0
+
+    def decay(self, now: float) -> None:
+        factor = 0.5 ** ((now - self.at) / HALF_LIFE_S)
+        self.total *= factor
+        self.count *= factor
+        self.at = now
+
+
+class SpeedBook:
+    """Ratios of measured to expected work time, by upstream."""
+
+    def __init__(self):
+        self._own: dict[model.UpstreamId, _Decayed] = {}
+        self._peers: dict[model.NodeId, tuple[Samples, float]] = {}
+
+    def note(
+        self, upstream: model.UpstreamId, ratio: float, now: float
+    ) -> None:
+        """Takes in the time of one answer over what was expected."""
+        entry = self._own.setdefault(upstream, _Decayed())
+        entry.decay(now)
+        entry.total += min(max(ratio, LEAST_RATIO), GREATEST_RATIO)
+        entry.count += 1
+
+    def hear(self, node: model.NodeId, samples: Samples, now: float) -> None:
+        """Takes in what a peer tells."""
+        self._peers[node] = (samples, now)
+
+    def tell(self, now: float) -> Samples:
+        """Returns this VM's own sums, for its peers."""
+        told: Samples = {}
+        for upstream, entry in list(self._own.items()):
+            entry.decay(now)
+            if entry.count < _LEAST_COUNT:
+                del self._own[upstream]
+                continue
+            ratio = entry.total / entry.count
+            told[upstream] = (
+                round(entry.count / _COUNT_UNIT),
+                round(ratio / _RATIO_UNIT),
+            )
+        return told
+
+    def ratio(self, upstream: model.UpstreamId, now: float) -> float:
+        """Returns the ratio of an upstream; 1.0 where nothing is known."""
+        total, count = PRIOR_COUNT, PRIOR_COUNT
+        own = self._own.get(upstream)
+        if own is not None:
+            own.decay(now)
+            total += own.total
+            count += own.count
+        for samples, heard in self._peers.values():
+            told = samples.get(upstream)
+            if told is None or now - heard > PEER_LIFE_S:
+                continue
+            weight = told[0] * _COUNT_UNIT
+            weight *= 0.5 ** ((now - heard) / HALF_LIFE_S)
+            total += weight * told[1] * _RATIO_UNIT
+            count += weight
+        return total / count
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -8,16 +8,10 @@
 
 __all__ = ["Target", "TargetBook"]
 
-# Weight of the newest answer in the estimate of a target's speed: a change
-# shows after three or four answers.
-SPEED_WEIGHT = 0.3
 # A target that just started is about this much slower for its cold time.
 COLD_FACTOR = 2.0
-# Bounds of the estimated slowness, so that one odd answer can't bar a target.
-FASTEST, SLOWEST = 0.3, 20.0
-# A slow target's estimate halves each so many seconds without an answer, so
-# that it is tried again.
-SLOWNESS_HALF_LIFE_S = 2.0
+# Bound of the estimated slowness, so that no target is barred for ever.
+SLOWEST = 20.0
 # A target that can't be reached is passed over this long, doubled with each
 # failure in a row.
 FIRST_PENALTY_S = 0.25
@@ -38,6 +32,8 @@
         peers: Requests of other VMs, by VM: (count, waiting, when heard).
         slowness: Its service time over the mean of all, 1.0 when as fast.
         leaving_since: When it was first seen to leave; None while it stays.
+        is_gone: Its registration is no more.
+        is_replaced: Another server runs at its address, so it has ended.
     """
 
     def __init__(self, upstream: model.Upstream, now: float):
@@ -48,8 +44,8 @@
         self.slowness = 1.0
         self.leaving_since: float | None = None
         self.is_gone = False
+        self.is_replaced = False
         self._cold_until = now + upstream.cold_s
-        self._measured_at = now
         self._penalty_until = 0.0
         self._failures = 0
         self._started: collections.OrderedDict[int, tuple[float, float]] = (
@@ -79,6 +75,8 @@
 
     def takes_requests(self, now: float, drain_s: float) -> bool:
         """Whether anything may be sent there at all."""
+        if self.is_replaced:
+            return False
         if self.leaving_since is None:
             return True
         return now - self.leaving_since < max(0.0, drain_s - LEAVING_MARGIN_S)
@@ -99,11 +97,6 @@
     def slow_factor(self, now: float) -> float:
         """Returns the expected service time over the mean of all targets."""
         factor = self.slowness
-        idle_s = now - self._measured_at
-        if factor > 1.0 and idle_s > SLOWNESS_HALF_LIFE_S:
-            factor = 1.0 + (factor - 1.0) * 0.5 ** (
-                idle_s / SLOWNESS_HALF_LIFE_S - 1.0
-            )
         if now < self._cold_until:
             factor = max(factor, COLD_FACTOR)
         for started, expected_s in self._started.values():
@@ -122,13 +115,10 @@
         self.own -= 1
         self._started.pop(token, None)
 
-    def note_answer(self, now: float, took_s: float, expected_s: float) -> None:
-        """It answered a request that didn't have to wait for a slot."""
+    def note_answer(self, now: float) -> None:
+        """It answered."""
         self._failures = 0
         self._penalty_until = 0.0
-        ratio = min(max(took_s / max(expected_s, 0.001), FASTEST), SLOWEST)
-        self.slowness += SPEED_WEIGHT * (ratio - self.slowness)
-        self._measured_at = now
 
     def note_failure(self, now: float) -> None:
         """It couldn't be reached, was silent, or its answer was broken."""
@@ -171,12 +161,27 @@
             group[upstream.id] = target
         target.upstream = upstream
         target.is_gone = False
+        self._replace_at(upstream, now)
+        if target.is_replaced:
+            return target
         if upstream.state is model.UpstreamState.READY:
             target.leaving_since = None
         elif target.leaving_since is None:
             target.leaving_since = now
         return target
 
+    def mark_replaced(self, target: Target, now: float) -> None:
+        """Another server was seen at a target's address."""
+        target.is_replaced = True
+        if target.leaving_since is None:
+            target.leaving_since = now
+
+    def _replace_at(self, upstream: model.Upstream, now: float) -> None:
+        for other in self.by_id.values():
+            is_same = other.upstream.address == upstream.address
+            if is_same and other.id != upstream.id and other.is_gone:
+                self.mark_replaced(other, now)
+
     def mark_gone(self, upstream: model.UpstreamId, now: float) -> None:
         """Its registration is no more."""
         target = self.by_id.get(upstream)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -30,11 +30,17 @@
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import renewals
 from swiftstile.gateway import settings as settings_lib
+from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
 
 __all__ = ["Adapters", "gateway"]
 
 
+# Upstreams that start together register within seconds; each call to the store
+# has its price. A leaving upstream is noticed so much later at most.
+REGISTRATIONS_BATCH_S = 0.3
+
+
 class Adapters(msgspec.Struct):
     """The platform's side: everything that only translates.
 
@@ -97,6 +103,7 @@
         )
         self._book = targets.TargetBook()
         self._maps = renewals.KeyMaps()
+        self._speeds = speeds.SpeedBook()
         self._peers = gossip.Peers(self._node, self._on_report)
         self._state = follow.TableFollower(
             "state", adapters.state, self._apply_state
@@ -125,7 +132,10 @@
             self._book, adapters.decode_upstream, gate.pump
         )
         registrations = follow.TableFollower(
-            "registrations", adapters.registrations, registry.apply
+            "registrations",
+            adapters.registrations,
+            registry.apply,
+            REGISTRATIONS_BATCH_S,
         )
         registry.follower = registrations
         operations = follow.TableFollower(
@@ -136,8 +146,10 @@
             gate,
             exchange.Exchange(connections.ConnectionPool(), adapters.dialect),
             adapters.dialect,
+            self._book,
             key_owners,
             retry_budget,
+            self._speeds,
             self._lines,
             self._state,
             self._meters,
@@ -173,6 +185,7 @@
                 "operations": operations,
             },
             retry_budget,
+            self._speeds,
             self._lines,
             self._make_keeper,
             settings_lib.seconds(bounds.grace),
@@ -185,6 +198,7 @@
             service,
             self._maps,
             self._book,
+            self._speeds,
             self._peers,
             self._renewing,
             self._leads,
