--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -10,6 +10,8 @@
 # A target may own this part more than its share before slots are moved away:
 # moving costs its callers more than so small an imbalance.
 TOLERANCE = 0.15
+# In slots: how far behind its share an owner must be to get two in a row.
+NEIGHBOUR_COST = 0.25
 
 
 def deal(
@@ -30,7 +32,11 @@
     for _ in range(count):
         for owner in credit:
             credit[owner] += weight_by_id[owner] / total
-        best = max(credit, key=lambda owner: credit[owner])
+        last = dealt[-1] if dealt else None
+        best = max(
+            credit,
+            key=lambda owner: credit[owner] - NEIGHBOUR_COST * (owner == last),
+        )
         credit[best] -= 1.0
         dealt.append(best)
     return dealt
@@ -84,8 +90,8 @@
 ) -> dict[int, model.UpstreamId]:
     """Returns a new owner for each slot that moves.
 
-    The owner furthest below its share comes first, but not the one that owns
-    a neighbouring slot, as long as there is another.
+    Of the owners below their share, those that own no neighbouring slot come
+    first, and of these the one that is furthest below.
     """
     shares = _shares(len(current.slots), weight_by_id)
     owned = collections.Counter(
@@ -105,7 +111,9 @@
             for i in (index - 1, index + 1)
             if 0 <= i < len(current.slots)
         }
-        pool = [owner for owner in shares if owner not in near] or list(shares)
+        below = [name for name in shares if owned[name] < shares[name] - 0.5]
+        pool = [name for name in below if name not in near]
+        pool = pool or below or list(shares)
         best = min(pool, key=lambda owner: owned[owner] - shares[owner])
         placed[index] = best
         owned[best] += 1
--- /dev/null
+++ b/tests/gateway_builders.py
@@ -0,0 +1,190 @@
+"""Test data of the gateway."""
+
+import asyncio
+
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile.gateway import admission
+from swiftstile.gateway import gossip
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import model
+from swiftstile.gateway import targets
+
+HOME = ids.FailureDomain("home")
+AWAY = ids.FailureDomain("away")
+LOOKUPS = ids.ServiceName("lookups")
+
+
+def route(**changes) -> model.Route:
+    fields = {
+        "name": "r-1",
+        "host": "a.example",
+        "prefix": "/a/",
+        "repeatability": model.Repeatability.IDEMPOTENT,
+        "timeout_s": 2.0,
+        "objective_s": 0.6,
+        "priority": 2,
+        "shares": (model.Share(LOOKUPS, 1.0),),
+        "max_attempts": 2,
+    }
+    return model.Route(**(fields | changes))
+
+
+def config(version: int = 1, *routes: model.Route) -> model.Config:
+    by_host: dict[str, tuple] = {}
+    for entry in routes or (route(),):
+        by_host[entry.host] = (*by_host.get(entry.host, ()), entry)
+    service = model.Service(LOOKUPS, "/health", 100, False, 3.0)
+    return model.Config(
+        model.ConfigVersion(version), by_host, {LOOKUPS: service}, model.Limits()
+    )
+
+
+def upstream(name: str = "u-1", **changes) -> model.Upstream:
+    fields = {
+        "id": model.UpstreamId(name),
+        "service": LOOKUPS,
+        "address": f"127.0.0.1:{9000 + sum(map(ord, name))}",
+        "failure_domain": HOME,
+        "slots": 3,
+        "state": model.UpstreamState.READY,
+        "cold_s": 0.0,
+    }
+    return model.Upstream(**(fields | changes))
+
+
+def book(*upstreams: model.Upstream, now: float = 0.0) -> targets.TargetBook:
+    made = targets.TargetBook()
+    for entry in upstreams:
+        made.put(entry, now)
+    return made
+
+
+def occupy(target: targets.Target, count: int, now: float = 0.0) -> None:
+    for token in range(count):
+        target.note_sent(-1 - token, now, 1.0)
+
+
+class FixedOwner(admission.OwnerLookup):
+    """An owner that stays, or none for a known time."""
+
+    def __init__(self, owner: targets.Target | None, ready_in_s: float = 0.0):
+        self._owner = owner
+        self._ready_in_s = ready_in_s
+
+    def target(self, now: float) -> targets.Target | None:
+        return self._owner
+
+    def ready_in_s(self, now: float) -> float:
+        return self._ready_in_s
+
+
+def waiter(now: float = 0.0, owner=None, **changes) -> admission.Waiter:
+    entry = route(**changes)
+    return admission.Waiter(
+        entry, LOOKUPS, owner, now, now + entry.timeout_s, 0.2
+    )
+
+
+def node_row(name: str = "vm-1", run: str = "aaaaaaaa", **changes):
+    fields = {
+        "node": model.NodeId(name),
+        "incarnation": ids.Incarnation(f"{name}#{run}"),
+        "domain": HOME,
+        "address": "127.0.0.1:7000",
+        "is_retired": False,
+    }
+    return gossip.NodeRow(**(fields | changes))
+
+
+def report(row: gossip.NodeRow, sequence: int = 1, **changes) -> gossip.Report:
+    fields = {
+        "run": gossip.short_run(row.incarnation),
+        "sequence": sequence,
+        "is_leader": False,
+        "is_leaving": False,
+        "store_silent_s": 0.0,
+        "shared": {},
+        "local": {},
+        "speeds": {},
+        "versions": {},
+        "holds": {},
+        "unreachable": [],
+    }
+    return gossip.Report(**(fields | changes))
+
+
+def peer(
+    row: gossip.NodeRow, told: gossip.Report | None, heard_at: float
+) -> gossip.Peer:
+    made = gossip.Peer(row, now=-1000.0)
+    made.report = told
+    made.heard_at = heard_at
+    return made
+
+
+class MemoryTable(interfaces.StateTable):
+    """A table in memory, whose answers can be lost or late.
+
+    Attributes:
+        lose_answers: So many next writes are done, and their answers lost.
+        delay_writes: So many next writes get no answer and are kept in `late`.
+        refuse: So many next calls are refused.
+    """
+
+    def __init__(self):
+        self.rows: dict[str, interfaces.Change] = {}
+        self.version = 0
+        self.lose_answers = 0
+        self.delay_writes = 0
+        self.refuse = 0
+        self.late: list[tuple] = []
+        self.oldest = 0
+        self.log: list[interfaces.Change] = []
+        self.probes: list[bool] = []
+
+    async def read_all(self) -> interfaces.Snapshot:
+        self._maybe_refuse()
+        return interfaces.Snapshot(list(self.rows.values()), self.version)
+
+    async def wait_for_changes(self, after: int, is_probe: bool):
+        self.probes.append(is_probe)
+        self._maybe_refuse()
+        if not is_probe and after >= self.version:
+            await asyncio.sleep(0.01)
+        if after < self.oldest:
+            return None
+        rows = [row for row in self.log if row.version > after]
+        return interfaces.Snapshot(rows, self.version)
+
+    async def write(self, conditions, writes) -> int:
+        self._maybe_refuse()
+        if self.delay_writes:
+            self.delay_writes -= 1
+            self.late.append((conditions, writes))
+            raise errors.OutcomeUnknownError("late", step="write")
+        version = self.apply(conditions, writes)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.OutcomeUnknownError("lost", step="write")
+        return version
+
+    def apply(self, conditions, writes) -> int:
+        for condition in conditions:
+            row = self.rows.get(condition.key)
+            if (row.version if row else 0) != condition.version:
+                raise errors.ConflictError("version", step="write")
+        self.version += 1
+        for write in writes:
+            change = interfaces.Change(write.key, write.value, self.version)
+            self.log.append(change)
+            if write.value is None:
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = change
+        return self.version
+
+    def _maybe_refuse(self) -> None:
+        if self.refuse:
+            self.refuse -= 1
+            raise errors.PlatformUnavailableError("refused", step="call")
--- /dev/null
+++ b/tests/integration/test_gateway_exchange.py
@@ -0,0 +1,360 @@
+"""Exchanges with servers that answer late, twice, early, in part or not."""
+
+import asyncio
+import contextlib
+
+import multidict
+import pytest
+from users_platform import control
+from users_platform import dialect
+
+from swiftstile import clocks
+from swiftstile import errors
+from swiftstile.gateway import connections
+from swiftstile.gateway import exchange
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import outcomes
+from swiftstile.gateway import targets
+from tests import gateway_builders as builders
+
+
+def _answer(attempt: str, body: bytes = b"own", status: str = "200 OK") -> bytes:
+    return (
+        f"HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\n"
+        f"X-Server-Signature: s\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+class _Server:
+    """A scripted server: one function handles each request.
+
+    Attributes:
+        requests: Heads of all requests, in order.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self.requests: list[bytes] = []
+        self.connections = 0
+
+    async def handle(self, reader, writer) -> None:
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.split(b"\r\n"):
+                    if line.lower().startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                body = await reader.readexactly(length)
+                self.requests.append(head + body)
+                await self._script(len(self.requests), writer)
+        writer.close()
+
+
+def _call(attempt: str, method: str = "GET", body: bytes = b"", wait_s=1.0):
+    headers = multidict.CIMultiDict(Host="a.example")
+    headers["X-Attempt-Id"] = attempt
+    return exchange.Call(
+        method,
+        "/a/b?c=1",
+        headers,
+        interfaces.Inbound(attempt, wait_s, None),
+        body,
+        None,
+        None,
+        clocks.monotonic() + wait_s,
+    )
+
+
+@contextlib.asynccontextmanager
+async def _running(script):
+    server = _Server(script)
+    listener = await asyncio.start_server(server.handle, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
+    target = targets.Target(upstream, 0.0)
+    sender = exchange.Exchange(
+        connections.ConnectionPool(), dialect.UsersDialect()
+    )
+    try:
+        yield server, sender, target
+    finally:
+        listener.close()
+
+
+def _run(script, scenario) -> None:
+    async def main():
+        async with _running(script) as parts:
+            await scenario(*parts)
+
+    asyncio.run(main())
+
+
+def test_a_connection_is_used_again():
+    async def script(number, writer):
+        writer.write(_answer(f"a{number}"))
+
+    async def scenario(server, sender, target):
+        for number in (1, 2, 3):
+            answer = await sender.send(_call(f"a{number}"), target)
+            assert (answer.status, answer.body) == (200, b"own")
+        assert server.connections == 1
+        assert b"X-Expect-Instance: u-1" in server.requests[0]
+        assert server.requests[0].startswith(b"GET /a/b?c=1 HTTP/1.1\r\n")
+
+    _run(script, scenario)
+
+
+def test_a_second_answer_at_once_is_not_taken_for_the_next():
+    async def script(number, writer):
+        answers = _answer(f"a{number}") * (2 if number == 1 else 1)
+        writer.write(answers)
+
+    async def scenario(_server, sender, target):
+        await sender.send(_call("a1"), target)
+        answer = await sender.send(_call("a2", "POST", b"x"), target)
+        assert dict(answer.headers)["X-Attempt-Id"] == "a2"
+
+    _run(script, scenario)
+
+
+def test_a_late_second_answer_before_the_own_is_skipped():
+    async def script(number, writer):
+        if number == 2:
+            writer.write(_answer("a1", b"old"))
+            await asyncio.sleep(0.01)
+        writer.write(_answer(f"a{number}"))
+
+    async def scenario(server, sender, target):
+        await sender.send(_call("a1"), target)
+        answer = await sender.send(_call("a2", "DELETE"), target)
+        assert answer.body == b"own"
+        assert server.connections == 1
+
+    _run(script, scenario)
+
+
+def test_a_late_refusal_of_another_request_is_not_believed():
+    async def script(number, writer):
+        if number == 2:
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\n"
+                b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+        writer.write(_answer(f"a{number}"))
+
+    async def scenario(_server, sender, target):
+        await sender.send(_call("a1"), target)
+        assert (await sender.send(_call("a2", "POST"), target)).status == 200
+
+    _run(script, scenario)
+
+
+@pytest.mark.parametrize("method", ["DELETE", "PUT", "GET", "POST"])
+def test_a_request_on_a_dying_connection_is_sent_once(method):
+    async def script(number, writer):
+        if number == 1:
+            writer.write(_answer("a1"))
+        else:
+            writer.transport.abort()
+
+    async def scenario(server, sender, target):
+        await sender.send(_call("a1"), target)
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(_call("a2", method), target)
+        await asyncio.sleep(0.05)
+        assert len(server.requests) == 2
+
+    _run(script, scenario)
+
+
+def test_a_truncated_answer_is_no_answer():
+    async def script(_number, writer):
+        writer.write(_answer("a1", b"x" * 100)[:-40])
+        writer.close()
+
+    async def scenario(_server, sender, target):
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(_call("a1"), target)
+
+    _run(script, scenario)
+
+
+_UNFRAMED = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Signature: s\r\n"
+    b"Connection: close\r\n\r\nall of it"
+)
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    async def script(_number, writer):
+        writer.write(_UNFRAMED)
+        writer.close()
+
+    async def scenario(_server, sender, target):
+        answer = await sender.send(_call("a1"), target)
+        assert answer.body == b"all of it"
+
+    _run(script, scenario)
+
+
+def test_an_answer_without_length_that_is_reset_is_no_answer():
+    async def script(_number, writer):
+        writer.write(_UNFRAMED)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        connections.reset_on_close(writer.transport)
+        writer.transport.abort()
+
+    async def scenario(_server, sender, target):
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(_call("a1"), target)
+
+    _run(script, scenario)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Signature: s\r\n"
+        b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+    ],
+)
+def test_a_success_that_is_not_the_servers_own_is_no_answer(data):
+    async def script(_number, writer):
+        writer.write(data)
+
+    async def scenario(_server, sender, target):
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(_call("a1"), target)
+
+    _run(script, scenario)
+
+
+def test_a_silent_server_costs_no_more_than_the_time_that_is_left():
+    async def script(_number, _writer):
+        await asyncio.sleep(5)
+
+    async def scenario(_server, sender, target):
+        started = clocks.monotonic()
+        with pytest.raises(outcomes.TimedOutError):
+            await sender.send(_call("a1", wait_s=0.2), target)
+        assert clocks.monotonic() - started < 1.0
+
+    _run(script, scenario)
+
+
+def test_another_server_at_the_address_is_told_from_a_key_not_held():
+    async def script(number, writer):
+        instance = "u-9" if number == 1 else "u-1"
+        writer.write(
+            f"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: a{number}\r\n"
+            f"X-Instance-Id: {instance}\r\nX-Not-Executed: 1\r\n"
+            f"Content-Length: 0\r\n\r\n".encode()
+        )
+
+    async def scenario(_server, sender, target):
+        with pytest.raises(outcomes.ReplacedError):
+            await sender.send(_call("a1"), target)
+        with pytest.raises(outcomes.MisdirectedError):
+            await sender.send(_call("a2"), target)
+
+    _run(script, scenario)
+
+
+def test_nothing_listens():
+    async def scenario():
+        target = targets.Target(builders.upstream(address="127.0.0.1:1"), 0.0)
+        sender = exchange.Exchange(
+            connections.ConnectionPool(), dialect.UsersDialect()
+        )
+        with pytest.raises(outcomes.UpstreamUnreachableError):
+            await sender.send(_call("a1"), target)
+
+    asyncio.run(scenario())
+
+
+def test_an_early_answer_to_a_long_body_is_passed_on():
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(_answer("a1", b"early"))
+        await asyncio.sleep(0.2)
+        writer.close()
+
+    async def scenario():
+        listener = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        upstream = builders.upstream(address=f"127.0.0.1:{port}")
+        pool = connections.ConnectionPool()
+        sender = exchange.Exchange(pool, dialect.UsersDialect())
+        call = _call("a1", "POST", b"x" * (16 << 20))
+        answer = await sender.send(call, targets.Target(upstream, 0.0))
+        assert answer.body == b"early"
+        # What is left of the body is due on that connection: it isn't kept.
+        connection = await pool.take(upstream.address)
+        assert pool.opened == 2
+        connection.abort()
+        listener.close()
+
+    asyncio.run(scenario())
+
+
+def test_grants_and_releases_as_upstreams_read_them():
+    async def script(number, writer):
+        head = b"HTTP/1.1 200 OK\r\nX-Handover: warm\r\n"
+        if number == 3:
+            head = b"HTTP/1.1 409 Conflict\r\n"
+        writer.write(head + b"Content-Length: 0\r\n\r\n")
+
+    async def scenario(server, _sender, target):
+        calls = control.UpstreamCalls(connections.ConnectionPool())
+        address = target.upstream.address
+        keys = interfaces.KeyRange(16, 31)
+        assert await calls.grant(
+            address, "u-1", keys, 7, 4.0, "warm"
+        ) is interfaces.GrantResult.HELD
+        assert await calls.release(address, "u-1", keys, 7) == "warm"
+        assert await calls.grant(
+            address, "u-1", keys, 6, 4.0, ""
+        ) is interfaces.GrantResult.FENCED
+        assert server.requests[0].endswith(
+            b'{"from":16,"to":31,"fence":7,"hold_time":"4000ms",'
+            b'"handover":"warm"}'
+        )
+        assert server.requests[1].endswith(b'{"from":16,"to":31,"fence":7}')
+
+    _run(script, scenario)
+
+
+def test_a_grant_without_answer_is_reset():
+    gone = asyncio.Event()
+
+    async def handle(reader, _writer):
+        await reader.readuntil(b"\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+            await reader.read()
+        gone.set()
+
+    async def scenario():
+        listener = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        calls = control.UpstreamCalls(connections.ConnectionPool())
+        with pytest.raises(errors.PeerUnavailableError):
+            await calls.grant(
+                f"127.0.0.1:{port}",
+                "u-1",
+                interfaces.KeyRange(0, 1),
+                1,
+                4.0,
+                "",
+            )
+        async with asyncio.timeout(2):
+            await gone.wait()
+        listener.close()
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/unit/test_gateway_admission.py
@@ -0,0 +1,172 @@
+"""Who gets a slot, who waits, who is refused."""
+
+from swiftstile.gateway import admission
+from swiftstile.gateway import budget
+from swiftstile.gateway import model
+from swiftstile.gateway import speeds
+from tests import gateway_builders as builders
+
+
+def _admission(book) -> admission.Admission:
+    return admission.Admission(book, builders.HOME, 2.0)
+
+
+def test_a_free_target_is_given_at_once():
+    book = builders.book(builders.upstream())
+    assert _admission(book).offer(builders.waiter(), 0.0).id == "u-1"
+
+
+def test_the_own_domain_goes_first_while_it_has_room():
+    book = builders.book(
+        builders.upstream("u-1", failure_domain=builders.AWAY),
+        builders.upstream("u-2"),
+    )
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-2"], 2)
+    assert decisions.offer(builders.waiter(), 0.0).id == "u-2"
+    builders.occupy(book.by_id["u-2"], 2)
+    assert decisions.offer(builders.waiter(), 0.0).id == "u-1"
+
+
+def test_a_slow_target_is_passed_over():
+    book = builders.book(builders.upstream("u-1"), builders.upstream("u-2"))
+    book.by_id["u-1"].slowness = 8.0
+    assert _admission(book).offer(builders.waiter(), 0.0).id == "u-2"
+
+
+def test_requests_of_other_vms_count():
+    book = builders.book(builders.upstream("u-1"), builders.upstream("u-2"))
+    book.by_id["u-1"].peers["vm-2"] = (3, 0, 0.0)
+    assert _admission(book).offer(builders.waiter(), 0.0).id == "u-2"
+
+
+def test_what_a_silent_peer_told_is_forgotten():
+    book = builders.book(builders.upstream())
+    book.by_id["u-1"].peers["vm-2"] = (9, 9, 0.0)
+    late = 10.0
+    assert book.by_id["u-1"].occupied(late) == 0
+    assert book.by_id["u-1"].waiting_elsewhere(late) == 0
+
+
+def test_a_request_that_cannot_be_in_time_is_refused_at_once():
+    book = builders.book(builders.upstream())
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-1"], 4)
+    refused = None
+    for _ in range(50):
+        refused = decisions.offer(builders.waiter(), 0.0)
+        if refused is not None:
+            break
+    assert isinstance(refused, admission.Overload)
+    assert refused.retry_after_s >= admission.LEAST_RETRY_AFTER_S
+    # Its wait would have been beyond what the objective leaves.
+    assert refused.wait_s > 0.25 * builders.route().objective_s
+
+
+def test_urgent_requests_go_first():
+    book = builders.book(builders.upstream())
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-1"], 4)
+    later = builders.waiter(priority=3)
+    urgent = builders.waiter(priority=0)
+    assert decisions.offer(later, 0.0) is None
+    assert decisions.offer(urgent, 0.0) is None
+    book.by_id["u-1"].note_ended(-1)
+    assigned, refused = decisions.pump(0.0)
+    assert [entry.waiter for entry in assigned] == [urgent]
+    assert not refused
+
+
+def test_a_waiting_request_without_time_left_is_refused():
+    book = builders.book(builders.upstream())
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-1"], 4)
+    waiter = builders.waiter()
+    assert decisions.offer(waiter, 0.0) is None
+    _, refused = decisions.pump(waiter.end - 0.05)
+    assert [entry for entry, _ in refused] == [waiter]
+    assert len(decisions) == 0
+
+
+def test_a_key_without_owner_is_refused_until_when_it_may_have_one():
+    decisions = _admission(builders.book())
+    lookup = builders.FixedOwner(None, ready_in_s=5.0)
+    refused = decisions.offer(builders.waiter(owner=lookup), 0.0)
+    assert isinstance(refused, admission.Overload)
+    assert refused.retry_after_s > 1.0
+
+
+def test_a_key_on_the_move_waits():
+    decisions = _admission(builders.book())
+    lookup = builders.FixedOwner(None, ready_in_s=0.03)
+    assert decisions.offer(builders.waiter(owner=lookup), 0.0) is None
+
+
+def test_a_leaving_target_gets_nothing_new():
+    book = builders.book(builders.upstream("u-1"), builders.upstream("u-2"))
+    book.put(
+        builders.upstream("u-1", state=model.UpstreamState.DRAINING), now=1.0
+    )
+    assert _admission(book).offer(builders.waiter(1.0), 1.0).id == "u-2"
+    assert not book.by_id["u-1"].takes_requests(3.1, drain_s=2.0)
+
+
+def test_the_counts_of_a_queue_are_even_after_all_left():
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    decisions = _admission(book)
+    builders.occupy(target, 4)
+    waiter = builders.waiter(owner=builders.FixedOwner(target))
+    assert decisions.offer(waiter, 0.0) is None
+    assert target.waiting == 1
+    decisions.leave(waiter)
+    decisions.leave(waiter)
+    assert target.waiting == 0
+
+
+def test_an_address_that_another_server_took_is_out_of_use():
+    book = builders.book(builders.upstream("u-1", address="127.0.0.1:1"))
+    book.mark_gone("u-1", 1.0)
+    book.put(builders.upstream("u-2", address="127.0.0.1:1"), 1.5)
+    assert book.by_id["u-1"].is_replaced
+    assert not book.by_id["u-1"].takes_requests(1.5, drain_s=2.0)
+    # Its registration may lag: it doesn't come back to life by that.
+    book.put(builders.upstream("u-1", address="127.0.0.1:1"), 1.6)
+    assert book.by_id["u-1"].leaving_since is not None
+
+
+def test_the_retry_budget_is_a_part_of_the_requests():
+    repeats = budget.RetryBudget(0.2, 50, 10.0)
+    repeats.set_vms(10)
+    for _ in range(100):
+        repeats.note_request(builders.LOOKUPS, 0.0)
+    spent = 0
+    while repeats.can_spend(builders.LOOKUPS, 1.0):
+        repeats.spend(builders.LOOKUPS, 1.0)
+        spent += 1
+    assert 0 < spent <= budget.SAFETY * (0.2 * 100 + 5)
+    # The window slides.
+    assert repeats.can_spend(builders.LOOKUPS, 11.5)
+
+
+def test_speeds_are_learned_from_all_vms_and_forgotten():
+    book = speeds.SpeedBook()
+    told = {model.UpstreamId("u-1"): (200, 300)}
+    book.hear(model.NodeId("vm-2"), told, 0.0)
+    assert book.ratio("u-1", 0.0) > 2.0
+    assert book.ratio("u-1", 30.0) == 1.0
+    for _ in range(20):
+        book.note("u-2", 4.0, 0.0)
+    assert book.ratio("u-2", 0.0) > 3.0
+    assert book.ratio("u-2", 40.0) < 1.2
+    assert speeds.SpeedBook().tell(0.0) == {}
+
+
+def test_one_request_without_an_answer_makes_a_target_slow():
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    target.note_sent(1, 0.0, 0.2)
+    assert target.slow_factor(0.1) == 1.0
+    assert target.slow_factor(2.0) > 5.0
+    target.note_ended(1)
+    assert target.slow_factor(2.0) == 1.0
--- /dev/null
+++ b/tests/unit/test_gateway_keys.py
@@ -0,0 +1,181 @@
+"""Key maps, plans, holds and when a slot may be given away."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from swiftstile import errors
+from swiftstile.gateway import gossip
+from swiftstile.gateway import holds
+from swiftstile.gateway import keymap
+from swiftstile.gateway import keyplan
+from swiftstile.gateway import moves
+from tests import gateway_builders as builders
+
+_THREE = {"u-1": 3.0, "u-2": 3.0, "u-3": 3.0}
+
+
+def _dealt(weights=None, count: int = 64) -> keymap.KeyMap:
+    owners = keyplan.deal(count, weights or _THREE)
+    return keymap.KeyMap.empty(count).give({}, dict(enumerate(owners)))
+
+
+def test_a_map_survives_its_document():
+    before = _dealt().mark_leaving([3, 5])
+    before.slots[7].token = "t"
+    after = keymap.decode(before.encode("x"), 9)
+    assert after.slots == before.slots
+    assert (after.version, after.next_fence) == (9, before.next_fence)
+    assert after.leaving == {3, 5}
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_a_malformed_document_is_an_error(data):
+    with pytest.raises(errors.ControlMessageError):
+        keymap.decode(data, 1)
+
+
+def test_all_keys_belong_to_exactly_one_slot():
+    key_map = _dealt()
+    ends = [key_map.keys_of(index) for index in range(64)]
+    assert ends[0].first == 0 and ends[-1].last == 65535
+    for left, right in zip(ends, ends[1:], strict=False):
+        assert right.first == left.last + 1
+    assert key_map.index_of(65535) == 63
+
+
+def test_neighbouring_slots_have_different_owners():
+    owners = keyplan.deal(64, _THREE)
+    assert all(a != b for a, b in zip(owners, owners[1:], strict=False))
+
+
+def test_shares_follow_weights():
+    counts = collections.Counter(keyplan.deal(400, {"u-1": 3.0, "u-2": 1.0}))
+    assert counts == {"u-1": 300, "u-2": 100}
+
+
+def test_a_new_upstream_gets_its_share_and_no_more_moves():
+    key_map = _dealt(count=240)
+    weights = _THREE | {"u-4": 3.0}
+    moving = keyplan.surplus(key_map, weights, most=400)
+    placed = keyplan.destinations(key_map, moving, weights)
+    assert set(placed.values()) == {"u-4"}
+    assert 50 <= len(placed) <= 60
+    after = key_map.give({}, placed)
+    assert keyplan.surplus(after, weights, most=400) == []
+
+
+def test_slots_of_a_lost_owner_are_spread():
+    key_map = _dealt(count=240)
+    left = {"u-1": 3.0, "u-2": 3.0}
+    lost = key_map.slots_by_owner["u-3"]
+    placed = keyplan.destinations(key_map, lost, left)
+    counts = collections.Counter(placed.values())
+    assert abs(counts["u-1"] - counts["u-2"]) <= 2
+
+
+def test_fences_only_grow():
+    key_map = _dealt()
+    before = key_map.slots[4].fence
+    after = key_map.give({4: "warm"}, {4: "u-9"})
+    assert after.slots[4].fence > max(slot.fence for slot in key_map.slots)
+    assert after.slots[4].token == "warm"
+    assert key_map.slots[4].fence == before
+
+
+def test_neighbours_of_one_owner_are_one_run():
+    key_map = keymap.KeyMap.empty(8).give({}, dict.fromkeys(range(8), "u-1"))
+    assert key_map.runs_of("u-1") == [range(0, 8)]
+    assert key_map.mark_leaving([3]).runs_of("u-1") == [range(3), range(4, 8)]
+    moved = key_map.give({}, {2: "u-1"})
+    assert len(moved.runs_of("u-1")) == 3
+
+
+def test_a_grant_under_way_has_no_bound():
+    book = holds.HoldBook(4, 5.0)
+    book.note_sent(range(0, 2))
+    assert book.held_for_s([0], 0.0) == float("inf")
+    assert book.open_for_s([1], 0.0) == float("inf")
+    assert book.held_for_s([2], 0.0) == 0.0
+
+
+def test_an_answered_grant_is_held_and_not_open():
+    book = holds.HoldBook(4, 5.0)
+    book.note_sent(range(0, 1))
+    book.note_answered(range(0, 1), 1.0)
+    assert book.held_for_s([0], 1.0) >= 5.0 * holds.CLOCK_RATE
+    assert book.open_for_s([0], 1.0) == 0.0
+    assert book.held_for_s([0], 10.0) == 0.0
+
+
+def test_an_unanswered_grant_stays_open_after_a_newer_one_is_answered():
+    book = holds.HoldBook(4, 5.0)
+    book.note_sent(range(0, 1))
+    book.note_lost(range(0, 1), 1.0)
+    book.note_sent(range(0, 1))
+    book.note_answered(range(0, 1), 1.5)
+    assert book.open_for_s([0], 1.5) >= 4.5
+    assert book.open_for_s([0], 7.0) == 0.0
+
+
+def _clearance(peers, now, own=None, marked_at=10.0):
+    return moves.clearance(
+        builders.LOOKUPS,
+        "u-1",
+        7,
+        marked_at,
+        own or gossip.Hold(0.0, 0.0),
+        peers,
+        knowledge_s=10.0,
+        longest_s=5.25,
+        now=now,
+    )
+
+
+def _told(version: int, hold: gossip.Hold | None, heard_at: float):
+    row = builders.node_row("vm-2")
+    owners = {} if hold is None else {"u-1": hold}
+    told = builders.report(
+        row,
+        versions={builders.LOOKUPS: version},
+        holds={builders.LOOKUPS: owners},
+    )
+    return builders.peer(row, told, heard_at)
+
+
+def test_a_peer_that_stopped_and_granted_nothing_clears():
+    known = _clearance([_told(7, gossip.Hold(0.0, 0.0), 10.1)], 10.2)
+    assert known.all_stopped and known.held_s == 0.0
+
+
+def test_a_peer_with_an_older_map_may_still_renew():
+    known = _clearance([_told(6, None, 10.1)], 10.2)
+    assert not known.all_stopped
+    assert known.held_s > 14.0
+
+
+def test_what_a_peer_said_runs_down_while_it_is_silent():
+    known = _clearance([_told(7, gossip.Hold(4.0, 2.0), 10.1)], 13.1)
+    assert known.all_stopped
+    assert known.held_s == pytest.approx(1.0)
+    assert known.open_s == 0.0
+
+
+def test_a_silent_peer_is_waited_for_until_it_must_have_stopped():
+    silent = builders.peer(builders.node_row("vm-2"), None, 0.0)
+    assert not _clearance([silent], 19.0).all_stopped
+    late = _clearance([silent], 25.3)
+    assert late.all_stopped and late.held_s == 0.0
+
+
+def test_a_restarted_peer_may_have_granted_until_it_ended():
+    peer = _told(7, gossip.Hold(0.0, 0.0), 10.1)
+    peer.changed_at = 10.0
+    assert _clearance([peer], 10.2).held_s == pytest.approx(5.05)
+
+
+def test_a_grant_under_way_here_blocks():
+    infinite = gossip.Hold(float("inf"), float("inf"))
+    assert _clearance([], 10.2, own=infinite).held_s == float("inf")
--- /dev/null
+++ b/tests/unit/test_gateway_store.py
@@ -0,0 +1,310 @@
+"""Writes with lost answers, followed tables, registrations, leadership."""
+
+import asyncio
+
+import pytest
+
+from swiftstile import errors
+from swiftstile.gateway import follow
+from swiftstile.gateway import gossip
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import leadership
+from swiftstile.gateway import model
+from swiftstile.gateway import registry
+from swiftstile.gateway import settle
+from swiftstile.gateway import targets
+from tests import gateway_builders as builders
+
+
+def _condition(version: int) -> list[interfaces.Condition]:
+    return [interfaces.Condition("k", version)]
+
+
+def test_a_lost_answer_is_settled():
+    table = builders.MemoryTable()
+    table.lose_answers = 2
+    write = interfaces.Write("k", b"mine")
+    assert asyncio.run(settle.settled_write(table, _condition(0), write)) == 1
+    assert table.version == 1
+
+
+def test_a_late_write_cannot_take_effect_twice():
+    table = builders.MemoryTable()
+    table.delay_writes = 1
+    write = interfaces.Write("k", b"mine")
+    version = asyncio.run(settle.settled_write(table, _condition(0), write))
+    with pytest.raises(errors.ConflictError):
+        table.apply(*table.late[0])
+    assert table.rows["k"].version == version
+
+
+def test_a_late_write_that_was_first_counts():
+    class Racing(builders.MemoryTable):
+        async def write(self, conditions, writes):
+            if self.late:
+                self.apply(*self.late.pop())
+            return await super().write(conditions, writes)
+
+    table = Racing()
+    table.delay_writes = 1
+    write = interfaces.Write("k", b"mine")
+    assert asyncio.run(settle.settled_write(table, _condition(0), write)) == 1
+
+
+def test_another_writer_was_first():
+    table = builders.MemoryTable()
+    table.apply([], [interfaces.Write("k", b"other")])
+    with pytest.raises(errors.ConflictError):
+        asyncio.run(
+            settle.settled_write(
+                table, _condition(0), interfaces.Write("k", b"mine")
+            )
+        )
+
+
+def test_a_refusal_after_a_lost_answer_is_not_taken_for_not_done():
+    class Refusing(builders.MemoryTable):
+        async def write(self, conditions, writes):
+            if self.version == 1 and self.refuse:
+                self.refuse -= 1
+                raise errors.PlatformUnavailableError("busy", step="write")
+            return await super().write(conditions, writes)
+
+    table = Refusing()
+    table.lose_answers = 1
+    write = interfaces.Write("k", b"mine")
+
+    async def run():
+        with pytest.raises(errors.OutcomeUnknownError):
+            await table.write(_condition(0), [write])
+        table.rows.clear()
+        table.version = 0
+        table.lose_answers = 1
+        return await settle.settled_write(table, _condition(0), write)
+
+    assert asyncio.run(run()) == 1
+
+
+class _Seen:
+    def __init__(self):
+        self.by_key: dict[str, bytes | None] = {}
+
+    def __call__(self, changes) -> None:
+        for change in changes:
+            self.by_key[change.key] = change.value
+
+
+async def _until(condition, timeout_s: float = 5.0) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def _following(table, seen):
+    follower = follow.TableFollower("t", table, seen)
+    task = asyncio.create_task(follower.run())
+    await _until(lambda: follower.is_loaded)
+    return follower, task
+
+
+def test_changes_and_removals_are_followed():
+    async def run():
+        table, seen = builders.MemoryTable(), _Seen()
+        table.apply([], [interfaces.Write("a", b"1")])
+        _, task = await _following(table, seen)
+        table.apply([], [interfaces.Write("b", b"2")])
+        await _until(lambda: seen.by_key.get("b") == b"2")
+        table.apply([], [interfaces.Write("a", None)])
+        await _until(lambda: seen.by_key["a"] is None)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_removal_in_dropped_history_is_found():
+    async def run():
+        table, seen = builders.MemoryTable(), _Seen()
+        table.apply([], [interfaces.Write("a", b"1")])
+        _, task = await _following(table, seen)
+        table.refuse = 3
+        table.apply([], [interfaces.Write("a", None)])
+        table.log.clear()
+        table.oldest = table.version
+        await _until(lambda: seen.by_key["a"] is None)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_stale_read_changes_nothing():
+    async def run():
+        table, seen = builders.MemoryTable(), _Seen()
+        table.apply([], [interfaces.Write("a", b"1")])
+        follower, task = await _following(table, seen)
+        task.cancel()
+        follower.version = 100
+        with pytest.raises(errors.PlatformUnavailableError):
+            follower._replace(interfaces.Snapshot([], 5))
+        assert seen.by_key["a"] == b"1"
+
+    asyncio.run(run())
+
+
+def test_after_a_failure_the_store_is_probed_not_waited_for():
+    # A call that waits hides the store's return for as long as it may wait.
+    async def run():
+        table, seen = builders.MemoryTable(), _Seen()
+        follower, task = await _following(table, seen)
+        table.refuse = 2
+        await _until(lambda: True in table.probes)
+        await _until(lambda: follower.failing_since is None)
+        await _until(lambda: table.probes[-1] is False)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def _registry(recovered_at: float = 0.0):
+    book = targets.TargetBook()
+    made = registry.Registry(
+        book, lambda name, _: builders.upstream(name), lambda: None
+    )
+    made.follower = follow.TableFollower("t", builders.MemoryTable(), None)
+    made.follower.recovered_at = recovered_at
+    return made, book
+
+
+def _row(name: str, value: bytes | None, version: int) -> interfaces.Change:
+    return interfaces.Change(name, value, version)
+
+
+def test_a_registration_that_is_gone_makes_the_target_leave(monkeypatch):
+    clock = _Clock(monkeypatch)
+    made, book = _registry(recovered_at=-100.0)
+    clock.now = 10.0
+    made.apply([_row("u-1", b"", 1)])
+    made.apply([_row("u-1", None, 2)])
+    assert book.by_id["u-1"].leaving_since == 10.0
+
+
+def test_a_registration_that_lapsed_in_an_outage_may_come_back(monkeypatch):
+    clock = _Clock(monkeypatch)
+    made, book = _registry(recovered_at=10.0)
+    clock.now = 10.1
+    made.apply([_row("u-1", b"", 1), _row("u-2", b"", 1)])
+    made.apply([_row("u-1", None, 2), _row("u-2", None, 2)])
+    assert book.by_id["u-1"].leaving_since is None
+    made.apply([_row("u-1", b"", 3)])
+    made.tick(10.0 + registry.RETURN_S + 0.1)
+    assert book.by_id["u-1"].leaving_since is None
+    assert book.by_id["u-2"].leaving_since is not None
+
+
+def test_a_malformed_registration_is_dropped_and_the_rest_kept():
+    def decode(name, data):
+        if data == b"bad":
+            raise errors.ControlMessageError("bad", step="decode")
+        return builders.upstream(name)
+
+    book = targets.TargetBook()
+    made = registry.Registry(book, decode, lambda: None)
+    made.follower = follow.TableFollower("t", builders.MemoryTable(), None)
+    made.apply([_row("u-1", b"bad", 1), _row("u-2", b"", 1)])
+    assert list(book.by_id) == ["u-2"]
+
+
+class _Clock:
+    def __init__(self, monkeypatch):
+        self.now = 0.0
+        monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: self.now)
+
+
+def _leadership(table, name: str):
+    row = builders.node_row(name, run=name.rjust(8, "-"))
+    peers = gossip.Peers(row, lambda *_: None)
+    follower = follow.TableFollower("t", table, None)
+    follower.is_loaded = True
+    made = leadership.Leadership(peers, table, follower)
+    return made, peers
+
+
+def _lead(made: leadership.Leadership) -> None:
+    made._started = -10.0
+    made._try_at = 0.0
+    asyncio.run(made.tick())
+
+
+def test_of_two_that_race_one_leads():
+    table = builders.MemoryTable()
+    one, _ = _leadership(table, "vm-1")
+    two, _ = _leadership(table, "vm-2")
+    _lead(one)
+    _lead(two)
+    assert [one.is_leader, two.is_leader] == [True, False]
+
+
+def test_a_former_leader_can_write_nothing():
+    table = builders.MemoryTable()
+    one, _ = _leadership(table, "vm-1")
+    two, peers = _leadership(table, "vm-2")
+    _lead(one)
+    stale = one.condition()
+    two.apply(table.rows[leadership.LEADER_KEY])
+    assert model.NodeId("vm-1") not in peers.by_node
+    _lead(two)
+    assert two.is_leader
+    with pytest.raises(errors.ConflictError):
+        table.apply([stale], [interfaces.Write("keys/x", b"old")])
+
+
+def test_a_leader_that_is_heard_is_left_alone(monkeypatch):
+    table = builders.MemoryTable()
+    one, _ = _leadership(table, "vm-1")
+    two, peers = _leadership(table, "vm-2")
+    _lead(one)
+    two.apply(table.rows[leadership.LEADER_KEY])
+    clock = _Clock(monkeypatch)
+    clock.now = 50.0
+    row = builders.node_row("vm-1", run="----vm-1")
+    told = builders.report(row, is_leader=True)
+    peers.by_node["vm-1"] = builders.peer(row, told, heard_at=49.9)
+    _lead(two)
+    assert not two.is_leader
+    # Without the store it is replaced by one that has it.
+    told.store_silent_s = leadership.STORELESS_S + 0.1
+    _lead(two)
+    assert two.is_leader
+
+
+def test_the_smaller_part_of_a_cut_does_not_take_over(monkeypatch):
+    table = builders.MemoryTable()
+    one, _ = _leadership(table, "vm-1")
+    two, peers = _leadership(table, "vm-2")
+    _lead(one)
+    two.apply(table.rows[leadership.LEADER_KEY])
+    clock = _Clock(monkeypatch)
+    clock.now = 50.0
+    for name in ("vm-1", "vm-3", "vm-4"):
+        row = builders.node_row(name, run=name.rjust(8, "-"))
+        told = builders.report(row, is_leader=name == "vm-1")
+        peers.by_node[name] = builders.peer(row, told, heard_at=48.0)
+    _lead(two)
+    assert not two.is_leader
+    clock.now = 48.0 + leadership.LONG_SILENCE_S + 0.1
+    _lead(two)
+    assert two.is_leader
+
+
+def test_reports_of_an_earlier_run_are_dropped():
+    heard = []
+    me = builders.node_row("vm-1")
+    peers = gossip.Peers(me, lambda peer, _: heard.append(peer.report.sequence))
+    row = builders.node_row("vm-2", run="bbbbbbbb")
+    peers.apply(row, row.node, 0.0)
+    encoder = gossip.msgspec.msgpack.Encoder()
+    old = builders.node_row("vm-2", run="cccccccc")
+    peers._receive(encoder.encode(builders.report(old, 9)), "x")
+    peers._receive(encoder.encode(builders.report(row, 2)), "x")
+    peers._receive(encoder.encode(builders.report(row, 1)), "x")
+    peers._receive(b"not a report", "x")
+    assert heard == [2]
--- /dev/null
+++ b/tests/unit/test_platform_adapter.py
@@ -0,0 +1,178 @@
+"""The adapter: what the platform's bytes mean to us."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import multidict
+import pytest
+from users_platform import dialect
+from users_platform import documents
+from users_platform import wire
+
+from swiftstile import errors
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import model
+from swiftstile.gateway import outcomes
+
+
+def _headers(**values) -> multidict.CIMultiDict:
+    return multidict.CIMultiDict(
+        {name.replace("_", "-"): value for name, value in values.items()}
+    )
+
+
+def _config(*resources, version="0000000c") -> bytes:
+    return json.dumps(
+        {"version": version, "resources": list(resources), "more": 1}
+    ).encode()
+
+
+def _entry(entry_type: str, entry: str, **spec) -> dict:
+    return {
+        "entry_type": entry_type,
+        "metadata": {"name": entry},
+        "spec": spec,
+    }
+
+
+_SERVICE = _entry(
+    "services", "s1", health_path="/h", sharded=True, warm="3s", tls=False
+)
+_ROUTE = _entry(
+    "routes",
+    "r1",
+    host="A.example",
+    prefix="/x/",
+    kind="unsafe",
+    timeout="2500ms",
+    objective="800ms",
+    priority=1,
+    service="s1",
+    max_attempts=2,
+)
+
+
+def test_a_configuration_is_decoded():
+    limits = _entry("limits", "", max_body_bytes=9, idle_timeout="2.5s")
+    config = documents.decode_config(_config(_ROUTE, _SERVICE, limits))
+    assert config.version == 12
+    route = config.find("a.example", "/x/y")
+    assert route.repeatability is model.Repeatability.ONCE
+    assert (route.timeout_s, route.objective_s) == (2.5, 0.8)
+    assert config.services_by_name["s1"].is_keyed
+    assert config.limits.idle_timeout_s == 2.5
+    assert config.find("a.example", "/z/") is None
+
+
+def test_the_longest_prefix_wins():
+    longer = {**_ROUTE["spec"], "prefix": "/x/y/", "kind": "safe"}
+    both = _config(_ROUTE, _entry("routes", "r2", **longer), _SERVICE)
+    config = documents.decode_config(both)
+    assert config.find("a.example", "/x/y/z").name == "r2"
+    assert config.find("a.example", "/x/z").name == "r1"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        _config(_ROUTE),
+        _config(_ROUTE, _SERVICE, version="zz"),
+        _config(_entry("routes", "r", host="h"), _SERVICE),
+        _config(
+            _entry("routes", "r", **{**_ROUTE["spec"], "kind": "odd"}), _SERVICE
+        ),
+        _config(
+            _entry("routes", "r", **{**_ROUTE["spec"], "timeout": "2"}),
+            _SERVICE,
+        ),
+    ],
+)
+def test_a_bad_configuration_names_step_and_peer(data):
+    with pytest.raises(errors.BundleError) as caught:
+        documents.decode_config(data)
+    assert caught.value.step and caught.value.peer
+
+
+@hypothesis.given(strategies.binary(max_size=100))
+def test_any_bytes_for_a_registration_are_an_error(data):
+    with pytest.raises(errors.ControlMessageError):
+        documents.decode_upstream(model.UpstreamId("u"), data)
+
+
+def test_a_registration_is_decoded():
+    data = json.dumps(
+        {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": "z",
+            "version": "v1",
+            "slots": 3,
+            "state": "draining",
+            "cold_remaining": "1500ms",
+            "sequence": 4,
+        }
+    ).encode()
+    upstream = documents.decode_upstream(model.UpstreamId("u"), data)
+    assert upstream.state is model.UpstreamState.DRAINING
+    assert upstream.cold_s == 1.5
+
+
+@pytest.mark.parametrize("text", ["", "2", "ms", "2m", "s", "-"])
+def test_a_time_needs_its_unit(text):
+    with pytest.raises(ValueError):
+        wire.seconds(text)
+
+
+def test_headers_of_one_connection_and_forged_ones_stay_behind():
+    headers = _headers(
+        Host="a",
+        Connection="close, X-Private",
+        X_Private="1",
+        X_Deadline_Ms="99999",
+        X_Expect_Instance="forged",
+        X_Attempt_Id="abc",
+        Transfer_Encoding="chunked",
+        X_Other="kept",
+    )
+    sent = dialect.UsersDialect().upstream_headers(headers, "u-1", 1.25)
+    assert dict(sent) == {
+        "Host": "a",
+        "X-Attempt-Id": "abc",
+        "X-Other": "kept",
+        "X-Deadline-Ms": "1250",
+        "X-Expect-Instance": "u-1",
+    }
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("X-Deadline-Ms", "soon"),
+        ("X-Deadline-Ms", "-1"),
+        ("X-Shard-Key", "65536"),
+        ("X-Shard-Key", "٣"),
+    ],
+)
+def test_a_malformed_header_is_refused(name, value):
+    headers = multidict.CIMultiDict({name: value})
+    with pytest.raises(outcomes.BadRequestError):
+        dialect.UsersDialect().read_request(headers)
+
+
+def test_what_an_answer_says():
+    judge = dialect.UsersDialect().judge
+    kind = interfaces.AnswerKind
+    shed = judge(503, _headers(X_Not_Executed="1", X_Instance_Load="3,12,3"))
+    assert shed.kind is kind.NOT_RUN
+    assert shed.load == interfaces.Load(3, 12, 3)
+    other = judge(421, _headers(X_Instance_Id="i-2"))
+    assert (other.kind, other.answered_by) == (kind.MISDIRECTED, "i-2")
+    assert judge(503, _headers()).kind is kind.RAN
+    assert not judge(200, _headers()).is_sound
+    signed = _headers(X_Server_Signature="x")
+    assert judge(200, signed).is_sound
+    signed["Content-Encoding"] = "gzip"
+    assert not judge(200, signed).is_sound
