--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -8,6 +8,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.daemons import inspection
+from swiftstile.gateway import authority
 from swiftstile.gateway import budget
 from swiftstile.gateway import decisions
 from swiftstile.gateway import follow
@@ -20,9 +21,11 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import owners
 from swiftstile.gateway import registry as registry_lib
+from swiftstile.gateway import relay
 from swiftstile.gateway import renewals
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
+from swiftstile.peers import links
 
 __all__ = ["GatewayDaemon"]
 
@@ -51,11 +54,14 @@
         key_owners: owners.KeyOwners,
         maps: renewals.KeyMaps,
         renewing: renewals.Renewals,
+        right: authority.PeerAuthority,
         peers: gossip.Peers,
         leads: leadership.Leadership,
         member: membership.Membership,
         registry: registry_lib.Registry,
         followers: dict[str, follow.TableFollower],
+        row_relay: relay.RowRelay,
+        server: links.ControlServer,
         retry_budget: budget.RetryBudget,
         speed_book: speeds.SpeedBook,
         log: decisions.BoundedLines,
@@ -72,11 +78,14 @@
         self._owners = key_owners
         self._maps = maps
         self._renewing = renewing
+        self._authority = right
         self._peers = peers
         self._leads = leads
         self._member = member
         self._registry = registry
         self._followers = followers
+        self._relay = row_relay
+        self._server = server
         self._budget = retry_budget
         self._speeds = speed_book
         self._speeds_at = 0.0
@@ -94,6 +103,8 @@
         runs = [
             *(follower.run() for follower in self._followers.values()),
             self._peers.run(self._report),
+            self._server.run(),
+            self._relay.run(),
             self._renewing.run(),
             self._member.run(),
             self._gate.run(),
@@ -148,6 +159,8 @@
             sequence,
             self._leads.is_leader,
             self._is_leaving,
+            self._authority.is_able(now),
+            self._leads.version,
             round(store.silent_s(now), 1),
             shared,
             local,
@@ -194,6 +207,7 @@
             await asyncio.sleep(TICK_S)
             now = clocks.monotonic()
             self._registry.tick(now)
+            self._authority.tick(now)
             for target in self._book.by_id.values():
                 target.slowness = self._speeds.ratio(target.id, now)
             heard = self._peers.heard(now)
--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -87,6 +87,11 @@
             # What changes in the meantime comes with the next call.
             await asyncio.sleep(self._batch_s)
 
+    def accept(self, snapshot: interfaces.Snapshot) -> None:
+        """Takes in a copy of the table, unless a newer one is known."""
+        if snapshot.version > self.version:
+            self._replace(snapshot)
+
     def _replace(self, snapshot: interfaces.Snapshot) -> None:
         if snapshot.version < self.version:
             raise errors.PlatformUnavailableError(
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -34,6 +34,13 @@
 MAX_BYTES = 8192
 # Characters of an incarnation that tell runs apart in reports.
 RUN_LENGTH = 8
+# How long a retired VM still counts: longer than a leader goes on without the
+# store, and those that follow it.
+RETIRED_COUNTS_S = 20.0
+# A process that stood still for so long finds old datagrams in its socket.
+PAUSE_S = 0.25
+# In this time after a pause all that had queued up has been read.
+CATCH_UP_S = 0.1
 
 
 class NodeRow(msgspec.Struct, array_like=True):
@@ -83,6 +90,8 @@
         sequence: Grows with each report of a run.
         is_leader: It believes that it plans who owns which keys.
         is_leaving: It is shutting down.
+        is_able: It has the right to renew grants.
+        leader_version: Version of the leader's row that it follows; 0 if none.
         store_silent_s: Since when the store hasn't answered it; 0 if it does.
         shared: Requests at upstreams that all domains send to.
         local: The same at upstreams that their own domain sends to first.
@@ -96,6 +105,8 @@
     sequence: int
     is_leader: bool
     is_leaving: bool
+    is_able: bool
+    leader_version: int
     store_silent_s: float
     shared: Counts
     local: Counts
@@ -123,15 +134,17 @@
         self.changed_at = now
         self.retired_at = now
 
-    def is_heard(self, now: float) -> bool:
+    def is_heard(self, now: float, within_s: float = SILENT_AFTER_S) -> bool:
         """Whether it told something lately."""
-        return self.report is not None and now - self.heard_at < SILENT_AFTER_S
+        return self.report is not None and now - self.heard_at < within_s
 
 
 def _state(report: Report) -> tuple:
     """Returns what all VMs should know soon when it changes."""
     return (
         report.is_leader,
+        report.is_able,
+        report.leader_version,
         report.versions,
         report.unreachable,
         report.is_leaving,
@@ -166,6 +179,8 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
+        self._tick_at = 0.0
+        self._deaf_until = 0.0
         self._near_at = self._far_at = 0.0
         self._near_sent: tuple = ()
         self._far_sent: tuple = ()
@@ -188,9 +203,26 @@
             known.retired_at = now
         known.row = row
 
-    def heard(self, now: float) -> list[Peer]:
+    def heard(self, now: float, within_s: float = SILENT_AFTER_S) -> list[Peer]:
         """Returns the peers that told something lately."""
-        return [peer for peer in self.by_node.values() if peer.is_heard(now)]
+        return [
+            peer
+            for peer in self.by_node.values()
+            if peer.is_heard(now, within_s)
+        ]
+
+    def counted(self, now: float) -> list[Peer]:
+        """Returns the peers of which a majority is counted.
+
+        A retired one still counts for a while: a part of the VMs that doesn't
+        know yet that it was retired counts it, too.
+        """
+        return [
+            peer
+            for peer in self.by_node.values()
+            if not peer.row.is_retired
+            or now - peer.retired_at < RETIRED_COUNTS_S
+        ]
 
     async def run(self, make_report) -> None:
         """Sends and receives until cancelled.
@@ -204,12 +236,22 @@
             lambda: _Socket(self._receive), local_addr=(host, int(port))
         )
         try:
+            self._tick_at = clocks.monotonic()
             while True:
+                self.note_tick(clocks.monotonic())
                 self._send(make_report(self.next_sequence()))
                 await asyncio.sleep(NEAR_INTERVAL_S)
         finally:
             self._transport.close()
 
+    def note_tick(self, now: float) -> None:
+        """Notices when this process stood still since the last tick."""
+        still_s = now - self._tick_at
+        if still_s > PAUSE_S:
+            self._deaf_until = now + CATCH_UP_S
+            logs.logger.info("process stood still", for_s=round(still_s, 3))
+        self._tick_at = now
+
     def next_sequence(self) -> int:
         """Returns the number of the next report."""
         return self._sequence + 1
@@ -288,6 +330,9 @@
         if known is not None and known.sequence >= report.sequence:
             return
         now = clocks.monotonic()
+        if now < self._deaf_until or now - self._tick_at > PAUSE_S:
+            # It may have waited in the socket while this process stood still.
+            return
         peer.report = report
         peer.heard_at = now
         self._on_report(peer, now)
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -8,6 +8,7 @@
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile import metrics
+from swiftstile.gateway import authority
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
 from swiftstile.gateway import interfaces
@@ -72,6 +73,7 @@
         table: interfaces.StateTable,
         follower: follow.TableFollower,
         control: interfaces.UpstreamControl,
+        right: authority.PeerAuthority,
         meters: metrics.Meters,
     ):
         self._service = service
@@ -85,6 +87,7 @@
         self._table = table
         self._follower = follower
         self._control = control
+        self._authority = right
         self._meters = meters
         self._sources: dict[model.UpstreamId, _Source] = {}
         self._unknown_since: dict[model.UpstreamId, float] = {}
@@ -199,12 +202,11 @@
             self._service,
             owner,
             source.version,
-            source.marked_at,
             gossip.Hold(
                 book.held_for_s(slots, now), book.open_for_s(slots, now)
             ),
             list(self._peers.by_node.values()),
-            renewals.KNOWLEDGE_S,
+            self._stopped_at(source),
             book.longest_s,
             now,
         )
@@ -217,6 +219,13 @@
         self._start_release(current, owner, source, slots, now)
         return False
 
+    def _stopped_at(self, source: _Source) -> float:
+        """Returns when VMs that tell nothing have stopped renewing."""
+        since = self._authority.quorum_since
+        if since is None:
+            return float("inf")
+        return max(since, source.marked_at) + authority.STOPPED_AFTER_S
+
     def _is_replaced(self, owner: model.UpstreamId) -> bool:
         """Whether another upstream runs at its address, so that it ended."""
         target = self._book.by_id.get(owner)
--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -72,6 +72,7 @@
         if change.version < self.version:
             return
         self.version = change.version
+        self._silent_since = None
         self.row = None
         if change.value is not None:
             self.row = msgspec.msgpack.decode(change.value, type=LeaderRow)
@@ -119,11 +120,7 @@
             return report.is_leaving or report.store_silent_s > STORELESS_S
         if self._silent_since is None:
             self._silent_since = max(leader.heard_at, leader.changed_at)
-        known = [
-            peer
-            for peer in self._peers.by_node.values()
-            if not peer.row.is_retired
-        ]
+        known = self._peers.counted(now)
         heard = len(self._peers.heard(now)) + 1
         silent_s = now - self._silent_since
         if silent_s < gossip.SILENT_AFTER_S:
--- a/src/swiftstile/gateway/moves.py
+++ b/src/swiftstile/gateway/moves.py
@@ -12,7 +12,7 @@
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
 
-__all__ = ["Clearance", "clearance", "silent_bound_s"]
+__all__ = ["Clearance", "clearance"]
 
 
 class Clearance(msgspec.Struct):
@@ -30,26 +30,13 @@
     open_s: float
 
 
-def silent_bound_s(
-    marked_at: float, knowledge_s: float, longest_s: float, now: float
-) -> float:
-    """Returns until when a VM that tells nothing may make an owner hold.
-
-    It may go on for `knowledge_s` after its last contact with the store, which
-    was before the slots were marked, or it would know; and its last grant
-    holds for `longest_s`.
-    """
-    return max(0.0, marked_at + knowledge_s + longest_s - now)
-
-
 def clearance(
     service: ids.ServiceName,
     owner: model.UpstreamId,
     marked_version: int,
-    marked_at: float,
     own: gossip.Hold,
     peers: list[gossip.Peer],
-    knowledge_s: float,
+    stopped_at: float,
     longest_s: float,
     now: float,
 ) -> Clearance:
@@ -59,10 +46,10 @@
         service: The service.
         owner: The owner that the slots leave.
         marked_version: Version of the map in which they were marked.
-        marked_at: When that was written, at the latest.
         own: What this VM's own grants mean.
         peers: All other registered VMs.
-        knowledge_s: How long a VM acts without the store's word.
+        stopped_at: When VMs that tell nothing have stopped at the latest;
+            infinite if that isn't known.
         longest_s: Longest that one grant can be held.
         now: The time.
     """
@@ -70,12 +57,8 @@
     for peer in peers:
         hold = _word_of(peer, service, owner, marked_version, now)
         if hold is None:
-            # A retired VM had to stop by then, if that was earlier.
-            since = marked_at
-            if peer.row.is_retired:
-                since = min(marked_at, peer.retired_at)
-            bound = silent_bound_s(since, knowledge_s, longest_s, now)
-            result.all_stopped &= now > since + knowledge_s
+            bound = max(0.0, stopped_at + longest_s - now)
+            result.all_stopped &= now > stopped_at
             hold = gossip.Hold(bound, bound)
         elif peer.changed_at + longest_s > now:
             # An earlier run of it may have granted up to when it ended.
--- /dev/null
+++ b/src/swiftstile/gateway/relay.py
@@ -0,0 +1,116 @@
+"""Rows of the platform's store from peers, for a VM that it turns away.
+
+The store may refuse some VMs while it serves the others. Rows only move
+forward by their versions, so a peer's copy is as good as the store's, only
+older; it never counts as contact with the store.
+"""
+
+import asyncio
+
+from swiftstile import clocks
+from swiftstile import errors
+from swiftstile import logs
+from swiftstile.gateway import follow
+from swiftstile.gateway import gossip
+from swiftstile.gateway import interfaces
+from swiftstile.peers import links
+from swiftstile.peers import messages
+
+__all__ = ["RowRelay"]
+
+# A table is asked of a peer after the store was silent this long: longer than
+# single lost answers take.
+SILENT_S = 0.5
+# Between two questions.
+INTERVAL_S = 0.4
+# Longest wait for a peer's answer.
+TIMEOUT_S = 0.5
+# Questions answered at the same time.
+PARALLEL = 2
+
+
+class RowRelay(links.ControlHandler):
+    """Asks peers for rows, and answers theirs.
+
+    Args:
+        followers: The followed tables, by name.
+        peers: The other VMs.
+        calls: Links to them.
+    """
+
+    def __init__(
+        self,
+        followers: dict[str, follow.TableFollower],
+        peers: gossip.Peers,
+        calls: links.Links,
+    ):
+        self._followers = followers
+        self._peers = peers
+        self._calls = calls
+        self._turn = 0
+
+    async def handle(self, message: messages.Message) -> messages.Message:
+        """See base class."""
+        if not isinstance(message, messages.AskRows):
+            return messages.Refused("expected ask-rows")
+        follower = self._followers.get(message.table)
+        if follower is None or not follower.is_loaded:
+            return messages.Refused(f"table {message.table} isn't known")
+        if follower.version <= message.version:
+            return messages.Rows([], message.version)
+        rows = [
+            messages.Row(row.key, row.value, row.version)
+            for row in follower.rows.values()
+        ]
+        return messages.Rows(rows, follower.version)
+
+    async def run(self) -> None:
+        """Asks whenever the store is silent, until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            now = clocks.monotonic()
+            silent = [
+                follower
+                for follower in self._followers.values()
+                if follower.silent_s(now) > SILENT_S
+            ]
+            peer = self._choose(now) if silent else None
+            if peer is not None:
+                await asyncio.gather(
+                    *(self._ask(peer, follower) for follower in silent)
+                )
+
+    def _choose(self, now: float) -> gossip.Peer | None:
+        served = [
+            peer
+            for peer in self._peers.heard(now)
+            if peer.report.store_silent_s == 0
+        ]
+        near = [p for p in served if p.row.domain == self._peers.me.domain]
+        pool = near or served
+        if not pool:
+            return None
+        self._turn += 1
+        return pool[self._turn % len(pool)]
+
+    async def _ask(self, peer, follower: follow.TableFollower) -> None:
+        link = self._calls.to(peer.row.address)
+        question = messages.AskRows(follower.name, follower.version)
+        try:
+            told = await link.call(question, messages.Rows, TIMEOUT_S)
+        except errors.SwiftstileError as error:
+            logs.logger.info("rows not relayed", error=str(error))
+            return
+        if told.version <= follower.version:
+            return
+        changes = [
+            interfaces.Change(row.key, row.value, row.version)
+            for row in told.rows
+        ]
+        follower.accept(interfaces.Snapshot(changes, told.version))
+        logs.logger.info(
+            "rows from a peer",
+            table=follower.name,
+            peer_node=peer.row.node,
+            version=told.version,
+        )
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -2,12 +2,12 @@
 
 Renewing a grant to the same owner under the same fence is harmless whoever
 does it, so VMs share the upstreams out by what they see of each other, and two
-that see differently only renew twice. What must not happen is a renewal after
-a slot was given to another owner: a VM stops as soon as it knows that a slot
-is leaving, and when it can't know any more because the store hasn't answered
-it for `KNOWLEDGE_S`.
+that see differently only renew twice. What must not happen is a renewal long
+after a slot was marked as leaving: a VM renews only while an `Authority` says
+that what it knows is current.
 """
 
+import abc
 import asyncio
 import zlib
 
@@ -16,7 +16,6 @@
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile import metrics
-from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
 from swiftstile.gateway import holds
 from swiftstile.gateway import interfaces
@@ -24,16 +23,13 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import targets
 
-__all__ = ["HOLD_S", "KNOWLEDGE_S", "KeyMaps", "Renewals"]
+__all__ = ["HOLD_S", "Authority", "KeyMaps", "Renewals"]
 
 # Hold of each grant. A lost owner's keys wait so long for another; longer
 # holds would need fewer renewals.
 HOLD_S = 5.0
 # Between two renewals of a slot: two may fail before the hold is over.
 RENEW_EVERY_S = 1.8
-# How long a VM goes on renewing by what the store told it last. Longer than
-# the longest outage of the store that the users know, 9 s.
-KNOWLEDGE_S = 10.0
 # Between two looks for what is due.
 _TICK_S = 0.15
 # After a failed grant.
@@ -73,6 +69,14 @@
         self.changed = asyncio.Event()
 
 
+class Authority(abc.ABC):
+    """Knows whether grants may be renewed by what this VM knows."""
+
+    @abc.abstractmethod
+    def may_renew(self, service: ids.ServiceName) -> bool:
+        """Whether this VM's map of a service is current enough."""
+
+
 class Renewals:
     """Grants and renews keys.
 
@@ -87,16 +91,14 @@
         book: targets.TargetBook,
         peers: gossip.Peers,
         control: interfaces.UpstreamControl,
-        follower: follow.TableFollower,
-        is_registered,
+        authority: Authority,
         meters: metrics.Meters,
     ):
         self._maps = maps
         self._book = book
         self._peers = peers
         self._control = control
-        self._follower = follower
-        self._is_registered = is_registered
+        self._authority = authority
         self._meters = meters
         self._granted_at: dict[tuple[ids.ServiceName, int, int], float] = {}
         self._tasks: dict[model.UpstreamId, asyncio.Task] = {}
@@ -142,7 +144,8 @@
         others = [
             peer
             for peer in self._peers.heard(now)
-            if owner not in peer.report.unreachable
+            if peer.report.is_able
+            and owner not in peer.report.unreachable
             and not peer.report.is_leaving
         ]
         able = [peer.row for peer in others]
@@ -191,11 +194,6 @@
                 return False
         return True
 
-    def knows(self, now: float) -> bool:
-        """Whether the key maps that this VM has may be acted upon."""
-        age_s = now - self._follower.contact_at
-        return age_s < KNOWLEDGE_S and self._is_registered()
-
     async def _grant(self, service, owner, run: range) -> bool:
         key_map = self._maps.by_service[service]
         slot = key_map.slots[run.start]
@@ -203,7 +201,7 @@
             return True
         target = self._book.by_id.get(owner)
         now = clocks.monotonic()
-        if target is None or not self.knows(now):
+        if target is None or not self._authority.may_renew(service):
             return True
         book = self.holds(service, len(key_map.slots))
         book.note_sent(run)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -10,6 +10,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import admission
+from swiftstile.gateway import authority
 from swiftstile.gateway import budget
 from swiftstile.gateway import connections
 from swiftstile.gateway import daemon as daemon_lib
@@ -28,10 +29,12 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import owners
 from swiftstile.gateway import registry as registry_lib
+from swiftstile.gateway import relay
 from swiftstile.gateway import renewals
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
+from swiftstile.peers import links
 
 __all__ = ["Adapters", "gateway"]
 
@@ -114,6 +117,13 @@
         self._member = membership.Membership(
             self._peers, adapters.state, self._state
         )
+        self._authority = authority.PeerAuthority(
+            self._peers,
+            self._leads,
+            self._maps,
+            lambda: self._member.is_registered,
+            lambda: self._state.contact_at,
+        )
         self._daemon: daemon_lib.GatewayDaemon | None = None
 
     def build(self) -> daemon_lib.GatewayDaemon:
@@ -159,10 +169,16 @@
             self._book,
             self._peers,
             adapters.control,
-            self._state,
-            lambda: self._member.is_registered,
+            self._authority,
             self._meters,
         )
+        followers = {
+            follower.name: follower
+            for follower in (self._state, registrations, operations)
+        }
+        row_relay = relay.RowRelay(
+            followers, self._peers, links.Links(self._meters)
+        )
         self._daemon = daemon_lib.GatewayDaemon(
             self._node,
             front.Front(
@@ -175,15 +191,16 @@
             key_owners,
             self._maps,
             self._renewing,
+            self._authority,
             self._peers,
             self._leads,
             self._member,
             registry,
-            {
-                "state": self._state,
-                "registrations": registrations,
-                "operations": operations,
-            },
+            followers,
+            row_relay,
+            links.ControlServer(
+                self._settings.vm.peers, row_relay, self._meters, relay.PARALLEL
+            ),
             retry_budget,
             self._speeds,
             self._lines,
@@ -205,6 +222,7 @@
             self._adapters.state,
             self._state,
             self._adapters.control,
+            self._authority,
             self._meters,
         )
 
--- a/src/swiftstile/peers/messages.py
+++ b/src/swiftstile/peers/messages.py
@@ -10,6 +10,7 @@
 __all__ = [
     "CODEC",
     "AskPromise",
+    "AskRows",
     "Locate",
     "Located",
     "Message",
@@ -19,6 +20,8 @@
     "Promised",
     "Refused",
     "Resigned",
+    "Row",
+    "Rows",
     "Watch",
     "WatchReply",
 ]
@@ -127,6 +130,33 @@
     """The answerer doesn't coordinate that service."""
 
 
+class AskRows(msgspec.Struct, tag="ask-rows", frozen=True):
+    """Asks for the rows of a table, if the answerer knows newer ones.
+
+    Attributes:
+        table: Name of the table among the VMs.
+        version: Newest version that the sender knows.
+    """
+
+    table: str
+    version: int
+
+
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """One row of a table."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+class Rows(msgspec.Struct, tag="rows", frozen=True):
+    """All rows of a table as of a version, or none if that isn't newer."""
+
+    rows: list[Row]
+    version: int
+
+
 class Refused(msgspec.Struct, tag="refused", frozen=True):
     """The message wasn't understood or isn't allowed."""
 
@@ -144,6 +174,8 @@
     | Watch
     | WatchReply
     | NotHolder
+    | AskRows
+    | Rows
     | Refused
 )
 
--- a/tests/unit/test_gateway_store.py
+++ b/tests/unit/test_gateway_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from swiftstile import clocks
 from swiftstile import errors
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
@@ -40,6 +41,7 @@
 
 def test_a_late_write_that_was_first_counts():
     class Racing(builders.MemoryTable):
+
         async def write(self, conditions, writes):
             if self.late:
                 self.apply(*self.late.pop())
@@ -64,6 +66,7 @@
 
 def test_a_refusal_after_a_lost_answer_is_not_taken_for_not_done():
     class Refusing(builders.MemoryTable):
+
         async def write(self, conditions, writes):
             if self.version == 1 and self.refuse:
                 self.refuse -= 1
@@ -86,6 +89,7 @@
 
 
 class _Seen:
+
     def __init__(self):
         self.by_key: dict[str, bytes | None] = {}
 
@@ -214,6 +218,7 @@
 
 
 class _Clock:
+
     def __init__(self, monkeypatch):
         self.now = 0.0
         monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: self.now)
@@ -303,8 +308,31 @@
     peers.apply(row, row.node, 0.0)
     encoder = gossip.msgspec.msgpack.Encoder()
     old = builders.node_row("vm-2", run="cccccccc")
+    peers._tick_at = clocks.monotonic()
     peers._receive(encoder.encode(builders.report(old, 9)), "x")
     peers._receive(encoder.encode(builders.report(row, 2)), "x")
     peers._receive(encoder.encode(builders.report(row, 1)), "x")
     peers._receive(b"not a report", "x")
     assert heard == [2]
+
+
+def test_what_queued_up_while_the_process_stood_still_is_not_fresh(monkeypatch):
+    heard = []
+    clock = _Clock(monkeypatch)
+    clock.now = 100.0
+    me = builders.node_row("vm-1")
+    peers = gossip.Peers(me, lambda peer, _: heard.append(peer.report.sequence))
+    row = builders.node_row("vm-2")
+    peers.apply(row, row.node, 0.0)
+    encoder = gossip.msgspec.msgpack.Encoder()
+    peers.note_tick(100.0)
+    clock.now = 107.0
+    peers._receive(encoder.encode(builders.report(row, 1)), "x")
+    peers.note_tick(107.0)
+    clock.now = 107.01
+    peers._receive(encoder.encode(builders.report(row, 2)), "x")
+    assert heard == []
+    clock.now = 107.2
+    peers.note_tick(107.19)
+    peers._receive(encoder.encode(builders.report(row, 3)), "x")
+    assert heard == [3]
