Owners refuse older grants before a release; home queue before far slots

Change: where older grants may still arrive, a grant under a newer fence is sent first, so that the owner refuses them; a full target at home is compared with a free one far away.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -39,11 +39,13 @@
 LEAST_WAIT = 0.25
 # A request that has less than this part of its expected time left is refused.
 LEAST_TIME_LEFT = 0.6
-# What sending to another failure domain counts for: about what the caller
-# loses there when the link is the slow part, in seconds.
-OTHER_DOMAIN_S = 0.03
-# The same for large bodies, which use the scarce bandwidth between domains.
-OTHER_DOMAIN_LARGE_S = 0.6
+# What sending to another failure domain counts for, in objectives: bytes
+# between domains are dear, and an answer that comes a little later within its
+# objective is worth the same.
+OTHER_DOMAIN = 0.2
+# The same for large bodies: such a request goes to another domain only where
+# it would miss its objective at home.
+OTHER_DOMAIN_LARGE = 0.75
 # Shortest time after which a caller is asked back, in seconds.
 LEAST_RETRY_AFTER_S = 0.1
 # A service without any target: about two heartbeats of the upstreams.
@@ -226,19 +228,21 @@
     def pick(self, waiter: Waiter, now: float) -> targets.Target | None:
         """Returns the target with room that is expected to answer first."""
         best, best_s = None, waiter.end - now
+        best_full_s = _FOREVER
         for target in self._candidates(waiter, now):
             slots = target.upstream.slots
             ahead = target.occupied(now) - slots
-            if ahead >= QUEUE_AHEAD:
-                continue
             work_s = waiter.expected_s * target.slow_factor(now)
             took_s = work_s * (1 + max(0, ahead + 1) / slots)
             took_s += self._distance_s(waiter, target)
             if target.is_penalised(now):
                 took_s += waiter.expected_s
-            if waiter.owner is not None or took_s < best_s:
+            if ahead >= QUEUE_AHEAD:
+                best_full_s = min(best_full_s, took_s)
+            elif waiter.owner is not None or took_s < best_s:
                 best, best_s = target, took_s
-        return best
+        # One that is full now may still be the first to answer.
+        return best if best_s <= best_full_s else None
 
     def expected_wait_s(self, waiter: Waiter, now: float) -> float:
         """Returns how long a request would wait for a slot, in seconds."""
@@ -280,8 +284,8 @@
         if target.upstream.failure_domain == self._domain:
             return 0.0
         if waiter.route.repeatability is model.Repeatability.ONCE_LARGE:
-            return OTHER_DOMAIN_LARGE_S
-        return OTHER_DOMAIN_S
+            return OTHER_DOMAIN_LARGE * waiter.route.objective_s
+        return OTHER_DOMAIN * waiter.route.objective_s
 
     def _is_overtaking(self, waiter: Waiter, now: float) -> bool:
         """Whether one that waits for the same target should go first."""
--- a/src/swiftstile/gateway/gate.py
+++ b/src/swiftstile/gateway/gate.py
@@ -26,6 +26,7 @@
         Raises:
             RefusedError: No slot in time.
         """
+        self.pump()
         now = clocks.monotonic()
         decided = self.decisions.offer(waiter, now)
         if isinstance(decided, admission.Overload):
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -43,6 +43,11 @@
 # Calls to one upstream at the same time, when it releases slots: its busy
 # slots answer only when their work has ended.
 _RELEASE_PARALLEL = 16
+# How long VMs are waited for to say that they stopped renewing, before the
+# owner is made to refuse them: a few reports between failure domains.
+STOP_WAIT_S = 0.3
+# Hold of a grant that only shuts out older ones; it is released at once.
+FENCING_HOLD_S = 0.5
 # After a release failed.
 _RELEASE_PAUSE_S = 0.2
 
@@ -54,6 +59,8 @@
         self.version = version
         self.marked_at = marked_at
         self.tokens: dict[int, str] = {}
+        # Whether older grants are refused by it, whoever may still send them.
+        self.is_fenced = False
         self.release: asyncio.Task | None = None
         self.release_after = 0.0
 
@@ -212,11 +219,11 @@
         )
         if known.all_stopped and known.held_s <= 0:
             return True
-        if not known.all_stopped or known.held_s == float("inf"):
-            return False
+        is_certain = known.all_stopped and known.open_s <= 0
         if set(slots) <= set(source.tokens):
-            return known.open_s <= 0
-        self._start_release(current, owner, source, slots, now)
+            return source.is_fenced or is_certain
+        if is_certain or now - source.marked_at > STOP_WAIT_S:
+            self._start_release(current, source, slots, not is_certain, now)
         return False
 
     def _stopped_at(self, source: _Source) -> float:
@@ -231,11 +238,14 @@
         target = self._book.by_id.get(owner)
         return target is not None and target.is_replaced
 
-    def _start_release(self, current, owner, source, slots, now) -> None:
-        target = self._book.by_id.get(owner)
+    def _start_release(self, current, source, slots, fences, now) -> None:
+        target = self._book.by_id.get(current.slots[slots[0]].owner)
         is_running = source.release is not None and not source.release.done()
         if target is None or is_running or now < source.release_after:
             return
+        if fences and not source.is_fenced:
+            source.is_fenced = True
+            source.tokens.clear()
         left = [index for index in slots if index not in source.tokens]
         left.reverse()
         source.release = asyncio.create_task(
@@ -246,11 +256,8 @@
         async def work_off() -> None:
             while left:
                 index = left.pop()
-                source.tokens[index] = await self._control.release(
-                    target.upstream.address,
-                    target.id,
-                    current.keys_of(index),
-                    current.slots[index].fence,
+                source.tokens[index] = await self._take_back(
+                    current, target, index, source.is_fenced
                 )
 
         try:
@@ -266,6 +273,28 @@
                 error=str(problems.exceptions[0]),
             )
 
+    async def _take_back(self, current, target, index, fences) -> str:
+        """Makes an owner release a slot; returns the hand-over token.
+
+        Where grants under the old fence may still arrive, from a VM that tells
+        nothing or on their way, a grant under a newer fence comes first: the
+        owner refuses older ones from then on.
+        """
+        address, keys = target.upstream.address, current.keys_of(index)
+        fence = current.slots[index].fence
+        if fences:
+            fence = current.next_fence
+            result = await self._control.grant(
+                address, target.id, keys, fence, FENCING_HOLD_S, ""
+            )
+            if result is not interfaces.GrantResult.HELD:
+                raise errors.PeerUnavailableError(
+                    f"fencing grant {result.value}",
+                    step="take back keys",
+                    peer=target.id,
+                )
+        return await self._control.release(address, target.id, keys, fence)
+
     async def _write(self, changed: keymap.KeyMap, reason: str) -> bool:
         key = MAP_PREFIX + self._service
         value = changed.encode(ids.new_attempt_id())
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -51,7 +51,9 @@
 
     Attributes:
         version: Version of its row in the table; 0 when it isn't stored.
-        next_fence: Above every fence that was ever given.
+        next_fence: Above every fence that was ever given. It is never given
+            to another owner, but kept for shutting out late grants of the
+            present one.
         slots: Slots by index.
     """
 
@@ -124,10 +126,10 @@
         for index, owner in owners.items():
             slot = changed.slots[index]
             slot.owner = owner
-            slot.fence = self.next_fence
+            slot.fence = self.next_fence + 1
             slot.token = tokens.get(index, "")
             slot.is_leaving = False
-        return KeyMap(self.version, self.next_fence + 1, changed.slots)
+        return KeyMap(self.version, self.next_fence + 2, changed.slots)
 
     def mark_leaving(self, slots) -> "KeyMap":
         """Returns a map in which slots are about to change their owner."""
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -28,6 +28,21 @@
     assert decisions.offer(builders.waiter(), 0.0).id == "u-1"
 
 
+def test_a_full_target_at_home_is_waited_for_before_a_large_body_leaves():
+    book = builders.book(
+        builders.upstream("u-1", failure_domain=builders.AWAY),
+        builders.upstream("u-2"),
+    )
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-2"], 4)
+    large = model.Repeatability.ONCE_LARGE
+    assert decisions.offer(builders.waiter(repeatability=large), 0.0) is None
+    # A queue at home that costs more than the way is not.
+    builders.occupy(book.by_id["u-2"], 9)
+    assigned, _ = decisions.pump(0.0)
+    assert [entry.target.id for entry in assigned] == ["u-1"]
+
+
 def test_a_slow_target_is_passed_over():
     book = builders.book(builders.upstream("u-1"), builders.upstream("u-2"))
     book.by_id["u-1"].slowness = 8.0
