--- a/src/swiftstile/gateway/holds.py
+++ b/src/swiftstile/gateway/holds.py
@@ -41,6 +41,11 @@
             self._in_flight[index] -= 1
             self._end[index] = now + self.longest_s
 
+    def note_unsent(self, slots: range) -> None:
+        """It couldn't be sent: nothing changes for the upstream."""
+        for index in slots:
+            self._in_flight[index] -= 1
+
     def note_lost(self, slots: range, now: float) -> None:
         """It wasn't answered, and its connection was reset now."""
         for index in slots:
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -137,8 +137,9 @@
         """Grants or renews keys for `hold_s` seconds from its arrival.
 
         Raises:
-            PeerUnavailableError: No answer. Its connection was reset, so it
-                can't arrive any more, but may have arrived.
+            PeerTimeoutError: No answer. Its connection was reset, so it can't
+                arrive any more, but may have arrived.
+            PeerUnavailableError: Nothing was sent.
         """
 
     @abc.abstractmethod
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -217,10 +217,16 @@
             )
             is_over = True
             book.note_answered(run, clocks.monotonic())
-        except errors.PeerUnavailableError as error:
+        except errors.PeerTimeoutError as error:
             self._meters.ownership.add("grant-unanswered")
             logs.logger.debug("grant unanswered", error=str(error))
             return False
+        except errors.PeerUnavailableError as error:
+            is_over = True
+            book.note_unsent(run)
+            self._meters.ownership.add("grant-unsent")
+            logs.logger.debug("grant not sent", error=str(error))
+            return False
         finally:
             if not is_over:
                 book.note_lost(run, clocks.monotonic())
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -346,7 +346,7 @@
         listener = await asyncio.start_server(handle, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         calls = control.UpstreamCalls(connections.ConnectionPool())
-        with pytest.raises(errors.PeerUnavailableError):
+        with pytest.raises(errors.PeerTimeoutError):
             await calls.grant(
                 f"127.0.0.1:{port}",
                 "u-1",
