Gateways as processes between callers, servers and a store of ours; provider package

The package with the product's abstract table, object store and VM list is called provider now, so that one thing only is called platform; a lint check keeps the platform's words in its adapter.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	.venv/bin/pyink --check --quiet src standins benchmarks tests tools platform
 	.venv/bin/ruff check src standins benchmarks tests tools platform
 	.venv/bin/python tools/check_imports.py src standins benchmarks tests tools platform
+	.venv/bin/python tools/check_boundary.py src standins benchmarks tools
 
 format: install
 	.venv/bin/ruff check --fix --quiet src standins benchmarks tests tools platform
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -17,7 +17,7 @@
 from standins import journal
 from swiftstile import ids
 from swiftstile.ownership import slices
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = ["Fleet"]
 
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -4,7 +4,7 @@
 
 from benchmarks import organisations
 from benchmarks import processes
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = ["SETTINGS", "EntryVm", "Server"]
 
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -14,7 +14,7 @@
 from benchmarks import members
 from benchmarks import processes
 from swiftstile import clocks
-from swiftstile.platform import base
+from swiftstile.provider import base
 from swiftstile.routing import outcomes
 
 __all__ = ["LoadProcess", "Run"]
--- a/src/swiftstile/bundles/commands.py
+++ b/src/swiftstile/bundles/commands.py
@@ -12,8 +12,8 @@
 from swiftstile import ids
 from swiftstile.bundles import model
 from swiftstile.bundles import records
-from swiftstile.platform import base
-from swiftstile.platform import settle
+from swiftstile.provider import base
+from swiftstile.provider import settle
 
 __all__ = ["BundleCommands"]
 
--- a/src/swiftstile/bundles/queries.py
+++ b/src/swiftstile/bundles/queries.py
@@ -5,7 +5,7 @@
 from swiftstile import ids
 from swiftstile.bundles import model
 from swiftstile.bundles import records
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = ["BundleQueries"]
 
--- a/src/swiftstile/daemons/router.py
+++ b/src/swiftstile/daemons/router.py
@@ -10,7 +10,7 @@
 from swiftstile.bundles import watch as bundle_watch
 from swiftstile.daemons import inspection
 from swiftstile.membership import vms
-from swiftstile.platform import base
+from swiftstile.provider import base
 from swiftstile.routing import forwarding
 from swiftstile.routing import front as front_lib
 from swiftstile.routing import owners
--- a/src/swiftstile/membership/vms.py
+++ b/src/swiftstile/membership/vms.py
@@ -6,7 +6,7 @@
 
 from swiftstile import errors
 from swiftstile import ids
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = ["VmDirectory"]
 
--- a/src/swiftstile/ownership/coordination.py
+++ b/src/swiftstile/ownership/coordination.py
@@ -20,8 +20,8 @@
 from swiftstile.ownership import placement as placement_lib
 from swiftstile.ownership import slices
 from swiftstile.peers import messages
-from swiftstile.platform import base
-from swiftstile.platform import settle
+from swiftstile.provider import base
+from swiftstile.provider import settle
 
 __all__ = ["Coordination"]
 
--- a/src/swiftstile/ownership/documents.py
+++ b/src/swiftstile/ownership/documents.py
@@ -10,7 +10,7 @@
 from swiftstile import hashing
 from swiftstile import ids
 from swiftstile.ownership import slices
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = [
     "AssignmentStore",
--- a/src/swiftstile/ownership/holder.py
+++ b/src/swiftstile/ownership/holder.py
@@ -14,8 +14,8 @@
 from swiftstile.ownership import scouts
 from swiftstile.peers import links
 from swiftstile.peers import messages
-from swiftstile.platform import base
-from swiftstile.platform import settle
+from swiftstile.provider import base
+from swiftstile.provider import settle
 
 __all__ = ["Holder", "LeaseLostError"]
 
--- a/src/swiftstile/ownership/keeper.py
+++ b/src/swiftstile/ownership/keeper.py
@@ -14,8 +14,8 @@
 from swiftstile.ownership import holder as holder_lib
 from swiftstile.ownership import leases
 from swiftstile.ownership import scouts
-from swiftstile.platform import base
-from swiftstile.platform import settle
+from swiftstile.provider import base
+from swiftstile.provider import settle
 
 __all__ = ["LeaseKeeper", "rank"]
 
--- a/src/swiftstile/ownership/scouts.py
+++ b/src/swiftstile/ownership/scouts.py
@@ -8,7 +8,7 @@
 from swiftstile.ownership import leases
 from swiftstile.peers import links
 from swiftstile.peers import messages
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = ["CANDIDATES", "Scout"]
 
--- a/src/swiftstile/platform/http.py
+++ b/src/swiftstile/provider/http.py
@@ -6,7 +6,7 @@
 from swiftstile import errors
 from swiftstile import ids
 from swiftstile import metrics
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = ["HttpObjectStore", "HttpTable", "HttpVmList", "TransactBody"]
 
--- a/src/swiftstile/platform/settle.py
+++ b/src/swiftstile/provider/settle.py
@@ -5,7 +5,7 @@
 
 from swiftstile import errors
 from swiftstile import ids
-from swiftstile.platform import base
+from swiftstile.provider import base
 
 __all__ = ["settled_transact"]
 
--- a/src/swiftstile/wiring.py
+++ b/src/swiftstile/wiring.py
@@ -21,7 +21,7 @@
 from swiftstile.ownership import scouts
 from swiftstile.ownership import upstream_http
 from swiftstile.peers import links
-from swiftstile.platform import http as platform_http
+from swiftstile.provider import http as provider_http
 from swiftstile.routing import dispatch
 from swiftstile.routing import forwarding
 from swiftstile.routing import front
@@ -44,13 +44,13 @@
         self._settings = settings
         self._meters = metrics.Meters()
         platform = settings.platform
-        self.table = platform_http.HttpTable(
+        self.table = provider_http.HttpTable(
             platform.table_url, platform.timeout_s, self._meters
         )
-        self.objects = platform_http.HttpObjectStore(
+        self.objects = provider_http.HttpObjectStore(
             platform.objects_url, platform.timeout_s, self._meters
         )
-        self._vm_list = platform_http.HttpVmList(
+        self._vm_list = provider_http.HttpVmList(
             platform.vms_url, platform.timeout_s, self._meters
         )
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,7 +13,7 @@
 import msgspec
 import uvloop
 
-from swiftstile.platform import http as platform_http
+from swiftstile.provider import http as provider_http
 
 __all__ = ["Faults", "PlatformStandin", "main"]
 
@@ -88,13 +88,13 @@
         ]
         return _json([row for row in found if row is not None])
 
-    def _row_body(self, key: str) -> platform_http.RowBody | None:
+    def _row_body(self, key: str) -> provider_http.RowBody | None:
         value, version = self._rows[key]
         if self._random.random() < self.faults.lag_reads:
             if key not in self._older:
                 return None
             value, version = self._older[key]
-        return platform_http.RowBody(key, value, version)
+        return provider_http.RowBody(key, value, version)
 
     async def _transact(self, request: web.Request) -> web.Response:
         await self._disturb()
@@ -102,7 +102,7 @@
             raise web.HTTPServiceUnavailable(text="read only")
         self.writes += 1
         body = msgspec.json.decode(
-            await request.read(), type=platform_http.TransactBody
+            await request.read(), type=provider_http.TransactBody
         )
         if body.attempt not in self._attempts:
             for write in body.writes:
@@ -115,7 +115,7 @@
             request.transport.abort()
         return _json({})
 
-    def _apply(self, body: platform_http.TransactBody) -> None:
+    def _apply(self, body: provider_http.TransactBody) -> None:
         self._attempts.add(body.attempt)
         for write in body.writes:
             if write.value is not None:
--- /dev/null
+++ b/tests/integration/gateways.py
@@ -0,0 +1,250 @@
+"""Gateways as processes, and callers of them."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import re
+import signal
+import socket
+import sys
+import uuid
+
+import aiohttp
+
+from tests.integration import users_standins
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+ZONES = ("z1", "z2", "z3")
+
+
+def _free_port(host: str) -> int:
+    # The address belongs to one gateway of one test, so nobody else draws it.
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+def render(template: str, fields: dict) -> str:
+    """Fills in a settings template, as far as ours goes."""
+
+    def value(match: re.Match) -> str:
+        found = fields
+        for part in match[1].split("."):
+            found = found[int(part)] if part.isdigit() else found[part]
+        return str(found)
+
+    return re.sub(r"{{([\w.]+)}}", value, template)
+
+
+@dataclasses.dataclass
+class Gateway:
+    """One gateway process."""
+
+    number: int
+    host: str
+    store: str
+    folder: pathlib.Path
+    process: asyncio.subprocess.Process | None = None
+    front: str = ""
+    ready: str = ""
+
+    def __post_init__(self):
+        self.zone = ZONES[self.number % len(ZONES)]
+        self.log = self.folder / f"gateway-{self.number}.log"
+        ports = [_free_port(self.host) for _ in range(4)]
+        self.front = f"{self.host}:{ports[0]}"
+        self.ready = f"{self.host}:{ports[1]}"
+        fields = {
+            "node_name": f"vm-{self.number}",
+            "zone": self.zone,
+            "ip": self.host,
+            "listen": {"front": self.front, "ready": self.ready},
+            "internal_ports": ports[2:],
+            "platform": {"address": self.store, "row_bytes": 65536},
+            "bounds": {
+                "drain": "2000ms",
+                "grace": "6s",
+                "retry_budget_ratio": 0.2,
+                "budget_slack": 50,
+                "budget_window": "10s",
+            },
+        }
+        template = (_ROOT / "deploy" / "node.ini").read_text()
+        self.settings = self.folder / f"gateway-{self.number}.ini"
+        self.settings.write_text(render(template, fields))
+
+    async def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(_ROOT / "platform" / "run.py"),
+                "gateway",
+                env=os.environ | {"SWIFTSTILE_NODE_FILE": str(self.settings)},
+                stdout=log,
+                stderr=log,
+                cwd=_ROOT,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        if self.is_running:
+            self.process.send_signal(number)
+
+    async def end(self, number: signal.Signals) -> int:
+        self.send(number)
+        async with asyncio.timeout(20):
+            return await self.process.wait()
+
+
+@dataclasses.dataclass
+class Outcome:
+    attempt: str
+    method: str
+    status: int
+    body: bytes
+    echoed: str
+
+
+class Callers:
+    """Sends requests and keeps what came of them."""
+
+    def __init__(self, gateways: list[Gateway], seed: int = 1):
+        self._gateways = gateways
+        self._random = random.Random(seed)
+        self.outcomes: list[Outcome] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Callers":
+        self._session = aiohttp.ClientSession(auto_decompress=False)
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        await self._session.close()
+
+    async def call(
+        self, path: str = "", key: int | None = None, gateway=None, body=b""
+    ) -> Outcome:
+        is_read = self._random.random() < 0.6
+        path = path or ("/read/x" if is_read else "/write/x")
+        method = "GET" if path.startswith("/read") else "POST"
+        if key is None:
+            key = self._random.randrange(users_standins.KEYS)
+        gateway = gateway or self._random.choice(self._gateways)
+        attempt = uuid.uuid4().hex[:16]
+        headers = {
+            "Host": "a.example",
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": "3000",
+            "X-Shard-Key": str(key),
+        }
+        outcome = Outcome(attempt, method, 0, b"", attempt)
+        try:
+            async with self._session.request(
+                method,
+                f"http://{gateway.front}{path}",
+                headers=headers,
+                data=body or None,
+                timeout=aiohttp.ClientTimeout(total=4),
+            ) as answer:
+                outcome.body = await answer.read()
+                outcome.status = answer.status
+                outcome.echoed = answer.headers.get("X-Attempt-Id", attempt)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            outcome.status = 0
+        self.outcomes.append(outcome)
+        return outcome
+
+    async def load(self, per_s: float, until: asyncio.Event) -> None:
+        """Calls at a steady rate until told to stop."""
+        calls = set()
+        while not until.is_set():
+            call = asyncio.create_task(self.call())
+            calls.add(call)
+            call.add_done_callback(calls.discard)
+            await asyncio.sleep(1 / per_s)
+        if calls:
+            await asyncio.wait(calls)
+
+    def counts(self) -> collections.Counter:
+        return collections.Counter(entry.status for entry in self.outcomes)
+
+
+class Site:
+    """A store, servers, gateways and callers."""
+
+    def __init__(self, folder: pathlib.Path, gateways: int, seed: int = 1):
+        self.store = users_standins.Store()
+        self.world = users_standins.World(self.store)
+        self._folder = folder
+        self._count = gateways
+        self.gateways: list[Gateway] = []
+        self.callers: Callers | None = None
+        self._seed = seed
+
+    @contextlib.asynccontextmanager
+    async def running(self, servers: int = 6):
+        try:
+            self.store.put("op", "config", users_standins.config(1))
+            for index in range(servers):
+                zone = ZONES[index % len(ZONES)]
+                await self.world.start("keyed", zone)
+                await self.world.start("plain", zone)
+            for number in range(self._count):
+                await self._add(number)
+            async with Callers(self.gateways, self._seed) as self.callers:
+                await self.until(self.is_serving, 30)
+                self.callers.outcomes.clear()
+                yield self
+        finally:
+            for gateway in self.gateways:
+                if gateway.is_running:
+                    gateway.send(signal.SIGCONT)
+                    await gateway.end(signal.SIGKILL)
+            await self.world.close()
+            await self.store.close()
+
+    async def _add(self, number: int) -> None:
+        run = f"{os.getpid() % 200 + 1}.{self._seed % 200 + 1}"
+        host = f"127.{run}.{number + 1}"
+        door = await self.store.open_door(number)
+        gateway = Gateway(number, host, door, self._folder)
+        await gateway.start()
+        self.gateways.append(gateway)
+
+    async def is_serving(self) -> bool:
+        """Whether keys all over the key space are served by all gateways."""
+        for gateway in self.gateways:
+            for key in range(0, users_standins.KEYS, 8192):
+                outcome = await self.callers.call("/read/x", key, gateway)
+                if outcome.status != 200:
+                    await asyncio.sleep(0.1)
+                    return False
+        return True
+
+    async def until(self, condition, timeout_s: float) -> None:
+        async with asyncio.timeout(timeout_s):
+            while not await condition():
+                await asyncio.sleep(0.02)
+
+    def broken_promises(self) -> list[str]:
+        """Returns what callers and servers saw that mustn't be."""
+        ran = {run.attempt for run in self.world.runs}
+        faults = list(self.world.faults)
+        for outcome in self.callers.outcomes:
+            if outcome.echoed != outcome.attempt:
+                faults.append(f"{outcome.attempt} got {outcome.echoed}")
+            is_own = outcome.body.startswith(outcome.attempt.encode())
+            if outcome.status == 200 and not is_own:
+                faults.append(f"{outcome.attempt} got {outcome.body!r}")
+            is_refused = outcome.status in (408, 421, 429, 503)
+            is_once = outcome.method != "GET"
+            if is_once and is_refused and outcome.attempt in ran:
+                faults.append(f"{outcome.attempt} was refused and ran")
+        return faults
--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -9,7 +9,7 @@
 from benchmarks import processes
 from swiftstile import hashing
 from swiftstile import ids
-from swiftstile.platform import base
+from swiftstile.provider import base
 from tests import builders
 from tests.integration import callers
 
--- /dev/null
+++ b/tests/integration/users_standins.py
@@ -0,0 +1,427 @@
+"""Stand-ins for the users' platform: its store and its servers.
+
+They run in the test's own process, so that a test can make them fail and can
+look into them; the gateways under test are processes of their own.
+"""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import random
+
+from aiohttp import web
+
+KEYS = 65536
+_QUEUE = 12
+
+
+@dataclasses.dataclass
+class Row:
+    value: bytes | None
+    version: int
+
+
+class Store:
+    """The platform's store, with a door for each gateway.
+
+    Attributes:
+        mode_by_door: What callers at a door meet: `busy`, `silent`, `lost`
+            (done, not answered) or `late` (not answered, done later).
+    """
+
+    def __init__(self):
+        self.rows: dict[tuple[str, str], Row] = {}
+        self.version = 0
+        self.oldest = 0
+        self.log: list[tuple[str, str, int]] = []
+        self.mode_by_door: dict[int, str] = {}
+        self._changed = asyncio.Event()
+        self._runners: list[web.AppRunner] = []
+
+    async def open_door(self, number: int) -> str:
+        async def handle(request: web.Request) -> web.Response:
+            return await self._answer(request, number)
+
+        app = web.Application()
+        app.router.add_route("*", "/{tail:.*}", handle)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self._runners.append(runner)
+        port = site._server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def close(self) -> None:
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def put(self, table: str, key: str, document) -> int:
+        return self.write([(table, key, json.dumps(document).encode())])
+
+    def remove(self, table: str, key: str) -> int:
+        return self.write([(table, key, None)])
+
+    def write(self, entries) -> int:
+        self.version += 1
+        for table, key, value in entries:
+            self.rows[table, key] = Row(value, self.version)
+            self.log.append((table, key, self.version))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.version
+
+    def forget_history(self) -> None:
+        self.oldest = self.version
+
+    def keys(self, table: str) -> list[str]:
+        return [
+            key
+            for (name, key), row in self.rows.items()
+            if name == table and row.value is not None
+        ]
+
+    async def _answer(self, request, door: int) -> web.Response:
+        mode = self.mode_by_door.get(door, "")
+        if mode == "busy":
+            return web.Response(status=503)
+        if mode == "silent":
+            await asyncio.sleep(3600)
+        body = await request.read()
+        name = request.path.rpartition("/")[2]
+        if name == "rows-tx":
+            return await self._transact(json.loads(body), mode)
+        if name == "rows-get":
+            return self._json(self._table(request.query["table"]))
+        return await self._feed(request.query)
+
+    async def _transact(self, call, mode: str) -> web.Response:
+        if mode == "late":
+            asyncio.get_running_loop().call_later(1.0, self._apply, call)
+            await asyncio.sleep(3600)
+        answer = self._apply(call)
+        if mode == "lost":
+            await asyncio.sleep(3600)
+        return answer
+
+    def _apply(self, call) -> web.Response:
+        for wanted in call["precondition"]:
+            row = self.rows.get((wanted["table"], wanted["key"]))
+            version = row.version if row and row.value is not None else 0
+            if version != wanted["ver"]:
+                return web.Response(status=412, text='{"rows":[]}')
+        entries = [
+            (row["table"], row["key"], base64.b64decode(row["value"]))
+            for row in call["set_keys"]
+        ]
+        entries += [(row["table"], row["key"], None) for row in call["remove"]]
+        self.write(entries)
+        return self._json([])
+
+    def _table(self, table: str) -> list[dict]:
+        return [
+            self._row(key, row)
+            for (name, key), row in sorted(self.rows.items())
+            if name == table and row.value is not None
+        ]
+
+    @staticmethod
+    def _row(key: str, row: Row) -> dict:
+        shown = {"key": key, "ver": row.version}
+        if row.value is None:
+            return shown | {"tombstone": True}
+        return shown | {"value": base64.b64encode(row.value).decode()}
+
+    async def _feed(self, query) -> web.Response:
+        table, after = query["table"], int(query["after"])
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self.oldest:
+                return web.Response(status=410)
+            names = {
+                key
+                for name, key, version in self.log
+                if name == table and version > after
+            }
+            left_s = end - loop.time()
+            if names or left_s <= 0:
+                rows = [
+                    self._row(key, self.rows[table, key])
+                    for key in sorted(names)
+                ]
+                return self._json(rows)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+
+    def _json(self, rows) -> web.Response:
+        return web.json_response(
+            {
+                "rows": rows,
+                "ver": self.version,
+                "now": "0ms",
+                "has_more": False,
+            }
+        )
+
+
+@dataclasses.dataclass
+class Run:
+    attempt: str
+    method: str
+    key: int | None
+    server: str
+    started: float
+
+
+class World:
+    """Servers, what they ran, and who held which keys.
+
+    Attributes:
+        runs: Everything that servers began to work on.
+        faults: Broken promises, in words.
+    """
+
+    def __init__(self, store: Store):
+        self.store = store
+        self.by_id: dict[str, Server] = {}
+        self.runs: list[Run] = []
+        self.faults: list[str] = []
+        self.beating = True
+
+    async def start(self, service: str, zone: str, **changes) -> "Server":
+        name = f"i-{len(self.by_id):04d}"
+        server = Server(self, name, service, zone, **changes)
+        self.by_id[name] = server
+        await server.start()
+        return server
+
+    def note_run(self, run: Run) -> None:
+        ran = [
+            other
+            for other in self.runs
+            if other.attempt == run.attempt and run.method != "GET"
+        ]
+        if ran:
+            self.faults.append(f"{run.attempt} ran twice: {ran[0]} {run}")
+        self.runs.append(run)
+
+    def note_grant(self, server: "Server", first: int, last: int, now: float):
+        for other in self.by_id.values():
+            if other is server or not other.is_up:
+                continue
+            if other.service != server.service:
+                continue
+            if any(other.until[key] > now for key in range(first, last + 1)):
+                self.faults.append(
+                    f"{server.name} and {other.name} hold {first} to {last}"
+                )
+
+    async def close(self) -> None:
+        for server in self.by_id.values():
+            await server.stop()
+
+
+class Server:
+    """One server that holds keys."""
+
+    def __init__(
+        self,
+        world: World,
+        name: str,
+        service: str,
+        zone: str,
+        work_s: float = 0.03,
+        slots: int = 3,
+    ):
+        self.world = world
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.work_s = work_s
+        self.slots = slots
+        self.address = ""
+        self.is_up = False
+        self.late_share = 0.0
+        self.until = [0.0] * KEYS
+        self.seen = [0] * KEYS
+        self.running = 0
+        self.waiting = 0
+        self._working: list[int | None] = []
+        self._room = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        app = web.Application(client_max_size=1 << 26)
+        app.router.add_post("/swiftstile/grant", self._grant)
+        app.router.add_post("/swiftstile/release", self._release)
+        app.router.add_route("*", "/{tail:.*}", self._request)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.is_up = True
+        self.register("ready")
+
+    def register(self, state: str) -> None:
+        self.world.store.put(
+            "servers",
+            self.name,
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.slots,
+                "state": state,
+                "cold_remaining": "0ms",
+                "sequence": 1,
+            },
+        )
+
+    def unregister(self) -> None:
+        self.world.store.remove("servers", self.name)
+
+    async def stop(self) -> None:
+        """Crashes: its registration stays until somebody removes it."""
+        if self.is_up:
+            self.is_up = False
+            await self._runner.cleanup()
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        call = await request.json()
+        arrived = _now()
+        if random.random() < self.late_share:
+            asyncio.get_running_loop().call_later(
+                random.uniform(0.5, 3.0), self._take, call, arrived
+            )
+            await asyncio.sleep(3600)
+        return web.Response(status=self._take(call, arrived))
+
+    def _take(self, call, arrived: float) -> int:
+        first, last, fence = call["from"], call["to"], call["fence"]
+        if not self.is_up:
+            return 409
+        if any(self.seen[key] > fence for key in range(first, last + 1)):
+            return 409
+        until = arrived + float(call["hold_time"].removesuffix("ms")) / 1000
+        if until > _now():
+            self.world.note_grant(self, first, last, _now())
+        for key in range(first, last + 1):
+            self.seen[key] = fence
+            self.until[key] = max(self.until[key], until)
+        return 200
+
+    async def _release(self, request: web.Request) -> web.Response:
+        call = await request.json()
+        keys = range(call["from"], call["to"] + 1)
+        for key in keys:
+            self.until[key] = 0.0
+            self.seen[key] = max(self.seen[key], call["fence"])
+        async with self._room:
+            await self._room.wait_for(
+                lambda: not any(key in keys for key in self._working)
+            )
+        return web.Response(headers={"X-Handover": "0123456789abcdef"})
+
+    async def _request(self, request: web.Request) -> web.Response:
+        headers = {"X-Attempt-Id": request.headers.get("X-Attempt-Id", "")}
+        expected = request.headers.get("X-Expect-Instance", self.name)
+        text = request.headers.get("X-Shard-Key")
+        key = int(text) if text and self.service == "keyed" else None
+        not_held = key is not None and self.until[key] <= _now()
+        if expected != self.name or not_held:
+            headers |= {"X-Not-Executed": "1", "X-Instance-Id": self.name}
+            return web.Response(status=421, headers=headers)
+        if self.waiting >= _QUEUE:
+            await asyncio.sleep(3600)
+        await self._enter()
+        try:
+            return await self._work(request, headers, key)
+        finally:
+            await self._leave(key)
+
+    async def _enter(self) -> None:
+        async with self._room:
+            self.waiting += 1
+            try:
+                await self._room.wait_for(lambda: self.running < self.slots)
+            finally:
+                self.waiting -= 1
+            self.running += 1
+
+    async def _leave(self, key: int | None) -> None:
+        self.running -= 1
+        if key in self._working:
+            self._working.remove(key)
+        async with self._room:
+            self._room.notify_all()
+
+    async def _work(self, request, headers, key) -> web.Response:
+        self._working.append(key)
+        attempt = headers["X-Attempt-Id"]
+        self.world.note_run(
+            Run(attempt, request.method, key, self.name, _now())
+        )
+        body = await request.read()
+        await asyncio.sleep(self.work_s)
+        load = f"{self.running},{self.waiting},{self.slots}"
+        return web.Response(
+            body=f"{attempt}:{len(body)}".encode(),
+            headers=headers
+            | {"X-Server-Signature": "s", "X-Instance-Load": load},
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def config(version: int, *extra: dict) -> dict:
+    """Returns the operator's configuration: one keyed service, one plain."""
+
+    def entry(entry_type: str, name: str, **spec) -> dict:
+        return {
+            "entry_type": entry_type,
+            "metadata": {"name": name},
+            "spec": spec,
+        }
+
+    common = {"timeout": "2000ms", "objective": "600ms", "max_attempts": 2}
+    return {
+        "version": f"{version:08x}",
+        "base_version": "00000000",
+        "resources": [
+            entry(
+                "routes",
+                "reads",
+                host="a.example",
+                prefix="/read/",
+                kind="safe",
+                priority=2,
+                service="keyed",
+                **common,
+            ),
+            entry(
+                "routes",
+                "writes",
+                host="a.example",
+                prefix="/write/",
+                kind="unsafe",
+                priority=1,
+                service="plain",
+                **common,
+            ),
+            *extra,
+            entry("services", "keyed", sharded=True, warm="1s"),
+            entry("services", "plain"),
+            entry("limits", "", max_body_bytes=1 << 24),
+        ],
+    }
--- /dev/null
+++ b/tools/check_boundary.py
@@ -0,0 +1,44 @@
+"""Checks that the users' platform's words stay in its adapter.
+
+Usage: `python tools/check_boundary.py FOLDER...`; exits 1 if any file fails.
+Names of headers, paths and tables on that platform's wire may stand in the
+adapter (`platform/`) and in tests of it, nowhere else.
+"""
+
+import pathlib
+import re
+import sys
+
+_WORDS = re.compile(
+    r"X-(Attempt-Id|Deadline-Ms|Expect-Instance|Instance-(Id|Load)|Shard-Key"
+    r"|Not-Executed|Server-Signature|Handover)"
+    r"|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)"
+    r"|\b(hold_time|cold_remaining|traffic_split|entry_type|tombstone)\b"
+)
+
+
+def problems(path: pathlib.Path) -> list[str]:
+    """Returns a line for each word of the platform in a file."""
+    lines = path.read_text().splitlines()
+    return [
+        f"{path}:{number}: {found[0]} belongs into the adapter"
+        for number, line in enumerate(lines, 1)
+        if (found := _WORDS.search(line))
+    ]
+
+
+def main() -> int:
+    """Checks all files below the folders that are named."""
+    files = [
+        path
+        for name in sys.argv[1:]
+        for path in pathlib.Path(name).rglob("*.py")
+        if path.name != pathlib.Path(__file__).name
+    ]
+    found = [line for path in sorted(files) for line in problems(path)]
+    print("\n".join(found) or f"{len(files)} files keep to their side")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
