Hot slots go to faster upstreams; speeds only from answers that didn't wait

Speeds measured while requests queued up at the server made a saturated one look slow, so that its keys moved.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -79,13 +79,24 @@
 
     def __init__(self):
         self._mean_by_route: dict[str, float] = {}
+        self._mean_by_service: dict[ids.ServiceName, float] = {}
 
     def expected_s(self, route: model.Route) -> float:
         """Returns the time of a target of mean speed, in seconds."""
         return self._mean_by_route.get(route.name) or prior_s(route)
 
-    def note(self, route: model.Route, normal_s: float) -> None:
+    def of_service(self, service: ids.ServiceName) -> float | None:
+        """Returns the mean time of a service's requests, once measured."""
+        return self._mean_by_service.get(service)
+
+    def note(
+        self, route: model.Route, service: ids.ServiceName, normal_s: float
+    ) -> None:
         """Takes in a measured time, divided by the target's slowness."""
+        known = self._mean_by_service.get(service, normal_s)
+        self._mean_by_service[service] = known + TIME_WEIGHT * (
+            normal_s - known
+        )
         mean = self.expected_s(route)
         self._mean_by_route[route.name] = mean + TIME_WEIGHT * (normal_s - mean)
 
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -16,6 +16,7 @@
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import handler as handler_lib
+from swiftstile.gateway import heat
 from swiftstile.gateway import leadership
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
@@ -33,6 +34,8 @@
 TICK_S = 0.1
 # Between two tellings of how fast targets are.
 SPEEDS_INTERVAL_S = 0.8
+# Between two tellings of which keys are busy.
+HEAT_INTERVAL_S = 0.3
 # After the order to stop, callers go on coming this long: the balancer asks
 # once a second and takes a VM out after two misses.
 LINGER_S = 3.2
@@ -64,6 +67,7 @@
         server: links.ControlServer,
         retry_budget: budget.RetryBudget,
         speed_book: speeds.SpeedBook,
+        heat_book: heat.HeatBook,
         log: decisions.BoundedLines,
         make_keeper,
         grace_s: float,
@@ -89,6 +93,8 @@
         self._budget = retry_budget
         self._speeds = speed_book
         self._speeds_at = 0.0
+        self._heat = heat_book
+        self._heat_at = 0.0
         self._log = log
         self._make_keeper = make_keeper
         self._grace_s = grace_s
@@ -165,6 +171,7 @@
             shared,
             local,
             self._speeds_to_tell(now),
+            self._heat_to_tell(now),
             {
                 service: key_map.version
                 for service, key_map in self._maps.by_service.items()
@@ -188,6 +195,12 @@
         self._speeds_at = now
         return self._speeds.tell(now)
 
+    def _heat_to_tell(self, now: float):
+        if now - self._heat_at < HEAT_INTERVAL_S:
+            return {}
+        self._heat_at = now
+        return self._heat.tell(now)
+
     def on_report(self, peer: gossip.Peer, now: float) -> None:
         """Takes in how busy targets are by a peer's requests."""
         node = peer.row.node
@@ -198,6 +211,8 @@
                 target.peers[node] = (*counted, now)
             else:
                 target.peers.pop(node, None)
+        if peer.report.heat:
+            self._heat.hear(node, peer.report.heat, now)
         if peer.report.speeds:
             self._speeds.hear(node, peer.report.speeds, now)
         self._gate.pump()
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -13,6 +13,7 @@
 from swiftstile import errors
 from swiftstile import ids
 from swiftstile import logs
+from swiftstile.gateway import heat
 from swiftstile.gateway import model
 from swiftstile.gateway import speeds
 
@@ -96,6 +97,7 @@
         shared: Requests at upstreams that all domains send to.
         local: The same at upstreams that their own domain sends to first.
         speeds: What this VM measured, now and then.
+        heat: How often busy slots are asked for here, now and then.
         versions: Version of the key map that it follows, by service.
         holds: By service and owner, for slots that are leaving.
         unreachable: Upstreams that it can't reach.
@@ -111,6 +113,7 @@
     shared: Counts
     local: Counts
     speeds: speeds.Samples
+    heat: heat.Heat
     versions: dict[ids.ServiceName, int]
     holds: dict[ids.ServiceName, dict[model.UpstreamId, Hold]]
     unreachable: list[model.UpstreamId]
@@ -289,14 +292,15 @@
     def _send_far(self, report: Report, now: float) -> None:
         self._sequence = report.sequence
         full = msgspec.structs.replace(report, local={})
-        thin = msgspec.structs.replace(full, speeds={})
+        thin = msgspec.structs.replace(full, speeds={}, heat={})
         data = self._encoder.encode(thin)
         for peer in self.by_node.values():
             if peer.row.domain == self.me.domain:
                 continue
-            # Speeds of upstreams matter to the one that places keys.
+            # Speeds and heat matter to the one that places keys.
             told = peer.report
-            if report.speeds and told is not None and told.is_leader:
+            is_leader = told is not None and told.is_leader
+            if is_leader and (report.speeds or report.heat):
                 self._send_to(peer, self._encoder.encode(full), now)
             else:
                 self._send_to(peer, data, now)
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -4,6 +4,7 @@
 import aiohttp.http_exceptions
 
 from swiftstile import clocks
+from swiftstile import ids
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
@@ -99,6 +100,10 @@
             self._note_end(inbound, error, arrived)
             raise
 
+    def work_s(self, service: ids.ServiceName) -> float | None:
+        """Returns the mean work of a service's requests, once measured."""
+        return self._times.of_service(service)
+
     def _route(self, request) -> tuple[model.Route, model.Config]:
         config = self.config
         if config is None:
@@ -129,7 +134,7 @@
         spec = config.services_by_name.get(service)
         lookup = None
         if spec is not None and spec.is_keyed and inbound.key is not None:
-            lookup = self._owners.lookup(service, inbound.key)
+            lookup = self._owners.lookup(service, inbound.key, arrived)
         waiter = admission.Waiter(
             route,
             service,
@@ -274,12 +279,13 @@
         now = clocks.monotonic()
         took_s = now - sent
         self._meters.sends.add("answered")
-        slots = target.upstream.slots
-        if target.occupied(now) <= slots and answer.status < 300:
-            target.note_answer(now)
+        target.note_answer(now)
+        if answer.status < 300 and _did_not_wait(target, answer, now):
             prior_s = admission.prior_s(waiter.route)
             self._speeds.note(target.id, took_s / prior_s, now)
-            self._times.note(waiter.route, took_s / target.slowness)
+            self._times.note(
+                waiter.route, waiter.service, took_s / target.slowness
+            )
         self._log.note(
             decisions.RequestDecision(
                 call.inbound.attempt_id,
@@ -334,6 +340,14 @@
         )
 
 
+def _did_not_wait(target, answer, now: float) -> bool:
+    """Whether the time of an answer was its work, as far as can be told."""
+    load = answer.verdict.load
+    if load is not None and load.waiting:
+        return False
+    return target.occupied(now) <= target.upstream.slots
+
+
 def _ms(seconds: float) -> int:
     return int(seconds * 1000)
 
--- /dev/null
+++ b/src/swiftstile/gateway/hotplan.py
@@ -0,0 +1,63 @@
+"""Where the busiest slots should be: decisions without a network.
+
+The load they answer: one key draws a third of a service's requests for a few
+seconds. It can't be divided, so it belongs on the fastest upstream, with
+little else beside it.
+"""
+
+from swiftstile.gateway import keymap
+from swiftstile.gateway import model
+
+__all__ = ["hot_shares", "relocations"]
+
+# A slot is hot when it takes this part of its owner's capacity.
+HOT_SHARE = 0.4
+# A hot slot moves only to an upstream that is so much faster: less isn't worth
+# the requests that wait meanwhile, and speeds are known to a tenth or so.
+WORTH_MOVING = 1.25
+
+
+def hot_shares(
+    current: keymap.KeyMap,
+    rate_by_slot: dict[int, float],
+    capacity_by_id: dict[model.UpstreamId, float],
+) -> dict[int, float]:
+    """Returns hot slots, with the part of their owner's capacity they take.
+
+    Args:
+        current: Who owns which slots.
+        rate_by_slot: Requests/s of busy slots.
+        capacity_by_id: Requests/s that each upstream can do.
+    """
+    shares = {}
+    for slot, rate in rate_by_slot.items():
+        capacity = capacity_by_id.get(current.slots[slot].owner)
+        if capacity and rate / capacity >= HOT_SHARE:
+            shares[slot] = rate / capacity
+    return shares
+
+
+def relocations(
+    current: keymap.KeyMap,
+    hot: dict[int, float],
+    capacity_by_id: dict[model.UpstreamId, float],
+) -> dict[int, model.UpstreamId]:
+    """Returns better owners for hot slots, where there are any.
+
+    The hottest slot gets the fastest upstream, the next one the next; an
+    upstream gets one hot slot at most.
+    """
+    free = sorted(capacity_by_id, key=capacity_by_id.get, reverse=True)
+    moved: dict[int, model.UpstreamId] = {}
+    for slot in sorted(hot, key=hot.get, reverse=True):
+        if not free:
+            break
+        owner, best = current.slots[slot].owner, free[0]
+        is_alone = owner in free
+        gain = capacity_by_id[best] / capacity_by_id[owner]
+        if is_alone and gain < WORTH_MOVING:
+            free.remove(owner)
+            continue
+        free.remove(best)
+        moved[slot] = best
+    return moved
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -11,6 +11,8 @@
 from swiftstile.gateway import authority
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
+from swiftstile.gateway import heat
+from swiftstile.gateway import hotplan
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keymap
 from swiftstile.gateway import keyplan
@@ -37,6 +39,9 @@
 MOVE_BATCH = 400
 # Between two rounds of evening out: about what the effect of one takes to show.
 EVEN_OUT_EVERY_S = 1.5
+# A hot slot stays this long where it was put, so that it doesn't go back and
+# forth with noise.
+RELOCATE_EVERY_S = 3.0
 # Bounds of a target's speed over the mean, for its share of the keys. A slow
 # one keeps a few, which tell when it is fast again.
 SLOWEST_WEIGHT, FASTEST_WEIGHT = 0.1, 2.0
@@ -74,6 +79,8 @@
         maps: renewals.KeyMaps,
         book: targets.TargetBook,
         speed_book: speeds.SpeedBook,
+        heat_book: heat.HeatBook,
+        work_s,
         peers: gossip.Peers,
         renewing: renewals.Renewals,
         leads: leadership.Leadership,
@@ -87,6 +94,10 @@
         self._maps = maps
         self._book = book
         self._speeds = speed_book
+        self._heat = heat_book
+        self._work_s = work_s
+        self._wanted: dict[int, model.UpstreamId] = {}
+        self._relocated_at: dict[int, float] = {}
         self._evened_at = 0.0
         self._peers = peers
         self._renewing = renewing
@@ -155,9 +166,9 @@
             for index in slots
             if index not in current.leaving
         ]
-        moving = lost
+        moving = lost or self._relocate(current, weights, now)
         is_due = now - self._evened_at >= EVEN_OUT_EVERY_S
-        if weights and is_due and not lost and not current.leaving:
+        if weights and is_due and not moving and not current.leaving:
             self._evened_at = now
             moving = keyplan.surplus(current, weights, MOVE_BATCH)
         if not moving:
@@ -170,6 +181,30 @@
             for owner in {current.slots[index].owner for index in moving}:
                 self._sources[owner] = _Source(version, done)
 
+    def _relocate(self, current, weights, now: float) -> list[int]:
+        """Returns hot slots that should leave, and notes where they go."""
+        capacity = self._capacities(weights)
+        hot = {
+            slot: share
+            for slot, share in self._hot(current, capacity, now).items()
+            if slot not in current.leaving
+            and now - self._relocated_at.get(slot, 0.0) > RELOCATE_EVERY_S
+        }
+        found = hotplan.relocations(current, hot, capacity)
+        self._wanted |= found
+        self._relocated_at |= dict.fromkeys(found, now)
+        return list(found)
+
+    def _hot(self, current, capacity, now: float) -> dict[int, float]:
+        rates = self._heat.rates(self._service, now)
+        return hotplan.hot_shares(current, rates, capacity)
+
+    def _capacities(self, weights) -> dict[model.UpstreamId, float]:
+        work_s = self._work_s(self._service)
+        if not work_s:
+            return {}
+        return {owner: weight / work_s for owner, weight in weights.items()}
+
     def _is_lost(self, owner: model.UpstreamId, now: float) -> bool:
         target = self._book.by_id.get(owner)
         if target is not None:
@@ -198,6 +233,10 @@
         if not cleared or not weights:
             return
         placed = keyplan.destinations(current, cleared, weights)
+        for index in cleared:
+            wanted = self._wanted.pop(index, None)
+            if wanted in weights:
+                placed[index] = wanted
         if await self._write(current.give(tokens, placed), "moved"):
             self._meters.ownership.add("moved", len(placed))
 
--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -2,6 +2,7 @@
 
 from swiftstile import ids
 from swiftstile.gateway import admission
+from swiftstile.gateway import heat
 from swiftstile.gateway import renewals
 from swiftstile.gateway import targets
 
@@ -24,15 +25,26 @@
 class KeyOwners:
     """Owners of keys by the maps in force."""
 
-    def __init__(self, maps: renewals.KeyMaps, book: targets.TargetBook):
+    def __init__(
+        self,
+        maps: renewals.KeyMaps,
+        book: targets.TargetBook,
+        heat_book: heat.HeatBook,
+    ):
         self._maps = maps
         self._book = book
+        self._heat = heat_book
         self._misdirected: dict[
             tuple[ids.ServiceName, int], tuple[int, float]
         ] = {}
 
-    def lookup(self, service: ids.ServiceName, key: int) -> "OwnerOfKey":
-        """Returns a lookup for one request."""
+    def lookup(
+        self, service: ids.ServiceName, key: int, now: float
+    ) -> "OwnerOfKey":
+        """Returns a lookup for one request, which is counted."""
+        key_map = self._maps.by_service.get(service)
+        if key_map is not None:
+            self._heat.note(service, key_map.index_of(key), now)
         return OwnerOfKey(self, service, key)
 
     def version(self, service: ids.ServiceName) -> int:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -21,6 +21,7 @@
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import handler as handler_lib
+from swiftstile.gateway import heat
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keeper
 from swiftstile.gateway import keymap
@@ -107,6 +108,7 @@
         self._book = targets.TargetBook()
         self._maps = renewals.KeyMaps()
         self._speeds = speeds.SpeedBook()
+        self._heat = heat.HeatBook()
         self._peers = gossip.Peers(self._node, self._on_report)
         self._state = follow.TableFollower(
             "state", adapters.state, self._apply_state
@@ -151,8 +153,8 @@
         operations = follow.TableFollower(
             "operations", adapters.operations, self._apply_operations
         )
-        key_owners = owners.KeyOwners(self._maps, self._book)
-        handler = handler_lib.Handler(
+        key_owners = owners.KeyOwners(self._maps, self._book, self._heat)
+        self._handler = handler = handler_lib.Handler(
             gate,
             exchange.Exchange(connections.ConnectionPool(), adapters.dialect),
             adapters.dialect,
@@ -203,6 +205,7 @@
             ),
             retry_budget,
             self._speeds,
+            self._heat,
             self._lines,
             self._make_keeper,
             settings_lib.seconds(bounds.grace),
@@ -216,6 +219,8 @@
             self._maps,
             self._book,
             self._speeds,
+            self._heat,
+            self._handler.work_s,
             self._peers,
             self._renewing,
             self._leads,
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -112,6 +112,7 @@
         "shared": {},
         "local": {},
         "speeds": {},
+        "heat": {},
         "versions": {},
         "holds": {},
         "unreachable": [],
--- /dev/null
+++ b/tests/unit/test_gateway_heat.py
@@ -0,0 +1,58 @@
+"""Busy keys: found from all VMs' counts, and put on fast upstreams."""
+
+from swiftstile.gateway import heat
+from swiftstile.gateway import hotplan
+from swiftstile.gateway import keymap
+from swiftstile.gateway import model
+from tests import gateway_builders as builders
+
+_CAPACITY = {"u-1": 10.0, "u-2": 30.0, "u-3": 20.0}
+
+
+def _map(*owners: str) -> keymap.KeyMap:
+    made = keymap.KeyMap.empty(len(owners))
+    return made.give({}, dict(enumerate(owners)))
+
+
+def test_a_steady_rate_is_found():
+    book = heat.HeatBook()
+    for step in range(80):
+        book.note(builders.LOOKUPS, 7, step * 0.1)
+    rate = book.rates(builders.LOOKUPS, 8.0)[7]
+    assert 8.0 < rate < 12.0
+    assert book.rates(builders.LOOKUPS, 16.0) == {}
+
+
+def test_rates_of_all_vms_add_up_and_are_forgotten():
+    book = heat.HeatBook()
+    for name in ("vm-2", "vm-3"):
+        told = {builders.LOOKUPS: {7: 4.0}}
+        book.hear(model.NodeId(name), told, 1.0)
+    assert book.rates(builders.LOOKUPS, 1.1) == {7: 8.0}
+    assert book.rates(builders.LOOKUPS, 5.0) == {}
+
+
+def test_seldom_slots_are_not_told():
+    book = heat.HeatBook()
+    book.note(builders.LOOKUPS, 1, 0.0)
+    assert book.tell(1.0) == {}
+
+
+def test_a_slot_is_hot_by_what_its_owner_can_do():
+    current = _map("u-1", "u-2")
+    rates = {0: 6.0, 1: 6.0}
+    assert list(hotplan.hot_shares(current, rates, _CAPACITY)) == [0]
+
+
+def test_the_hottest_slot_goes_to_the_fastest_upstream():
+    current = _map("u-1", "u-1", "u-2")
+    hot = {0: 0.9, 1: 2.0}
+    moved = hotplan.relocations(current, hot, _CAPACITY)
+    assert moved == {1: "u-2", 0: "u-3"}
+
+
+def test_a_hot_slot_stays_where_little_would_be_gained():
+    current = _map("u-2", "u-3")
+    assert hotplan.relocations(current, {0: 2.0}, _CAPACITY) == {}
+    near = {"u-2": 22.0, "u-3": 20.0}
+    assert hotplan.relocations(current, {1: 2.0}, near) == {}
