--- /dev/null
+++ b/tests/unit/test_gateway_exclusivity.py
@@ -0,0 +1,383 @@
+"""One owner at a time, in a model of the platform's times.
+
+A leader takes a slot from server 1 and gives it to server 2, while another VM
+renews the slot at server 1. That VM may be cut off, stand still, be killed and
+started again; its grants may stay without an answer and be carried out late;
+the server's clock may run slow. Each safeguard is taken away once, and the
+overlap it prevents is found.
+"""
+
+import random
+import types
+
+import pytest
+
+from swiftstile.gateway import authority
+from swiftstile.gateway import gossip
+from swiftstile.gateway import holds
+from swiftstile.gateway import keeper
+from swiftstile.gateway import keymap
+from swiftstile.gateway import leadership
+from swiftstile.gateway import moves
+from swiftstile.gateway import renewals
+from tests import gateway_builders as builders
+
+_STEP_S = 0.05
+_LENGTH_S = 40.0
+_SLOT = range(0, 1)
+_OLD_FENCE, _FENCING = 1, 2
+
+
+class _Clock:
+    now = 100.0
+
+
+class _Server:
+
+    def __init__(self, rate: float):
+        self._rate = rate
+        self.until = 0.0
+        self.seen = 0
+
+    def take(self, fence: int, hold_s: float, arrived: float) -> bool:
+        if fence < self.seen:
+            return False
+        self.seen = fence
+        self.until = max(self.until, arrived + hold_s * self._rate)
+        return True
+
+    def release(self, fence: int) -> None:
+        self.until = 0.0
+
+
+class _Renewer:
+    """The other VM, with its right to renew."""
+
+    def __init__(self, clock: _Clock, run: str):
+        self.row = builders.node_row("vm-2", run=run)
+        self.book = holds.HoldBook(1, renewals.HOLD_S)
+        self.version = 1
+        self.due = clock.now
+        leader_row = builders.node_row("vm-1", run="leaderrr")
+        self.leader = gossip.Peer(leader_row, clock.now)
+        peers = gossip.Peers(self.row, lambda *_: None)
+        peers.by_node["vm-1"] = self.leader
+        leads = types.SimpleNamespace(
+            is_leader=False,
+            version=5,
+            row=leadership.LeaderRow("vm-1", leader_row.incarnation, ""),
+        )
+        maps = renewals.KeyMaps()
+        self._maps = maps
+        self.right = authority.PeerAuthority(
+            peers, leads, maps, lambda: True, lambda: clock.now
+        )
+        self.learn(1)
+
+    def learn(self, version: int) -> None:
+        self.version = version
+        key_map = keymap.KeyMap.empty(1)
+        key_map.version = version
+        self._maps.by_service[builders.LOOKUPS] = key_map
+
+    def report(self, sequence: int, now: float) -> gossip.Report:
+        told = {}
+        if self.version >= 2:
+            hold = gossip.Hold(
+                self.book.held_for_s(_SLOT, now),
+                self.book.open_for_s(_SLOT, now),
+            )
+            told = {builders.LOOKUPS: {"u-1": hold}}
+        return builders.report(
+            self.row,
+            sequence,
+            versions={builders.LOOKUPS: self.version},
+            holds=told,
+        )
+
+
+class _Model:
+    """Plays one sequence of events; `overlap_s` is what mustn't be."""
+
+    def __init__(self, seed: int):
+        self._random = random.Random(seed)
+        self._clock = _Clock()
+        rate = self._random.choice((1.0, 1.02))
+        self._server = _Server(rate)
+        self._renewer = _Renewer(self._clock, "run00001")
+        self._peer = gossip.Peer(self._renewer.row, -1000.0)
+        self._late: list[tuple[float, float]] = []
+        self._answers: list[tuple[float, _Renewer, bool]] = []
+        self._marked_at = 0.0
+        self._released = ""
+        self._given_at: float | None = None
+        self._sequence = 0
+        self.overlap_s = 0.0
+        self._plan()
+
+    def _plan(self) -> None:
+        draw = self._random.uniform
+        start = self._clock.now
+        self._mark_at = start + draw(1.0, 6.0)
+        self._cut = self._window(0.5)
+        self._still = self._window(0.4)
+        self._down = self._window(0.3)
+        self._unreachable = self._window(0.4)
+        self._late_share = self._random.choice((0.0, 0.3, 0.9))
+
+    def _window(self, share: float) -> tuple[float, float]:
+        if self._random.random() > share:
+            return (0.0, 0.0)
+        start = self._clock.now + self._random.uniform(0, 10)
+        return (start, start + self._random.uniform(0.3, 15))
+
+    def _is_in(self, window: tuple[float, float]) -> bool:
+        return window[0] <= self._clock.now < window[1]
+
+    def play(self, monkeypatch) -> float:
+        monkeypatch.setattr(
+            "swiftstile.clocks.monotonic", lambda: self._clock.now
+        )
+        while self._clock.now < 100.0 + _LENGTH_S:
+            self._clock.now += _STEP_S
+            self._carry_out_late()
+            self._renew()
+            self._tell()
+            self._lead()
+            is_held = self._server.until > self._clock.now
+            if self._given_at is not None and is_held:
+                self.overlap_s += _STEP_S
+        return self.overlap_s
+
+    def _carry_out_late(self) -> None:
+        now = self._clock.now
+        for entry in [e for e in self._late if e[1] <= now]:
+            self._late.remove(entry)
+            self._server.take(_OLD_FENCE, renewals.HOLD_S, entry[0])
+        for entry in [e for e in self._answers if e[0] <= now]:
+            self._answers.remove(entry)
+            _, renewer, is_answered = entry
+            if is_answered:
+                renewer.book.note_answered(_SLOT, now)
+            else:
+                renewer.book.note_lost(_SLOT, now)
+
+    def _renew(self) -> None:
+        now, renewer = self._clock.now, self._renewer
+        if self._is_in(self._down) or self._is_in(self._still):
+            return
+        if self._was_restarted():
+            self._renewer = renewer = _Renewer(self._clock, "run00002")
+            # A new run registers before anything else, with the newest map.
+            renewer.learn(2 if self._marked_at else 1)
+            self._peer.row = renewer.row
+            self._peer.report = None
+            self._peer.changed_at = now
+        if now < renewer.due or not renewer.right.may_renew(builders.LOOKUPS):
+            return
+        if renewer.version >= 2:
+            return
+        renewer.due = now + renewals.RENEW_EVERY_S
+        renewer.book.note_sent(_SLOT)
+        if self._random.random() < self._late_share:
+            self._late.append((now, now + self._random.uniform(0.5, 12)))
+            self._answers.append((now + 0.5, renewer, False))
+        else:
+            self._server.take(_OLD_FENCE, renewals.HOLD_S, now)
+            self._answers.append((now + _STEP_S, renewer, True))
+
+    def _was_restarted(self) -> bool:
+        end = self._down[1]
+        is_first = self._renewer.row.incarnation.endswith("run00001")
+        return is_first and end > 0 and self._clock.now >= end
+
+    def _tell(self) -> None:
+        now = self._clock.now
+        if self._is_in(self._down) or self._is_in(self._still):
+            return
+        if self._is_in(self._cut):
+            return
+        self._sequence += 1
+        self._peer.report = self._renewer.report(self._sequence, now)
+        self._peer.heard_at = now
+        version = 2 if self._marked_at else 1
+        leader = self._renewer.leader
+        leader.report = builders.report(
+            leader.row,
+            self._sequence,
+            is_leader=True,
+            leader_version=5,
+            versions={builders.LOOKUPS: version},
+        )
+        leader.heard_at = now
+        if version == 2:
+            self._renewer.learn(2)
+
+    def _lead(self) -> None:
+        now = self._clock.now
+        if self._given_at is not None:
+            return
+        if not self._marked_at:
+            if now >= self._mark_at:
+                self._marked_at = now
+            return
+        known = moves.clearance(
+            builders.LOOKUPS,
+            "u-1",
+            2,
+            gossip.Hold(0.0, 0.0),
+            [self._peer],
+            self._marked_at + authority.STOPPED_AFTER_S,
+            self._renewer.book.longest_s,
+            now,
+        )
+        is_certain = known.all_stopped and known.open_s <= 0
+        if known.all_stopped and known.held_s <= 0:
+            self._give()
+        elif self._released:
+            if self._released == "fenced" or is_certain:
+                self._give()
+        elif not self._is_in(self._unreachable):
+            if is_certain:
+                self._server.release(_OLD_FENCE)
+                self._released = "plain"
+            elif now - self._marked_at > keeper.STOP_WAIT_S:
+                self._take_back()
+
+    def _take_back(self) -> None:
+        self._server.take(_FENCING, 0.0, self._clock.now)
+        self._server.release(_FENCING)
+        self._released = "fenced"
+
+    def _give(self) -> None:
+        self._given_at = self._clock.now
+
+    @property
+    def is_given(self) -> bool:
+        return self._given_at is not None
+
+
+class _Restarting(_Model):
+    """The other VM is killed just before the slot is marked as leaving."""
+
+    def _plan(self) -> None:
+        super()._plan()
+        draw = self._random.uniform
+        self._down = (self._mark_at - draw(0, 1), self._mark_at + draw(0.1, 2))
+        self._unreachable = (self._mark_at, self._mark_at + 10)
+        self._cut = self._still = (0.0, 0.0)
+
+
+_SEEDS = range(150)
+
+
+def _overlaps(monkeypatch, kind=_Model) -> int:
+    return sum(kind(seed).play(monkeypatch) > 0 for seed in _SEEDS)
+
+
+def test_no_two_servers_hold_a_slot(monkeypatch):
+    assert _overlaps(monkeypatch) == 0
+
+
+def test_slots_do_get_new_owners(monkeypatch):
+    models = [_Model(seed) for seed in _SEEDS]
+    for model in models:
+        model.play(monkeypatch)
+    assert all(model.is_given for model in models)
+
+
+class _WithoutFencing(_Model):
+
+    def _take_back(self) -> None:
+        self._server.release(_OLD_FENCE)
+        self._released = "fenced"
+
+
+def test_without_the_fencing_grant_late_grants_overlap(monkeypatch):
+    assert _overlaps(monkeypatch, _WithoutFencing) > 0
+
+
+def test_without_the_wait_for_silent_vms_they_overlap(monkeypatch):
+    monkeypatch.setattr(authority, "STOPPED_AFTER_S", -10.0)
+    assert _overlaps(monkeypatch) > 0
+
+
+def test_without_the_wait_for_slow_clocks_they_overlap(monkeypatch):
+    monkeypatch.setattr(holds, "CLOCK_RATE", 1.0)
+    monkeypatch.setattr(holds, "MARGIN_S", 0.0)
+    assert _overlaps(monkeypatch) > 0
+
+
+def test_without_the_wait_for_unanswered_grants_they_overlap(monkeypatch):
+    monkeypatch.setattr(holds.HoldBook, "note_lost", _forget)
+    assert _overlaps(monkeypatch) > 0
+
+
+def _forget(self, slots, now) -> None:
+    self.note_unsent(slots)
+
+
+def test_without_the_wait_for_earlier_runs_they_overlap(monkeypatch):
+    original = moves.clearance
+
+    def without(service, owner, version, own, peers, *rest):
+        for peer in peers:
+            peer.changed_at = -1000.0
+        return original(service, owner, version, own, peers, *rest)
+
+    assert _overlaps(monkeypatch, _Restarting) == 0
+    monkeypatch.setattr(moves, "clearance", without)
+    assert _overlaps(monkeypatch, _Restarting) > 0
+
+
+def test_without_fresh_word_of_the_leader_they_overlap(monkeypatch):
+    monkeypatch.setattr(authority, "FRESH_S", 1000.0)
+    assert _overlaps(monkeypatch) > 0
+
+
+def test_the_leader_needs_a_majority(monkeypatch):
+    clock = _Clock()
+    monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: clock.now)
+    me = builders.node_row("vm-1", run="leaderrr")
+    peers = gossip.Peers(me, lambda *_: None)
+    leads = types.SimpleNamespace(is_leader=True, version=5, row=None)
+    contact = {"at": clock.now}
+    right = authority.PeerAuthority(
+        peers, leads, renewals.KeyMaps(), lambda: True, lambda: contact["at"]
+    )
+    for name in ("vm-2", "vm-3", "vm-4"):
+        row = builders.node_row(name)
+        told = builders.report(row, leader_version=5)
+        peers.by_node[name] = builders.peer(row, told, clock.now)
+    assert right.is_able(clock.now)
+    # One that follows another leader, and one that is silent: two of four.
+    peers.by_node["vm-2"].report.leader_version = 6
+    peers.by_node["vm-3"].heard_at -= 2.0
+    assert not right.is_able(clock.now)
+    peers.by_node["vm-3"].heard_at = clock.now
+    assert right.is_able(clock.now)
+    right.tick(clock.now)
+    assert right.quorum_since == clock.now
+    # Without the store for too long, whoever follows.
+    contact["at"] = clock.now - authority.STORELESS_S - 1
+    assert not right.is_able(clock.now)
+
+
+@pytest.mark.parametrize("version", [1, 3])
+def test_a_follower_with_another_map_than_the_leader_stops(
+    monkeypatch, version
+):
+    clock = _Clock()
+    monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: clock.now)
+    renewer = _Renewer(clock, "run00001")
+    renewer.leader.report = builders.report(
+        renewer.leader.row,
+        is_leader=True,
+        leader_version=5,
+        versions={builders.LOOKUPS: 2},
+    )
+    renewer.leader.heard_at = clock.now
+    renewer.learn(version)
+    assert not renewer.right.may_renew(builders.LOOKUPS)
+    renewer.learn(2)
+    assert renewer.right.may_renew(builders.LOOKUPS)
