--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -53,6 +53,9 @@
 STOP_WAIT_S = 0.3
 # Hold of a grant that only shuts out older ones; it is released at once.
 FENCING_HOLD_S = 0.5
+# Failures after which the rest of a release waits for the next try. Single
+# orders get no answer even where the upstream is well.
+_RELEASE_FAILURES = 24
 # After a release failed.
 _RELEASE_PAUSE_S = 0.2
 
@@ -292,24 +295,27 @@
         )
 
     async def _release(self, current, target, source, left: list[int]):
+        failed: list[errors.PeerUnavailableError] = []
+
         async def work_off() -> None:
-            while left:
+            while left and len(failed) < _RELEASE_FAILURES:
                 index = left.pop()
-                source.tokens[index] = await self._take_back(
-                    current, target, index, source.is_fenced
-                )
+                try:
+                    source.tokens[index] = await self._take_back(
+                        current, target, index, source.is_fenced
+                    )
+                except errors.PeerUnavailableError as error:
+                    failed.append(error)
 
-        try:
-            async with asyncio.TaskGroup() as group:
-                for _ in range(_RELEASE_PARALLEL):
-                    group.create_task(work_off())
-        except* errors.PeerUnavailableError as problems:
+        await asyncio.gather(*(work_off() for _ in range(_RELEASE_PARALLEL)))
+        if failed:
             source.release_after = clocks.monotonic() + _RELEASE_PAUSE_S
-            self._meters.ownership.add("release-unanswered")
+            self._meters.ownership.add("release-unanswered", len(failed))
             logs.logger.info(
                 "release unanswered",
                 upstream=target.id,
-                error=str(problems.exceptions[0]),
+                count=len(failed),
+                error=str(failed[0]),
             )
 
     async def _take_back(self, current, target, index, fences) -> str:
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -37,6 +37,10 @@
 # Grants to one upstream at the same time: enough to renew all its slots in
 # a fraction of the interval, at a few milliseconds each.
 _PARALLEL = 4
+# The same to an upstream that leaves orders without an answer.
+_PARALLEL_LOSING = 24
+# Without an answer to so many, the upstream counts as out of reach.
+_GIVE_UP_AFTER = 4
 
 
 class KeyMaps:
@@ -101,6 +105,7 @@
         self._authority = authority
         self._meters = meters
         self._granted_at: dict[tuple[ids.ServiceName, int, int], float] = {}
+        self._losing: set[model.UpstreamId] = set()
         self._tasks: dict[model.UpstreamId, asyncio.Task] = {}
         self.holds_by_service: dict[ids.ServiceName, holds.HoldBook] = {}
         self.unreachable: set[model.UpstreamId] = set()
@@ -179,20 +184,27 @@
         if not queue:
             return True
         queue.reverse()
-        results = await asyncio.gather(
+        # Orders that get no answer cost nothing but waiting: more at a time.
+        is_losing = owner in self._losing
+        parallel = _PARALLEL_LOSING if is_losing else _PARALLEL
+        answers: list[bool] = []
+        await asyncio.gather(
             *(
-                self._work_off(service, owner, queue)
-                for _ in range(min(_PARALLEL, len(queue)))
+                self._work_off(service, owner, queue, answers)
+                for _ in range(min(parallel, len(queue)))
             )
         )
-        return all(results)
+        if all(answers):
+            self._losing.discard(owner)
+        else:
+            self._losing.add(owner)
+        return any(answers)
 
-    async def _work_off(self, service, owner, queue: list[range]) -> bool:
+    async def _work_off(self, service, owner, queue, answers) -> None:
         while queue:
-            if not await self._grant(service, owner, queue.pop()):
-                queue.clear()
-                return False
-        return True
+            answers.append(await self._grant(service, owner, queue.pop()))
+            if len(answers) >= _GIVE_UP_AFTER and not any(answers):
+                return
 
     async def _grant(self, service, owner, run: range) -> bool:
         key_map = self._maps.by_service[service]
