--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -204,13 +204,14 @@
     def on_report(self, peer: gossip.Peer, now: float) -> None:
         """Takes in how busy targets are by a peer's requests."""
         node = peer.row.node
-        for target in self._book.by_id.values():
-            counted = peer.report.shared.get(target.id)
-            counted = counted or peer.report.local.get(target.id)
-            if counted is not None:
-                target.peers[node] = (*counted, now)
-            else:
-                target.peers.pop(node, None)
+        counts = peer.report.shared | peer.report.local
+        for name in peer.told_of - set(counts):
+            if name in self._book.by_id:
+                self._book.by_id[name].peers.pop(node, None)
+        for name, counted in counts.items():
+            if name in self._book.by_id:
+                self._book.by_id[name].peers[node] = (*counted, now)
+        peer.told_of = set(counts)
         if peer.report.heat:
             self._heat.hear(node, peer.report.heat, now)
         if peer.report.speeds:
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -27,6 +27,12 @@
 # Between two reports when nothing changed: three may be lost before a peer
 # counts as silent.
 HEARTBEAT_S = 0.25
+# Most reports a second to the own domain: with many VMs each hears less often
+# of each, as each has a smaller part of the requests.
+NEAR_PER_S = 160
+# Reports to other domains at a time; the rest take turns. No fewer than the
+# peers of today's sites, of which each is told each time.
+FAR_AT_A_TIME = 8
 # While keys move every report counts, to all domains.
 URGENT_INTERVAL_S = 0.05
 # A peer without a report for this long isn't counted on.
@@ -128,6 +134,7 @@
         heard_at: When that came, on the steady clock.
         changed_at: When its present run was first known.
         retired_at: When it was first known to be retired, if it is.
+        told_of: Upstreams at which it has requests, by its newest report.
     """
 
     def __init__(self, row: NodeRow, now: float):
@@ -136,6 +143,7 @@
         self.heard_at = 0.0
         self.changed_at = now
         self.retired_at = now
+        self.told_of: set[model.UpstreamId] = set()
 
     def is_heard(self, now: float, within_s: float = SILENT_AFTER_S) -> bool:
         """Whether it told something lately."""
@@ -182,6 +190,7 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
+        self._far_turn = 0
         self._tick_at = 0.0
         self._deaf_until = 0.0
         self._near_at = self._far_at = 0.0
@@ -214,6 +223,12 @@
             if peer.is_heard(now, within_s)
         ]
 
+    def turn_s(self) -> float:
+        """Returns within which time each VM is heard, turns included."""
+        far = len(self.by_node) - self._near_count()
+        turns = far / FAR_AT_A_TIME
+        return max(SILENT_AFTER_S, 1.5 * FAR_INTERVAL_S * turns)
+
     def counted(self, now: float) -> list[Peer]:
         """Returns the peers of which a majority is counted.
 
@@ -267,7 +282,9 @@
     def _send(self, report: Report) -> None:
         now = clocks.monotonic()
         content = (report.shared, report.local, *_state(report))
-        near_s = HEARTBEAT_S if content == self._near_sent else NEAR_INTERVAL_S
+        near_s = HEARTBEAT_S
+        if content != self._near_sent:
+            near_s = max(NEAR_INTERVAL_S, self._near_count() / NEAR_PER_S)
         state = _state(report)
         is_urgent = bool(report.holds) or state != self._far_sent
         far_s = URGENT_INTERVAL_S if is_urgent else FAR_INTERVAL_S
@@ -282,6 +299,10 @@
             self._far_at, self._far_sent = now, state
             self._send_far(report, now)
 
+    def _near_count(self) -> int:
+        domain = self.me.domain
+        return sum(p.row.domain == domain for p in self.by_node.values())
+
     def _send_near(self, report: Report, now: float) -> None:
         self._sequence = report.sequence
         data = self._encoder.encode(report)
@@ -294,17 +315,37 @@
         full = msgspec.structs.replace(report, local={})
         thin = msgspec.structs.replace(full, speeds={}, heat={})
         data = self._encoder.encode(thin)
-        for peer in self.by_node.values():
-            if peer.row.domain == self.me.domain:
-                continue
+        for peer in self._far_peers(report):
             # Speeds and heat matter to the one that places keys.
-            told = peer.report
-            is_leader = told is not None and told.is_leader
+            is_leader = peer.report is not None and peer.report.is_leader
             if is_leader and (report.speeds or report.heat):
                 self._send_to(peer, self._encoder.encode(full), now)
             else:
                 self._send_to(peer, data, now)
 
+    def _far_peers(self, report: Report) -> list[Peer]:
+        """Returns the peers of other domains whose turn it is.
+
+        The leader and those that follow it need each other's word all the
+        time; all others take turns where they are many.
+        """
+        far = [
+            peer
+            for peer in self.by_node.values()
+            if peer.row.domain != self.me.domain
+        ]
+        if report.is_leader or len(far) <= FAR_AT_A_TIME:
+            return far
+        first = self._far_turn % len(far)
+        self._far_turn += FAR_AT_A_TIME
+        chosen = (far[first:] + far[:first])[:FAR_AT_A_TIME]
+        leaders = [
+            peer
+            for peer in far
+            if peer.report is not None and peer.report.is_leader
+        ]
+        return chosen + [peer for peer in leaders if peer not in chosen]
+
     def _send_to(self, peer: Peer, data: bytes, now: float) -> None:
         if peer.row.is_retired and not peer.is_heard(now):
             return
--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -121,7 +121,7 @@
         if self._silent_since is None:
             self._silent_since = max(leader.heard_at, leader.changed_at)
         known = self._peers.counted(now)
-        heard = len(self._peers.heard(now)) + 1
+        heard = len(self._peers.heard(now, self._peers.turn_s())) + 1
         silent_s = now - self._silent_since
         if silent_s < gossip.SILENT_AFTER_S:
             return False
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -128,11 +128,12 @@
             return
 
     def _share_out(self, now: float) -> None:
+        able = self._able_peers(now)
         wanted = {
             owner
             for key_map in self._maps.by_service.values()
             for owner in key_map.slots_by_owner
-            if owner in self._book.by_id and self.is_mine(owner, now)
+            if owner in self._book.by_id and self._is_mine(owner, able)
         }
         for owner in [name for name in self._tasks if name not in wanted]:
             self._tasks.pop(owner).cancel()
@@ -142,22 +143,24 @@
             if task is None or task.done():
                 self._tasks[owner] = asyncio.create_task(self._renew(owner))
 
-    def is_mine(self, owner: model.UpstreamId, now: float) -> bool:
-        """Whether this VM looks after an upstream, by what it sees now."""
-        me = self._peers.me
-        domain = self._book.by_id[owner].upstream.failure_domain
-        others = [
+    def _able_peers(self, now: float) -> list[gossip.Peer]:
+        return [
             peer
             for peer in self._peers.heard(now)
-            if peer.report.is_able
-            and owner not in peer.report.unreachable
-            and not peer.report.is_leaving
+            if peer.report.is_able and not peer.report.is_leaving
         ]
-        able = [peer.row for peer in others]
+
+    def _is_mine(
+        self, owner: model.UpstreamId, able: list[gossip.Peer]
+    ) -> bool:
+        """Whether this VM looks after an upstream, by what it sees now."""
+        me = self._peers.me
+        domain = self._book.by_id[owner].upstream.failure_domain
+        others = [p.row for p in able if owner not in p.report.unreachable]
         if owner not in self.unreachable:
-            able.append(me)
-        near = [row for row in able if row.domain == domain]
-        pool = near or able or [me]
+            others.append(me)
+        near = [row for row in others if row.domain == domain]
+        pool = near or others or [me]
         first = max(pool, key=lambda row: _affinity(row.node, owner))
         return first.node == me.node
 
