--- a/src/swiftstile/cli.py
+++ b/src/swiftstile/cli.py
@@ -20,6 +20,7 @@
 from swiftstile import wiring
 from swiftstile.bundles import model
 from swiftstile.daemons import inspection
+from swiftstile.gateway import settings as gateway_settings
 from swiftstile.ownership import documents
 
 __all__ = ["main"]
@@ -90,10 +91,14 @@
 
 
 def _add_check(commands) -> None:
-    text = "check a settings file and say all that is wrong with it"
-    command = commands.add_parser("check-settings", help=text, description=text)
-    command.add_argument("file", type=pathlib.Path, help="an INI file")
-    command.set_defaults(run=_check_settings)
+    for name, load, kind in (
+        ("check-settings", settings_lib.load, "router and coordinator"),
+        ("check-gateway", gateway_settings.load, "gateway"),
+    ):
+        text = f"check a settings file of {kind}, say all that is wrong"
+        command = commands.add_parser(name, help=text, description=text)
+        command.add_argument("file", type=pathlib.Path, help="an INI file")
+        command.set_defaults(run=_check_settings, load=load)
 
 
 def _add_bundle(commands) -> None:
@@ -219,7 +224,7 @@
 
 
 def _check_settings(args) -> int:
-    settings_lib.load(args.file)
+    args.load(args.file)
     print(f"{args.file}: ok")
     return EXIT_OK
 
--- a/src/swiftstile/gateway/decisions.py
+++ b/src/swiftstile/gateway/decisions.py
@@ -30,7 +30,7 @@
 
     Attributes:
         id: The caller's id of the attempt.
-        event: `sent`, `answered`, `refused`, `failed` or `cancelled`.
+        event: `sent`, `answered`, `refused` or `failed`.
         route: Name of the route.
         service: The service that was drawn.
         upstream: Where it was sent, or would have been.
--- a/src/swiftstile/gateway/front.py
+++ b/src/swiftstile/gateway/front.py
@@ -26,8 +26,9 @@
 _IDLE_SLACK_S = 0.5
 _SWEEP_INTERVAL_S = 0.5
 _BACKLOG = 1024
-# Longest head that the parser takes before limits are known, in bytes.
-_MAX_HEAD_BYTES = 16384
+# Longest line that the parser takes, in bytes; what the operator allows is
+# less and may change, so it is checked for each request.
+_MAX_LINE_BYTES = 65536
 
 
 class _ErrorBody(msgspec.Struct):
@@ -111,8 +112,8 @@
             auto_decompress=False,
             access_log=None,
             keepalive_timeout=_NEVER_S,
-            max_line_size=_MAX_HEAD_BYTES,
-            max_field_size=_MAX_HEAD_BYTES,
+            max_line_size=_MAX_LINE_BYTES,
+            max_field_size=_MAX_LINE_BYTES,
         )
         host, port = settings_lib.split_address(self._listen)
         self._listener = await asyncio.get_running_loop().create_server(
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -153,6 +153,7 @@
         return response
 
     async def _call(self, request, inbound, config, end) -> exchange.Call:
+        _check_head(request, config.limits.max_header_bytes)
         limit = config.limits.max_body_bytes
         length = request.content_length
         if length is not None and length > limit:
@@ -161,6 +162,7 @@
             )
         body, stream = b"", None
         if request.body_exists:
+            await _invite_body(request)
             body, stream = await self._read(request, limit)
         return exchange.Call(
             request.method,
@@ -340,6 +342,23 @@
         )
 
 
+def _check_head(request: web.BaseRequest, limit: int) -> None:
+    # Each header line has a colon, a space and its end besides.
+    size = sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
+    if size > limit:
+        raise outcomes.HeaderTooLargeError(
+            f"{size} bytes of headers, at most {limit}", step="read headers"
+        )
+
+
+async def _invite_body(request: web.BaseRequest) -> None:
+    """Tells a caller that waits for it to send the body."""
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        # The final answer's head isn't written yet.
+        request.writer.output_size = 0
+
+
 def _did_not_wait(target, answer, now: float) -> bool:
     """Whether the time of an answer was its work, as far as can be told."""
     load = answer.verdict.load
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -91,6 +91,7 @@
         follower: follow.TableFollower,
         control: interfaces.UpstreamControl,
         right: authority.PeerAuthority,
+        row_bytes: int,
         meters: metrics.Meters,
     ):
         self._service = service
@@ -109,6 +110,7 @@
         self._follower = follower
         self._control = control
         self._authority = right
+        self._row_bytes = row_bytes
         self._meters = meters
         self._sources: dict[model.UpstreamId, _Source] = {}
         self._unknown_since: dict[model.UpstreamId, float] = {}
@@ -343,6 +345,11 @@
     async def _write(self, changed: keymap.KeyMap, reason: str) -> bool:
         key = MAP_PREFIX + self._service
         value = changed.encode(ids.new_attempt_id())
+        if len(value) > self._row_bytes:
+            # Tokens only keep moves warm, and take most of the room.
+            logs.logger.warning("key map without tokens", bytes=len(value))
+            changed = changed.without_tokens()
+            value = changed.encode(ids.new_attempt_id())
         conditions = [
             self._leads.condition(),
             interfaces.Condition(key, changed.version),
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -131,6 +131,13 @@
             slot.is_leaving = False
         return KeyMap(self.version, self.next_fence + 2, changed.slots)
 
+    def without_tokens(self) -> "KeyMap":
+        """Returns a map that has no hand-over tokens."""
+        changed = self.copy()
+        for slot in changed.slots:
+            slot.token = ""
+        return changed
+
     def mark_leaving(self, slots) -> "KeyMap":
         """Returns a map in which slots are about to change their owner."""
         changed = self.copy()
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -8,6 +8,7 @@
     "BadRequestError",
     "BodyTooLargeError",
     "GatewayError",
+    "HeaderTooLargeError",
     "MisdirectedError",
     "NoRouteError",
     "NotReadyError",
@@ -56,6 +57,13 @@
     reason = "body-too-large"
 
 
+class HeaderTooLargeError(GatewayError):
+    """The headers are longer than the configuration allows."""
+
+    status = 431
+    reason = "header-too-large"
+
+
 class NotReadyError(GatewayError):
     """This VM knows no configuration yet, or is about to stop."""
 
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -36,6 +36,7 @@
         followers: The followed tables, by name.
         peers: The other VMs.
         calls: Links to them.
+        seeds: Addresses to ask while no peer is known.
     """
 
     def __init__(
@@ -43,10 +44,12 @@
         followers: dict[str, follow.TableFollower],
         peers: gossip.Peers,
         calls: links.Links,
+        seeds: list[str],
     ):
         self._followers = followers
         self._peers = peers
         self._calls = calls
+        self._seeds = seeds
         self._turn = 0
 
     async def handle(self, message: messages.Message) -> messages.Message:
@@ -74,27 +77,29 @@
                 for follower in self._followers.values()
                 if follower.silent_s(now) > SILENT_S
             ]
-            peer = self._choose(now) if silent else None
-            if peer is not None:
+            address = self._choose(now) if silent else None
+            if address is not None:
                 await asyncio.gather(
-                    *(self._ask(peer, follower) for follower in silent)
+                    *(self._ask(address, follower) for follower in silent)
                 )
 
-    def _choose(self, now: float) -> gossip.Peer | None:
+    def _choose(self, now: float) -> str | None:
         served = [
             peer
             for peer in self._peers.heard(now)
             if peer.report.store_silent_s == 0
         ]
         near = [p for p in served if p.row.domain == self._peers.me.domain]
-        pool = near or served
+        pool = [peer.row.address for peer in near or served]
+        if not pool and not self._peers.by_node:
+            pool = self._seeds
         if not pool:
             return None
         self._turn += 1
         return pool[self._turn % len(pool)]
 
-    async def _ask(self, peer, follower: follow.TableFollower) -> None:
-        link = self._calls.to(peer.row.address)
+    async def _ask(self, address: str, follower: follow.TableFollower) -> None:
+        link = self._calls.to(address)
         question = messages.AskRows(follower.name, follower.version)
         try:
             told = await link.call(question, messages.Rows, TIMEOUT_S)
@@ -111,6 +116,6 @@
         logs.logger.info(
             "rows from a peer",
             table=follower.name,
-            peer_node=peer.row.node,
+            peer=address,
             version=told.version,
         )
--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -31,6 +31,8 @@
         ready: `host:port` of the page that the balancer asks.
         peers: `host:port` of datagrams of other VMs.
         metrics: `host:port` of the metrics endpoint; empty for none.
+        seeds: `host:port` of VMs that may be asked for rows while the store
+            is away. Only the hosts count: the port is that of `peers`.
     """
 
     id: model.NodeId
@@ -39,6 +41,7 @@
     ready: str
     peers: str
     metrics: str = ""
+    seeds: tuple[str, ...] = ()
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
@@ -94,6 +97,15 @@
     ("vm", "metrics"),
     ("store", "address"),
 )
+# A template of the platform leaves these empty where a field is missing.
+_NEVER_EMPTY = (
+    ("vm", "id"),
+    ("vm", "failure_domain"),
+    ("vm", "listen"),
+    ("vm", "ready"),
+    ("vm", "peers"),
+    ("store", "address"),
+)
 _TIMES = ("drain", "grace", "retry_window")
 _TIME = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 _UNITS_S = {"ms": 0.001, "s": 1.0}
@@ -140,7 +152,11 @@
 
 
 def _bad_values(sections) -> list[ini.Fault]:
-    faults = []
+    faults = [
+        ini.Fault(section, option, "is empty")
+        for section, option in _NEVER_EMPTY
+        if getattr(sections.get(section), option, None) == ""
+    ]
     checks = [(*where, settings_lib.split_address) for where in _ADDRESSES]
     checks += [("bounds", option, seconds) for option in _TIMES]
     for section, option, check in checks:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -86,6 +86,13 @@
     return _Builder(settings, adapters, lines).build()
 
 
+def _seed_addresses(vm: settings_lib.NodeSettings) -> list[str]:
+    """Returns where other VMs answer peers: ports are the same on all VMs."""
+    own_host, _, port = vm.peers.rpartition(":")
+    hosts = [seed.rpartition(":")[0] for seed in vm.seeds]
+    return [f"{host}:{port}" for host in hosts if host and host != own_host]
+
+
 class _Builder:
     """Makes the parts and ties the knots between them."""
 
@@ -179,7 +186,10 @@
             for follower in (self._state, registrations, operations)
         }
         row_relay = relay.RowRelay(
-            followers, self._peers, links.Links(self._meters)
+            followers,
+            self._peers,
+            links.Links(self._meters),
+            _seed_addresses(self._settings.vm),
         )
         self._daemon = daemon_lib.GatewayDaemon(
             self._node,
@@ -228,6 +238,7 @@
             self._state,
             self._adapters.control,
             self._authority,
+            self._settings.store.row_bytes,
             self._meters,
         )
 
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -64,6 +64,7 @@
             "ip": self.host,
             "listen": {"front": self.front, "ready": self.ready},
             "internal_ports": ports[2:],
+            "seeds": "",
             "platform": {"address": self.store, "row_bytes": 65536},
             "bounds": {
                 "drain": "2000ms",
--- a/tests/integration/test_gateway_site.py
+++ b/tests/integration/test_gateway_site.py
@@ -277,3 +277,24 @@
         assert len(site.world.runs) == before
 
     _run(tmp_path, scenario, count=1)
+
+
+def test_limits_of_the_configuration_are_kept(tmp_path):
+    async def scenario(site):
+        gateway = site.gateways[0]
+        url = f"http://{gateway.front}/read/x"
+        headers = {"Host": "a.example", "X-Shard-Key": "1"}
+        async with aiohttp.ClientSession() as session:
+            long = headers | {"X-Long": "x" * 20000}
+            async with session.get(url, headers=long) as answer:
+                assert answer.status == 431
+            async with session.post(
+                f"http://{gateway.front}/write/x",
+                headers=headers | {"X-Attempt-Id": "expecting"},
+                data=b"body",
+                expect100=True,
+            ) as answer:
+                assert answer.status == 200
+                assert await answer.read() == b"expecting:4"
+
+    _run(tmp_path, scenario, count=1)
