--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -112,6 +112,7 @@
         self._authority = right
         self._row_bytes = row_bytes
         self._meters = meters
+        self._started = clocks.monotonic()
         self._sources: dict[model.UpstreamId, _Source] = {}
         self._unknown_since: dict[model.UpstreamId, float] = {}
         self._members: set[model.UpstreamId] = set()
@@ -226,12 +227,13 @@
             name for name in self._sources if name not in slots_by_source
         ]:
             del self._sources[owner]
+        if set(slots_by_source) - set(self._sources):
+            await self._adopt(current, set(slots_by_source))
+            return
         cleared: list[int] = []
         tokens: dict[int, str] = {}
         for owner, slots in slots_by_source.items():
-            source = self._sources.setdefault(
-                owner, _Source(current.version, now)
-            )
+            source = self._sources[owner]
             if self._is_clear(current, owner, source, slots, now):
                 cleared += slots
                 tokens |= source.tokens
@@ -245,6 +247,18 @@
         if await self._write(current.give(tokens, placed), "moved"):
             self._meters.ownership.add("moved", len(placed))
 
+    async def _adopt(self, current, owners: set[model.UpstreamId]) -> None:
+        """Takes over moves that a former leader began.
+
+        It may still send fencing grants; they must be older than ours.
+        """
+        if not await self._write(current.raise_fence(), "moves taken over"):
+            return
+        done = clocks.monotonic()
+        version = self._maps.by_service[self._service].version
+        self.forget()
+        self._sources = {owner: _Source(version, done) for owner in owners}
+
     def _is_clear(self, current, owner, source, slots, now: float) -> bool:
         if owner is None or self._is_replaced(owner):
             return True
@@ -253,9 +267,7 @@
             self._service,
             owner,
             source.version,
-            gossip.Hold(
-                book.held_for_s(slots, now), book.open_for_s(slots, now)
-            ),
+            self._own_hold(book, slots, now),
             list(self._peers.by_node.values()),
             self._stopped_at(source),
             book.longest_s,
@@ -270,6 +282,14 @@
             self._start_release(current, source, slots, not is_certain, now)
         return False
 
+    def _own_hold(self, book, slots, now: float) -> gossip.Hold:
+        """Returns what grants of this VM mean, its earlier runs included."""
+        earlier_s = self._started + book.longest_s - now
+        return gossip.Hold(
+            max(earlier_s, book.held_for_s(slots, now)),
+            max(earlier_s, book.open_for_s(slots, now)),
+        )
+
     def _stopped_at(self, source: _Source) -> float:
         """Returns when VMs that tell nothing have stopped renewing."""
         since = self._authority.quorum_since
@@ -302,6 +322,8 @@
         async def work_off() -> None:
             while left and len(failed) < _RELEASE_FAILURES:
                 index = left.pop()
+                if not self._may_take_back(current, index):
+                    continue
                 try:
                     source.tokens[index] = await self._take_back(
                         current, target, index, source.is_fenced
@@ -320,6 +342,17 @@
                 error=str(failed[0]),
             )
 
+    def _may_take_back(self, current, index: int) -> bool:
+        """Whether a slot is still leaving the owner it had, and we lead."""
+        now_map = self._maps.by_service[self._service]
+        slot, before = now_map.slots[index], current.slots[index]
+        return (
+            slot.is_leaving
+            and (slot.owner, slot.fence) == (before.owner, before.fence)
+            and self._leads.is_leader
+            and self._authority.is_able(clocks.monotonic())
+        )
+
     async def _take_back(self, current, target, index, fences) -> str:
         """Makes an owner release a slot; returns the hand-over token.
 
@@ -331,16 +364,45 @@
         fence = current.slots[index].fence
         if fences:
             fence = current.next_fence
+            await self._fence_off(target, index, keys, fence)
+        return await self._control.release(address, target.id, keys, fence)
+
+    async def _fence_off(self, target, index, keys, fence: int) -> None:
+        """Grants a slot for a moment, so that older grants are refused.
+
+        It counts as a grant like any other until it was answered or lost, so
+        the slot isn't given away meanwhile.
+        """
+        book = self._renewing.holds(self._service, SLOT_COUNT)
+        run = range(index, index + 1)
+        book.note_sent(run)
+        is_over = False
+        try:
             result = await self._control.grant(
-                address, target.id, keys, fence, FENCING_HOLD_S, ""
+                target.upstream.address,
+                target.id,
+                keys,
+                fence,
+                FENCING_HOLD_S,
+                "",
+            )
+            is_over = True
+            book.note_answered(run, clocks.monotonic())
+        except errors.PeerTimeoutError:
+            raise
+        except errors.PeerUnavailableError:
+            is_over = True
+            book.note_unsent(run)
+            raise
+        finally:
+            if not is_over:
+                book.note_lost(run, clocks.monotonic())
+        if result is not interfaces.GrantResult.HELD:
+            raise errors.PeerUnavailableError(
+                f"fencing grant {result.value}",
+                step="take back keys",
+                peer=target.id,
             )
-            if result is not interfaces.GrantResult.HELD:
-                raise errors.PeerUnavailableError(
-                    f"fencing grant {result.value}",
-                    step="take back keys",
-                    peer=target.id,
-                )
-        return await self._control.release(address, target.id, keys, fence)
 
     async def _write(self, changed: keymap.KeyMap, reason: str) -> bool:
         key = MAP_PREFIX + self._service
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -131,6 +131,11 @@
             slot.is_leaving = False
         return KeyMap(self.version, self.next_fence + 2, changed.slots)
 
+    def raise_fence(self) -> "KeyMap":
+        """Returns the same map with a fence that nobody used yet."""
+        changed = self.copy()
+        return KeyMap(self.version, self.next_fence + 2, changed.slots)
+
     def without_tokens(self) -> "KeyMap":
         """Returns a map that has no hand-over tokens."""
         changed = self.copy()
--- /dev/null
+++ b/tests/unit/test_gateway_keeper.py
@@ -0,0 +1,167 @@
+"""The leader's moves: what it may still send, and what it takes over."""
+
+import asyncio
+import types
+
+from swiftstile import errors
+from swiftstile import metrics
+from swiftstile.gateway import gossip
+from swiftstile.gateway import heat
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import keeper
+from swiftstile.gateway import keymap
+from swiftstile.gateway import renewals
+from swiftstile.gateway import speeds
+from tests import gateway_builders as builders
+
+
+class _Control(interfaces.UpstreamControl):
+    """Notes calls; `during` runs while the first grant is under way."""
+
+    def __init__(self):
+        self.grants: list[tuple] = []
+        self.releases: list[tuple] = []
+        self.during = None
+        self.is_silent = False
+
+    async def grant(self, address, upstream, keys, fence, hold_s, token):
+        self.grants.append((upstream, keys.first, fence))
+        if self.during is not None:
+            self.during()
+        if self.is_silent:
+            raise errors.PeerTimeoutError("silent", step="grant")
+        return interfaces.GrantResult.HELD
+
+    async def release(self, address, upstream, keys, fence):
+        self.releases.append((upstream, keys.first, fence))
+        return "warm"
+
+
+class _Parts:
+    """A keeper that leads two upstreams."""
+
+    def __init__(self):
+        self.table = builders.MemoryTable()
+        self.maps = renewals.KeyMaps()
+        self.control = _Control()
+        self.book = builders.book(
+            builders.upstream("u-1"), builders.upstream("u-2")
+        )
+        self.leads = types.SimpleNamespace(
+            is_leader=True,
+            condition=lambda: interfaces.Condition("leader", 0),
+        )
+        self.right = types.SimpleNamespace(
+            is_able=lambda now: True,
+            may_renew=lambda service: True,
+            quorum_since=0.0,
+        )
+        peers = gossip.Peers(builders.node_row(), lambda *_: None)
+        meters = metrics.Meters()
+        self.renewing = renewals.Renewals(
+            self.maps, self.book, peers, self.control, self.right, meters
+        )
+        follower = types.SimpleNamespace(failing_since=None)
+        self.keeper = keeper.MapKeeper(
+            builders.LOOKUPS,
+            self.maps,
+            self.book,
+            speeds.SpeedBook(),
+            heat.HeatBook(),
+            lambda service: None,
+            peers,
+            self.renewing,
+            self.leads,
+            self.table,
+            follower,
+            self.control,
+            self.right,
+            65536,
+            meters,
+        )
+
+    def start(self, leaving=(0, 1)) -> keymap.KeyMap:
+        """Writes a map of which u-1 owns all, some of it leaving."""
+        owners = dict.fromkeys(range(keeper.SLOT_COUNT), "u-1")
+        made = keymap.KeyMap.empty(keeper.SLOT_COUNT).give({}, owners)
+        made = made.mark_leaving(leaving)
+        key = keeper.MAP_PREFIX + builders.LOOKUPS
+        write = interfaces.Write(key, made.encode("x"))
+        made.version = self.table.apply([], [write])
+        self.maps.put(builders.LOOKUPS, made, 0.0)
+        return made
+
+    def release(self, current: keymap.KeyMap, is_fenced: bool = True):
+        source = keeper._Source(current.version, 0.0)
+        source.is_fenced = is_fenced
+        target = self.book.by_id["u-1"]
+        asyncio.run(self.keeper._release(current, target, source, [1, 0]))
+        return source
+
+
+def test_a_release_that_outlives_its_move_sends_nothing():
+    # Found on trouble-3 of hbrt-gw: slots were given away as their holds had
+    # ended, while a release of the same slots was still working its way down.
+    parts = _Parts()
+    current = parts.start()
+    given = current.give({}, {0: "u-2", 1: "u-2"})
+    given.version = current.version + 1
+    parts.maps.put(builders.LOOKUPS, given, 1.0)
+    parts.release(current)
+    assert parts.control.grants == []
+    assert parts.control.releases == []
+
+
+def test_a_fencing_grant_under_way_keeps_the_slot_from_being_given():
+    parts = _Parts()
+    current = parts.start()
+    book = parts.renewing.holds(builders.LOOKUPS, keeper.SLOT_COUNT)
+    seen = []
+    parts.control.during = lambda: seen.append(book.held_for_s([0], 1e12))
+    parts.release(current)
+    assert seen[0] == float("inf")
+    assert len(parts.control.releases) == 2
+
+
+def test_a_fencing_grant_without_answer_counts_as_a_grant():
+    parts = _Parts()
+    current = parts.start()
+    parts.control.is_silent = True
+    source = parts.release(current)
+    book = parts.renewing.holds(builders.LOOKUPS, keeper.SLOT_COUNT)
+    now = keeper.clocks.monotonic()
+    assert source.tokens == {}
+    assert book.held_for_s([0], now) > renewals.HOLD_S
+
+
+def test_without_the_right_to_act_nothing_is_sent():
+    parts = _Parts()
+    current = parts.start()
+    parts.right.is_able = lambda now: False
+    parts.release(current)
+    assert parts.control.grants == []
+
+
+def test_fencing_grants_of_a_former_leader_are_older_than_ours():
+    parts = _Parts()
+    before = parts.start()
+    asyncio.run(parts.keeper.tick())
+    after = parts.maps.by_service[builders.LOOKUPS]
+    assert after.version > before.version
+    assert after.next_fence > before.next_fence
+    assert after.leaving == before.leaving
+
+
+def test_slots_of_an_owner_that_released_them_are_given_with_its_tokens():
+    async def scenario():
+        parts = _Parts()
+        parts.start()
+        async with asyncio.timeout(5):
+            while parts.maps.by_service[builders.LOOKUPS].leaving:
+                await parts.keeper.tick()
+                await asyncio.sleep(0.01)
+        given = parts.maps.by_service[builders.LOOKUPS]
+        assert [given.slots[i].token for i in (0, 1)] == ["warm", "warm"]
+        assert {given.slots[i].owner for i in (0, 1)} <= {"u-1", "u-2"}
+
+    asyncio.run(scenario())
