--- a/src/swiftstile/gateway/holds.py
+++ b/src/swiftstile/gateway/holds.py
@@ -15,6 +15,11 @@
 _UNBOUNDED = float("inf")
 
 
+def _bound_s(hold_s: float) -> float:
+    """Returns the longest that a grant can be held, in seconds."""
+    return hold_s * CLOCK_RATE + MARGIN_S
+
+
 class HoldBook:
     """Bounds for the slots of one service.
 
@@ -24,7 +29,7 @@
     """
 
     def __init__(self, count: int, hold_s: float):
-        self.longest_s = hold_s * CLOCK_RATE + MARGIN_S
+        self.longest_s = _bound_s(hold_s)
         self._in_flight = [0] * count
         self._end = [0.0] * count
         # Ends of grants without an answer, which may still be carried out.
@@ -35,23 +40,29 @@
         for index in slots:
             self._in_flight[index] += 1
 
-    def note_answered(self, slots: range, now: float) -> None:
-        """It was answered, so it had arrived."""
+    def note_answered(
+        self, slots: range, now: float, hold_s: float | None = None
+    ) -> None:
+        """It was answered, so it had arrived; `hold_s` if it wasn't usual."""
+        end = now + (_bound_s(hold_s) if hold_s else self.longest_s)
         for index in slots:
             self._in_flight[index] -= 1
-            self._end[index] = now + self.longest_s
+            self._end[index] = max(self._end[index], end)
 
     def note_unsent(self, slots: range) -> None:
         """It couldn't be sent: nothing changes for the upstream."""
         for index in slots:
             self._in_flight[index] -= 1
 
-    def note_lost(self, slots: range, now: float) -> None:
+    def note_lost(
+        self, slots: range, now: float, hold_s: float | None = None
+    ) -> None:
         """It wasn't answered, and its connection was reset now."""
+        end = now + (_bound_s(hold_s) if hold_s else self.longest_s)
         for index in slots:
             self._in_flight[index] -= 1
-            self._end[index] = now + self.longest_s
-            self._open_end[index] = now + self.longest_s
+            self._end[index] = max(self._end[index], end)
+            self._open_end[index] = max(self._open_end[index], end)
 
     def held_for_s(self, slots, now: float) -> float:
         """Returns how long any of these slots may still be held."""
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -56,7 +56,8 @@
 # Failures after which the rest of a release waits for the next try. Single
 # orders get no answer even where the upstream is well.
 _RELEASE_FAILURES = 24
-# After a release failed.
+# After a release failed, doubled each time: each try may hold the slots for
+# FENCING_HOLD_S, and a dead owner's slots have to come free.
 _RELEASE_PAUSE_S = 0.2
 
 
@@ -71,6 +72,7 @@
         self.is_fenced = False
         self.release: asyncio.Task | None = None
         self.release_after = 0.0
+        self.failures = 0
 
 
 class MapKeeper:
@@ -333,7 +335,9 @@
 
         await asyncio.gather(*(work_off() for _ in range(_RELEASE_PARALLEL)))
         if failed:
-            source.release_after = clocks.monotonic() + _RELEASE_PAUSE_S
+            source.failures += 1
+            pause_s = _RELEASE_PAUSE_S * 2**source.failures
+            source.release_after = clocks.monotonic() + pause_s
             self._meters.ownership.add("release-unanswered", len(failed))
             logs.logger.info(
                 "release unanswered",
@@ -387,7 +391,7 @@
                 "",
             )
             is_over = True
-            book.note_answered(run, clocks.monotonic())
+            book.note_answered(run, clocks.monotonic(), FENCING_HOLD_S)
         except errors.PeerTimeoutError:
             raise
         except errors.PeerUnavailableError:
@@ -396,7 +400,7 @@
             raise
         finally:
             if not is_over:
-                book.note_lost(run, clocks.monotonic())
+                book.note_lost(run, clocks.monotonic(), FENCING_HOLD_S)
         if result is not interfaces.GrantResult.HELD:
             raise errors.PeerUnavailableError(
                 f"fencing grant {result.value}",
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -245,6 +245,7 @@
         self.slots = slots
         self.address = ""
         self.is_up = False
+        self.is_leaving = False
         self.late_share = 0.0
         self.until = [0.0] * KEYS
         self.seen = [0] * KEYS
