--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $(STAMP)
 
 test: install
-	.venv/bin/python -m pytest -q
+	.venv/bin/python -m pytest -q $(PYTEST_ARGS)
 
 demo: install
 	.venv/bin/python -m benchmarks demo --organisation $(ORGANISATION)
