--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -1,4 +1,8 @@
-"""Where slots of keys should be: decisions without a network."""
+"""Where slots of keys should be: decisions without a network.
+
+Neighbouring slots may be dealt and evened out in blocks: a block takes one
+grant as long as one upstream owns all of it, and hot slots can still leave it.
+"""
 
 import collections
 
@@ -53,13 +57,15 @@
     current: keymap.KeyMap,
     weight_by_id: dict[model.UpstreamId, float],
     most: int,
+    width: int = 1,
 ) -> list[int]:
     """Returns slots that should leave owners that have too many.
 
     Args:
         current: The map as it is.
         weight_by_id: Share of each owner that stays.
-        most: Most slots to return.
+        most: Most slots to return, but for the rest of a block.
+        width: Slots of a block; they leave together.
     """
     shares = _shares(len(current.slots), weight_by_id)
     owned = {
@@ -77,21 +83,39 @@
         extra = min(extra, most - len(chosen))
         if extra <= 0:
             break
-        slots = current.slots_by_owner[owner]
-        step = len(slots) / extra
-        chosen += [slots[int(i * step)] for i in range(extra)]
+        blocks = _blocks(current.slots_by_owner[owner], width)
+        count = min(len(blocks), max(1, extra // width))
+        step = len(blocks) / count
+        for i in range(count):
+            chosen += blocks[int(i * step)]
     return chosen
 
 
+def _blocks(slots: list[int], width: int) -> list[list[int]]:
+    """Returns an owner's slots, those of one block together."""
+    blocks: dict[int, list[int]] = {}
+    for index in slots:
+        blocks.setdefault(index // width, []).append(index)
+    return list(blocks.values())
+
+
 def destinations(
     current: keymap.KeyMap,
     moving: list[int],
     weight_by_id: dict[model.UpstreamId, float],
+    width: int = 1,
 ) -> dict[int, model.UpstreamId]:
     """Returns a new owner for each slot that moves.
 
     Of the owners below their share, those that own no neighbouring slot come
-    first, and of these the one that is furthest below.
+    first, and of these the one that is furthest below. Slots of a block that
+    leave the same owner go together.
+
+    Args:
+        current: The map as it is.
+        moving: Slots that move, in order.
+        weight_by_id: Share of each owner that stays.
+        width: Slots of a block.
     """
     shares = _shares(len(current.slots), weight_by_id)
     owned = collections.Counter(
@@ -106,9 +130,13 @@
             owned[owner] -= 1
     placed: dict[int, model.UpstreamId] = {}
     for index in moving:
+        if _goes_with_last(current, placed, index, width):
+            placed[index] = placed[index - 1]
+            owned[placed[index]] += 1
+            continue
         near = {
             placed.get(i, current.slots[i].owner)
-            for i in (index - 1, index + 1)
+            for i in (index - 1, index + width)
             if 0 <= i < len(current.slots)
         }
         below = [name for name in shares if owned[name] < shares[name] - 0.5]
@@ -118,3 +146,13 @@
         placed[index] = best
         owned[best] += 1
     return placed
+
+
+def _goes_with_last(current, placed, index: int, width: int) -> bool:
+    """Whether a slot moves with the one before, of the same block."""
+    last = index - 1
+    return (
+        last in placed
+        and last // width == index // width
+        and current.slots[last].owner == current.slots[index].owner
+    )
--- a/src/swiftstile/gateway/readers.py
+++ b/src/swiftstile/gateway/readers.py
@@ -17,8 +17,8 @@
 # Up to so many VMs in a failure domain each follows the store itself: it saves
 # little there, and nothing depends on peers.
 FEW_VMS = 6
-# How long a reader's call waits for changes, for tables that have to be followed
-# at once. Short, since its answers are the proof that it still reaches the store.
+# How long a reader's call waits for changes, for tables that have to be
+# followed at once. Short, since its answers prove that it reaches the store.
 READER_WATCH_S = 1.0
 # Word of a reader counts while its last answer is no older than its watch and
 # this: a round trip and a report. With one more round trip of our own that is
