swiftstile explain: the story of a request from log lines; its lines kept together

Lines of a request carry the VM and the time and are written when it ends, those of requests that ended badly first when there are too many; a caller that left gets a line. Tests: a reader that stands still blocks nothing, bounded; bad ones first.

--- a/src/swiftstile/cli.py
+++ b/src/swiftstile/cli.py
@@ -14,6 +14,7 @@
 
 import swiftstile
 from swiftstile import errors
+from swiftstile import explain
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile import settings as settings_lib
@@ -77,6 +78,7 @@
     _add_check(commands)
     _add_bundle(commands)
     _add_looks(commands)
+    _add_explain(commands)
     return parser
 
 
@@ -101,6 +103,15 @@
         command.set_defaults(run=_check_settings, load=load)
 
 
+def _add_explain(commands) -> None:
+    text = "tell the story of one request from log files of any VMs"
+    command = commands.add_parser("explain", help=text, description=text)
+    command.add_argument("request", help="the caller's id of the attempt")
+    command.add_argument("file", type=pathlib.Path, nargs="+", help="a log")
+    command.add_argument("--json", action="store_true", help="for programs")
+    command.set_defaults(run=_explain)
+
+
 def _add_bundle(commands) -> None:
     text = "approve, roll, retire and look at bundles"
     bundle = commands.add_parser("bundle", help=text, description=text)
@@ -223,6 +234,11 @@
     return EXIT_OK
 
 
+def _explain(args) -> int:
+    story = explain.find(args.request, args.file)
+    return _print(args, story, explain.render(story))
+
+
 def _check_settings(args) -> int:
     args.load(args.file)
     print(f"{args.file}: ok")
--- a/src/swiftstile/errors.py
+++ b/src/swiftstile/errors.py
@@ -4,6 +4,7 @@
     "BundleError",
     "ConflictError",
     "ControlMessageError",
+    "LogError",
     "OutcomeUnknownError",
     "PeerTimeoutError",
     "PeerUnavailableError",
@@ -60,6 +61,10 @@
     """A control message is malformed or came at the wrong time."""
 
 
+class LogError(SwiftstileError):
+    """A log can't be read, or says nothing of what was asked."""
+
+
 class PeerUnavailableError(SwiftstileError):
     """A peer couldn't be reached."""
 
--- a/src/swiftstile/gateway/decisions.py
+++ b/src/swiftstile/gateway/decisions.py
@@ -2,7 +2,8 @@
 
 The lines are bounded and never block: they are kept in memory, written a few
 times a second to a pipe that doesn't block, and dropped and counted when there
-are too many or nobody reads them.
+are too many or nobody reads them. The lines of a request are kept together
+until it ends: one that ended badly goes before one that ended well.
 """
 
 import asyncio
@@ -14,11 +15,14 @@
 
 from swiftstile import clocks
 
-__all__ = ["BoundedLines", "RequestDecision"]
+__all__ = ["BoundedLines", "RequestDecision", "Story"]
 
 # Most lines a second: several times what one VM's share of the users' traffic
 # needs, and under 1% of a core.
 MOST_PER_S = 400
+# Part of them that requests which ended well may take; the rest is left for
+# those that didn't, and for changes of state.
+WELL_ENDED_SHARE = 0.6
 # Most lines kept while nobody reads.
 MOST_KEPT = 2000
 FLUSH_INTERVAL_S = 0.25
@@ -30,7 +34,9 @@
 
     Attributes:
         id: The caller's id of the attempt.
-        event: `sent`, `answered`, `refused` or `failed`.
+        vm: The VM that decided.
+        at_ms: When, in milliseconds since the Unix epoch.
+        event: `sent`, `answered`, `refused`, `failed` or `abandoned`.
         route: Name of the route.
         service: The service that was drawn.
         upstream: Where it was sent, or would have been.
@@ -50,6 +56,8 @@
 
     id: str
     event: str
+    vm: str = ""
+    at_ms: int = 0
     route: str = ""
     service: str = ""
     upstream: str = ""
@@ -67,9 +75,32 @@
     queued: int = 0
 
 
+class Story:
+    """The decisions on one request, written when it ends."""
+
+    def __init__(self, lines: "BoundedLines"):
+        self._lines = lines
+        self._decisions: list[RequestDecision] = []
+
+    def note(self, decision: RequestDecision) -> None:
+        """Adds a decision."""
+        decision.vm = self._lines.vm
+        decision.at_ms = clocks.wall_ms()
+        self._decisions.append(decision)
+
+    def end(self, is_well: bool) -> None:
+        """Writes all decisions, or drops all of them if there are too many."""
+        self._lines.write_all(self._decisions, is_well)
+        self._decisions = []
+
+
 class BoundedLines:
     """Writes lines to a file descriptor without ever blocking.
 
+    Attributes:
+        vm: The VM that writes, for the lines of requests.
+        dropped: Lines that were dropped since the last line that says so.
+
     Args:
         fd: Where to; standard output if left out.
         most_per_s: More lines in a second are dropped and counted.
@@ -83,26 +114,34 @@
         self._second = 0
         self._in_second = 0
         self._rest = b""
+        self.vm = ""
         self.dropped = 0
 
-    def note(self, decision: RequestDecision) -> None:
-        """Keeps the line of a decision, unless there are too many."""
-        if self._has_room():
-            self._lines.append(self._encoder.encode(decision))
+    def write_all(self, request: list[RequestDecision], is_well: bool) -> None:
+        """Keeps the lines of a request that ended, unless there are too many.
+
+        Args:
+            request: What was decided on it.
+            is_well: Whether it ended well.
+        """
+        share = WELL_ENDED_SHARE if is_well else 1.0
+        if self._has_room(len(request), share):
+            self._lines.extend(map(self._encoder.encode, request))
 
     def write(self, line: str) -> None:
         """Keeps a line of text, unless there are too many."""
-        if self._has_room():
+        if self._has_room(1, 1.0):
             self._lines.append(line.rstrip("\n").encode())
 
-    def _has_room(self) -> bool:
+    def _has_room(self, count: int, share: float) -> bool:
         second = int(clocks.monotonic())
         if second != self._second:
             self._second, self._in_second = second, 0
-        self._in_second += 1
-        if self._in_second > self._most or len(self._lines) >= MOST_KEPT:
-            self.dropped += 1
+        is_over = self._in_second + count > share * self._most
+        if is_over or len(self._lines) + count > MOST_KEPT:
+            self.dropped += count
             return False
+        self._in_second += count
         return True
 
     async def run(self) -> None:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -1,5 +1,7 @@
 """A request from its arrival to its answer."""
 
+import asyncio
+
 from aiohttp import web
 import aiohttp.http_exceptions
 
@@ -33,6 +35,7 @@
 SHED_PAUSE_S = 0.1
 # When to come back after upstreams refused.
 SHED_RETRY_AFTER_S = 0.2
+_FIRST_FAILURE = 400
 _READ_ERRORS = (
     aiohttp.ClientError,
     aiohttp.http_exceptions.HttpProcessingError,
@@ -93,12 +96,31 @@
         """
         arrived = clocks.monotonic()
         inbound = self._dialect.read_request(request.headers)
+        story = decisions.Story(self._log)
+        is_well = False
         try:
             route, config = self._route(request)
-            return await self._serve(request, inbound, route, config, arrived)
+            response = await self._serve(
+                request, inbound, route, config, arrived, story
+            )
+            is_well = response.status < _FIRST_FAILURE
+            return response
         except outcomes.GatewayError as error:
-            self._note_end(inbound, error, arrived)
+            self._note_end(inbound, error, arrived, story)
+            raise
+        except asyncio.CancelledError:
+            story.note(
+                decisions.RequestDecision(
+                    inbound.attempt_id,
+                    "abandoned",
+                    reason="the caller left",
+                    waited_ms=_ms(clocks.monotonic() - arrived),
+                    key=inbound.key,
+                )
+            )
             raise
+        finally:
+            story.end(is_well)
 
     def work_s(self, service: ids.ServiceName) -> float | None:
         """Returns the mean work of a service's requests, once measured."""
@@ -124,7 +146,7 @@
             )
         return route, config
 
-    async def _serve(self, request, inbound, route, config, arrived):
+    async def _serve(self, request, inbound, route, config, arrived, story):
         service = self._shares.draw(route)
         self._budget.note_request(service, arrived)
         wait_s = route.timeout_s
@@ -143,7 +165,7 @@
             call.end,
             self._times.expected_s(route),
         )
-        answer = await self._attempts(call, waiter)
+        answer = await self._attempts(call, waiter, story)
         if answer.body is None:
             return await exchange.relay(request, answer)
         response = web.Response(status=answer.status, body=answer.body)
@@ -191,7 +213,7 @@
             ) from error
         return None, _rest(pieces, content, limit)
 
-    async def _attempts(self, call, waiter) -> exchange.Answer:
+    async def _attempts(self, call, waiter, story) -> exchange.Answer:
         progress = _Progress()
         while True:
             try:
@@ -199,7 +221,7 @@
             except outcomes.RefusedError as error:
                 raise self._final(error, progress) from error
             progress.sends += 1
-            self._note_sent(call, waiter, target, progress)
+            self._note_sent(call, waiter, target, progress, story)
             sent = clocks.monotonic()
             try:
                 answer = await self._sender.send(call, target)
@@ -209,7 +231,7 @@
                 if not self._may_repeat(error, call, waiter, progress, now):
                     raise self._final(error, progress) from error
             else:
-                self._note_answer(call, waiter, target, answer, sent)
+                self._note_answer(call, waiter, target, answer, sent, story)
                 return answer
             finally:
                 self._gate.release(waiter, target)
@@ -277,7 +299,7 @@
             error.retry_after_s = SHED_RETRY_AFTER_S
         return error
 
-    def _note_answer(self, call, waiter, target, answer, sent) -> None:
+    def _note_answer(self, call, waiter, target, answer, sent, story) -> None:
         now = clocks.monotonic()
         took_s = now - sent
         self._meters.sends.add("answered")
@@ -288,7 +310,7 @@
             self._times.note(
                 waiter.route, waiter.service, took_s / target.slowness
             )
-        self._log.note(
+        story.note(
             decisions.RequestDecision(
                 call.inbound.attempt_id,
                 "answered",
@@ -300,10 +322,10 @@
             )
         )
 
-    def _note_sent(self, call, waiter, target, progress) -> None:
+    def _note_sent(self, call, waiter, target, progress, story) -> None:
         now = clocks.monotonic()
         config = self.config
-        self._log.note(
+        story.note(
             decisions.RequestDecision(
                 call.inbound.attempt_id,
                 "sent",
@@ -322,10 +344,10 @@
             )
         )
 
-    def _note_end(self, inbound, error, arrived) -> None:
+    def _note_end(self, inbound, error, arrived, story) -> None:
         now = clocks.monotonic()
         self._meters.refusals.add(error.reason)
-        self._log.note(
+        story.note(
             decisions.RequestDecision(
                 inbound.attempt_id,
                 "refused" if error.status == 503 else "failed",
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -105,6 +105,7 @@
         lines: decisions.BoundedLines,
     ):
         self._lines = lines
+        lines.vm = settings.vm.id
         self._settings = settings
         self._adapters = adapters
         self._meters = metrics.Meters()
--- /dev/null
+++ b/tests/unit/test_explain.py
@@ -0,0 +1,134 @@
+"""The story of a request from log lines, and lines that are bounded."""
+
+import json
+import os
+
+import pytest
+
+from swiftstile import cli
+from swiftstile import errors
+from swiftstile import explain
+from swiftstile.gateway import decisions
+
+
+def _log(path, *lines) -> None:
+    texts = [
+        line if isinstance(line, str) else json.dumps(line) for line in lines
+    ]
+    path.write_text("\n".join(texts) + "\n")
+
+
+def _state(second: int, event: str, vm: str = "vm-1", **fields) -> dict:
+    time = f"2026-12-02T20:00:{second:02d}.000+00:00"
+    return {"time": time, "level": "INFO", "event": event, "vm": vm} | fields
+
+
+# 2026-12-02T20:00:30 in milliseconds since the epoch.
+_CAME_MS = 1_796_241_630_000
+
+
+def _decision(after_ms: int, event: str, vm: str = "vm-1", **fields) -> dict:
+    return {
+        "id": "a1",
+        "event": event,
+        "vm": vm,
+        "at_ms": _CAME_MS + after_ms,
+    } | fields
+
+
+@pytest.fixture
+def files(tmp_path):
+    one, two = tmp_path / "vm-1.log", tmp_path / "vm-2.log"
+    _log(
+        one,
+        "not a line of ours",
+        _state(10, "configuration in force", version=3),
+        _state(20, "configuration in force", version=4),
+        _state(40, "configuration in force", version=5),
+        _state(25, "upstream gone", upstream="u-1"),
+        _state(25, "upstream gone", upstream="u-9"),
+        _decision(900, "failed", reason="timeout", status=504),
+        _decision(0, "sent", upstream="u-1"),
+        {"event": "lines dropped", "count": 4},
+    )
+    _log(
+        two,
+        _state(28, "key map written", "vm-2", service="s", version=77),
+        _state(29, "table lost", "vm-2", table="state"),
+    )
+    return [one, two]
+
+
+def test_decisions_come_in_order_and_only_what_was_in_force(files):
+    story = explain.find("a1", files)
+    assert [line["event"] for line in story.decisions] == ["sent", "failed"]
+    shown = {(c.event, c.fields.get("version")) for c in story.changes}
+    assert ("configuration in force", 4) in shown
+    assert ("configuration in force", 3) not in shown
+    assert ("configuration in force", 5) not in shown
+    assert ("key map written", 77) in shown
+    gone = [c for c in story.changes if c.event == "upstream gone"]
+    assert [c.fields["upstream"] for c in gone] == ["u-1"]
+    assert gone[0].age_s == pytest.approx(5.0)
+    assert story.dropped == 4
+
+
+def test_an_unknown_request_is_said_with_what_was_dropped(files):
+    with pytest.raises(errors.LogError, match="4 lines were dropped"):
+        explain.find("zz", files)
+
+
+def test_a_missing_file_is_named(tmp_path):
+    with pytest.raises(errors.LogError, match="nowhere"):
+        explain.find("a1", [tmp_path / "nowhere"])
+
+
+def test_the_command_prints_text_and_json(files, capsys):
+    names = [str(path) for path in files]
+    assert cli.main(["explain", "a1", *names]) == cli.EXIT_OK
+    assert "timeout" in capsys.readouterr().out
+    assert cli.main(["explain", "a1", "--json", *names]) == cli.EXIT_OK
+    assert json.loads(capsys.readouterr().out)["id"] == "a1"
+    assert cli.main(["explain", "zz", *names]) == cli.EXIT_FAILED
+
+
+def _story(lines, name: str, is_well: bool) -> None:
+    story = decisions.Story(lines)
+    story.note(decisions.RequestDecision(name, "sent"))
+    story.note(decisions.RequestDecision(name, "answered"))
+    story.end(is_well)
+
+
+def _written(fd: int) -> list[dict]:
+    return [json.loads(line) for line in os.read(fd, 1 << 20).splitlines()]
+
+
+def test_requests_that_ended_badly_go_before_others(monkeypatch):
+    monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: 5.0)
+    reading, writing = os.pipe()
+    lines = decisions.BoundedLines(writing, most_per_s=10)
+    for number in range(20):
+        _story(lines, f"good-{number}", True)
+    _story(lines, "bad", False)
+    lines.flush()
+    written = _written(reading)
+    names = [line["id"] for line in written if "id" in line]
+    assert names.count("bad") == 2
+    assert len(names) <= 10
+    assert {"event": "lines dropped", "count": 34} in written
+
+
+def test_a_reader_that_stands_still_blocks_nothing():
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    lines = decisions.BoundedLines(writing, most_per_s=10**9)
+    for number in range(30_000):
+        _story(lines, f"r-{number}", False)
+        if number % 100 == 0:
+            lines.flush()
+    # What is kept while nobody reads is bounded, and the rest is counted.
+    kept = len(lines._rest) + sum(map(len, lines._lines))
+    assert kept < 2 * decisions.MOST_PENDING_BYTES
+    assert lines.dropped > 0
+    os.close(reading)
+    os.close(writing)
