Connections that servers forget carry nothing that may run only once

For 10 s after the first such reset, connections that rested longer than 0.2 s are used for idempotent requests only. Test fails without it.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -37,6 +37,12 @@
 DEFAULT_IDLE_S = 5.0
 # Idle connections kept to one upstream: its slots and some that queue.
 MAX_IDLE = 6
+# After a kept connection turned out to be forgotten by its server, for so long
+# others that rested longer than RESTED_S aren't used for what may run only once:
+# a reset doesn't say whether the request ran. Servers that forget do so after
+# 0.3 s or more, for some seconds.
+DISTRUST_S = 10.0
+RESTED_S = 0.2
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _MAX_HEAD_BYTES = 32768
 _INFORMATIONAL = range(100, 200)
@@ -65,6 +71,8 @@
 
     Attributes:
         is_usable: Whether another request may be sent on it.
+        is_reused: Whether it was idle before the present request.
+        has_answered: Whether anything came back for the present request.
         idle_since: When it became idle, on the steady clock.
         idle_s: How long the server keeps it when idle.
     """
@@ -74,6 +82,8 @@
         self._loop = loop
         self.peer = peer
         self.is_usable = True
+        self.is_reused = False
+        self.has_answered = False
         self.idle_since = 0.0
         self.idle_s = DEFAULT_IDLE_S
         self._heads: collections.deque[AnswerHead] = collections.deque()
@@ -107,6 +117,7 @@
             self.abort()
             return
         for message, payload in messages:
+            self.has_answered = True
             self._payload = payload
             self._heads.append(AnswerHead(message, payload))
         if messages:
@@ -146,6 +157,7 @@
                 "closed before use", step="send", peer=self.peer
             )
         self._heads.clear()
+        self.has_answered = False
         self._payload = None
         self._parser = http.HttpResponseParser(
             self,
@@ -229,18 +241,28 @@
             str, collections.deque[UpstreamConnection]
         ] = {}
         self.opened = 0
+        self._distrusted_until = 0.0
 
-    async def take(self, address: str) -> UpstreamConnection:
+    async def take(
+        self, address: str, is_repeatable: bool
+    ) -> UpstreamConnection:
         """Returns an idle connection, or a new one.
 
+        Args:
+            address: Where to.
+            is_repeatable: Whether what is to be sent may be sent once more.
+
         Raises:
             PeerUnavailableError: It can't be opened; nothing was sent.
         """
         now = clocks.monotonic()
+        is_wary = not is_repeatable and now < self._distrusted_until
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
-            if connection.can_reuse(now):
+            has_rested = now - connection.idle_since > RESTED_S
+            if connection.can_reuse(now) and not (is_wary and has_rested):
+                connection.is_reused = True
                 return connection
             connection.abort()
         return await self._open(address)
@@ -260,6 +282,11 @@
         self.opened += 1
         return connection
 
+    def note_broken(self, connection: UpstreamConnection, now: float) -> None:
+        """A connection broke while an answer was waited for."""
+        if connection.is_reused and not connection.has_answered:
+            self._distrusted_until = now + DISTRUST_S
+
     def give_back(self, address: str, connection: UpstreamConnection) -> None:
         """Keeps a connection whose exchange is finished, if it is usable."""
         if not connection.is_usable:
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -35,6 +35,7 @@
         stream: The body in pieces, where `body` is None. It can be read once.
         length: Length of a streamed body, if the caller said.
         end: When its answer is of no use any more, on the steady clock.
+        is_repeatable: Whether it may run more than once.
     """
 
     method: str
@@ -45,6 +46,7 @@
     stream: collections.abc.AsyncIterator[bytes] | None
     length: int | None
     end: float
+    is_repeatable: bool = False
 
     @property
     def can_repeat(self) -> bool:
@@ -94,7 +96,7 @@
         """
         address = target.upstream.address
         try:
-            connection = await self._pool.take(address)
+            connection = await self._pool.take(address, call.is_repeatable)
         except errors.PeerUnavailableError as error:
             raise outcomes.UpstreamUnreachableError(
                 str(error), step="connect", peer=target.id
@@ -118,6 +120,7 @@
             is_kept = True
             raise
         except connections.EXCHANGE_ERRORS as error:
+            self._pool.note_broken(connection, clocks.monotonic())
             raise outcomes.UnknownOutcomeError(
                 repr(error), step="read answer", peer=target.id
             ) from error
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -152,7 +152,9 @@
         wait_s = route.timeout_s
         if inbound.wait_s is not None:
             wait_s = min(wait_s, inbound.wait_s)
-        call = await self._call(request, inbound, config, arrived + wait_s)
+        call = await self._call(
+            request, inbound, route, config, arrived + wait_s
+        )
         spec = config.services_by_name.get(service)
         lookup = None
         if spec is not None and spec.is_keyed and inbound.key is not None:
@@ -174,7 +176,9 @@
             response.headers.add(name, value)
         return response
 
-    async def _call(self, request, inbound, config, end) -> exchange.Call:
+    async def _call(
+        self, request, inbound, route, config, end
+    ) -> exchange.Call:
         _check_head(request, config.limits.max_header_bytes)
         limit = config.limits.max_body_bytes
         length = request.content_length
@@ -195,6 +199,7 @@
             stream,
             length,
             end,
+            route.repeatability is model.Repeatability.IDEMPOTENT,
         )
 
     async def _read(self, request, limit: int):
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -278,6 +278,31 @@
     asyncio.run(scenario())
 
 
+def test_after_a_forgotten_connection_rested_ones_carry_nothing_unsafe(
+    monkeypatch,
+):
+    # Servers that forget idle connections reset what is sent next on them; a
+    # request that may run once is lost then, as the reset doesn't say enough.
+    monkeypatch.setattr(connections, "RESTED_S", -1.0)
+
+    async def script(number, writer):
+        if number == 2:
+            writer.transport.abort()
+            return
+        writer.write(_answer(f"a{number}"))
+
+    async def scenario(server, sender, target):
+        await sender.send(_call("a1", "POST"), target)
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(_call("a2", "POST"), target)
+        for number in (3, 4):
+            await sender.send(_call(f"a{number}", "POST"), target)
+        # One for a1 and a2, and one for each that followed.
+        assert server.connections == 3
+
+    _run(script, scenario)
+
+
 def test_an_early_answer_to_a_long_body_is_passed_on():
     async def handle(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -295,7 +320,7 @@
         answer = await sender.send(call, targets.Target(upstream, 0.0))
         assert answer.body == b"early"
         # What is left of the body is due on that connection: it isn't kept.
-        connection = await pool.take(upstream.address)
+        connection = await pool.take(upstream.address, True)
         assert pool.opened == 2
         connection.abort()
         listener.close()
