--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -37,10 +37,10 @@
 DEFAULT_IDLE_S = 5.0
 # Idle connections kept to one upstream: its slots and some that queue.
 MAX_IDLE = 6
-# After a kept connection turned out to be forgotten by its server, for so long
-# others that rested longer than RESTED_S aren't used for what may run only once:
-# a reset doesn't say whether the request ran. Servers that forget do so after
-# 0.3 s or more, for some seconds.
+# After a kept connection turned out to be forgotten by its server, others that
+# rested longer than RESTED_S aren't used for what may run only once, for so
+# long: a reset doesn't say whether the request ran. Servers that forget do so
+# after 0.3 s or more, for some seconds.
 DISTRUST_S = 10.0
 RESTED_S = 0.2
 _LINGER_RESET = struct.pack("ii", 1, 0)
