Where VMs are many, one VM of its own domain renews an upstream's grants

Change: readers tell by domain how many VMs they hear; an upstream is left to its own domain while that is heard of; one VM tries an upstream that nobody reaches. Tests: test_gateway_circulation.py; two of them fail without it.

--- a/src/swiftstile/gateway/circulation.py
+++ b/src/swiftstile/gateway/circulation.py
@@ -74,8 +74,12 @@
         """Returns how many VMs are heard, this one included."""
 
     @abc.abstractmethod
-    def to_tell(self, now: float) -> tuple[int, int]:
-        """Returns VMs heard, of this domain and of others, for reports."""
+    def to_tell(self, now: float) -> tuple[int, dict[ids.FailureDomain, int]]:
+        """Returns VMs heard, of this domain and by other domain, to report."""
+
+    @abc.abstractmethod
+    def hears_of(self, domain: ids.FailureDomain, now: float) -> bool:
+        """Whether VMs of another domain live, though they aren't heard."""
 
     def leaders(self) -> list[reports.Peer]:
         """Returns the far peers that believe to lead."""
@@ -113,10 +117,14 @@
         """See base class."""
         return msgspec.structs.replace(report, local={}, tables={})
 
-    def to_tell(self, now: float) -> tuple[int, int]:
+    def to_tell(self, now: float) -> tuple[int, dict[ids.FailureDomain, int]]:
         """See base class."""
         # Whom each VM hears itself is all that counts here.
-        return 0, 0
+        return 0, {}
+
+    def hears_of(self, domain: ids.FailureDomain, now: float) -> bool:
+        """See base class."""
+        return False
 
     def heard(self, now: float) -> int:
         """See base class."""
@@ -145,30 +153,37 @@
     def thin(self, report: reports.Report) -> reports.Report:
         """See base class."""
         return msgspec.structs.replace(
-            report, shared={}, local={}, tables={}, far_heard=0
+            report, shared={}, local={}, tables={}, far_heard={}
         )
 
-    def to_tell(self, now: float) -> tuple[int, int]:
+    def to_tell(self, now: float) -> tuple[int, dict[ids.FailureDomain, int]]:
         """See base class."""
-        return self.near_heard(now), self.far_heard(now)
+        return self.near_heard(now), self._told_by_far(now)
 
-    def heard(self, now: float) -> int:
+    def hears_of(self, domain: ids.FailureDomain, now: float) -> bool:
         """See base class."""
-        told = [
-            peer.report.far_heard
-            for peer in self._by_node.values()
-            if peer.row.domain == self._me.domain and peer.is_heard(now)
-        ]
-        return self.near_heard(now) + max([self.far_heard(now), *told])
+        return self._far_heard(now).get(domain, 0) > 0
 
-    def far_heard(self, now: float) -> int:
-        """Returns how many VMs of other domains there are, as told there."""
+    def heard(self, now: float) -> int:
+        """See base class."""
+        return self.near_heard(now) + sum(self._far_heard(now).values())
+
+    def _far_heard(self, now: float) -> dict[ids.FailureDomain, int]:
+        """Returns VMs of other domains, as this VM or its readers know."""
+        most = self._told_by_far(now)
+        for peer in self._by_node.values():
+            if peer.row.domain == self._me.domain and peer.is_heard(now):
+                for domain, told in peer.report.far_heard.items():
+                    most[domain] = max(most.get(domain, 0), told)
+        return most
+
+    def _told_by_far(self, now: float) -> dict[ids.FailureDomain, int]:
         most: dict[ids.FailureDomain, int] = {}
         for peer in self._far():
             if peer.is_heard(now):
                 domain, told = peer.row.domain, max(1, peer.report.near_heard)
                 most[domain] = max(most.get(domain, 0), told)
-        return sum(most.values())
+        return most
 
     def _likely_readers(self) -> list[reports.Peer]:
         by_domain: dict[ids.FailureDomain, list[reports.Peer]] = {}
--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -24,6 +24,8 @@
 # last so that a store that comes back isn't flooded by all VMs.
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.4
+# The same where readers ask, too, and tell of the store's return.
+LONGEST_PAUSE_OF_MANY_S = 1.2
 # Between two looks whether a peer still tells fresh word.
 LED_PAUSE_S = 0.1
 # In the first seconds many VMs and upstreams register; one call for each change
@@ -103,7 +105,7 @@
             except errors.PlatformError as error:
                 self._note_failure(error)
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+                pause_s = min(pause_s * 2, self._longest_pause_s())
                 continue
             pause_s = FIRST_PAUSE_S
             self._note_contact(sent)
@@ -125,6 +127,12 @@
             # What changes in the meantime comes with the next call.
             await asyncio.sleep(self._pause_after_change_s())
 
+    def _longest_pause_s(self) -> float:
+        chosen = self._readers
+        if chosen is None or chosen.is_reader(clocks.monotonic()):
+            return LONGEST_PAUSE_S
+        return LONGEST_PAUSE_OF_MANY_S
+
     def _watch_s(self) -> float:
         now = clocks.monotonic()
         if self.failing_since is not None:
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -44,6 +44,9 @@
 # Pairs of VM and upstream that are remembered: those of one domain are asked
 # for several times a second, 25 VMs and 200 upstreams on the largest site.
 _AFFINITIES = 16384
+# With so many VMs in a domain an upstream that none of them reaches is tried by
+# one of them; with less, VMs of other domains try, too.
+CROWD = 6
 # Without an answer to so many, the upstream counts as out of reach.
 _GIVE_UP_AFTER = 4
 
@@ -138,7 +141,7 @@
             owner
             for key_map in self._maps.by_service.values()
             for owner in key_map.slots_by_owner
-            if owner in self._book.by_id and self._is_mine(owner, able)
+            if owner in self._book.by_id and self._is_mine(owner, able, now)
         }
         for owner in [name for name in self._tasks if name not in wanted]:
             self._tasks.pop(owner).cancel()
@@ -156,19 +159,36 @@
         ]
 
     def _is_mine(
-        self, owner: model.UpstreamId, able: list[reports.Peer]
+        self,
+        owner: model.UpstreamId,
+        able: list[reports.Peer],
+        now: float,
     ) -> bool:
         """Whether this VM looks after an upstream, by what it sees now."""
         me = self._peers.me
         domain = self._book.by_id[owner].upstream.failure_domain
-        others = [p.row for p in able if owner not in p.report.unreachable]
+        reaching = [p.row for p in able if owner not in p.report.unreachable]
         if owner not in self.unreachable:
-            others.append(me)
-        near = [row for row in others if row.domain == domain]
-        pool = near or others or [me]
+            reaching.append(me)
+        pool = [row for row in reaching if row.domain == domain]
+        if not pool and self._peers.circulation.hears_of(domain, now):
+            # Its own domain looks after it, and says nothing of it here.
+            return False
+        if not pool and self._is_crowded(domain, able):
+            # Nobody near reaches it. One goes on trying, not all of them.
+            pool = [p.row for p in able if p.row.domain == domain]
+            pool.append(me)
+        pool = pool or reaching or [me]
         first = max(pool, key=lambda row: _affinity(row.node, owner))
         return first.node == me.node
 
+    def _is_crowded(
+        self, domain: ids.FailureDomain, able: list[reports.Peer]
+    ) -> bool:
+        """Whether an upstream's domain is this VM's own and has many VMs."""
+        near = sum(peer.row.domain == domain for peer in able)
+        return domain == self._peers.me.domain and near >= CROWD
+
     async def _renew(self, owner: model.UpstreamId) -> None:
         service = self._book.by_id[owner].upstream.service
         while True:
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -99,8 +99,8 @@
         is_reader: Others of its domain rely on its word.
         near_heard: VMs of its own domain that it hears, itself included; told
             to other domains by readers.
-        far_heard: VMs of other domains as readers there told; told to the own
-            domain by readers.
+        far_heard: VMs of other domains, by domain, as readers there told; told
+            to the own domain by readers.
     """
 
     run: str
@@ -120,7 +120,7 @@
     tables: dict[str, TableWord] = {}
     is_reader: bool = False
     near_heard: int = 0
-    far_heard: int = 0
+    far_heard: dict[ids.FailureDomain, int] = {}
 
 
 class Peer:
--- /dev/null
+++ b/tests/unit/test_gateway_circulation.py
@@ -0,0 +1,154 @@
+"""Whom VMs tell where they are many, and who renews what."""
+
+import pytest
+
+from swiftstile import ids
+from swiftstile import metrics
+from swiftstile.gateway import circulation
+from swiftstile.gateway import gossip
+from swiftstile.gateway import renewals
+from tests import gateway_builders as builders
+
+_DOMAINS = ("z0", "z1", "z2")
+_NOW = 100.0
+
+
+def _row(number: int):
+    domain = ids.FailureDomain(_DOMAINS[number % 3])
+    return builders.node_row(f"vm-{number:02d}", domain=domain)
+
+
+def _peers(me: int, count: int, hears) -> gossip.Peers:
+    """Returns the peers of one VM.
+
+    Args:
+        me: Number of the VM.
+        count: All VMs.
+        hears: Numbers of the VMs that it hears.
+    """
+    peers = gossip.Peers(_row(me), lambda *_: None)
+    for number in range(count):
+        if number == me:
+            continue
+        row = _row(number)
+        heard_at = _NOW if number in hears else 0.0
+        told = builders.report(row, near_heard=count // 3)
+        peers.by_node[row.node] = builders.peer(row, told, heard_at)
+    return peers
+
+
+def _near(me: int, count: int) -> set[int]:
+    return {number for number in range(count) if number % 3 == me % 3}
+
+
+def test_few_vms_tell_all_others():
+    peers = _peers(0, 9, range(9))
+    to = peers.circulation.regular(builders.report(peers.me))
+    assert len(to) == 6
+    assert peers.circulation.heard(_NOW) == 9
+
+
+def test_of_many_vms_each_tells_the_leader_alone():
+    peers = _peers(30, 78, _near(30, 78))
+    peers.by_node["vm-01"].report.is_leader = True
+    report = builders.report(peers.me)
+    assert [p.row.node for p in peers.circulation.regular(report)] == ["vm-01"]
+    assert [p.row.node for p in peers.circulation.changed(report)] == ["vm-01"]
+
+
+def test_the_leader_tells_all():
+    peers = _peers(30, 78, range(78))
+    report = builders.report(peers.me, is_leader=True)
+    assert len(peers.circulation.regular(report)) == 52
+
+
+def test_readers_tell_the_readers_of_other_domains():
+    peers = _peers(0, 78, _near(0, 78))
+    report = builders.report(peers.me, is_reader=True)
+    told = {p.row.node for p in peers.circulation.regular(report)}
+    assert told == {"vm-01", "vm-04", "vm-07", "vm-02", "vm-05", "vm-08"}
+
+
+def test_a_vm_counts_what_readers_of_its_domain_heard_of_others():
+    peers = _peers(30, 78, _near(30, 78))
+    assert peers.circulation.heard(_NOW) == 26
+    reader = peers.by_node["vm-00"]
+    reader.report.far_heard = {"z1": 26, "z2": 20}
+    assert peers.circulation.heard(_NOW) == 72
+    assert peers.circulation.hears_of("z1", _NOW)
+    # Word of a reader that fell silent doesn't count.
+    reader.heard_at = _NOW - 2.0
+    assert peers.circulation.heard(_NOW) == 25
+
+
+def test_what_readers_hear_of_other_domains_is_told_by_domain():
+    peers = _peers(0, 78, _near(0, 78) | {1, 4, 2})
+    assert peers.circulation.to_tell(_NOW) == (26, {"z1": 26, "z2": 26})
+
+
+class _Site:
+    """The views of all VMs on who renews the grants of one upstream."""
+
+    def __init__(self, count: int, lost_domain: str = ""):
+        self.views = []
+        for me in range(count):
+            peers = _peers(me, count, _near(me, count))
+            told = {
+                name: count // 3
+                for name in _DOMAINS
+                if name not in (lost_domain, peers.me.domain)
+            }
+            for peer in peers.by_node.values():
+                peer.report.far_heard = told
+            self.views.append(self._renewals(peers))
+
+    @staticmethod
+    def _renewals(peers):
+        book = builders.book(builders.upstream("u-1", failure_domain="z1"))
+        return renewals.Renewals(
+            renewals.KeyMaps(), book, peers, None, None, metrics.Meters()
+        )
+
+    def renewers(self) -> list[str]:
+        found = []
+        for view in self.views:
+            able = [
+                peer
+                for peer in view._peers.by_node.values()
+                if peer.is_heard(_NOW)
+            ]
+            if view._is_mine("u-1", able, _NOW):
+                found.append(view._peers.me.domain)
+        return found
+
+    def lose(self) -> None:
+        """No VM of its domain reaches the upstream."""
+        for view in self.views:
+            view.unreachable.add("u-1")
+            for peer in view._peers.by_node.values():
+                peer.report.unreachable = ["u-1"]
+
+
+def test_one_vm_of_its_domain_renews_an_upstreams_grants():
+    # Found on the grown hbrt-gw: VMs that don't hear those of other domains
+    # took their upstreams over, so that each was renewed three times.
+    assert _Site(78).renewers() == ["z1"]
+
+
+def test_an_upstream_that_nobody_reaches_is_tried_by_one_vm():
+    # Found there too: 25 VMs each tried 25 crashed upstreams again and again,
+    # 65,000 connections in half a minute.
+    site = _Site(78)
+    site.lose()
+    assert site.renewers() == ["z1"]
+
+
+@pytest.mark.parametrize("count", [78, 87])
+def test_upstreams_of_a_silent_domain_are_looked_after_by_others(count):
+    assert {"z0", "z2"} <= set(_Site(count, lost_domain="z1").renewers())
+
+
+def test_readers_come_by_bandwidth():
+    small, large = builders.node_row("a"), builders.node_row("b", link_mbps=9.0)
+    rows = sorted([small, large], key=circulation.reader_order)
+    assert rows == [large, small]
