--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -27,7 +27,7 @@
 # The same where readers ask, too, and tell of the store's return.
 LONGEST_PAUSE_OF_MANY_S = 1.2
 # Between two looks whether a peer still tells fresh word.
-LED_PAUSE_S = 0.1
+LED_PAUSE_S = 0.2
 # In the first seconds many VMs and upstreams register; one call for each change
 # would be thousands.
 START_S = 3.0
--- a/src/swiftstile/gateway/gate.py
+++ b/src/swiftstile/gateway/gate.py
@@ -19,6 +19,7 @@
     def __init__(self, decisions: admission.Admission):
         self.decisions = decisions
         self._waiting: dict[int, asyncio.Future[targets.Target]] = {}
+        self._has_waiting = asyncio.Event()
 
     async def acquire(self, waiter: admission.Waiter) -> targets.Target:
         """Returns a target that has room, with the request counted there.
@@ -34,6 +35,7 @@
         if decided is None:
             future = asyncio.get_running_loop().create_future()
             self._waiting[waiter.sequence] = future
+            self._has_waiting.set()
             try:
                 decided = await future
             except asyncio.CancelledError:
@@ -81,8 +83,12 @@
     async def run(self) -> None:
         """Looks at the queue again and again until cancelled."""
         while True:
+            # Without requests that wait there is nothing to wake up for.
+            await self._has_waiting.wait()
             await asyncio.sleep(PUMP_INTERVAL_S)
             self.pump()
+            if not self._waiting:
+                self._has_waiting.clear()
 
 
 def _refused(overload: admission.Overload) -> outcomes.RefusedError:
