--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -30,9 +30,6 @@
 __all__ = ["MAP_PREFIX", "MapKeeper"]
 
 MAP_PREFIX = "keys/"
-# Slots of a service. The users' busiest neighbourhoods are 60 keys wide; at 16
-# keys a slot they are spread over four or five upstreams.
-SLOT_COUNT = 4096
 # With many upstreams each block of this many is divided further, to be dealt to
 # one upstream as long as it isn't hot. A neighbourhood of 60 keys that draws a
 # third of the requests then goes to 15 upstreams instead of 4: with 99 and more
@@ -88,11 +85,6 @@
     return found
 
 
-def _width(current: keymap.KeyMap) -> int:
-    """Returns how many slots are dealt together."""
-    return max(1, len(current.slots) // SLOT_COUNT)
-
-
 class MapKeeper:
     """Keeps the key map of one service while this VM leads."""
 
@@ -184,14 +176,14 @@
     async def _first_deal(self, weights, now: float) -> None:
         if not weights or now - self._members_at < SETTLED_S:
             return
-        dealt = keyplan.deal(SLOT_COUNT, weights)
+        dealt = keyplan.deal(keyplan.BLOCKS, weights)
         width = DIVIDED_BLOCKS if len(weights) >= MANY_UPSTREAMS else 1
         owners = {
             block * width + i: owner
             for block, owner in enumerate(dealt)
             for i in range(width)
         }
-        empty = keymap.KeyMap.empty(SLOT_COUNT * width)
+        empty = keymap.KeyMap.empty(keyplan.BLOCKS * width)
         await self._write(empty.give({}, owners), "first deal")
 
     async def _mark(self, current, weights, now: float) -> None:
@@ -206,7 +198,7 @@
         is_due = now - self._evened_at >= EVEN_OUT_EVERY_S
         if weights and is_due and not moving and not current.leaving:
             self._evened_at = now
-            width = _width(current)
+            width = keyplan.width_of(current)
             moving = keyplan.surplus(
                 current, weights, MOVE_BATCH * width, width
             )
@@ -290,7 +282,7 @@
 
     async def _give(self, current, cleared, tokens, weights) -> None:
         placed = keyplan.destinations(
-            current, cleared, weights, _width(current)
+            current, cleared, weights, keyplan.width_of(current)
         )
         for index in cleared:
             wanted = self._wanted.pop(index, None)
--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -9,7 +9,11 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import model
 
-__all__ = ["deal", "destinations", "surplus"]
+__all__ = ["BLOCKS", "blocks", "deal", "destinations", "surplus", "width_of"]
+
+# Blocks of a service. The users' busiest neighbourhoods are 60 keys wide; at 16
+# keys a block they are spread over four or five upstreams.
+BLOCKS = 4096
 
 # A target may own this part more than its share before slots are moved away:
 # moving costs its callers more than so small an imbalance.
@@ -83,20 +87,29 @@
         extra = min(extra, most - len(chosen))
         if extra <= 0:
             break
-        blocks = _blocks(current.slots_by_owner[owner], width)
-        count = min(len(blocks), max(1, extra // width))
-        step = len(blocks) / count
+        runs = blocks(current.slots_by_owner[owner], width)
+        count = min(len(runs), max(1, extra // width))
+        step = len(runs) / count
         for i in range(count):
-            chosen += blocks[int(i * step)]
+            chosen += runs[int(i * step)]
     return chosen
 
 
-def _blocks(slots: list[int], width: int) -> list[list[int]]:
-    """Returns an owner's slots, those of one block together."""
-    blocks: dict[int, list[int]] = {}
+def width_of(current: keymap.KeyMap) -> int:
+    """Returns how many slots a block of a map has."""
+    return max(1, len(current.slots) // BLOCKS)
+
+
+def blocks(slots: list[int], width: int) -> list[range]:
+    """Returns slots, in order, with neighbours of one block together."""
+    runs: list[range] = []
     for index in slots:
-        blocks.setdefault(index // width, []).append(index)
-    return list(blocks.values())
+        last = runs[-1] if runs else range(0)
+        if last.stop == index and index % width and len(last):
+            runs[-1] = range(last.start, index + 1)
+        else:
+            runs.append(range(index, index + 1))
+    return runs
 
 
 def destinations(
