Fields of decisions are named where they are written

The time and VM that were put in front of the others shifted them: 'route' held the upstream and 'status' nothing.

--- a/src/swiftstile/gateway/decisions.py
+++ b/src/swiftstile/gateway/decisions.py
@@ -29,7 +29,7 @@
 MOST_PENDING_BYTES = 1 << 20
 
 
-class RequestDecision(msgspec.Struct, omit_defaults=True):
+class RequestDecision(msgspec.Struct, omit_defaults=True, kw_only=True):
     """What was decided on a request, and what decided it.
 
     Attributes:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -111,8 +111,8 @@
         except asyncio.CancelledError:
             story.note(
                 decisions.RequestDecision(
-                    inbound.attempt_id,
-                    "abandoned",
+                    id=inbound.attempt_id,
+                    event="abandoned",
                     reason="the caller left",
                     waited_ms=_ms(clocks.monotonic() - arrived),
                     key=inbound.key,
@@ -317,12 +317,12 @@
             )
         story.note(
             decisions.RequestDecision(
-                call.inbound.attempt_id,
-                "answered",
-                waiter.route.name,
-                waiter.service,
-                target.id,
-                answer.status,
+                id=call.inbound.attempt_id,
+                event="answered",
+                route=waiter.route.name,
+                service=waiter.service,
+                upstream=target.id,
+                status=answer.status,
                 waited_ms=_ms(now - waiter.arrived),
             )
         )
@@ -332,11 +332,11 @@
         config = self.config
         story.note(
             decisions.RequestDecision(
-                call.inbound.attempt_id,
-                "sent",
-                waiter.route.name,
-                waiter.service,
-                target.id,
+                id=call.inbound.attempt_id,
+                event="sent",
+                route=waiter.route.name,
+                service=waiter.service,
+                upstream=target.id,
                 attempt=progress.sends,
                 waited_ms=_ms(now - waiter.arrived),
                 left_ms=_ms(call.end - now),
@@ -354,8 +354,8 @@
         self._meters.refusals.add(error.reason)
         story.note(
             decisions.RequestDecision(
-                inbound.attempt_id,
-                "refused" if error.status == 503 else "failed",
+                id=inbound.attempt_id,
+                event="refused" if error.status == 503 else "failed",
                 upstream=error.peer,
                 status=error.status,
                 reason=f"{error.reason}: {error}",
--- a/tests/integration/test_gateway_site.py
+++ b/tests/integration/test_gateway_site.py
@@ -233,8 +233,14 @@
             ]
 
         await site.until(_async_len_at_least(lines, 2), 3)
-        events = [entry["event"] for entry in await lines()]
-        assert events == ["sent", "answered"]
+        sent, answered = await lines()
+        assert (sent["event"], answered["event"]) == ("sent", "answered")
+        assert answered["status"] == 200
+        assert (sent["vm"], sent["route"]) == ("vm-0", "writes")
+        assert sent["upstream"] == answered["upstream"]
+        assert sent["upstream"] in site.world.by_id
+        assert sent["config"] == 1
+        assert 0 <= answered["at_ms"] - sent["at_ms"] < 4000
 
     _run(tmp_path, scenario, count=1)
 
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -94,8 +94,8 @@
 
 def _story(lines, name: str, is_well: bool) -> None:
     story = decisions.Story(lines)
-    story.note(decisions.RequestDecision(name, "sent"))
-    story.note(decisions.RequestDecision(name, "answered"))
+    story.note(decisions.RequestDecision(id=name, event="sent"))
+    story.note(decisions.RequestDecision(id=name, event="answered"))
     story.end(is_well)
 
 
