Revert slots in blocks; large bodies wait at home where VMs are many, too

Conclusion: spreading a hot neighbourhood needs maps that are told by their changes first. Test fails without it.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -288,16 +288,20 @@
         candidates = self._candidates(waiter, now)
         if self.vms <= FEW_VMS:
             return candidates
-        open_ = [
-            target
-            for target in candidates
-            if target.occupied(now) - target.upstream.slots < QUEUE_AHEAD
-        ]
-        home = [t for t in open_ if t.upstream.failure_domain == self._domain]
-        pool = home or open_
-        if len(pool) <= SAMPLE:
-            return pool or candidates
-        return random.sample(pool, SAMPLE)
+        home_open, home_full, far_open = [], [], []
+        for target in candidates:
+            ahead = target.occupied(now) - target.upstream.slots
+            if target.upstream.failure_domain != self._domain:
+                if ahead < QUEUE_AHEAD:
+                    far_open.append(target)
+            elif ahead < QUEUE_AHEAD:
+                home_open.append(target)
+            else:
+                home_full.append(target)
+        if home_open:
+            return _some_of(home_open)
+        # A full one at home may still be the first to answer; it is waited for.
+        return _some_of(far_open) + _some_of(home_full)
 
     def _candidates(self, waiter: Waiter, now: float) -> list[targets.Target]:
         if waiter.owner is not None:
@@ -362,3 +366,7 @@
         base_s = max(LEAST_RETRY_AFTER_S, excess_s)
         spread = 1 + random.uniform(0, RETRY_SPREAD)
         return Overload(base_s * spread, wait_s)
+
+
+def _some_of(pool: list[targets.Target]) -> list[targets.Target]:
+    return random.sample(pool, min(SAMPLE, len(pool)))
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -8,7 +8,6 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.daemons import inspection
-from swiftstile.gateway import admission
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
 from swiftstile.gateway import decisions
@@ -256,7 +255,6 @@
             domain = self._node.domain
             near = sum(peer.row.domain == domain for peer in heard)
             self._gate.decisions.vms = near + 1
-            self._heat.are_many = near + 1 > admission.FEW_VMS
             self._budget.set_vms(len(self._peers.by_node) + 1)
 
     async def _lead(self) -> None:
--- a/src/swiftstile/gateway/heat.py
+++ b/src/swiftstile/gateway/heat.py
@@ -15,10 +15,6 @@
 LEAST_RATE = 1.5
 # Most slots of a service that are told.
 MOST_TOLD = 6
-# The same where there are many VMs, of which each sees few of a slot's
-# requests: one in the last moments is told.
-LEAST_RATE_OF_MANY = 0.5
-MOST_TOLD_OF_MANY = 16
 # What a peer told longer ago than this is forgotten.
 PEER_LIFE_S = 1.2
 # Decay constant that belongs to the half life, in 1/s: a steady rate r makes
@@ -30,14 +26,9 @@
 
 
 class HeatBook:
-    """Rates by slot, of this VM and as peers told them.
-
-    Attributes:
-        are_many: Whether many VMs share the requests.
-    """
+    """Rates by slot, of this VM and as peers told them."""
 
     def __init__(self):
-        self.are_many = False
         self._own: dict[ids.ServiceName, dict[int, tuple[float, float]]] = {}
         self._peers: dict[model.NodeId, tuple[Heat, float]] = {}
 
@@ -54,20 +45,18 @@
     def tell(self, now: float) -> Heat:
         """Returns this VM's busiest slots, for its peers."""
         told: Heat = {}
-        least = LEAST_RATE_OF_MANY if self.are_many else LEAST_RATE
-        most = MOST_TOLD_OF_MANY if self.are_many else MOST_TOLD
         for service, slots in self._own.items():
             rates = {
                 slot: count * 0.5 ** ((now - at) / HALF_LIFE_S) * _DECAY
                 for slot, (count, at) in slots.items()
             }
-            busy = {s: r for s, r in rates.items() if r >= least}
+            busy = {s: r for s, r in rates.items() if r >= LEAST_RATE}
             # What is far below that is as good as never asked for.
             self._own[service] = {
-                s: slots[s] for s, r in rates.items() if r > least / 10
+                s: slots[s] for s, r in rates.items() if r > LEAST_RATE / 10
             }
             if busy:
-                top = sorted(busy, key=busy.get, reverse=True)[:most]
+                top = sorted(busy, key=busy.get, reverse=True)[:MOST_TOLD]
                 told[service] = {slot: round(busy[slot], 1) for slot in top}
         return told
 
--- a/src/swiftstile/gateway/hotplan.py
+++ b/src/swiftstile/gateway/hotplan.py
@@ -1,12 +1,10 @@
 """Where the busiest slots should be: decisions without a network.
 
-The load they answer: one key, or a neighbourhood of 60 to 200, draws a third of
-a service's requests for a few seconds. A slot can't be divided, so the hottest
-belong on the fastest upstreams, with little else beside them.
+The load they answer: one key draws a third of a service's requests for a few
+seconds. It can't be divided, so it belongs on the fastest upstream, with
+little else beside it.
 """
 
-import collections
-
 from swiftstile.gateway import keymap
 from swiftstile.gateway import model
 
@@ -14,11 +12,6 @@
 
 # A slot is hot when it takes this part of its owner's capacity.
 HOT_SHARE = 0.4
-# Busy slots of one owner are hot, too, when together they take this part of its
-# capacity: what is left is needed for its other slots.
-HOT_OWNER_SHARE = 0.7
-# Of these, slots that take less than this part of it stay.
-LEAST_SHARE = 0.1
 # A hot slot moves only to an upstream that is so much faster: less isn't worth
 # the requests that wait meanwhile, and speeds are known to a tenth or so.
 WORTH_MOVING = 1.25
@@ -36,21 +29,12 @@
         rate_by_slot: Requests/s of busy slots.
         capacity_by_id: Requests/s that each upstream can do.
     """
-    shares: dict[int, float] = {}
-    share_by_owner = collections.Counter()
+    shares = {}
     for slot, rate in rate_by_slot.items():
-        owner = current.slots[slot].owner
-        capacity = capacity_by_id.get(owner)
-        if capacity:
+        capacity = capacity_by_id.get(current.slots[slot].owner)
+        if capacity and rate / capacity >= HOT_SHARE:
             shares[slot] = rate / capacity
-            share_by_owner[owner] += shares[slot]
-    return {
-        slot: share
-        for slot, share in shares.items()
-        if share >= HOT_SHARE
-        or share >= LEAST_SHARE
-        and share_by_owner[current.slots[slot].owner] >= HOT_OWNER_SHARE
-    }
+    return shares
 
 
 def relocations(
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -30,14 +30,9 @@
 __all__ = ["MAP_PREFIX", "MapKeeper"]
 
 MAP_PREFIX = "keys/"
-# With many upstreams each block of this many is divided further, to be dealt to
-# one upstream as long as it isn't hot. A neighbourhood of 60 keys that draws a
-# third of the requests then goes to 15 upstreams instead of 4: with 99 and more
-# of them each does 9 to 12 requests/s, and it draws up to 280/s.
-DIVIDED_BLOCKS = 4
-# Upstreams of a service from which on it pays: with less, the hottest key alone
-# is more than an upstream can do.
-MANY_UPSTREAMS = 60
+# Slots of a service. The users' busiest neighbourhoods are 60 keys wide; at 16
+# keys a slot they are spread over four or five upstreams.
+SLOT_COUNT = 4096
 # Before the first deal, no upstream joined for this long.
 SETTLED_S = 1.0
 # An owner that never registered while this VM runs is gone after this long.
@@ -176,15 +171,9 @@
     async def _first_deal(self, weights, now: float) -> None:
         if not weights or now - self._members_at < SETTLED_S:
             return
-        dealt = keyplan.deal(keyplan.BLOCKS, weights)
-        width = DIVIDED_BLOCKS if len(weights) >= MANY_UPSTREAMS else 1
-        owners = {
-            block * width + i: owner
-            for block, owner in enumerate(dealt)
-            for i in range(width)
-        }
-        empty = keymap.KeyMap.empty(keyplan.BLOCKS * width)
-        await self._write(empty.give({}, owners), "first deal")
+        dealt = keyplan.deal(SLOT_COUNT, weights)
+        empty = keymap.KeyMap.empty(SLOT_COUNT)
+        await self._write(empty.give({}, dict(enumerate(dealt))), "first deal")
 
     async def _mark(self, current, weights, now: float) -> None:
         lost = [
@@ -198,10 +187,7 @@
         is_due = now - self._evened_at >= EVEN_OUT_EVERY_S
         if weights and is_due and not moving and not current.leaving:
             self._evened_at = now
-            width = keyplan.width_of(current)
-            moving = keyplan.surplus(
-                current, weights, MOVE_BATCH * width, width
-            )
+            moving = keyplan.surplus(current, weights, MOVE_BATCH)
         if not moving:
             return
         reason = "owner lost" if lost else "evening out"
@@ -281,9 +267,7 @@
             await self._give(current, cleared, tokens, weights)
 
     async def _give(self, current, cleared, tokens, weights) -> None:
-        placed = keyplan.destinations(
-            current, cleared, weights, keyplan.width_of(current)
-        )
+        placed = keyplan.destinations(current, cleared, weights)
         for index in cleared:
             wanted = self._wanted.pop(index, None)
             if wanted in weights:
--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -1,19 +1,11 @@
-"""Where slots of keys should be: decisions without a network.
-
-Neighbouring slots may be dealt and evened out in blocks: a block takes one
-grant as long as one upstream owns all of it, and hot slots can still leave it.
-"""
+"""Where slots of keys should be: decisions without a network."""
 
 import collections
 
 from swiftstile.gateway import keymap
 from swiftstile.gateway import model
 
-__all__ = ["BLOCKS", "blocks", "deal", "destinations", "surplus", "width_of"]
-
-# Blocks of a service. The users' busiest neighbourhoods are 60 keys wide; at 16
-# keys a block they are spread over four or five upstreams.
-BLOCKS = 4096
+__all__ = ["deal", "destinations", "surplus"]
 
 # A target may own this part more than its share before slots are moved away:
 # moving costs its callers more than so small an imbalance.
@@ -61,15 +53,13 @@
     current: keymap.KeyMap,
     weight_by_id: dict[model.UpstreamId, float],
     most: int,
-    width: int = 1,
 ) -> list[int]:
     """Returns slots that should leave owners that have too many.
 
     Args:
         current: The map as it is.
         weight_by_id: Share of each owner that stays.
-        most: Most slots to return, but for the rest of a block.
-        width: Slots of a block; they leave together.
+        most: Most slots to return.
     """
     shares = _shares(len(current.slots), weight_by_id)
     owned = {
@@ -87,48 +77,21 @@
         extra = min(extra, most - len(chosen))
         if extra <= 0:
             break
-        runs = blocks(current.slots_by_owner[owner], width)
-        count = min(len(runs), max(1, extra // width))
-        step = len(runs) / count
-        for i in range(count):
-            chosen += runs[int(i * step)]
+        slots = current.slots_by_owner[owner]
+        step = len(slots) / extra
+        chosen += [slots[int(i * step)] for i in range(extra)]
     return chosen
 
 
-def width_of(current: keymap.KeyMap) -> int:
-    """Returns how many slots a block of a map has."""
-    return max(1, len(current.slots) // BLOCKS)
-
-
-def blocks(slots: list[int], width: int) -> list[range]:
-    """Returns slots, in order, with neighbours of one block together."""
-    runs: list[range] = []
-    for index in slots:
-        last = runs[-1] if runs else range(0)
-        if last.stop == index and index % width and len(last):
-            runs[-1] = range(last.start, index + 1)
-        else:
-            runs.append(range(index, index + 1))
-    return runs
-
-
 def destinations(
     current: keymap.KeyMap,
     moving: list[int],
     weight_by_id: dict[model.UpstreamId, float],
-    width: int = 1,
 ) -> dict[int, model.UpstreamId]:
     """Returns a new owner for each slot that moves.
 
     Of the owners below their share, those that own no neighbouring slot come
-    first, and of these the one that is furthest below. Slots of a block that
-    leave the same owner go together.
-
-    Args:
-        current: The map as it is.
-        moving: Slots that move, in order.
-        weight_by_id: Share of each owner that stays.
-        width: Slots of a block.
+    first, and of these the one that is furthest below.
     """
     shares = _shares(len(current.slots), weight_by_id)
     owned = collections.Counter(
@@ -143,13 +106,9 @@
             owned[owner] -= 1
     placed: dict[int, model.UpstreamId] = {}
     for index in moving:
-        if _goes_with_last(current, placed, index, width):
-            placed[index] = placed[index - 1]
-            owned[placed[index]] += 1
-            continue
         near = {
             placed.get(i, current.slots[i].owner)
-            for i in (index - 1, index + width)
+            for i in (index - 1, index + 1)
             if 0 <= i < len(current.slots)
         }
         below = [name for name in shares if owned[name] < shares[name] - 0.5]
@@ -159,13 +118,3 @@
         placed[index] = best
         owned[best] += 1
     return placed
-
-
-def _goes_with_last(current, placed, index: int, width: int) -> bool:
-    """Whether a slot moves with the one before, of the same block."""
-    last = index - 1
-    return (
-        last in placed
-        and last // width == index // width
-        and current.slots[last].owner == current.slots[index].owner
-    )
--- a/src/swiftstile/gateway/takeback.py
+++ b/src/swiftstile/gateway/takeback.py
@@ -15,7 +15,6 @@
 from swiftstile.gateway import authority
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keymap
-from swiftstile.gateway import keyplan
 from swiftstile.gateway import leadership
 from swiftstile.gateway import model
 from swiftstile.gateway import renewals
@@ -139,40 +138,32 @@
         if fences and not source.is_fenced:
             source.is_fenced = True
             source.tokens.clear()
-        runs = keyplan.blocks(
-            [index for index in slots if index not in source.tokens],
-            keyplan.width_of(current),
-        )
-        release = self.release(current, target, source, runs[::-1])
-        source.note_release(asyncio.create_task(release))
+        left = [index for index in slots if index not in source.tokens]
+        left.reverse()
+        run = self.release(current, target, source, left)
+        source.note_release(asyncio.create_task(run))
 
     async def release(
         self,
         current: keymap.KeyMap,
         target: targets.Target,
         source: Source,
-        left: list[range],
+        left: list[int],
     ) -> None:
-        """Takes the slots in `left` back, the last ones first.
-
-        Slots of a block go together, in one call and under one token, so that
-        one grant is enough for them at their next owner.
-        """
+        """Takes the slots in `left` back, the last one first."""
         failed: list[errors.PeerUnavailableError] = []
 
         async def work_off() -> None:
             while left and len(failed) < _MOST_FAILURES:
-                run = left.pop()
-                if not all(self._is_leaving(current, index) for index in run):
+                index = left.pop()
+                if not self._is_leaving(current, index):
                     continue
                 try:
-                    token = await self._take(
-                        current, target, run, source.is_fenced
+                    source.tokens[index] = await self._take(
+                        current, target, index, source.is_fenced
                     )
                 except errors.PeerUnavailableError as error:
                     failed.append(error)
-                else:
-                    source.tokens |= dict.fromkeys(run, token)
 
         await asyncio.gather(*(work_off() for _ in range(_PARALLEL)))
         if failed:
@@ -196,27 +187,26 @@
             and self._authority.is_able(clocks.monotonic())
         )
 
-    async def _take(self, current, target, run: range, fences: bool) -> str:
-        """Makes an owner release slots; returns the hand-over token.
+    async def _take(self, current, target, index: int, fences: bool) -> str:
+        """Makes an owner release a slot; returns the hand-over token.
 
         Where grants under the old fence may still arrive, from a VM that tells
         nothing or on their way, a grant under a newer fence comes first: the
         owner refuses older ones from then on.
         """
-        address, keys = target.upstream.address, current.keys_of_run(run)
-        # A release is never refused, whatever its fence.
-        fence = max(current.slots[index].fence for index in run)
+        address, keys = target.upstream.address, current.keys_of(index)
+        fence = current.slots[index].fence
         if fences:
             fence = current.next_fence
-            await self._fence_off(target, run, keys, fence)
+            await self._fence_off(target, index, keys, fence)
         return await self._control.release(address, target.id, keys, fence)
 
-    async def _fence_off(self, target, run: range, keys, fence: int) -> None:
-        """Grants slots for a moment, so that older grants are refused."""
+    async def _fence_off(self, target, index: int, keys, fence: int) -> None:
+        """Grants a slot for a moment, so that older grants are refused."""
         result = await self._renewing.grant_counted(
             self._service,
             target,
-            run,
+            range(index, index + 1),
             keys,
             fence,
             FENCING_HOLD_S,
@@ -250,31 +240,26 @@
         if not source.may_keep(now):
             return
         source.note_kept(now)
-        left = keyplan.blocks(
-            [index for index in slots if self._is_leaving(current, index)],
-            keyplan.width_of(current),
-        )
+        left = [index for index in slots if self._is_leaving(current, index)]
+        left.reverse()
 
         async def work_off() -> None:
             while left and not target.is_failing:
-                await self._keep_run(current, target, source, left.pop())
+                await self._keep_one(current, target, source, left.pop())
 
         await asyncio.gather(*(work_off() for _ in range(_PARALLEL)))
 
-    async def _keep_run(self, current, target, source, run: range) -> None:
-        slot = current.slots[run.start]
-        tokens = {source.tokens.pop(index, slot.token) for index in run}
-        fence = max(current.slots[index].fence for index in run)
+    async def _keep_one(self, current, target, source, index: int) -> None:
+        slot = current.slots[index]
         try:
             await self._renewing.grant_counted(
                 self._service,
                 target,
-                run,
-                current.keys_of_run(run),
-                current.next_fence if source.is_fenced else fence,
+                range(index, index + 1),
+                current.keys_of(index),
+                current.next_fence if source.is_fenced else slot.fence,
                 KEEP_HOLD_S,
-                # Slots that moved apart have no token in common.
-                tokens.pop() if len(tokens) == 1 else "",
+                source.tokens.pop(index, slot.token),
             )
         except errors.PeerUnavailableError as error:
             self._meters.ownership.add("keep-unanswered")
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -43,6 +43,30 @@
     assert [entry.target.id for entry in assigned] == ["u-1"]
 
 
+def test_of_many_vms_too_a_large_body_waits_at_home():
+    # Found on the grown hbrt-gw: uploads left their domain as soon as all of
+    # its targets were full, at 0.2 GB between domains.
+    book = builders.book(
+        *(
+            builders.upstream(
+                f"u-{i}",
+                address=f"127.0.0.1:{9000 + i}",
+                failure_domain=builders.AWAY if i < 4 else builders.HOME,
+            )
+            for i in range(8)
+        )
+    )
+    for target in book.by_id.values():
+        if target.upstream.failure_domain == builders.HOME:
+            builders.occupy(target, 4)
+    large = model.Repeatability.ONCE_LARGE
+    for _ in range(20):
+        decisions = _admission(book)
+        decisions.vms = 25
+        waiter = builders.waiter(repeatability=large)
+        assert decisions.offer(waiter, 0.0) is None
+
+
 def test_a_slow_target_is_passed_over():
     book = builders.book(builders.upstream("u-1"), builders.upstream("u-2"))
     book.by_id["u-1"].slowness = 8.0
