--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -63,10 +63,18 @@
 
 
 class Overload(typing.NamedTuple):
-    """A refusal: when to come back, and what decided it."""
+    """A refusal: when to come back, and what decided it.
+
+    Attributes:
+        retry_after_s: When to come back, in seconds.
+        wait_s: How long it would have waited, or did.
+        owner: The one upstream that could have served it; None without a key
+            or an owner.
+    """
 
     retry_after_s: float
     wait_s: float
+    owner: model.UpstreamId | None
 
 
 class Assignment(typing.NamedTuple):
@@ -229,9 +237,9 @@
             self._waiters.values(), key=lambda entry: entry.rank(now)
         ):
             if waiter.end - now < LEAST_TIME_LEFT * waiter.expected_s:
-                self.leave(waiter)
                 wait_s = now - waiter.arrived
                 refused.append((waiter, self._refusal(waiter, 0.0, wait_s)))
+                self.leave(waiter)
                 continue
             target = self.pick(waiter, now)
             if target is not None:
@@ -365,7 +373,8 @@
             excess_s = TARGETLESS_RETRY_AFTER_S
         base_s = max(LEAST_RETRY_AFTER_S, excess_s)
         spread = 1 + random.uniform(0, RETRY_SPREAD)
-        return Overload(base_s * spread, wait_s)
+        owner = None if waiter.awaited is None else waiter.awaited.id
+        return Overload(base_s * spread, wait_s, owner)
 
 
 def _some_of(pool: list[targets.Target]) -> list[targets.Target]:
--- a/src/swiftstile/gateway/gate.py
+++ b/src/swiftstile/gateway/gate.py
@@ -93,7 +93,9 @@
 
 def _refused(overload: admission.Overload) -> outcomes.RefusedError:
     error = outcomes.RefusedError(
-        f"no slot within {overload.wait_s:.3f} s", step="wait for a slot"
+        f"no slot within {overload.wait_s:.3f} s",
+        step="wait for a slot",
+        peer=overload.owner or "",
     )
     error.retry_after_s = overload.retry_after_s
     return error
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -351,6 +351,7 @@
 
     def _note_end(self, inbound, error, arrived, story) -> None:
         now = clocks.monotonic()
+        target = self._book.by_id.get(error.peer)
         self._meters.refusals.add(error.reason)
         story.note(
             decisions.RequestDecision(
@@ -364,6 +365,7 @@
                 key=inbound.key,
                 config=self.config.version if self.config else 0,
                 store_age_ms=_ms(now - self._store.contact_at),
+                occupied=target.occupied(now) if target is not None else 0,
                 queued=len(self._gate.decisions),
             )
         )
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -183,14 +183,17 @@
             for index in slots
             if index not in current.leaving
         ]
-        moving = lost or self._relocate(current, weights, now)
+        moving, reason = lost, "owner lost"
+        if not moving:
+            moving = self._relocate(current, weights, now)
+            reason = "hot slots"
         is_due = now - self._evened_at >= EVEN_OUT_EVERY_S
         if weights and is_due and not moving and not current.leaving:
             self._evened_at = now
             moving = keyplan.surplus(current, weights, MOVE_BATCH)
+            reason = "evening out"
         if not moving:
             return
-        reason = "owner lost" if lost else "evening out"
         marked = current.mark_leaving(moving)
         if await self._write(marked, reason):
             done = clocks.monotonic()
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -135,6 +135,15 @@
     assert refused.retry_after_s > 1.0
 
 
+def test_a_refusal_names_the_owner_that_was_too_busy():
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    builders.occupy(target, 15)
+    waiter = builders.waiter(owner=builders.FixedOwner(target))
+    refused = _admission(book).offer(waiter, 0.0)
+    assert refused.owner == "u-1"
+
+
 def test_a_key_on_the_move_waits():
     decisions = _admission(builders.book())
     lookup = builders.FixedOwner(None, ready_in_s=0.03)
