A VM that peers leave behind asks the store itself

Suspected: reports of readers came, and questions for the rows had no answer. A VM that was told of newer rows and hasn't got them after 0.5 s now follows the store itself. Test fails without it.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -28,6 +28,10 @@
 LONGEST_PAUSE_OF_MANY_S = 1.2
 # Between two looks whether a peer still tells fresh word.
 LED_PAUSE_S = 0.2
+# A peer tells of newer rows and doesn't hand them over: after so long the store
+# is asked. Two reports and a question, and well within the time in which a
+# configuration has to be in force.
+BEHIND_S = 0.5
 # In the first seconds many VMs and upstreams register; one call for each change
 # would be thousands.
 START_S = 3.0
@@ -86,6 +90,9 @@
         self._readers = store_readers
         self._reader_watch_s = reader_watch_s
         self._started = clocks.monotonic()
+        # Newest version that a peer told of, and since when it is missing here.
+        self._told_version = 0
+        self._behind_since: float | None = None
         # Versions at which rows were removed, by key, oldest first.
         self._removed: dict[str, int] = {}
         # All rows that were removed after this version are in `_removed`.
@@ -122,7 +129,7 @@
             self._replace(await self._table.read_all())
             return
         self._merge(changes.rows)
-        self.version = max(self.version, changes.version)
+        self._note_version(changes.version)
         if changes.rows:
             # What changes in the meantime comes with the next call.
             await asyncio.sleep(self._pause_after_change_s())
@@ -151,10 +158,27 @@
         """Whether peers tell of newer rows, so that the store isn't asked."""
         if self._readers is None or not self.is_loaded:
             return False
+        if self._is_left_behind(now):
+            return False
         return not self._readers.follows_itself(
             self.name, self._reader_watch_s, now
         )
 
+    def _is_left_behind(self, now: float) -> bool:
+        since = self._behind_since
+        return since is not None and now - since > BEHIND_S
+
+    def note_told(self, version: int, now: float) -> None:
+        """A peer told that there is a row of a version."""
+        self._told_version = max(self._told_version, version)
+        if self._told_version > self.version and self._behind_since is None:
+            self._behind_since = now
+
+    def _note_version(self, version: int) -> None:
+        self.version = max(self.version, version)
+        if self.version >= self._told_version:
+            self._behind_since = None
+
     def _note_led(self, now: float) -> None:
         # A reader's word is no older than this.
         age_s = self._reader_watch_s + readers.WORD_MARGIN_S
@@ -174,7 +198,7 @@
             self._replace(snapshot)
         else:
             self._merge(snapshot.rows)
-            self.version = snapshot.version
+            self._note_version(snapshot.version)
 
     def since(self, version: int) -> list[interfaces.Change] | None:
         """Returns what changed after a version; None if that isn't known."""
@@ -203,7 +227,7 @@
             for key in self.rows
             if key not in present
         ]
-        self.version = snapshot.version
+        self._note_version(snapshot.version)
         self._merge(snapshot.rows + removed)
         self.is_loaded = True
 
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -78,6 +78,7 @@
             follower = self._followers.get(name)
             if follower is None or told.version <= follower.version:
                 continue
+            follower.note_told(told.version, now)
             if name not in self._asking and follower.is_led(now):
                 task = asyncio.create_task(
                     self._ask(peer.row.address, follower)
--- a/tests/unit/test_gateway_readers.py
+++ b/tests/unit/test_gateway_readers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from swiftstile import errors
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
 from swiftstile.gateway import interfaces
@@ -161,6 +162,39 @@
     asyncio.run(scenario())
 
 
+def test_rows_that_a_peer_told_of_and_does_not_hand_over_are_read_directly():
+    # Suspected on the grown haddad-gw: VMs went on with a configuration that
+    # was 5 s old, though reports of their readers came.
+    async def scenario():
+        led = _follower(lambda _: None, _AlwaysLed())
+        led.accept(_snapshot(2, ("x", b"1", 2)), True)
+        assert led.is_led(100.0)
+
+        class _Silent:
+
+            async def call(self, message, expected, timeout_s):
+                raise errors.PeerTimeoutError("silent", step="call")
+
+            def to(self, address):
+                return self
+
+        peers = _peers(20)
+        client = relay.RowRelay({_TABLE: led}, peers, _Silent(), [])
+        peer = peers.by_node["vm-10"]
+        peer.report.tables[_TABLE] = reports.TableWord(8, 0.1)
+        client.note(peer, 100.0)
+        await asyncio.sleep(0.01)
+        assert led.is_led(100.3)
+        client.note(peer, 100.4)
+        await asyncio.sleep(0.01)
+        assert not led.is_led(100.0 + follow.BEHIND_S + 0.01)
+        # Once it has the rows it relies on peers again.
+        led.accept(_snapshot(9, ("x", b"2", 8)), False)
+        assert led.is_led(101.0)
+
+    asyncio.run(scenario())
+
+
 def test_a_led_vm_does_not_ask_the_store():
     async def scenario():
         table = builders.MemoryTable()
