--- /dev/null
+++ b/tests/integration/test_gateway_many.py
@@ -0,0 +1,65 @@
+"""Many gateways: readers of the store, and their loss."""
+
+import asyncio
+import signal
+
+from tests.integration import gateways
+from tests.integration import users_standins
+
+# Eight in each of three domains: more than follow the store themselves, and
+# more in other domains than are told each time.
+_COUNT = 24
+_NEW_ROUTE = {
+    "entry_type": "routes",
+    "metadata": {"name": "new"},
+    "spec": {
+        "host": "a.example",
+        "prefix": "/read/new/",
+        "kind": "safe",
+        "timeout": "2000ms",
+        "service": "plain",
+        "max_attempts": 1,
+    },
+}
+
+
+def _events(gateway: gateways.Gateway, event: str) -> int:
+    return gateway.log.read_text().count(f'"event":"{event}"')
+
+
+def test_a_configuration_reaches_all_though_readers_are_killed(tmp_path):
+    async def scenario(site):
+        # With the same bandwidth, readers are those with the least names.
+        zone = [g for g in site.gateways if g.zone == gateways.ZONES[0]]
+        lost = sorted(zone, key=lambda g: f"vm-{g.number}")[:2]
+        others = [g for g in site.gateways if g not in lost]
+        for gateway in lost:
+            await gateway.end(signal.SIGKILL)
+        site.store.put("op", "config", users_standins.config(5, _NEW_ROUTE))
+
+        def know() -> bool:
+            # The first one is the configuration that they started with.
+            return all(
+                _events(gateway, "configuration in force") == 2
+                for gateway in others
+            )
+
+        async with asyncio.timeout(6):
+            while not know():
+                await asyncio.sleep(0.05)
+        # Most took it from a reader and not from the store.
+        relayed = sum(
+            _events(gateway, "rows from a peer") > 0 for gateway in others
+        )
+        assert relayed > len(others) / 2
+        for gateway in others[::5]:
+            outcome = await site.callers.call("/read/new/x", gateway=gateway)
+            assert outcome.status == 200
+
+    async def main():
+        site = gateways.Site(tmp_path, _COUNT)
+        async with site.running():
+            await scenario(site)
+        assert site.broken_promises() == []
+
+    asyncio.run(main())
