One reader of settings files, one count of near VMs, one list of leaving slots

Read once more: settings.py and gateway/settings.py read, converted and refused a file in the same lines (now ini.read, to_sections, bad_values, raise_for); keeper and renewals both listed leaving slots by owner (KeyMap.leaving_by_owner); the daemon counted near VMs beside Circulation.near_heard; a far report was passed twice; failed questions for rows were logged in two places; Verdict.is_signed was read by nothing. Behaviour stays: gateway settings still don't name unknown sections. No test changed.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -251,10 +251,7 @@
                 self._slowness_at = now
                 for target in self._book.by_id.values():
                     target.slowness = self._speeds.ratio(target.id, now)
-            heard = self._peers.heard(now)
-            domain = self._node.domain
-            near = sum(peer.row.domain == domain for peer in heard)
-            self._gate.decisions.vms = near + 1
+            self._gate.decisions.vms = self._peers.circulation.near_heard(now)
             self._budget.set_vms(len(self._peers.by_node) + 1)
 
     async def _lead(self) -> None:
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -204,7 +204,7 @@
         else:
             return
         self._urgent_at, self._far_sent = now, state
-        self._send_far(circulation.thin(report), report, now, to)
+        self._send_far(circulation.thin(report), now, to)
 
     @property
     def circulation(self) -> circulation_lib.Circulation:
@@ -224,15 +224,15 @@
             if peer.row.domain == self.me.domain:
                 self._send_to(peer, data, now)
 
-    def _send_far(self, full, report, now: float, to) -> None:
+    def _send_far(self, report: reports.Report, now: float, to) -> None:
         self._sequence = report.sequence
-        thin = msgspec.structs.replace(full, speeds={}, heat={})
+        thin = msgspec.structs.replace(report, speeds={}, heat={})
         data = self._encoder.encode(thin)
         for peer in to:
             # Speeds and heat matter to the one that places keys.
             is_leader = peer.report is not None and peer.report.is_leader
             if is_leader and (report.speeds or report.heat):
-                self._send_to(peer, self._encoder.encode(full), now)
+                self._send_to(peer, self._encoder.encode(report), now)
             else:
                 self._send_to(peer, data, now)
 
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -194,7 +194,6 @@
     Attributes:
         kind: Whether the request ran.
         attempt_id: Id of the attempt it answers; empty if it doesn't say.
-        is_signed: Whether the server vouches for the body.
         is_sound: Whether a success may be passed on to the caller.
         load: How busy the server was, if it says.
         answered_by: The server that answered, if it says.
@@ -202,7 +201,6 @@
 
     kind: AnswerKind
     attempt_id: str
-    is_signed: bool
     is_sound: bool
     load: Load | None
     answered_by: str
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -1,7 +1,6 @@
 """Plans the key maps while this VM leads: first deal, moves, lost owners."""
 
 import asyncio
-import collections
 import enum
 
 from swiftstile import clocks
@@ -71,15 +70,6 @@
     CLEAR = "clear"
 
 
-def _slots_by_owner(
-    current: keymap.KeyMap, slots
-) -> dict[model.UpstreamId, list[int]]:
-    found = collections.defaultdict(list)
-    for index in sorted(slots):
-        found[current.slots[index].owner].append(index)
-    return found
-
-
 class MapKeeper:
     """Keeps the key map of one service while this VM leads."""
 
@@ -234,7 +224,7 @@
         return now - since > UNKNOWN_OWNER_S
 
     async def _commit_cleared(self, current, weights, now: float) -> None:
-        slots_by_source = _slots_by_owner(current, current.leaving)
+        slots_by_source = current.leaving_by_owner()
         for owner in [
             name for name in self._sources if name not in slots_by_source
         ]:
@@ -318,7 +308,7 @@
         current = self._maps.by_service.get(self._service)
         if current is None or not current.leaving:
             return
-        slots_by_source = _slots_by_owner(current, current.leaving)
+        slots_by_source = current.leaving_by_owner()
         await asyncio.gather(
             *(
                 self._take_back.keep(
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -80,6 +80,13 @@
         ]
         return KeyMap(self.version, self.next_fence, slots)
 
+    def leaving_by_owner(self) -> dict[model.UpstreamId, list[int]]:
+        """Returns the slots that are leaving, in order, by who owns them."""
+        found: dict[model.UpstreamId, list[int]] = {}
+        for index in sorted(self.leaving):
+            found.setdefault(self.slots[index].owner, []).append(index)
+        return found
+
     def index_of(self, key: int) -> int:
         """Returns the slot of a key."""
         return key * len(self.slots) // model.KEY_SPACE
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -124,19 +124,15 @@
         question = messages.AskRows(follower.name, follower.version)
         try:
             told = await link.call(question, messages.Rows, TIMEOUT_S)
-        except errors.SwiftstileError as error:
-            logs.logger.info("rows not relayed", error=str(error))
-            return
-        if told.version <= follower.version:
-            return
-        changes = [
-            interfaces.Change(row.key, row.value, row.version)
-            for row in told.rows
-        ]
-        snapshot = interfaces.Snapshot(changes, told.version)
-        try:
+            if told.version <= follower.version:
+                return
+            changes = [
+                interfaces.Change(row.key, row.value, row.version)
+                for row in told.rows
+            ]
+            snapshot = interfaces.Snapshot(changes, told.version)
             follower.accept(snapshot, told.is_whole)
-        except errors.PlatformError as error:
+        except errors.SwiftstileError as error:
             logs.logger.info("rows not relayed", error=str(error))
             return
         logs.logger.info(
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -346,14 +346,11 @@
             if not key_map.leaving:
                 continue
             book = self.holds(service, len(key_map.slots))
-            slots: dict[model.UpstreamId, list[int]] = {}
-            for index in key_map.leaving:
-                slots.setdefault(key_map.slots[index].owner, []).append(index)
             found[service] = {
                 owner: reports.Hold(
                     book.held_for_s(indices, now), book.open_for_s(indices, now)
                 )
-                for owner, indices in slots.items()
+                for owner, indices in key_map.leaving_by_owner().items()
             }
         return found
 
--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from swiftstile import errors
 from swiftstile import ids
 from swiftstile import ini
 from swiftstile import settings as settings_lib
@@ -131,25 +130,9 @@
     Raises:
         SettingsError: Names the file and every fault in it.
     """
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(
-            f"can't be read: {error}", step="read settings", peer=str(path)
-        ) from error
-    parser = ini.parse(text, str(path))
-    sections, faults = {}, []
-    for name, kind in _SECTIONS.items():
-        if parser.has_section(name):
-            sections[name], found = ini.to_section(kind, name, parser[name])
-            faults += found
-        elif name in _REQUIRED:
-            faults.append(ini.Fault(name, "", "section missing"))
+    sections, faults = ini.to_sections(ini.read(path), _SECTIONS, _REQUIRED)
     faults += _bad_values(sections)
-    if faults:
-        raise errors.SettingsError(
-            "; ".join(map(str, faults)), step="check settings", peer=str(path)
-        )
+    ini.raise_for(faults, path)
     return GatewaySettings(**sections)
 
 
@@ -161,11 +144,4 @@
     ]
     checks = [(*where, settings_lib.split_address) for where in _ADDRESSES]
     checks += [("bounds", option, seconds) for option in _TIMES]
-    for section, option, check in checks:
-        value = getattr(sections.get(section), option, "")
-        try:
-            if value:
-                check(value)
-        except ValueError as error:
-            faults.append(ini.Fault(section, option, str(error)))
-    return faults
+    return faults + ini.bad_values(sections, checks)
--- a/src/swiftstile/ini.py
+++ b/src/swiftstile/ini.py
@@ -1,14 +1,25 @@
 """Reads INI text into typed sections and lists every fault at once."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import configparser
+import pathlib
 import typing
 
 import msgspec
 
 from swiftstile import errors
 
-__all__ = ["Fault", "parse", "to_section"]
+__all__ = [
+    "Fault",
+    "bad_values",
+    "parse",
+    "raise_for",
+    "read",
+    "to_section",
+    "to_sections",
+]
 
 T = typing.TypeVar("T", bound=msgspec.Struct)
 
@@ -25,6 +36,21 @@
         return f"[{self.section}]{option}: {self.problem}"
 
 
+def read(path: pathlib.Path) -> configparser.ConfigParser:
+    """Splits the text of a settings file into sections.
+
+    Raises:
+        SettingsError: The file can't be read, or isn't INI.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            f"can't be read: {error}", step="read settings", peer=str(path)
+        ) from error
+    return parse(text, str(path))
+
+
 def parse(text: str, source: str) -> configparser.ConfigParser:
     """Splits INI text into sections.
 
@@ -48,6 +74,66 @@
     return parser
 
 
+def to_sections(
+    parser: configparser.ConfigParser,
+    kinds: Mapping[str, type[msgspec.Struct]],
+    required: Iterable[str],
+) -> tuple[dict[str, msgspec.Struct | None], list[Fault]]:
+    """Converts all sections that have a kind.
+
+    Args:
+        parser: The text, split into sections.
+        kinds: The struct that describes each section, by its name.
+        required: Sections that may not be missing.
+
+    Returns:
+        The sections that are there, by name, None for one with a fault; and all
+        faults.
+    """
+    sections, faults = {}, []
+    for name, kind in kinds.items():
+        if parser.has_section(name):
+            sections[name], found = to_section(kind, name, parser[name])
+            faults += found
+        elif name in required:
+            faults.append(Fault(name, "", "section missing"))
+    return sections, faults
+
+
+def bad_values(
+    sections: Mapping[str, msgspec.Struct | None],
+    checks: Iterable[tuple[str, str, Callable[[str], object]]],
+) -> list[Fault]:
+    """Returns the faults of values that a check doesn't take.
+
+    Args:
+        sections: The sections, by name.
+        checks: Section, option, and what raises ValueError for a wrong value.
+            An empty value and a missing section are right.
+    """
+    faults = []
+    for section, option, check in checks:
+        value = getattr(sections.get(section), option, "")
+        try:
+            if value:
+                check(value)
+        except ValueError as error:
+            faults.append(Fault(section, option, str(error)))
+    return faults
+
+
+def raise_for(faults: list[Fault], path: pathlib.Path) -> None:
+    """Raises an error that names all faults of a settings file, if any.
+
+    Raises:
+        SettingsError: There are faults.
+    """
+    if faults:
+        raise errors.SettingsError(
+            "; ".join(map(str, faults)), step="check settings", peer=str(path)
+        )
+
+
 def to_section(
     kind: type[T], section: str, options: Mapping[str, str]
 ) -> tuple[T | None, list[Fault]]:
--- a/src/swiftstile/settings.py
+++ b/src/swiftstile/settings.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from swiftstile import errors
 from swiftstile import ids
 from swiftstile import ini
 
@@ -132,26 +131,16 @@
     Raises:
         SettingsError: Names the file and every fault in it.
     """
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(
-            f"can't be read: {error}", step="read settings", peer=str(path)
-        ) from error
-    parser = ini.parse(text, str(path))
-    sections, faults = {}, _unknown_sections(parser)
-    for name, kind in _SECTIONS.items():
-        if parser.has_section(name):
-            sections[name], found = ini.to_section(kind, name, parser[name])
-            faults += found
-        elif name in _REQUIRED:
-            faults.append(ini.Fault(name, "", "section missing"))
-    faults += _bad_addresses(sections)
-    faults += _bad_times(sections)
-    if faults:
-        raise errors.SettingsError(
-            "; ".join(map(str, faults)), step="check settings", peer=str(path)
-        )
+    parser = ini.read(path)
+    sections, faults = ini.to_sections(parser, _SECTIONS, _REQUIRED)
+    addresses = [(*where, split_address) for where in _ADDRESS_OPTIONS]
+    faults = [
+        *_unknown_sections(parser),
+        *faults,
+        *ini.bad_values(sections, addresses),
+        *_bad_times(sections),
+    ]
+    ini.raise_for(faults, path)
     return Settings(**sections)
 
 
@@ -176,18 +165,6 @@
     ]
 
 
-def _bad_addresses(sections) -> list[ini.Fault]:
-    faults = []
-    for section, option in _ADDRESS_OPTIONS:
-        value = getattr(sections.get(section), option, "")
-        try:
-            if value:
-                split_address(value)
-        except ValueError as error:
-            faults.append(ini.Fault(section, option, str(error)))
-    return faults
-
-
 def _bad_times(sections) -> list[ini.Fault]:
     faults = [
         ini.Fault(section, option, f"expected more than 0, got {value}")
