--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -33,14 +33,8 @@
 
 # Between two rounds of what isn't urgent.
 TICK_S = 0.1
-# Between two tellings of how fast targets are.
-SPEEDS_INTERVAL_S = 0.8
-# The same for each VM, where they are many: each has fewer answers to tell of.
-SPEEDS_PER_VM_S = 0.03
 # Between two looks at how fast targets are; answers count for seconds.
 SLOWNESS_INTERVAL_S = 0.5
-# Between two tellings of which keys are busy.
-HEAT_INTERVAL_S = 0.3
 # After the order to stop, callers go on coming this long: the balancer asks
 # once a second and takes a VM out after two misses.
 LINGER_S = 3.2
@@ -97,10 +91,8 @@
         self._server = server
         self._budget = retry_budget
         self._speeds = speed_book
-        self._speeds_at = 0.0
         self._slowness_at = 0.0
         self._heat = heat_book
-        self._heat_at = 0.0
         self._log = log
         self._make_keeper = make_keeper
         self._grace_s = grace_s
@@ -176,8 +168,9 @@
             round(store.silent_s(now), 1),
             shared,
             local,
-            self._speeds_to_tell(now),
-            self._heat_to_tell(now),
+            # What was measured is added as a report is sent.
+            {},
+            {},
             {
                 service: key_map.version
                 for service, key_map in self._maps.by_service.items()
@@ -209,19 +202,6 @@
                 counts[target.id] = (target.own, target.waiting)
         return shared, local
 
-    def _speeds_to_tell(self, now: float):
-        pause_s = SPEEDS_PER_VM_S * len(self._peers.by_node)
-        if now - self._speeds_at < max(SPEEDS_INTERVAL_S, pause_s):
-            return {}
-        self._speeds_at = now
-        return self._speeds.tell(now)
-
-    def _heat_to_tell(self, now: float):
-        if now - self._heat_at < HEAT_INTERVAL_S:
-            return {}
-        self._heat_at = now
-        return self._heat.tell(now)
-
     def on_report(self, peer: reports.Peer, now: float) -> None:
         """Takes in how busy targets are by a peer's requests."""
         node = peer.row.node
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -13,6 +13,7 @@
 from swiftstile import errors
 from swiftstile import logs
 from swiftstile.gateway import circulation as circulation_lib
+from swiftstile.gateway import measures as measures_lib
 from swiftstile.gateway import model
 from swiftstile.gateway import reports
 
@@ -70,13 +71,27 @@
 class Peers:
     """The other VMs, by name.
 
+    Args:
+        me: This VM.
+        on_report: Called with a peer and the time when its report came.
+        measures: What this VM tells with its reports now and then, if it does.
+
     Attributes:
         by_node: All that are registered, this one excluded.
     """
 
-    def __init__(self, me: reports.NodeRow, on_report):
+    def __init__(
+        self,
+        me: reports.NodeRow,
+        on_report,
+        measures: measures_lib.Measures | None = None,
+    ):
         self.me = me
+        self._measures = measures
+        self._near_pace = measures_lib.Pace()
+        self._leader_pace = measures_lib.Pace()
         self.by_node: dict[model.NodeId, reports.Peer] = {}
+        self._by_run: dict[str, reports.Peer] = {}
         self._on_report = on_report
         self._decoder = msgspec.msgpack.Decoder(reports.Report)
         self._encoder = msgspec.msgpack.Encoder()
@@ -96,13 +111,15 @@
         """Takes in a registration; None when it was removed."""
         if node == self.me.node:
             return
+        known = self.by_node.get(node)
+        if known is not None:
+            self._by_run.pop(reports.short_run(known.row.incarnation), None)
         if row is None:
             self.by_node.pop(node, None)
             return
-        known = self.by_node.get(node)
         if known is None:
-            self.by_node[node] = reports.Peer(row, now)
-            return
+            known = self.by_node[node] = reports.Peer(row, now)
+        self._by_run[reports.short_run(row.incarnation)] = known
         if known.row.incarnation != row.incarnation:
             known.changed_at = now
             known.report = None
@@ -219,22 +236,32 @@
 
     def _send_near(self, report: reports.Report, now: float) -> None:
         self._sequence = report.sequence
-        data = self._encoder.encode(report)
+        measured = self._with_measures(report, self._near_pace, now)
+        data = self._encoder.encode(measured)
         for peer in self.by_node.values():
             if peer.row.domain == self.me.domain:
                 self._send_to(peer, data, now)
 
     def _send_far(self, report: reports.Report, now: float, to) -> None:
         self._sequence = report.sequence
-        thin = msgspec.structs.replace(report, speeds={}, heat={})
-        data = self._encoder.encode(thin)
+        data = self._encoder.encode(report)
+        leaders = [peer for peer in to if peer.report and peer.report.is_leader]
         for peer in to:
-            # Speeds and heat matter to the one that places keys.
-            is_leader = peer.report is not None and peer.report.is_leader
-            if is_leader and (report.speeds or report.heat):
-                self._send_to(peer, self._encoder.encode(report), now)
-            else:
+            if peer not in leaders:
                 self._send_to(peer, data, now)
+        if leaders:
+            # Speeds and heat matter to the one that places keys.
+            measured = self._with_measures(report, self._leader_pace, now)
+            data = self._encoder.encode(measured)
+        for peer in leaders:
+            self._send_to(peer, data, now)
+
+    def _with_measures(
+        self, report: reports.Report, pace: measures_lib.Pace, now: float
+    ) -> reports.Report:
+        if self._measures is None:
+            return report
+        return self._measures.attach(report, pace, len(self.by_node), now)
 
     def _send_to(self, peer: reports.Peer, data: bytes, now: float) -> None:
         if peer.row.is_retired and not peer.is_heard(now):
@@ -242,12 +269,6 @@
         host, _, port = peer.row.address.rpartition(":")
         self._transport.sendto(data, (host, int(port)))
 
-    def _find(self, run: str) -> reports.Peer | None:
-        for peer in self.by_node.values():
-            if reports.short_run(peer.row.incarnation) == run:
-                return peer
-        return None
-
     def _receive(self, data: bytes, sender) -> None:
         try:
             report = self._decoder.decode(data[:MAX_BYTES])
@@ -257,7 +278,7 @@
             )
             logs.logger.warning("report dropped", error=str(problem))
             return
-        peer = self._find(report.run)
+        peer = self._by_run.get(report.run)
         if peer is None:
             # Its registration will follow, or this is of an earlier run.
             return
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -26,6 +26,7 @@
 from swiftstile.gateway import keeper
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership
+from swiftstile.gateway import measures
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
 from swiftstile.gateway import owners
@@ -123,7 +124,11 @@
         self._maps = renewals.KeyMaps()
         self._speeds = speeds.SpeedBook()
         self._heat = heat.HeatBook()
-        self._peers = gossip.Peers(self._node, self._on_report)
+        self._peers = gossip.Peers(
+            self._node,
+            self._on_report,
+            measures.Measures(self._speeds, self._heat),
+        )
         self._readers = readers.StoreReaders(
             self._peers, lambda: self._leads.is_leader
         )
