--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -33,6 +33,9 @@
 TRY_PAUSE_S = 0.5
 # Each VM waits up to this long at random before it tries, for the same reason.
 SPREAD_S = 0.25
+# The same for each VM, where they are many. Word of a new leader takes some
+# 0.1 s to reach all; the first of them tries about this soon, however many.
+SPREAD_PER_VM_S = 0.01
 # After the start, until reports of others came in.
 START_PAUSE_S = 0.4
 
@@ -64,6 +67,7 @@
         self._started = clocks.monotonic()
         self._try_at = 0.0
         self._silent_since: float | None = None
+        self._applied_at = self._started
         self.row: LeaderRow | None = None
         self.version = interfaces.NEW_ROW
 
@@ -73,6 +77,7 @@
         if change.version < self.version:
             return
         self.version = change.version
+        self._applied_at = clocks.monotonic()
         self._silent_since = None
         self.row = None
         if change.value is not None:
@@ -104,7 +109,9 @@
             return
         if not self._is_vacant(now) or self._follower.failing_since is not None:
             return
-        await asyncio.sleep(random.uniform(0, SPREAD_S))
+        vms = len(self._peers.by_node) + 1
+        spread_s = max(SPREAD_S, SPREAD_PER_VM_S * vms)
+        await asyncio.sleep(random.uniform(0, spread_s))
         if self._is_vacant(clocks.monotonic()):
             await self._take_over()
         self._try_at = clocks.monotonic() + TRY_PAUSE_S
@@ -120,7 +127,11 @@
             report = leader.report
             return report.is_leaving or report.store_silent_s > STORELESS_S
         if self._silent_since is None:
-            self._silent_since = max(leader.heard_at, leader.changed_at)
+            # Where VMs are many, one of another domain says nothing here before
+            # it leads.
+            self._silent_since = max(
+                leader.heard_at, leader.changed_at, self._applied_at
+            )
         known = self._peers.counted(now)
         heard = self._peers.circulation.heard(now)
         silent_s = now - self._silent_since
--- a/tests/unit/test_gateway_store.py
+++ b/tests/unit/test_gateway_store.py
@@ -267,8 +267,8 @@
     one, _ = _leadership(table, "vm-1")
     two, peers = _leadership(table, "vm-2")
     _lead(one)
-    two.apply(table.rows[leadership.LEADER_KEY])
     clock = _Clock(monkeypatch)
+    two.apply(table.rows[leadership.LEADER_KEY])
     clock.now = 50.0
     row = builders.node_row("vm-1", run="----vm-1")
     told = builders.report(row, is_leader=True)
@@ -286,8 +286,8 @@
     one, _ = _leadership(table, "vm-1")
     two, peers = _leadership(table, "vm-2")
     _lead(one)
-    two.apply(table.rows[leadership.LEADER_KEY])
     clock = _Clock(monkeypatch)
+    two.apply(table.rows[leadership.LEADER_KEY])
     clock.now = 50.0
     for name in ("vm-1", "vm-3", "vm-4"):
         row = builders.node_row(name, run=name.rjust(8, "-"))
@@ -300,6 +300,25 @@
     assert two.is_leader
 
 
+def test_a_new_leader_that_was_never_heard_is_given_time_to_speak(monkeypatch):
+    table = builders.MemoryTable()
+    one, _ = _leadership(table, "vm-1")
+    two, peers = _leadership(table, "vm-2")
+    _lead(one)
+    clock = _Clock(monkeypatch)
+    clock.now = 50.0
+    # Of many VMs those of other domains tell nothing here until they lead.
+    row = builders.node_row("vm-1", run="----vm-1", domain="far")
+    peers.by_node["vm-1"] = builders.peer(row, None, heard_at=0.0)
+    two.apply(table.rows[leadership.LEADER_KEY])
+    clock.now = 50.5
+    _lead(two)
+    assert not two.is_leader
+    clock.now = 50.0 + leadership.LONG_SILENCE_S + 0.1
+    _lead(two)
+    assert two.is_leader
+
+
 def test_reports_of_an_earlier_run_are_dropped():
     heard = []
     me = builders.node_row("vm-1")
