--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -229,8 +229,9 @@
             self._authority.tick(now)
             if now - self._slowness_at >= SLOWNESS_INTERVAL_S:
                 self._slowness_at = now
+                ratios = self._speeds.ratios(now)
                 for target in self._book.by_id.values():
-                    target.slowness = self._speeds.ratio(target.id, now)
+                    target.slowness = ratios.get(target.id, 1.0)
             self._gate.decisions.vms = self._peers.circulation.near_heard(now)
             self._budget.set_vms(len(self._peers.by_node) + 1)
 
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -131,10 +131,13 @@
         self, now: float, within_s: float = reports.SILENT_AFTER_S
     ) -> list[reports.Peer]:
         """Returns the peers that told something lately."""
+        # Asked for many times a second, over 80 VMs at times: without a call
+        # of `is_heard` for each.
+        since = now - within_s
         return [
             peer
             for peer in self.by_node.values()
-            if peer.is_heard(now, within_s)
+            if peer.heard_at > since and peer.report is not None
         ]
 
     def counted(self, now: float) -> list[reports.Peer]:
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -142,8 +142,9 @@
 
     def _weights(self, now: float) -> dict[model.UpstreamId, float]:
         group = self._book.by_service.get(self._service, {})
+        ratios = self._speeds.ratios(now)
         weights = {
-            target.id: self._weight(target, now)
+            target.id: self._weight(target, ratios.get(target.id, 1.0))
             for target in group.values()
             if target.leaving_since is None
         }
@@ -152,9 +153,9 @@
         self._members = set(weights)
         return weights
 
-    def _weight(self, target: targets.Target, now: float) -> float:
+    @staticmethod
+    def _weight(target: targets.Target, ratio: float) -> float:
         """Returns how much a target can do: its slots over its slowness."""
-        ratio = self._speeds.ratio(target.id, now)
         speed = 1.0 / min(max(ratio, 1 / FASTEST_WEIGHT), 1 / SLOWEST_WEIGHT)
         return max(1, target.upstream.slots) * speed
 
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -6,6 +6,7 @@
 """
 
 import array
+import bisect
 import zlib
 
 import msgspec
@@ -18,10 +19,15 @@
 
 _NOBODY = 0xFFFF
 _COMPRESSION = 1
+_OWNER_BYTES, _FENCE_BYTES = 2, 4
+# Slots that are compared at a time, to find the few that differ.
+_CHUNK = 64
+# Maps that differ in a larger part are read whole.
+_MOST_CHANGED = 0.2
 
 
-class KeySlot(msgspec.Struct):
-    """The keys of one slot.
+class KeySlot(msgspec.Struct, frozen=True):
+    """The keys of one slot; maps that follow each other share most of them.
 
     Attributes:
         owner: Upstream that owns them, or None.
@@ -36,7 +42,7 @@
     is_leaving: bool = False
 
 
-class _Document(msgspec.Struct, array_like=True):
+class _Document(msgspec.Struct, array_like=True, frozen=True):
     attempt: str
     next_fence: int
     upstreams: list[str]
@@ -66,19 +72,54 @@
         for index, slot in enumerate(slots):
             if slot.owner is not None:
                 self.slots_by_owner.setdefault(slot.owner, []).append(index)
+        self._runs_by_owner: dict[model.UpstreamId, list[range]] = {}
+        self._document: _Document | None = None
 
     @classmethod
     def empty(cls, count: int) -> "KeyMap":
         """Returns a map of `count` slots without owners."""
         return cls(0, 1, [KeySlot() for _ in range(count)])
 
-    def copy(self) -> "KeyMap":
-        """Returns a map that can be changed without changing this one."""
-        slots = [
-            KeySlot(slot.owner, slot.fence, slot.token, slot.is_leaving)
-            for slot in self.slots
-        ]
-        return KeyMap(self.version, self.next_fence, slots)
+    def with_slots(
+        self, changed: dict[int, KeySlot], next_fence: int, version: int
+    ) -> "KeyMap":
+        """Returns a map in which some slots are others.
+
+        It shares all else with this one: a site's maps change several times a
+        second, in a few of thousands of slots.
+        """
+        slots = list(self.slots)
+        for index, slot in changed.items():
+            slots[index] = slot
+        if len(changed) > _MOST_CHANGED * len(slots):
+            return KeyMap(version, next_fence, slots)
+        made = KeyMap(version, next_fence, [])
+        made.slots = slots
+        made.leaving = self.leaving - set(changed)
+        made.leaving |= {i for i, slot in changed.items() if slot.is_leaving}
+        made.slots_by_owner = self._owned_after(changed)
+        return made
+
+    def _owned_after(
+        self, changed: dict[int, KeySlot]
+    ) -> dict[model.UpstreamId, list[int]]:
+        owned = dict(self.slots_by_owner)
+        fresh = set()
+        for index, slot in changed.items():
+            before = self.slots[index].owner
+            if before == slot.owner:
+                continue
+            for owner in {before, slot.owner} - fresh - {None}:
+                owned[owner] = list(owned.get(owner, ()))
+                fresh.add(owner)
+            if before is not None:
+                owned[before].remove(index)
+            if slot.owner is not None:
+                bisect.insort(owned[slot.owner], index)
+        for owner in fresh:
+            if not owned[owner]:
+                del owned[owner]
+        return owned
 
     def leaving_by_owner(self) -> dict[model.UpstreamId, list[int]]:
         """Returns the slots that are leaving, in order, by who owns them."""
@@ -98,7 +139,10 @@
 
     def runs_of(self, owner: model.UpstreamId) -> list[range]:
         """Returns an owner's slots that stay, neighbours in one range."""
-        runs: list[range] = []
+        known = self._runs_by_owner.get(owner)
+        if known is not None:
+            return known
+        runs = self._runs_by_owner[owner] = []
         for index in self.slots_by_owner.get(owner, ()):
             slot = self.slots[index]
             if slot.is_leaving:
@@ -129,33 +173,43 @@
             tokens: Hand-over tokens by slot, where there are any.
             owners: New owners by slot.
         """
-        changed = self.copy()
-        for index, owner in owners.items():
-            slot = changed.slots[index]
-            slot.owner = owner
-            slot.fence = self.next_fence + 1
-            slot.token = tokens.get(index, "")
-            slot.is_leaving = False
-        return KeyMap(self.version, self.next_fence + 2, changed.slots)
+        changed = {
+            index: KeySlot(owner, self.next_fence + 1, tokens.get(index, ""))
+            for index, owner in owners.items()
+        }
+        return self.with_slots(changed, self.next_fence + 2, self.version)
 
     def raise_fence(self) -> "KeyMap":
         """Returns the same map with a fence that nobody used yet."""
-        changed = self.copy()
-        return KeyMap(self.version, self.next_fence + 2, changed.slots)
+        return self.with_slots({}, self.next_fence + 2, self.version)
 
     def without_tokens(self) -> "KeyMap":
         """Returns a map that has no hand-over tokens."""
-        changed = self.copy()
-        for slot in changed.slots:
-            slot.token = ""
-        return changed
+        changed = {
+            index: msgspec.structs.replace(slot, token="")
+            for index, slot in enumerate(self.slots)
+            if slot.token
+        }
+        return self.with_slots(changed, self.next_fence, self.version)
 
     def mark_leaving(self, slots) -> "KeyMap":
         """Returns a map in which slots are about to change their owner."""
-        changed = self.copy()
-        for index in slots:
-            changed.slots[index].is_leaving = True
-        return KeyMap(self.version, self.next_fence, changed.slots)
+        changed = {
+            index: msgspec.structs.replace(self.slots[index], is_leaving=True)
+            for index in slots
+        }
+        return self.with_slots(changed, self.next_fence, self.version)
+
+    def changed_since(self, earlier: "KeyMap") -> list[int]:
+        """Returns slots that another map of as many has otherwise."""
+        found = []
+        for start in range(0, len(self.slots), _CHUNK):
+            now = self.slots[start : start + _CHUNK]
+            then = earlier.slots[start : start + _CHUNK]
+            # Slots that both maps share are told apart by identity at once.
+            if now != then:
+                found += [start + i for i in _different(now, then)]
+        return found
 
     def encode(self, attempt: str) -> bytes:
         """Returns the document; `attempt` makes each writing of it unique."""
@@ -177,28 +231,98 @@
         return zlib.compress(msgspec.msgpack.encode(document), _COMPRESSION)
 
 
-def decode(data: bytes, version: int, peer: str = "") -> KeyMap:
+def decode(
+    data: bytes, version: int, peer: str = "", known: KeyMap | None = None
+) -> KeyMap:
     """Returns the map in a document.
 
+    Args:
+        data: The document.
+        version: Version of its row.
+        peer: Where it came from, for errors.
+        known: An earlier map of the same service. What it shares with the new
+            one isn't made again.
+
     Raises:
         ControlMessageError: The document is malformed.
     """
     try:
         document = msgspec.msgpack.decode(zlib.decompress(data), type=_Document)
-        owners = array.array("H", document.owners)
-        fences = array.array("I", document.fences)
-        slots = [
-            KeySlot(
-                None if owner == _NOBODY else document.upstreams[owner], fence
-            )
-            for owner, fence in zip(owners, fences, strict=True)
-        ]
-        for index in document.leaving:
-            slots[index].is_leaving = True
-        for index, token in document.tokens.items():
-            slots[index].token = token
+        made = _changed_map(document, version, known)
+        if made is None:
+            made = _whole_map(document, version)
     except (msgspec.MsgspecError, zlib.error, ValueError, IndexError) as error:
         raise errors.ControlMessageError(
             repr(error), step="decode key map", peer=peer
         ) from error
+    made._document = document
+    return made
+
+
+class _Columns:
+    """A document's columns, by slot."""
+
+    def __init__(self, document: _Document):
+        self._document = document
+        self._owners = array.array("H", document.owners)
+        self._fences = array.array("I", document.fences)
+        self._leaving = set(document.leaving)
+        self.count = len(self._owners)
+        if self.count != len(self._fences):
+            raise ValueError(f"{len(self._fences)} fences of {self.count}")
+
+    def slot(self, index: int) -> KeySlot:
+        """Returns one slot."""
+        if not 0 <= index < self.count:
+            raise IndexError(f"slot {index} of {self.count}")
+        owner = self._owners[index]
+        return KeySlot(
+            None if owner == _NOBODY else self._document.upstreams[owner],
+            self._fences[index],
+            self._document.tokens.get(index, ""),
+            index in self._leaving,
+        )
+
+
+def _whole_map(document: _Document, version: int) -> KeyMap:
+    columns = _Columns(document)
+    for index in {*document.leaving, *document.tokens}:
+        columns.slot(index)
+    slots = [columns.slot(index) for index in range(columns.count)]
     return KeyMap(version, document.next_fence, slots)
+
+
+def _changed_map(
+    document: _Document, version: int, known: KeyMap | None
+) -> KeyMap | None:
+    """Returns the map if it is much like a known one, or None."""
+    earlier = known._document if known is not None else None
+    if earlier is None or earlier.upstreams != document.upstreams:
+        return None
+    if len(earlier.owners) != len(document.owners):
+        return None
+    columns = _Columns(document)
+    changed = set(document.leaving) ^ set(earlier.leaving)
+    changed |= {i for i, _ in document.tokens.items() ^ earlier.tokens.items()}
+    changed |= _changed_items(earlier.owners, document.owners, _OWNER_BYTES)
+    changed |= _changed_items(earlier.fences, document.fences, _FENCE_BYTES)
+    slots = {index: columns.slot(index) for index in changed}
+    return known.with_slots(slots, document.next_fence, version)
+
+
+def _changed_items(one: bytes, other: bytes, width: int) -> set[int]:
+    """Returns numbers of items, of some bytes each, that aren't the same."""
+    found: set[int] = set()
+    step = _CHUNK * width
+    for start in range(0, len(one), step):
+        left, right = one[start : start + step], other[start : start + step]
+        if left != right:
+            code = "H" if width == _OWNER_BYTES else "I"
+            pair = array.array(code, left), array.array(code, right)
+            found.update(start // width + i for i in _different(*pair))
+    return found
+
+
+def _different(one, other) -> list[int]:
+    both = zip(one, other, strict=True)
+    return [i for i, (left, right) in enumerate(both) if left != right]
--- a/src/swiftstile/gateway/readers.py
+++ b/src/swiftstile/gateway/readers.py
@@ -38,6 +38,8 @@
     def __init__(self, peers: gossip.Peers, is_leader):
         self._peers = peers
         self._is_leader = is_leader
+        self._near_at = -1.0
+        self._near_then: list[reports.Peer] = []
 
     def is_reader(self, now: float) -> bool:
         """Whether this VM is one of those that the others rely on."""
@@ -71,6 +73,13 @@
         return told.age_s + now - peer.heard_at
 
     def _near(self, now: float) -> list[reports.Peer]:
+        """Returns near peers that are heard; a report asks several times."""
+        if now != self._near_at:
+            self._near_at = now
+            self._near_then = self._look_near(now)
+        return self._near_then
+
+    def _look_near(self, now: float) -> list[reports.Peer]:
         domain = self._peers.me.domain
         return [
             peer
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -51,6 +51,10 @@
 _GIVE_UP_AFTER = 4
 
 
+# Peers that may renew grants, by failure domain.
+AbleByDomain = dict[ids.FailureDomain, list[reports.Peer]]
+
+
 class KeyMaps:
     """The key maps in force, by service.
 
@@ -73,8 +77,8 @@
             return
         times = self.changed_at.setdefault(service, {})
         if known is not None and len(known.slots) == len(newer.slots):
-            for index, slot in enumerate(newer.slots):
-                if slot.fence != known.slots[index].fence:
+            for index in newer.changed_since(known):
+                if newer.slots[index].fence != known.slots[index].fence:
                     times[index] = now
         self.by_service[service] = newer
         self.changed.set()
@@ -151,43 +155,54 @@
             if task is None or task.done():
                 self._tasks[owner] = asyncio.create_task(self._renew(owner))
 
-    def _able_peers(self, now: float) -> list[reports.Peer]:
-        return [
-            peer
-            for peer in self._peers.heard(now)
-            if peer.report.is_able and not peer.report.is_leaving
-        ]
+    def _able_peers(self, now: float) -> AbleByDomain:
+        able: AbleByDomain = {}
+        for peer in self._peers.heard(now):
+            if peer.report.is_able and not peer.report.is_leaving:
+                able.setdefault(peer.row.domain, []).append(peer)
+        return able
 
     def _is_mine(
         self,
         owner: model.UpstreamId,
-        able: list[reports.Peer],
+        able: AbleByDomain,
         now: float,
     ) -> bool:
         """Whether this VM looks after an upstream, by what it sees now."""
         me = self._peers.me
         domain = self._book.by_id[owner].upstream.failure_domain
-        reaching = [p.row for p in able if owner not in p.report.unreachable]
-        if owner not in self.unreachable:
-            reaching.append(me)
-        pool = [row for row in reaching if row.domain == domain]
-        if not pool and self._peers.circulation.hears_of(domain, now):
+        near = _reaching(able.get(domain, ()), owner)
+        if domain != me.domain and near:
+            # One of those looks after it.
+            return False
+        reaches_it = owner not in self.unreachable
+        if domain == me.domain and reaches_it:
+            return _is_first(me, near, owner)
+        if near:
+            return False
+        return self._is_mine_in_need(owner, domain, able, reaches_it, now)
+
+    def _is_mine_in_need(
+        self,
+        owner: model.UpstreamId,
+        domain: ids.FailureDomain,
+        able: AbleByDomain,
+        reaches_it: bool,
+        now: float,
+    ) -> bool:
+        """The same where no VM that is known to reach it is in its domain."""
+        me = self._peers.me
+        if self._peers.circulation.hears_of(domain, now):
             # Its own domain looks after it, and says nothing of it here.
             return False
-        if not pool and self._is_crowded(domain, able):
+        near = able.get(domain, [])
+        if domain == me.domain and len(near) >= CROWD:
             # Nobody near reaches it. One goes on trying, not all of them.
-            pool = [p.row for p in able if p.row.domain == domain]
-            pool.append(me)
-        pool = pool or reaching or [me]
-        first = max(pool, key=lambda row: _affinity(row.node, owner))
-        return first.node == me.node
-
-    def _is_crowded(
-        self, domain: ids.FailureDomain, able: list[reports.Peer]
-    ) -> bool:
-        """Whether an upstream's domain is this VM's own and has many VMs."""
-        near = sum(peer.row.domain == domain for peer in able)
-        return domain == self._peers.me.domain and near >= CROWD
+            return _is_first(me, [peer.row for peer in near], owner)
+        reaching = [
+            row for peers in able.values() for row in _reaching(peers, owner)
+        ]
+        return not reaching or (reaches_it and _is_first(me, reaching, owner))
 
     async def _renew(self, owner: model.UpstreamId) -> None:
         service = self._book.by_id[owner].upstream.service
@@ -355,6 +370,18 @@
         return found
 
 
+def _is_first(
+    me: reports.NodeRow, others: list[reports.NodeRow], owner: model.UpstreamId
+) -> bool:
+    """Whether of some VMs this one is chosen for an upstream."""
+    own = _affinity(me.node, owner)
+    return all(_affinity(row.node, owner) <= own for row in others)
+
+
+def _reaching(peers, owner: model.UpstreamId) -> list[reports.NodeRow]:
+    return [p.row for p in peers if owner not in p.report.unreachable]
+
+
 @functools.lru_cache(maxsize=_AFFINITIES)
 def _affinity(node: model.NodeId, owner: model.UpstreamId) -> int:
     return zlib.crc32(f"{node}/{owner}".encode())
--- a/src/swiftstile/gateway/speeds.py
+++ b/src/swiftstile/gateway/speeds.py
@@ -82,18 +82,26 @@
 
     def ratio(self, upstream: model.UpstreamId, now: float) -> float:
         """Returns the ratio of an upstream; 1.0 where nothing is known."""
-        total, count = PRIOR_COUNT, PRIOR_COUNT
-        own = self._own.get(upstream)
-        if own is not None:
-            own.decay(now)
-            total += own.total
-            count += own.count
+        return self.ratios(now).get(upstream, 1.0)
+
+    def ratios(self, now: float) -> dict[model.UpstreamId, float]:
+        """Returns the ratios of all upstreams that something is known of."""
+        sums: dict[model.UpstreamId, tuple[float, float]] = {}
+        for upstream, entry in self._own.items():
+            entry.decay(now)
+            sums[upstream] = (entry.total, entry.count)
         for samples, heard in self._peers.values():
-            told = samples.get(upstream)
-            if told is None or now - heard > PEER_LIFE_S:
+            if now - heard > PEER_LIFE_S:
                 continue
-            weight = told[0] * _COUNT_UNIT
-            weight *= 0.5 ** ((now - heard) / HALF_LIFE_S)
-            total += weight * told[1] * _RATIO_UNIT
-            count += weight
-        return total / count
+            unit = _COUNT_UNIT * 0.5 ** ((now - heard) / HALF_LIFE_S)
+            for upstream, (told_count, told_ratio) in samples.items():
+                total, count = sums.get(upstream, (0.0, 0.0))
+                weight = told_count * unit
+                sums[upstream] = (
+                    total + weight * told_ratio * _RATIO_UNIT,
+                    count + weight,
+                )
+        return {
+            upstream: (PRIOR_COUNT + total) / (PRIOR_COUNT + count)
+            for upstream, (total, count) in sums.items()
+        }
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -286,7 +286,11 @@
             self._member.apply(change)
         elif key.startswith(keeper.MAP_PREFIX) and change.value is not None:
             service = ids.ServiceName(key.removeprefix(keeper.MAP_PREFIX))
-            key_map = keymap.decode(change.value, change.version, key)
+            known = self._maps.by_service.get(service)
+            if known is not None and known.version >= change.version:
+                # This VM wrote it.
+                return
+            key_map = keymap.decode(change.value, change.version, key, known)
             self._maps.put(service, key_map, self._now())
 
     @staticmethod
--- a/tests/unit/test_gateway_circulation.py
+++ b/tests/unit/test_gateway_circulation.py
@@ -112,11 +112,7 @@
     def renewers(self) -> list[str]:
         found = []
         for view in self.views:
-            able = [
-                peer
-                for peer in view._peers.by_node.values()
-                if peer.is_heard(_NOW)
-            ]
+            able = view._able_peers(_NOW)
             if view._is_mine("u-1", able, _NOW):
                 found.append(view._peers.me.domain)
         return found
--- a/tests/unit/test_gateway_keys.py
+++ b/tests/unit/test_gateway_keys.py
@@ -23,14 +23,61 @@
 
 
 def test_a_map_survives_its_document():
-    before = _dealt().mark_leaving([3, 5])
-    before.slots[7].token = "t"
+    dealt = _dealt()
+    owner = dealt.slots[7].owner
+    before = dealt.give({7: "t"}, {7: owner}).mark_leaving([3, 5])
     after = keymap.decode(before.encode("x"), 9)
     assert after.slots == before.slots
     assert (after.version, after.next_fence) == (9, before.next_fence)
     assert after.leaving == {3, 5}
 
 
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["give", "mark", "raise", "forget"]),
+        strategies.sets(strategies.integers(0, 299), max_size=20),
+        strategies.sampled_from(["u-1", "u-2", "u-3", "u-4"]),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.given(_STEPS)
+def test_a_map_read_by_its_changes_is_the_same_as_one_read_whole(steps):
+    written = _dealt(count=300)
+    followed = None
+    for version, (kind, slots, owner) in enumerate(steps, start=1):
+        if kind == "give":
+            tokens = dict.fromkeys(list(slots)[::2], f"t{version}")
+            written = written.give(tokens, dict.fromkeys(slots, owner))
+        elif kind == "mark":
+            written = written.mark_leaving(slots)
+        elif kind == "raise":
+            written = written.raise_fence()
+        else:
+            written = written.without_tokens()
+        document = written.encode(f"a{version}")
+        followed = keymap.decode(document, version, known=followed)
+        whole = keymap.decode(document, version)
+        for made in (followed, written):
+            assert made.slots == whole.slots
+            assert made.leaving == whole.leaving
+            assert made.slots_by_owner == whole.slots_by_owner
+            assert made.next_fence == whole.next_fence
+            for name in whole.slots_by_owner:
+                assert made.runs_of(name) == whole.runs_of(name)
+        assert followed.version == version
+
+
+def test_what_did_not_change_is_not_made_again():
+    before = keymap.decode(_dealt().encode("a"), 1)
+    document = before.mark_leaving([3]).encode("b")
+    after = keymap.decode(document, 2, known=before)
+    assert after.changed_since(before) == [3]
+    shared = [a is b for a, b in zip(after.slots, before.slots, strict=True)]
+    assert shared.count(False) == 1
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_a_malformed_document_is_an_error(data):
     with pytest.raises(errors.ControlMessageError):
