--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -12,6 +12,7 @@
 from swiftstile import errors
 from swiftstile import logs
 from swiftstile.gateway import interfaces
+from swiftstile.gateway import outage as outage_lib
 from swiftstile.gateway import readers
 
 __all__ = ["TableFollower"]
@@ -52,6 +53,8 @@
             does.
         reader_watch_s: How long a call waits for changes where other VMs rely
             on this one.
+        outage: What this VM's followers know of an outage together; None for
+            a follower on its own.
 
     Attributes:
         name: Name of the table, for logs.
@@ -74,6 +77,7 @@
         batch_s: float = 0.0,
         store_readers: readers.StoreReaders | None = None,
         reader_watch_s: float = WATCH_S,
+        outage: outage_lib.Outage | None = None,
     ):
         self.name = name
         self.rows: dict[str, interfaces.Change] = {}
@@ -89,6 +93,7 @@
         self._batch_s = batch_s
         self._readers = store_readers
         self._reader_watch_s = reader_watch_s
+        self._outage = outage or outage_lib.Outage()
         self._started = clocks.monotonic()
         # Newest version that a peer told of, and since when it is missing here.
         self._told_version = 0
@@ -111,7 +116,7 @@
                 await self._step()
             except errors.PlatformError as error:
                 self._note_failure(error)
-                await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
+                await self._outage.pause(pause_s * random.uniform(0.7, 1.3))
                 pause_s = min(pause_s * 2, self._longest_pause_s())
                 continue
             pause_s = FIRST_PAUSE_S
@@ -136,9 +141,10 @@
 
     def _longest_pause_s(self) -> float:
         chosen = self._readers
+        longest_s = LONGEST_PAUSE_OF_MANY_S
         if chosen is None or chosen.is_reader(clocks.monotonic()):
-            return LONGEST_PAUSE_S
-        return LONGEST_PAUSE_OF_MANY_S
+            longest_s = LONGEST_PAUSE_S
+        return self._outage.longest_pause_s(self.name, longest_s)
 
     def _watch_s(self) -> float:
         now = clocks.monotonic()
@@ -260,6 +266,7 @@
             )
 
     def _note_failure(self, error: errors.PlatformError) -> None:
+        self._outage.note_failure(self.name)
         if self.failing_since is None:
             self.failing_since = clocks.monotonic()
             logs.logger.warning("table lost", table=self.name, error=str(error))
@@ -270,6 +277,7 @@
         self._note_recovery(self.answered_at)
 
     def _note_recovery(self, now: float) -> None:
+        self._outage.note_answer(self.name)
         if self.failing_since is not None:
             logs.logger.info(
                 "table regained",
--- /dev/null
+++ b/src/swiftstile/gateway/outage.py
@@ -0,0 +1,47 @@
+"""What the followers of one VM know together of an outage of the store.
+
+Each table has a follower of its own. While the store is away, one of them asks
+whether it is back; the others would only ask the same. They wait for longer,
+and go on as soon as a call of any of them succeeds.
+"""
+
+import asyncio
+
+__all__ = ["Outage"]
+
+# Longest pause between two tries of a follower that isn't the first: parts of
+# the store may come back one after the other, and calm VMs have 5 s to follow.
+LONGEST_OTHER_PAUSE_S = 2.0
+
+
+class Outage:
+    """The tables of this VM whose calls fail."""
+
+    def __init__(self):
+        # Used as an ordered set: the first asks most often.
+        self._failing: dict[str, None] = {}
+        self._answered = asyncio.Event()
+
+    def note_failure(self, table: str) -> None:
+        """A call for a table failed."""
+        self._failing.setdefault(table)
+
+    def note_answer(self, table: str) -> None:
+        """A call for a table succeeded, or peers tell of it again."""
+        if self._failing.pop(table, self) is self:
+            return
+        self._answered.set()
+        self._answered = asyncio.Event()
+
+    def longest_pause_s(self, table: str, of_first_s: float) -> float:
+        """Returns the longest pause between two tries for a table."""
+        is_first = next(iter(self._failing), table) == table
+        return of_first_s if is_first else LONGEST_OTHER_PAUSE_S
+
+    async def pause(self, seconds: float) -> None:
+        """Waits, and no longer than until a call for some table succeeds."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._answered.wait()
+        except TimeoutError:
+            return
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -29,6 +29,7 @@
 from swiftstile.gateway import measures
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
+from swiftstile.gateway import outage
 from swiftstile.gateway import owners
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
@@ -132,11 +133,13 @@
         self._readers = readers.StoreReaders(
             self._peers, lambda: self._leads.is_leader
         )
+        self._outage = outage.Outage()
         self._state = follow.TableFollower(
             "state",
             adapters.state,
             self._apply_state,
             store_readers=self._readers,
+            outage=self._outage,
         )
         self._leads = leadership.Leadership(
             self._peers, adapters.state, self._state
@@ -175,6 +178,7 @@
             REGISTRATIONS_BATCH_S,
             self._readers,
             readers.READER_WATCH_S,
+            self._outage,
         )
         registry.follower = registrations
         operations = follow.TableFollower(
@@ -183,6 +187,7 @@
             self._apply_operations,
             store_readers=self._readers,
             reader_watch_s=readers.READER_WATCH_S,
+            outage=self._outage,
         )
         key_owners = owners.KeyOwners(self._maps, self._book, self._heat)
         self._handler = handler = handler_lib.Handler(
