--- a/src/swiftstile/cli.py
+++ b/src/swiftstile/cli.py
@@ -18,6 +18,7 @@
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile import settings as settings_lib
+from swiftstile import telemetry
 from swiftstile import wiring
 from swiftstile.bundles import model
 from swiftstile.daemons import inspection
@@ -222,7 +223,9 @@
         daemon = getattr(parts, role)()
         runner = None
         if inspect_address:
-            runner = await inspection.start(inspect_address, daemon)
+            runner = await inspection.start(
+                inspect_address, daemon, telemetry.page
+            )
         try:
             await daemon.run(stopping)
         finally:
--- a/src/swiftstile/daemons/inspection.py
+++ b/src/swiftstile/daemons/inspection.py
@@ -1,10 +1,10 @@
 """The endpoint for metrics and status of a daemon."""
 
 import abc
+import collections.abc
 
 from aiohttp import web
 import msgspec
-import prometheus_client
 
 from swiftstile import settings as settings_lib
 
@@ -19,11 +19,21 @@
         """Returns the state, ready for JSON."""
 
 
-async def start(address: str, daemon: Inspectable) -> web.AppRunner:
-    """Serves `/metrics`, `/status` and `/health`."""
+async def start(
+    address: str,
+    daemon: Inspectable,
+    page: collections.abc.Callable[[], bytes],
+) -> web.AppRunner:
+    """Serves `/metrics`, `/status` and `/health`.
+
+    Args:
+        address: `host:port` to listen at.
+        daemon: Whose status it is.
+        page: Returns the metrics.
+    """
 
     async def metrics(_request: web.Request) -> web.Response:
-        body = prometheus_client.generate_latest()
+        body = page()
         return web.Response(body=body, content_type="text/plain")
 
     async def status(_request: web.Request) -> web.Response:
--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -168,10 +168,24 @@
         """Until when an answer is of full use."""
         return self.arrived + self.route.objective_s
 
+    @property
+    def contest(self) -> tuple[ids.ServiceName, bool, model.UpstreamId | None]:
+        """What it waits for: any of a service, or the owner of a key."""
+        awaited = None if self.awaited is None else self.awaited.id
+        return self.service, self.owner is not None, awaited
+
+    def is_late(self, now: float) -> bool:
+        """Whether an answer would come too late to be of full use."""
+        return now + self.expected_s > self.objective_at
+
     def rank(self, now: float) -> tuple[bool, int, float, int]:
         """Returns its place in the queue; the least goes first."""
-        is_late = now + self.expected_s > self.objective_at
-        return (is_late, self.route.priority, self.arrived, self.sequence)
+        return (
+            self.is_late(now),
+            self.route.priority,
+            self.arrived,
+            self.sequence,
+        )
 
 
 class Admission:
@@ -233,6 +247,8 @@
     ) -> tuple[list[Assignment], list[tuple[Waiter, Overload]]]:
         """Returns waiting requests that may be sent, and those to refuse."""
         assigned, refused = [], []
+        # Services and owners for which a request waits that can be in time.
+        contested: set[tuple] = set()
         for waiter in sorted(
             self._waiters.values(), key=lambda entry: entry.rank(now)
         ):
@@ -247,6 +263,14 @@
                 # Counted here, so that the next one sees the slot taken.
                 target.own += 1
                 assigned.append(Assignment(waiter, target))
+                continue
+            if not waiter.is_late(now):
+                contested.add(waiter.contest)
+            elif waiter.contest in contested:
+                # Those that can be in time go first, and more will come.
+                wait_s = now - waiter.arrived
+                refused.append((waiter, self._refusal(waiter, 0.0, wait_s)))
+                self.leave(waiter)
         for assignment in assigned:
             assignment.target.own -= 1
         return assigned, refused
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -43,7 +43,11 @@
 
 
 class GatewayDaemon(inspection.Inspectable):
-    """Routes requests of callers, and takes part in giving out keys."""
+    """Routes requests of callers, and takes part in giving out keys.
+
+    Attributes:
+        meters: Its counters and durations.
+    """
 
     def __init__(
         self,
@@ -96,7 +100,7 @@
         self._log = log
         self._make_keeper = make_keeper
         self._grace_s = grace_s
-        self._meters = meters
+        self.meters = meters
         self._keepers: dict[ids.ServiceName, object] = {}
         self._is_leaving = False
 
@@ -274,7 +278,7 @@
 
     def note_bad_config(self, error: errors.SwiftstileError) -> None:
         """Says that a configuration can't be used; the last one stays."""
-        self._meters.refusals.add("bad-config")
+        self.meters.refusals.add("bad-config")
         logs.logger.error("configuration refused", error=str(error))
 
     def status(self) -> dict[str, object]:
@@ -291,5 +295,5 @@
                 name: key_map.version
                 for name, key_map in self._maps.by_service.items()
             },
-            "meters": self._meters.snapshot(),
+            "meters": self.meters.snapshot(),
         }
--- a/src/swiftstile/gateway/front.py
+++ b/src/swiftstile/gateway/front.py
@@ -92,12 +92,10 @@
         listen: str,
         handler: handler_lib.Handler,
         meters: metrics.Meters,
-        instruments: metrics.Instruments,
     ):
         self._listen = listen
         self._handler = handler
         self._meters = meters
-        self._latency = instruments.latency
         self._server: _Server | None = None
         self._listener: asyncio.Server | None = None
         self.in_flight = 0
@@ -181,7 +179,7 @@
         if self.is_leaving:
             response.force_close()
         self._meters.requests.add(outcome)
-        self._latency.record(clocks.monotonic() - started)
+        self._meters.durations.record(clocks.monotonic() - started)
         return response
 
 
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -159,7 +159,6 @@
     def build(self) -> daemon_lib.GatewayDaemon:
         """Returns the daemon."""
         adapters, bounds = self._adapters, self._settings.bounds
-        instruments = metrics.Instruments(self._meters, metrics.provider())
         retry_budget = budget.RetryBudget(
             bounds.retry_ratio,
             bounds.retry_allowance,
@@ -222,9 +221,7 @@
         )
         self._daemon = daemon_lib.GatewayDaemon(
             self._node,
-            front.Front(
-                self._settings.vm.listen, handler, self._meters, instruments
-            ),
+            front.Front(self._settings.vm.listen, handler, self._meters),
             self._settings.vm.ready,
             handler,
             gate,
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -1,18 +1,18 @@
-"""OpenTelemetry instruments, and the plain counters behind them.
+"""Plain counters and durations, which telemetry.py shows to the outside.
 
 Names and units are documented in docs/operators/metrics.md.
 """
 
+import collections
+import collections.abc
+
 import aiohttp
-from opentelemetry import metrics as otel
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk
 
-__all__ = ["Counts", "Instruments", "Meters", "provider"]
+__all__ = ["Counts", "Durations", "Meters"]
 
-_LATENCY_BUCKETS_S = [
-    0.001, 0.002, 0.003, 0.005, 0.008, 0.012, 0.02, 0.05, 0.1, 0.5, 1, 2, 5,
-]  # fmt: skip
+# Durations that are kept until there is an instrument for them: the first
+# seconds of a process, at a few hundred requests/s.
+MOST_EARLY = 2000
 
 
 class Counts:
@@ -38,10 +38,38 @@
         return dict(self._by_label)
 
 
+class Durations:
+    """How long requests took, kept until an instrument takes them over.
+
+    Loading OpenTelemetry is a fifth of the processor time of a start, so a
+    daemon that has to be ready at once loads it later.
+    """
+
+    def __init__(self):
+        self._early: collections.deque[float] = collections.deque(
+            maxlen=MOST_EARLY
+        )
+        self._record: collections.abc.Callable[[float], None] | None = None
+
+    def record(self, seconds: float) -> None:
+        """Takes in one request."""
+        if self._record is None:
+            self._early.append(seconds)
+        else:
+            self._record(seconds)
+
+    def bind(self, record: collections.abc.Callable[[float], None]) -> None:
+        """Hands all durations to an instrument, those of before included."""
+        self._record = record
+        while self._early:
+            record(self._early.popleft())
+
+
 class Meters:
-    """All counters of one process, by metric name."""
+    """All counters and durations of one process, by metric name."""
 
     def __init__(self):
+        self.durations = Durations()
         self.requests = Counts()
         self.refusals = Counts()
         self.sends = Counts()
@@ -70,45 +98,8 @@
 
     def snapshot(self) -> dict[str, dict[str, float]]:
         """Returns every counter by metric name and label."""
-        return {name: counts.by_label() for name, counts in vars(self).items()}
-
-
-_DESCRIPTIONS = {
-    "requests": ("swiftstile.requests", "{request}", "outcome"),
-    "refusals": ("swiftstile.refusals", "{request}", "reason"),
-    "sends": ("swiftstile.upstream.sends", "{send}", "result"),
-    "control_bytes": ("swiftstile.control.bytes", "By", "direction"),
-    "control_messages": ("swiftstile.control.messages", "{message}", "kind"),
-    "ownership": ("swiftstile.ownership.changes", "{change}", "kind"),
-}
-
-
-class Instruments:
-    """Binds the counters of a process to OpenTelemetry instruments."""
-
-    def __init__(self, meters: Meters, source: sdk.MeterProvider):
-        meter = source.get_meter("swiftstile")
-        for name, (metric, unit, label) in _DESCRIPTIONS.items():
-            counts = getattr(meters, name)
-            meter.create_observable_counter(
-                metric, [_observer(counts, label)], unit=unit
-            )
-        self.latency = meter.create_histogram(
-            "swiftstile.request.duration",
-            unit="s",
-            explicit_bucket_boundaries_advisory=_LATENCY_BUCKETS_S,
-        )
-
-
-def _observer(counts: Counts, label: str):
-    def observe(_options):
-        for value, amount in counts.by_label().items():
-            yield otel.Observation(amount, {label: value})
-
-    return observe
-
-
-def provider() -> sdk.MeterProvider:
-    """Returns a provider whose instruments show on the scrape endpoint."""
-    reader = prometheus.PrometheusMetricReader()
-    return sdk.MeterProvider(metric_readers=[reader])
+        return {
+            name: counts.by_label()
+            for name, counts in vars(self).items()
+            if isinstance(counts, Counts)
+        }
--- a/src/swiftstile/routing/front.py
+++ b/src/swiftstile/routing/front.py
@@ -62,12 +62,10 @@
         settings: settings_lib.RouterSettings,
         dispatcher: dispatch.Dispatcher,
         meters: metrics.Meters,
-        instruments: metrics.Instruments,
     ):
         self._settings = settings
         self._dispatcher = dispatcher
         self._meters = meters
-        self._latency = instruments.latency
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
         self._is_leaving = False
@@ -123,7 +121,7 @@
         if self._is_leaving:
             response.force_close()
         self._meters.requests.add(outcome.value)
-        self._latency.record(clocks.monotonic() - started)
+        self._meters.durations.record(clocks.monotonic() - started)
         return response
 
     def _refusal(self, request, error) -> web.Response:
--- /dev/null
+++ b/src/swiftstile/telemetry.py
@@ -0,0 +1,57 @@
+"""Shows the counters of a process by OpenTelemetry, for Prometheus to scrape.
+
+Names and units are documented in docs/operators/metrics.md. Importing this
+module takes about a fifth of the processor time of a start.
+"""
+
+from opentelemetry import metrics as otel
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+import prometheus_client
+
+from swiftstile import metrics
+
+__all__ = ["expose", "page"]
+
+_LATENCY_BUCKETS_S = [
+    0.001, 0.002, 0.003, 0.005, 0.008, 0.012, 0.02, 0.05, 0.1, 0.5, 1, 2, 5,
+]  # fmt: skip
+
+_DESCRIPTIONS = {
+    "requests": ("swiftstile.requests", "{request}", "outcome"),
+    "refusals": ("swiftstile.refusals", "{request}", "reason"),
+    "sends": ("swiftstile.upstream.sends", "{send}", "result"),
+    "control_bytes": ("swiftstile.control.bytes", "By", "direction"),
+    "control_messages": ("swiftstile.control.messages", "{message}", "kind"),
+    "ownership": ("swiftstile.ownership.changes", "{change}", "kind"),
+}
+
+
+def expose(meters: metrics.Meters) -> None:
+    """Binds the counters of a process to instruments."""
+    reader = prometheus.PrometheusMetricReader()
+    meter = sdk.MeterProvider(metric_readers=[reader]).get_meter("swiftstile")
+    for name, (metric, unit, label) in _DESCRIPTIONS.items():
+        counts = getattr(meters, name)
+        meter.create_observable_counter(
+            metric, [_observer(counts, label)], unit=unit
+        )
+    latency = meter.create_histogram(
+        "swiftstile.request.duration",
+        unit="s",
+        explicit_bucket_boundaries_advisory=_LATENCY_BUCKETS_S,
+    )
+    meters.durations.bind(latency.record)
+
+
+def page() -> bytes:
+    """Returns all metrics of this process, as Prometheus reads them."""
+    return prometheus_client.generate_latest()
+
+
+def _observer(counts: metrics.Counts, label: str):
+    def observe(_options):
+        for value, amount in counts.by_label().items():
+            yield otel.Observation(amount, {label: value})
+
+    return observe
--- a/src/swiftstile/wiring.py
+++ b/src/swiftstile/wiring.py
@@ -5,6 +5,7 @@
 from swiftstile import ids
 from swiftstile import metrics
 from swiftstile import settings as settings_lib
+from swiftstile import telemetry
 from swiftstile.bundles import commands
 from swiftstile.bundles import queries
 from swiftstile.bundles import watch as bundle_watch
@@ -66,7 +67,7 @@
         """Returns the coordinator daemon."""
         settings = self._settings.coordinator
         vm = self._settings.vm
-        metrics.Instruments(self._meters, metrics.provider())
+        telemetry.expose(self._meters)
         me = leases.Candidate(vm.id, ids.new_incarnation(vm.id))
         directory = self._directory()
         book = leases.PromiseBook()
@@ -140,7 +141,7 @@
     def router(self) -> router.RouterDaemon:
         """Returns the router daemon."""
         vm = self._settings.vm
-        instruments = metrics.Instruments(self._meters, metrics.provider())
+        telemetry.expose(self._meters)
         directory = self._directory()
         peers = links.Links(self._meters)
         table = routes.RouteTable()
@@ -172,7 +173,6 @@
                 self._settings.router,
                 dispatch.Dispatcher(table, forwarder),
                 self._meters,
-                instruments,
             ),
             self._meters,
             make_watch,
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -127,6 +127,55 @@
     assert len(decisions) == 0
 
 
+def _late_and_fresh(decisions, **changes):
+    """Puts a request into the queue, and another when the first is late."""
+    late = builders.waiter(0.0, **changes)
+    assert decisions.offer(late, 0.0) is None
+    now = late.objective_at
+    assert late.is_late(now) and late.end - now > late.expected_s
+    fresh = builders.waiter(now, **changes)
+    assert decisions.offer(fresh, now) is None
+    return late, fresh, now
+
+
+def test_a_late_request_does_not_wait_behind_those_that_can_be_in_time():
+    book = builders.book(builders.upstream())
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-1"], 4)
+    late, fresh, now = _late_and_fresh(decisions)
+    assigned, refused = decisions.pump(now)
+    assert not assigned
+    assert [entry for entry, _ in refused] == [late]
+    assert len(decisions) == 1
+    decisions.leave(fresh)
+
+
+def test_a_late_request_goes_on_waiting_while_nobody_else_does():
+    book = builders.book(builders.upstream())
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-1"], 4)
+    late = builders.waiter()
+    assert decisions.offer(late, 0.0) is None
+    now = late.objective_at
+    assert decisions.pump(now) == ([], [])
+    book.by_id["u-1"].note_ended(-1)
+    assigned, _ = decisions.pump(now)
+    assert [entry.waiter for entry in assigned] == [late]
+
+
+def test_a_late_request_waits_while_others_wait_for_another_owner():
+    book = builders.book(builders.upstream("u-1"), builders.upstream("u-2"))
+    decisions = _admission(book)
+    for target in book.by_id.values():
+        builders.occupy(target, 4)
+    owners = [builders.FixedOwner(book.by_id[name]) for name in book.by_id]
+    late = builders.waiter(0.0, owner=owners[0])
+    assert decisions.offer(late, 0.0) is None
+    now = late.objective_at
+    assert decisions.offer(builders.waiter(now, owner=owners[1]), now) is None
+    assert decisions.pump(now) == ([], [])
+
+
 def test_a_key_without_owner_is_refused_until_when_it_may_have_one():
     decisions = _admission(builders.book())
     lookup = builders.FixedOwner(None, ready_in_s=5.0)
--- /dev/null
+++ b/tests/unit/test_telemetry.py
@@ -0,0 +1,47 @@
+"""Counters and durations on the page that Prometheus reads."""
+
+import subprocess
+import sys
+
+from swiftstile import metrics
+from swiftstile import telemetry
+
+
+def test_what_was_counted_before_telemetry_was_loaded_shows():
+    meters = metrics.Meters()
+    meters.requests.add("answered", 3)
+    meters.durations.record(0.004)
+    telemetry.expose(meters)
+    meters.durations.record(0.3)
+    page = telemetry.page().decode()
+    assert "swiftstile_requests_total{" in page
+    assert 'outcome="answered"' in page
+    assert "swiftstile_request_duration_seconds_count" in page
+    line = [
+        line
+        for line in page.splitlines()
+        if line.startswith("swiftstile_request_duration_seconds_count")
+    ]
+    assert line[0].endswith(" 2.0")
+
+
+def test_early_durations_are_bounded():
+    durations = metrics.Durations()
+    for number in range(2 * metrics.MOST_EARLY):
+        durations.record(number)
+    seen = []
+    durations.bind(seen.append)
+    assert len(seen) == metrics.MOST_EARLY
+    assert seen[-1] == 2 * metrics.MOST_EARLY - 1
+
+
+def test_a_gateway_starts_without_loading_telemetry():
+    # It takes a fifth of a start, in which requests wait.
+    code = (
+        "import sys; from swiftstile import gateway_wiring;"
+        "print([m for m in sys.modules if 'telemetry' in m or 'prom' in m])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
