--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -60,6 +60,14 @@
 STORE_RETRY_S = 0.3
 
 
+# Each write of a map goes to all VMs. Where these are many, moves wait a little
+# and share one: at 77 VMs marks come each 0.46 s and gifts each 0.17 s, instead
+# of up to 30 writes/s between them.
+SPARED_VMS = 20
+MARK_PAUSE_PER_VM_S = 0.008
+GIVE_PAUSE_PER_VM_S = 0.003
+
+
 class _Move(enum.Enum):
     """How far the slots are that leave one owner."""
 
@@ -100,6 +108,8 @@
         self._wanted: dict[int, model.UpstreamId] = {}
         self._relocated_at: dict[int, float] = {}
         self._evened_at = 0.0
+        self._marked_at = 0.0
+        self._given_at = 0.0
         self._peers = peers
         self._renewing = renewing
         self._leads = leads
@@ -175,6 +185,10 @@
             if index not in current.leaving
         ]
         moving, reason = lost, "owner lost"
+        if not moving and now - self._marked_at < self._pause_s(
+            MARK_PAUSE_PER_VM_S
+        ):
+            return
         if not moving:
             moving = self._relocate(current, weights, now)
             reason = "hot slots"
@@ -187,11 +201,15 @@
             return
         marked = current.mark_leaving(moving)
         if await self._write(marked, reason):
-            done = clocks.monotonic()
+            done = self._marked_at = clocks.monotonic()
             version = self._maps.by_service[self._service].version
             for owner in {current.slots[index].owner for index in moving}:
                 self._sources[owner] = takeback.Source(version, done)
 
+    def _pause_s(self, per_vm_s: float) -> float:
+        """Returns the time between two writes of a map, by how many read it."""
+        return per_vm_s * max(0, len(self._peers.by_node) - SPARED_VMS)
+
     def _relocate(self, current, weights, now: float) -> list[int]:
         """Returns hot slots that should leave, and notes where they go."""
         capacity = self._capacities(weights)
@@ -244,6 +262,8 @@
                 tokens |= source.tokens
             elif state is not _Move.WAITING and source.may_release(now):
                 releases.append((owner, state is _Move.FENCE_AND_RELEASE))
+        if now - self._given_at < self._pause_s(GIVE_PAUSE_PER_VM_S):
+            cleared = []
         if not releases and not (cleared and weights):
             return
         if not await self._store_answers():
@@ -267,6 +287,7 @@
             if wanted in weights:
                 placed[index] = wanted
         if await self._write(current.give(tokens, placed), "moved"):
+            self._given_at = clocks.monotonic()
             self._meters.ownership.add("moved", len(placed))
 
     async def _adopt(self, current, owners: set[model.UpstreamId]) -> None:
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -51,6 +51,7 @@
     process: asyncio.subprocess.Process | None = None
     front: str = ""
     ready: str = ""
+    metrics: str = ""
 
     def __post_init__(self):
         self.zone = ZONES[self.number % len(ZONES)]
@@ -58,6 +59,7 @@
         ports = [_free_port(self.host) for _ in range(4)]
         self.front = f"{self.host}:{ports[0]}"
         self.ready = f"{self.host}:{ports[1]}"
+        self.metrics = f"{self.host}:{ports[3]}"
         fields = {
             "node_name": f"vm-{self.number}",
             "zone": self.zone,
--- a/tests/integration/test_gateway_site.py
+++ b/tests/integration/test_gateway_site.py
@@ -44,6 +44,35 @@
     _run(tmp_path, scenario)
 
 
+def test_metrics_show_what_was_served_since_the_start(tmp_path):
+    async def page(client, gateway) -> str:
+        try:
+            async with client.get(f"http://{gateway.metrics}/metrics") as got:
+                return await got.text()
+        except aiohttp.ClientConnectorError:
+            # They are served some seconds after the start.
+            return ""
+
+    async def scenario(site):
+        await _all_served(site)
+        assert (await site.callers.call()).status == 200
+        async with aiohttp.ClientSession() as client, asyncio.timeout(20):
+            pages = [""]
+            while not all(pages):
+                pages = [await page(client, one) for one in site.gateways]
+                await asyncio.sleep(0.05)
+        answered = [
+            line
+            for text in pages
+            for line in text.splitlines()
+            if line.startswith("swiftstile_requests_total")
+            and 'outcome="answered"' in line
+        ]
+        assert sum(float(line.split()[-1]) for line in answered) >= 1
+
+    _run(tmp_path, scenario)
+
+
 def test_a_configuration_takes_effect_everywhere_and_none_goes_back(tmp_path):
     async def scenario(site):
         extra = {
