--- a/tests/unit/test_gateway_keeper.py
+++ b/tests/unit/test_gateway_keeper.py
@@ -43,9 +43,13 @@
 
 
 class _Parts:
-    """A keeper that leads two upstreams."""
+    """A keeper that leads two upstreams.
 
-    def __init__(self):
+    Args:
+        vms: VMs that read its maps, its own included.
+    """
+
+    def __init__(self, vms: int = 1):
         self.table = builders.MemoryTable()
         self.maps = renewals.KeyMaps()
         self.control = _Control()
@@ -62,6 +66,9 @@
             quorum_since=0.0,
         )
         peers = gossip.Peers(builders.node_row(), lambda *_: None)
+        for number in range(2, vms + 1):
+            row = builders.node_row(f"vm-{number}")
+            peers.apply(row, row.node, 0.0)
         meters = metrics.Meters()
         self.renewing = renewals.Renewals(
             self.maps, self.book, peers, self.control, self.right, meters
@@ -252,6 +259,33 @@
     asyncio.run(scenario())
 
 
+def _writes_while_slots_turn_hot(monkeypatch, vms: int, for_s: float) -> int:
+    """Returns writes of the map while another slot is hot at each look."""
+
+    async def scenario() -> int:
+        parts = _Parts(vms)
+        parts.start(leaving=())
+        slots = iter(range(keeper.SLOT_COUNT))
+        monkeypatch.setattr(
+            keeper.hotplan, "relocations", lambda *_: {next(slots): "u-2"}
+        )
+        before = parts.table.version
+        end = keeper.clocks.monotonic() + for_s
+        await _tick_until(parts, lambda: keeper.clocks.monotonic() > end)
+        return parts.table.version - before
+
+    return asyncio.run(scenario())
+
+
+def test_where_many_vms_read_a_map_it_is_written_less_often(monkeypatch):
+    # Found on trouble-3 of hbrt-gw-grown: up to 30 writes/s, each of them read
+    # and decoded by 77 VMs.
+    many = _writes_while_slots_turn_hot(monkeypatch, vms=77, for_s=2.0)
+    assert 3 <= many <= 2.0 / 0.456 + 2.0 / 0.168 + 2
+    few = _writes_while_slots_turn_hot(monkeypatch, vms=12, for_s=1.0)
+    assert few > 30
+
+
 def test_slots_of_an_owner_that_is_gone_are_not_granted_to_it():
     async def scenario():
         parts = _Parts()
