--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -205,6 +205,9 @@
         self._domain = domain
         self._drain_s = drain_s
         self._waiters: dict[int, Waiter] = {}
+        # Since when requests that can be in time have been waiting for the
+        # same, without a break.
+        self._contested_since: dict[tuple, float] = {}
         self.vms = 1
 
     def __len__(self) -> int:
@@ -247,7 +250,7 @@
     ) -> tuple[list[Assignment], list[tuple[Waiter, Overload]]]:
         """Returns waiting requests that may be sent, and those to refuse."""
         assigned, refused = [], []
-        # Services and owners for which a request waits that can be in time.
+        # For what requests wait that can be in time.
         contested: set[tuple] = set()
         for waiter in sorted(
             self._waiters.values(), key=lambda entry: entry.rank(now)
@@ -266,15 +269,30 @@
                 continue
             if not waiter.is_late(now):
                 contested.add(waiter.contest)
-            elif waiter.contest in contested:
-                # Those that can be in time go first, and more will come.
+            elif self._is_starved(waiter, contested, now):
                 wait_s = now - waiter.arrived
                 refused.append((waiter, self._refusal(waiter, 0.0, wait_s)))
                 self.leave(waiter)
+        self._contested_since = {
+            contest: self._contested_since.get(contest, now)
+            for contest in contested
+        }
         for assignment in assigned:
             assignment.target.own -= 1
         return assigned, refused
 
+    def _is_starved(self, waiter: Waiter, contested: set, now: float) -> bool:
+        """Whether a late request would wait in vain.
+
+        Those that can be in time go first. Where some have been waiting for as
+        long as a late one is useful at all, more will come.
+        """
+        since = self._contested_since.get(waiter.contest, now)
+        return (
+            waiter.contest in contested
+            and now - since >= waiter.route.objective_s
+        )
+
     def pick(self, waiter: Waiter, now: float) -> targets.Target | None:
         """Returns the target with room that is expected to answer first."""
         best, best_s = None, waiter.end - now
