--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -241,6 +241,8 @@
         """Takes a request out of the queue, if it is there."""
         if self._waiters.pop(waiter.sequence, None) is None:
             return
+        if not self._waiters:
+            self._contested_since.clear()
         if waiter.awaited is not None:
             waiter.awaited.waiting -= 1
             waiter.awaited = None
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -127,27 +127,46 @@
     assert len(decisions) == 0
 
 
-def _late_and_fresh(decisions, **changes):
-    """Puts a request into the queue, and another when the first is late."""
-    late = builders.waiter(0.0, **changes)
-    assert decisions.offer(late, 0.0) is None
-    now = late.objective_at
-    assert late.is_late(now) and late.end - now > late.expected_s
-    fresh = builders.waiter(now, **changes)
-    assert decisions.offer(fresh, now) is None
-    return late, fresh, now
-
-
-def test_a_late_request_does_not_wait_behind_those_that_can_be_in_time():
+def _crowded() -> tuple[admission.Admission, admission.Waiter]:
+    """Returns a full target and a request that waits and is late by 100.1."""
     book = builders.book(builders.upstream())
+    builders.occupy(book.by_id["u-1"], 4, 100.0)
     decisions = _admission(book)
-    builders.occupy(book.by_id["u-1"], 4)
-    late, fresh, now = _late_and_fresh(decisions)
-    assigned, refused = decisions.pump(now)
-    assert not assigned
-    assert [entry for entry, _ in refused] == [late]
+    late = builders.waiter(99.65)
+    assert decisions.offer(late, 100.0) is None
+    assert late.is_late(100.1) and not late.is_late(100.0)
+    return decisions, late
+
+
+def test_a_late_request_that_others_would_always_overtake_is_refused():
+    decisions, late = _crowded()
+    now, last, refused = 100.1, None, []
+    while not refused:
+        # One that can be in time waits at each look.
+        fresh = builders.waiter(now)
+        assert decisions.offer(fresh, now) is None
+        if last is not None:
+            decisions.leave(last)
+        last = fresh
+        _, refused = decisions.pump(now)
+        now += 0.05
+    assert [waiter for waiter, _ in refused] == [late]
+    # As long as an answer is of full use, and far before its time is over.
+    assert 100.1 + builders.route().objective_s <= now < 101.0 < late.end
+
+
+def test_a_late_request_waits_on_where_others_are_served_now_and_then():
+    decisions, late = _crowded()
+    for step in range(8):
+        now = 100.1 + 0.15 * step
+        fresh = builders.waiter(now)
+        assert decisions.offer(fresh, now) is None
+        assert decisions.pump(now) == ([], [])
+        # The fresh one is served, so that none waits for a moment.
+        decisions.leave(fresh)
+        assert decisions.pump(now + 0.01) == ([], [])
+    assert now > 100.1 + builders.route().objective_s
     assert len(decisions) == 1
-    decisions.leave(fresh)
 
 
 def test_a_late_request_goes_on_waiting_while_nobody_else_does():
