--- a/src/swiftstile/gateway/hotplan.py
+++ b/src/swiftstile/gateway/hotplan.py
@@ -8,46 +8,57 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import model
 
-__all__ = ["hot_shares", "relocations"]
+__all__ = ["BUSY_SHARE", "HOT_SHARE", "relocations", "shares"]
 
 # A slot is hot when it takes this part of its owner's capacity.
 HOT_SHARE = 0.4
+# An upstream with a slot that takes this part of it gets no hot slot besides:
+# together they would be hot again.
+BUSY_SHARE = 0.2
 # A hot slot moves only to an upstream that is so much faster: less isn't worth
 # the requests that wait meanwhile, and speeds are known to a tenth or so.
 WORTH_MOVING = 1.25
 
 
-def hot_shares(
+def shares(
     current: keymap.KeyMap,
     rate_by_slot: dict[int, float],
     capacity_by_id: dict[model.UpstreamId, float],
 ) -> dict[int, float]:
-    """Returns hot slots, with the part of their owner's capacity they take.
+    """Returns busy slots, with the part of their owner's capacity they take.
 
     Args:
         current: Who owns which slots.
         rate_by_slot: Requests/s of busy slots.
         capacity_by_id: Requests/s that each upstream can do.
     """
-    shares = {}
+    found = {}
     for slot, rate in rate_by_slot.items():
         capacity = capacity_by_id.get(current.slots[slot].owner)
-        if capacity and rate / capacity >= HOT_SHARE:
-            shares[slot] = rate / capacity
-    return shares
+        if capacity and rate / capacity >= BUSY_SHARE:
+            found[slot] = rate / capacity
+    return found
 
 
 def relocations(
     current: keymap.KeyMap,
     hot: dict[int, float],
     capacity_by_id: dict[model.UpstreamId, float],
+    taken: set[model.UpstreamId] = frozenset(),
 ) -> dict[int, model.UpstreamId]:
     """Returns better owners for hot slots, where there are any.
 
     The hottest slot gets the fastest upstream, the next one the next; an
     upstream gets one hot slot at most.
+
+    Args:
+        current: Who owns which slots.
+        hot: Slots to place, with the part of their owner's capacity they take.
+        capacity_by_id: Requests/s that each upstream can do.
+        taken: Upstreams that have a busy slot which isn't to be placed now.
     """
     free = sorted(capacity_by_id, key=capacity_by_id.get, reverse=True)
+    free = [name for name in free if name not in taken]
     moved: dict[int, model.UpstreamId] = {}
     for slot in sorted(hot, key=hot.get, reverse=True):
         if not free:
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -213,21 +213,24 @@
     def _relocate(self, current, weights, now: float) -> list[int]:
         """Returns hot slots that should leave, and notes where they go."""
         capacity = self._capacities(weights)
+        rates = self._heat.rates(self._service, now)
+        busy = hotplan.shares(current, rates, capacity)
         hot = {
             slot: share
-            for slot, share in self._hot(current, capacity, now).items()
-            if slot not in current.leaving
+            for slot, share in busy.items()
+            if share >= hotplan.HOT_SHARE
+            and slot not in current.leaving
             and now - self._relocated_at.get(slot, 0.0) > RELOCATE_EVERY_S
         }
-        found = hotplan.relocations(current, hot, capacity)
+        taken = {
+            self._wanted.get(slot, current.slots[slot].owner)
+            for slot in busy.keys() - hot.keys()
+        }
+        found = hotplan.relocations(current, hot, capacity, taken)
         self._wanted |= found
         self._relocated_at |= dict.fromkeys(found, now)
         return list(found)
 
-    def _hot(self, current, capacity, now: float) -> dict[int, float]:
-        rates = self._heat.rates(self._service, now)
-        return hotplan.hot_shares(current, rates, capacity)
-
     def _capacities(self, weights) -> dict[model.UpstreamId, float]:
         work_s = self._work_s(self._service)
         if not work_s:
--- a/tests/unit/test_gateway_heat.py
+++ b/tests/unit/test_gateway_heat.py
@@ -41,7 +41,9 @@
 def test_a_slot_is_hot_by_what_its_owner_can_do():
     current = _map("u-1", "u-2")
     rates = {0: 6.0, 1: 6.0}
-    assert list(hotplan.hot_shares(current, rates, _CAPACITY)) == [0]
+    shares = hotplan.shares(current, rates, _CAPACITY)
+    assert shares == {0: 0.6, 1: 0.2}
+    assert shares[0] >= hotplan.HOT_SHARE > shares[1]
 
 
 def test_the_hottest_slot_goes_to_the_fastest_upstream():
@@ -56,3 +58,13 @@
     assert hotplan.relocations(current, {0: 2.0}, _CAPACITY) == {}
     near = {"u-2": 22.0, "u-3": 20.0}
     assert hotplan.relocations(current, {1: 2.0}, near) == {}
+
+
+def test_a_hot_slot_does_not_join_one_that_was_placed_just_before():
+    # Found on trouble-3 of hbrt-gw: after a restart the three busiest slots
+    # came to the same upstream one after the other.
+    current = _map("u-1", "u-1", "u-2")
+    moved = hotplan.relocations(current, {0: 2.0}, _CAPACITY, taken={"u-2"})
+    assert moved == {0: "u-3"}
+    everywhere = set(_CAPACITY)
+    assert hotplan.relocations(current, {0: 2.0}, _CAPACITY, everywhere) == {}
--- a/tests/unit/test_gateway_keeper.py
+++ b/tests/unit/test_gateway_keeper.py
@@ -259,6 +259,25 @@
     asyncio.run(scenario())
 
 
+def test_slots_that_turn_hot_one_after_the_other_are_placed_apart(monkeypatch):
+    parts = _Parts()
+    for name in ("u-3", "u-4"):
+        parts.book.put(builders.upstream(name), 0.0)
+    current = parts.start(leaving=())
+    parts.keeper._work_s = lambda service: 0.3
+    weights = {"u-1": 3.0, "u-2": 6.0, "u-3": 5.0, "u-4": 4.0}
+    told = {}
+    for slot, now in ((7, 100.0), (9, 101.0), (11, 102.0)):
+        # Each takes nearly all of u-1, and some of whatever it is moved to.
+        told[slot] = 9.0
+        parts.keeper._heat.hear("vm-2", {builders.LOOKUPS: dict(told)}, now)
+        moving = parts.keeper._relocate(current, weights, now)
+        assert moving == [slot]
+        owners = {slot: parts.keeper._wanted.pop(slot)}
+        current = current.give({}, owners)
+    assert [current.slots[i].owner for i in (7, 9, 11)] == ["u-2", "u-3", "u-4"]
+
+
 def _writes_while_slots_turn_hot(monkeypatch, vms: int, for_s: float) -> int:
     """Returns writes of the map while another slot is hot at each look."""
 
