--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -169,10 +169,14 @@
         return self.arrived + self.route.objective_s
 
     @property
-    def contest(self) -> tuple[ids.ServiceName, bool, model.UpstreamId | None]:
-        """What it waits for: any of a service, or the owner of a key."""
-        awaited = None if self.awaited is None else self.awaited.id
-        return self.service, self.owner is not None, awaited
+    def contest(self) -> tuple[ids.ServiceName, model.UpstreamId | None] | None:
+        """What it waits for: any of a service, or the owner of its key.
+
+        None if its key has no owner: nobody overtakes it there.
+        """
+        if self.owner is None:
+            return self.service, None
+        return None if self.awaited is None else (self.service, self.awaited.id)
 
     def is_late(self, now: float) -> bool:
         """Whether an answer would come too late to be of full use."""
@@ -269,6 +273,8 @@
                 target.own += 1
                 assigned.append(Assignment(waiter, target))
                 continue
+            if waiter.contest is None:
+                continue
             if not waiter.is_late(now):
                 contested.add(waiter.contest)
             elif self._is_starved(waiter, contested, now):
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -169,6 +169,18 @@
     assert len(decisions) == 1
 
 
+def test_a_late_request_waits_for_an_owner_whoever_else_does():
+    decisions = _admission(builders.book())
+    lookup = builders.FixedOwner(None, ready_in_s=0.03)
+    late = builders.waiter(99.65, owner=lookup)
+    assert decisions.offer(late, 100.0) is None
+    for step in range(14):
+        now = 100.1 + 0.05 * step
+        assert decisions.offer(builders.waiter(now, owner=lookup), now) is None
+        assert decisions.pump(now) == ([], [])
+    assert now > 100.1 + builders.route().objective_s
+
+
 def test_a_late_request_goes_on_waiting_while_nobody_else_does():
     book = builders.book(builders.upstream())
     decisions = _admission(book)
