--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -223,7 +223,7 @@
             self._heat.hear(node, peer.report.heat, now)
         if peer.report.speeds:
             self._speeds.hear(node, peer.report.speeds, now)
-        self._gate.pump()
+        self._gate.note_report()
 
     async def _housekeeping(self) -> None:
         while True:
--- a/src/swiftstile/gateway/gate.py
+++ b/src/swiftstile/gateway/gate.py
@@ -57,6 +57,15 @@
         target.note_ended(waiter.sequence)
         self.pump()
 
+    def note_report(self) -> None:
+        """A peer told how busy targets are by its requests.
+
+        Many VMs tell a hundred times a second: the next regular look is soon
+        enough, and each one costs as much as a request.
+        """
+        if self.decisions.vms <= admission.FEW_VMS:
+            self.pump()
+
     def pump(self) -> None:
         """Gives free slots to those that wait."""
         if not self._waiting:
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -99,6 +99,9 @@
         self._sequence = 0
         self._to_every_vm = circulation_lib.ToEveryVm(me, self.by_node)
         self._through_readers = circulation_lib.ThroughReaders(me, self.by_node)
+        # Near peers, and of how many peers in all they were counted; asked for
+        # many times a second.
+        self._near, self._counted = 0, 0
         self._tick_at = 0.0
         self._deaf_until = 0.0
         self._near_at = self._far_at = self._urgent_at = 0.0
@@ -111,6 +114,7 @@
         """Takes in a registration; None when it was removed."""
         if node == self.me.node:
             return
+        self._counted = -1
         known = self.by_node.get(node)
         if known is not None:
             self._by_run.pop(reports.short_run(known.row.incarnation), None)
@@ -234,8 +238,13 @@
         return self._to_every_vm if is_few else self._through_readers
 
     def _near_count(self) -> int:
-        domain = self.me.domain
-        return sum(p.row.domain == domain for p in self.by_node.values())
+        if len(self.by_node) != self._counted:
+            self._counted = len(self.by_node)
+            domain = self.me.domain
+            self._near = sum(
+                peer.row.domain == domain for peer in self.by_node.values()
+            )
+        return self._near
 
     def _send_near(self, report: reports.Report, now: float) -> None:
         self._sequence = report.sequence
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -1,7 +1,12 @@
 """Who gets a slot, who waits, who is refused."""
 
+import asyncio
+
+import pytest
+
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
+from swiftstile.gateway import gate
 from swiftstile.gateway import model
 from swiftstile.gateway import speeds
 from tests import gateway_builders as builders
@@ -298,3 +303,38 @@
     assert target.slow_factor(2.0) > 5.0
     target.note_ended(1)
     assert target.slow_factor(2.0) == 1.0
+
+
+class _Looks(admission.Admission):
+    """Counts how often the queue is looked at."""
+
+    def __init__(self, book, vms: int):
+        super().__init__(book, builders.HOME, 2.0)
+        self.vms = vms
+        self.count = 0
+
+    def pump(self, now):
+        self.count += 1
+        return super().pump(now)
+
+
+@pytest.mark.parametrize(("vms", "looks"), [(4, 6), (25, 1)])
+def test_reports_of_many_vms_do_not_each_make_a_look_at_the_queue(vms, looks):
+    async def scenario():
+        book = builders.book(builders.upstream())
+        now = gate.clocks.monotonic()
+        builders.occupy(book.by_id["u-1"], 4, now)
+        decisions = _Looks(book, vms)
+        made = gate.Gate(decisions)
+        waiting = asyncio.create_task(made.acquire(builders.waiter(now)))
+        while not len(decisions):
+            await asyncio.sleep(0)
+        for _ in range(5):
+            made.note_report()
+        # A slot that comes free is looked at however many VMs there are.
+        book.by_id["u-1"].note_ended(-1)
+        made.pump()
+        assert (await waiting).id == "u-1"
+        assert decisions.count == looks
+
+    asyncio.run(scenario())
