--- /dev/null
+++ b/tests/integration/test_gateway_stories.py
@@ -0,0 +1,139 @@
+"""From the id of a failed request to the fault that was injected.
+
+Each test injects one fault into a site of real processes, takes a request that
+suffered from it, and finds the fault in the lines of that request alone.
+"""
+
+import asyncio
+
+from swiftstile import errors
+from swiftstile import explain
+from tests.integration import gateways
+
+_KEY = 4242
+
+
+def _run(tmp_path, scenario) -> None:
+    async def main():
+        site = gateways.Site(tmp_path, gateways=3, seed=1)
+        async with site.running():
+            await scenario(site)
+        assert site.broken_promises() == []
+
+    asyncio.run(main())
+
+
+def _owner(site):
+    now = asyncio.get_running_loop().time()
+    owners = [s for s in site.world.by_id.values() if s.until[_KEY] > now]
+    assert len(owners) == 1
+    return owners[0]
+
+
+async def _story(site, attempt: str, last_event: str) -> explain.Story:
+    """Returns what the logs of all VMs say, once they say how it ended."""
+    files = [gateway.log for gateway in site.gateways]
+    found: list[explain.Story] = []
+
+    async def is_written() -> bool:
+        try:
+            found[:] = [explain.find(attempt, files)]
+        except errors.LogError:
+            return False
+        return found[0].decisions[-1]["event"] == last_event
+
+    await site.until(is_written, 10)
+    return found[0]
+
+
+def test_refused_though_other_servers_are_free(tmp_path):
+    async def scenario(site):
+        slow = _owner(site)
+        slow.work_s = 1.2
+        calls = [
+            asyncio.create_task(site.callers.call("/read/x", _KEY))
+            for _ in range(30)
+        ]
+        outcomes = await asyncio.gather(*calls)
+        refused = [one for one in outcomes if one.status == 503]
+        assert refused
+        story = await _story(site, refused[0].attempt, "refused")
+        last = story.decisions[-1]
+        # The one server that may serve this key, and that its slots were taken.
+        assert last["upstream"] == slow.name
+        assert last["occupied"] >= slow.slots
+        assert "wait for a slot" in last["reason"]
+        assert last["key"] == _KEY
+        assert last["retry_after_ms"] > 0
+        others = [s for s in site.world.by_id.values() if s is not slow]
+        assert all(server.running < server.slots for server in others)
+
+    _run(tmp_path, scenario)
+
+
+def test_unknown_outcome_of_a_request_that_may_not_be_repeated(tmp_path):
+    async def scenario(site):
+        for server in site.world.by_id.values():
+            server.work_s = 3.0
+        call = asyncio.create_task(site.callers.call("/write/x"))
+
+        async def is_running() -> bool:
+            return any(run.method == "POST" for run in site.world.runs)
+
+        before = len(site.world.runs)
+        await site.until(is_running, 10)
+        run = site.world.runs[before:][-1]
+        await site.world.by_id[run.server].stop()
+        outcome = await call
+        assert outcome.status in (502, 504)
+        story = await _story(site, outcome.attempt, "failed")
+        sent = [d for d in story.decisions if d["event"] == "sent"]
+        last = story.decisions[-1]
+        # One send, to the server that crashed, which answered nothing.
+        assert [one["upstream"] for one in sent] == [run.server]
+        assert (last["upstream"], last["status"]) == (
+            run.server,
+            outcome.status,
+        )
+        assert 0 <= last["at_ms"] - sent[0]["at_ms"] < 2500
+
+    _run(tmp_path, scenario)
+
+
+def test_late_answer_after_an_owner_moved(tmp_path):
+    async def scenario(site):
+        old = _owner(site)
+        # Its work holds up the hand-over of the key.
+        old.work_s = 1.0
+        holding = asyncio.create_task(site.callers.call("/read/x", _KEY))
+
+        async def is_working() -> bool:
+            return _KEY in old._working
+
+        await site.until(is_working, 10)
+        old.register("draining")
+
+        async def is_moving() -> bool:
+            logs = [gateway.log.read_text() for gateway in site.gateways]
+            return any('"reason":"owner lost"' in text for text in logs)
+
+        await site.until(is_moving, 10)
+        outcome = await site.callers.call("/read/x", _KEY)
+        await holding
+        assert outcome.status == 200
+        story = await _story(site, outcome.attempt, "answered")
+        last = story.decisions[-1]
+        assert last["upstream"] != old.name
+        assert last["waited_ms"] > 1000 * last_work_s(site, last)
+        # The newest map before it came marked the owner's keys as leaving.
+        maps = [c for c in story.changes if c.event == "key map written"]
+        assert maps[-1].fields["reason"] == "owner lost"
+        assert maps[-1].fields["leaving"] > 0
+        assert maps[-1].age_s < 2.0
+
+    _run(tmp_path, scenario)
+
+
+def last_work_s(site, answered) -> float:
+    """Returns the work time of the server that answered."""
+    return site.world.by_id[answered["upstream"]].work_s
