--- a/src/swiftstile/gateway/outage.py
+++ b/src/swiftstile/gateway/outage.py
@@ -5,7 +5,7 @@
 and go on as soon as a call of any of them succeeds.
 """
 
-import asyncio
+from swiftstile import signals
 
 __all__ = ["Outage"]
 
@@ -20,7 +20,7 @@
     def __init__(self):
         # Used as an ordered set: the first asks most often.
         self._failing: dict[str, None] = {}
-        self._answered = asyncio.Event()
+        self._answered = signals.Signal()
 
     def note_failure(self, table: str) -> None:
         """A call for a table failed."""
@@ -28,10 +28,9 @@
 
     def note_answer(self, table: str) -> None:
         """A call for a table succeeded, or peers tell of it again."""
-        if self._failing.pop(table, self) is self:
-            return
-        self._answered.set()
-        self._answered = asyncio.Event()
+        if table in self._failing:
+            del self._failing[table]
+            self._answered.wake()
 
     def longest_pause_s(self, table: str, of_first_s: float) -> float:
         """Returns the longest pause between two tries for a table."""
@@ -40,8 +39,4 @@
 
     async def pause(self, seconds: float) -> None:
         """Waits, and no longer than until a call for some table succeeds."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self._answered.wait()
-        except TimeoutError:
-            return
+        await self._answered.wait(seconds)
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -17,6 +17,7 @@
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile import metrics
+from swiftstile import signals
 from swiftstile.gateway import gossip
 from swiftstile.gateway import holds
 from swiftstile.gateway import interfaces
@@ -61,12 +62,13 @@
     Attributes:
         by_service: Maps as this VM knows them.
         changed_at: When a slot's owner last changed, by service and slot.
+        changed: Wakes those that wait for a newer map.
     """
 
     def __init__(self):
         self.by_service: dict[ids.ServiceName, keymap.KeyMap] = {}
         self.changed_at: dict[ids.ServiceName, dict[int, float]] = {}
-        self.changed = asyncio.Event()
+        self.changed = signals.Signal()
 
     def put(
         self, service: ids.ServiceName, newer: keymap.KeyMap, now: float
@@ -81,8 +83,7 @@
                 if newer.slots[index].fence != known.slots[index].fence:
                     times[index] = now
         self.by_service[service] = newer
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.changed.wake()
 
 
 class Authority(abc.ABC):
@@ -127,18 +128,11 @@
         try:
             while True:
                 self._share_out(clocks.monotonic())
-                await self._pause(_TICK_S)
+                await self._maps.changed.wait(_TICK_S)
         finally:
             for task in self._tasks.values():
                 task.cancel()
 
-    async def _pause(self, seconds: float) -> None:
-        try:
-            async with asyncio.timeout(seconds):
-                await self._maps.changed.wait()
-        except TimeoutError:
-            return
-
     def _share_out(self, now: float) -> None:
         able = self._able_peers(now)
         wanted = {
@@ -210,7 +204,7 @@
             is_answering = await self._renew_due(service, owner)
             if is_answering:
                 self.unreachable.discard(owner)
-                await self._pause(_TICK_S)
+                await self._maps.changed.wait(_TICK_S)
             else:
                 self.unreachable.add(owner)
                 await asyncio.sleep(_FAILURE_PAUSE_S)
--- a/src/swiftstile/routing/owners.py
+++ b/src/swiftstile/routing/owners.py
@@ -8,6 +8,7 @@
 from swiftstile import errors
 from swiftstile import ids
 from swiftstile import logs
+from swiftstile import signals
 from swiftstile.membership import vms
 from swiftstile.ownership import load as load_lib
 from swiftstile.ownership import slices
@@ -47,7 +48,7 @@
         self.assignment: slices.Assignment | None = None
         self.lease_until = 0.0
         self.sketch = load_lib.Sketch()
-        self._changed = asyncio.Event()
+        self._changed = signals.Signal()
         self._in_flight: dict[int, int] = {}
         self._attempts: dict[int, _Attempt] = {}
         self._tickets = itertools.count()
@@ -60,7 +61,7 @@
     def update(self, assignment: slices.Assignment) -> None:
         """Takes a newer assignment and wakes all that wait for one."""
         self.assignment = assignment
-        self._wake()
+        self._changed.wake()
         soon = asyncio.get_running_loop().time() + _RESCUE_S
         for attempt in self._attempts.values():
             limit = attempt.limit
@@ -101,16 +102,11 @@
         had_lapsed = self.lease_until < clocks.monotonic()
         self.lease_until = max(self.lease_until, until)
         if had_lapsed:
-            self._wake()
+            self._changed.wake()
 
     async def wait_change(self, wait_s: float) -> None:
         """Waits for the next update, for `wait_s` seconds at most."""
-        changed = self._changed
-        try:
-            async with asyncio.timeout(wait_s):
-                await changed.wait()
-        except TimeoutError:
-            return
+        await self._changed.wait(wait_s)
 
     def enter(self, version: int) -> None:
         """Notes that a request was sent under a version."""
@@ -134,10 +130,6 @@
                 return
             await asyncio.sleep(_SETTLE_LOOK_S)
 
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
-
 
 class OwnerWatch:
     """Follows the coordinator of one service, whoever it is."""
