--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -262,9 +262,7 @@
             self._waiters.values(), key=lambda entry: entry.rank(now)
         ):
             if waiter.end - now < LEAST_TIME_LEFT * waiter.expected_s:
-                wait_s = now - waiter.arrived
-                refused.append((waiter, self._refusal(waiter, 0.0, wait_s)))
-                self.leave(waiter)
+                refused.append((waiter, self._turn_away(waiter, now)))
                 continue
             target = self.pick(waiter, now)
             if target is not None:
@@ -278,9 +276,7 @@
             if not waiter.is_late(now):
                 contested.add(waiter.contest)
             elif self._is_starved(waiter, contested, now):
-                wait_s = now - waiter.arrived
-                refused.append((waiter, self._refusal(waiter, 0.0, wait_s)))
-                self.leave(waiter)
+                refused.append((waiter, self._turn_away(waiter, now)))
         self._contested_since = {
             contest: self._contested_since.get(contest, now)
             for contest in contested
@@ -289,6 +285,12 @@
             assignment.target.own -= 1
         return assigned, refused
 
+    def _turn_away(self, waiter: Waiter, now: float) -> Overload:
+        """Takes a request out of the queue that waited in vain."""
+        overload = self._refusal(waiter, 0.0, now - waiter.arrived)
+        self.leave(waiter)
+        return overload
+
     def _is_starved(self, waiter: Waiter, contested: set, now: float) -> bool:
         """Whether a late request would wait in vain.
 
--- a/src/swiftstile/gateway/circulation.py
+++ b/src/swiftstile/gateway/circulation.py
@@ -83,11 +83,7 @@
 
     def leaders(self) -> list[reports.Peer]:
         """Returns the far peers that believe to lead."""
-        return [
-            peer
-            for peer in self._far()
-            if peer.report is not None and peer.report.is_leader
-        ]
+        return [peer for peer in self._far() if peer.claims_lead]
 
     def _far(self) -> list[reports.Peer]:
         domain = self._me.domain
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -235,7 +235,9 @@
                 self._slowness_at = now
                 ratios = self._speeds.ratios(now)
                 for target in self._book.by_id.values():
-                    target.slowness = ratios.get(target.id, 1.0)
+                    target.slowness = ratios.get(
+                        target.id, speeds.UNKNOWN_RATIO
+                    )
             self._gate.decisions.vms = self._peers.circulation.near_heard(now)
             self._budget.set_vms(len(self._peers.by_node) + 1)
 
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -257,16 +257,13 @@
     def _send_far(self, report: reports.Report, now: float, to) -> None:
         self._sequence = report.sequence
         data = self._encoder.encode(report)
-        leaders = [peer for peer in to if peer.report and peer.report.is_leader]
-        for peer in to:
-            if peer not in leaders:
-                self._send_to(peer, data, now)
-        if leaders:
+        to_leader = data
+        if any(peer.claims_lead for peer in to):
             # Speeds and heat matter to the one that places keys.
             measured = self._with_measures(report, self._leader_pace, now)
-            data = self._encoder.encode(measured)
-        for peer in leaders:
-            self._send_to(peer, data, now)
+            to_leader = self._encoder.encode(measured)
+        for peer in to:
+            self._send_to(peer, to_leader if peer.claims_lead else data, now)
 
     def _with_measures(
         self, report: reports.Report, pace: measures_lib.Pace, now: float
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -154,7 +154,9 @@
         group = self._book.by_service.get(self._service, {})
         ratios = self._speeds.ratios(now)
         weights = {
-            target.id: self._weight(target, ratios.get(target.id, 1.0))
+            target.id: self._weight(
+                target, ratios.get(target.id, speeds.UNKNOWN_RATIO)
+            )
             for target in group.values()
             if target.leaving_since is None
         }
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -19,7 +19,8 @@
 
 _NOBODY = 0xFFFF
 _COMPRESSION = 1
-_OWNER_BYTES, _FENCE_BYTES = 2, 4
+# Owners are numbers of 2 bytes, fences of 4.
+_OWNER_CODE, _FENCE_CODE = "H", "I"
 # Slots that are compared at a time, to find the few that differ.
 _CHUNK = 64
 # Maps that differ in a larger part are read whole.
@@ -73,7 +74,8 @@
             if slot.owner is not None:
                 self.slots_by_owner.setdefault(slot.owner, []).append(index)
         self._runs_by_owner: dict[model.UpstreamId, list[range]] = {}
-        self._document: _Document | None = None
+        # What it was read from, if it was.
+        self._columns: _Columns | None = None
 
     @classmethod
     def empty(cls, count: int) -> "KeyMap":
@@ -202,23 +204,18 @@
 
     def changed_since(self, earlier: "KeyMap") -> list[int]:
         """Returns slots that another map of as many has otherwise."""
-        found = []
-        for start in range(0, len(self.slots), _CHUNK):
-            now = self.slots[start : start + _CHUNK]
-            then = earlier.slots[start : start + _CHUNK]
-            # Slots that both maps share are told apart by identity at once.
-            if now != then:
-                found += [start + i for i in _different(now, then)]
-        return found
+        # Slots that both maps share are told apart by identity at once.
+        return _differences(self.slots, earlier.slots)
 
     def encode(self, attempt: str) -> bytes:
         """Returns the document; `attempt` makes each writing of it unique."""
         names = sorted({slot.owner for slot in self.slots if slot.owner})
         number = {name: index for index, name in enumerate(names)}
         owners = array.array(
-            "H", (number.get(slot.owner, _NOBODY) for slot in self.slots)
+            _OWNER_CODE,
+            (number.get(slot.owner, _NOBODY) for slot in self.slots),
         )
-        fences = array.array("I", (slot.fence for slot in self.slots))
+        fences = array.array(_FENCE_CODE, (slot.fence for slot in self.slots))
         document = _Document(
             attempt,
             self.next_fence,
@@ -248,81 +245,84 @@
     """
     try:
         document = msgspec.msgpack.decode(zlib.decompress(data), type=_Document)
-        made = _changed_map(document, version, known)
+        columns = _Columns(document)
+        made = _changed_map(columns, version, known)
         if made is None:
-            made = _whole_map(document, version)
+            made = KeyMap(version, document.next_fence, columns.slots())
     except (msgspec.MsgspecError, zlib.error, ValueError, IndexError) as error:
         raise errors.ControlMessageError(
             repr(error), step="decode key map", peer=peer
         ) from error
-    made._document = document
+    made._columns = columns
     return made
 
 
 class _Columns:
-    """A document's columns, by slot."""
+    """A document's columns, by slot.
+
+    Raises:
+        ValueError: They aren't of one length.
+        IndexError: A slot is named that isn't there.
+    """
 
     def __init__(self, document: _Document):
-        self._document = document
-        self._owners = array.array("H", document.owners)
-        self._fences = array.array("I", document.fences)
+        self.document = document
+        self.owners = array.array(_OWNER_CODE, document.owners)
+        self.fences = array.array(_FENCE_CODE, document.fences)
         self._leaving = set(document.leaving)
-        self.count = len(self._owners)
-        if self.count != len(self._fences):
-            raise ValueError(f"{len(self._fences)} fences of {self.count}")
+        if len(self.owners) != len(self.fences):
+            raise ValueError(
+                f"{len(self.owners)} owners and {len(self.fences)} fences"
+            )
+        named = self._leaving | document.tokens.keys()
+        if named and not 0 <= min(named) <= max(named) < len(self.owners):
+            raise IndexError(f"not all are below {len(self.owners)}: {named}")
+
+    def slots(self) -> list[KeySlot]:
+        """Returns all slots."""
+        return [self.slot(index) for index in range(len(self.owners))]
 
     def slot(self, index: int) -> KeySlot:
         """Returns one slot."""
-        if not 0 <= index < self.count:
-            raise IndexError(f"slot {index} of {self.count}")
-        owner = self._owners[index]
+        owner = self.owners[index]
         return KeySlot(
-            None if owner == _NOBODY else self._document.upstreams[owner],
-            self._fences[index],
-            self._document.tokens.get(index, ""),
+            None if owner == _NOBODY else self.document.upstreams[owner],
+            self.fences[index],
+            self.document.tokens.get(index, ""),
             index in self._leaving,
         )
 
-
-def _whole_map(document: _Document, version: int) -> KeyMap:
-    columns = _Columns(document)
-    for index in {*document.leaving, *document.tokens}:
-        columns.slot(index)
-    slots = [columns.slot(index) for index in range(columns.count)]
-    return KeyMap(version, document.next_fence, slots)
+    def changed_since(self, earlier: "_Columns") -> set[int]:
+        """Returns slots that another document of as many has otherwise."""
+        old, new = earlier.document, self.document
+        changed = self._leaving ^ earlier._leaving
+        changed |= {i for i, _ in new.tokens.items() ^ old.tokens.items()}
+        changed.update(_differences(self.owners, earlier.owners))
+        changed.update(_differences(self.fences, earlier.fences))
+        return changed
 
 
 def _changed_map(
-    document: _Document, version: int, known: KeyMap | None
+    columns: _Columns, version: int, known: KeyMap | None
 ) -> KeyMap | None:
     """Returns the map if it is much like a known one, or None."""
-    earlier = known._document if known is not None else None
-    if earlier is None or earlier.upstreams != document.upstreams:
+    earlier = None if known is None else known._columns
+    document = columns.document
+    if earlier is None or earlier.document.upstreams != document.upstreams:
         return None
-    if len(earlier.owners) != len(document.owners):
+    if len(earlier.owners) != len(columns.owners):
         return None
-    columns = _Columns(document)
-    changed = set(document.leaving) ^ set(earlier.leaving)
-    changed |= {i for i, _ in document.tokens.items() ^ earlier.tokens.items()}
-    changed |= _changed_items(earlier.owners, document.owners, _OWNER_BYTES)
-    changed |= _changed_items(earlier.fences, document.fences, _FENCE_BYTES)
+    changed = columns.changed_since(earlier)
     slots = {index: columns.slot(index) for index in changed}
     return known.with_slots(slots, document.next_fence, version)
 
 
-def _changed_items(one: bytes, other: bytes, width: int) -> set[int]:
-    """Returns numbers of items, of some bytes each, that aren't the same."""
-    found: set[int] = set()
-    step = _CHUNK * width
-    for start in range(0, len(one), step):
-        left, right = one[start : start + step], other[start : start + step]
+def _differences(one, other) -> list[int]:
+    """Returns where two lists or arrays of one length aren't the same."""
+    found = []
+    for start in range(0, len(one), _CHUNK):
+        left, right = one[start : start + _CHUNK], other[start : start + _CHUNK]
         if left != right:
-            code = "H" if width == _OWNER_BYTES else "I"
-            pair = array.array(code, left), array.array(code, right)
-            found.update(start // width + i for i in _different(*pair))
+            pairs = enumerate(zip(left, right, strict=True), start)
+            found += [i for i, (this, that) in pairs if this != that]
     return found
-
-
-def _different(one, other) -> list[int]:
-    both = zip(one, other, strict=True)
-    return [i for i, (left, right) in enumerate(both) if left != right]
--- a/src/swiftstile/gateway/moves.py
+++ b/src/swiftstile/gateway/moves.py
@@ -75,8 +75,8 @@
         return None
     told = report.holds.get(service, {}).get(owner)
     if told is None:
-        # It knows the map, and what it granted is listed while slots leave:
-        # only a report from before or after the leaving has no entry.
+        # It knows the map, and lists what its grants may still hold: without
+        # an entry there is nothing. Without a voice that may be long ago.
         return reports.Hold(0.0, 0.0) if peer.is_heard(now) else None
     age_s = now - peer.heard_at
     return reports.Hold(
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -144,6 +144,11 @@
         self.retired_at = now
         self.told_of: set[model.UpstreamId] = set()
 
+    @property
+    def claims_lead(self) -> bool:
+        """Whether it believes to lead, as far as it told."""
+        return self.report is not None and self.report.is_leader
+
     def is_heard(self, now: float, within_s: float = SILENT_AFTER_S) -> bool:
         """Whether it told something lately."""
         return self.report is not None and now - self.heard_at < within_s
--- a/src/swiftstile/gateway/speeds.py
+++ b/src/swiftstile/gateway/speeds.py
@@ -6,10 +6,12 @@
 
 from swiftstile.gateway import model
 
-__all__ = ["SpeedBook", "Samples"]
+__all__ = ["UNKNOWN_RATIO", "Samples", "SpeedBook"]
 
 # An answer counts half after this long: a slow upstream shows within seconds.
 HALF_LIFE_S = 4.0
+# Of an upstream of which nothing is known.
+UNKNOWN_RATIO = 1.0
 # Answers at mean speed that are taken for granted; with less, a few odd
 # requests would move keys.
 PRIOR_COUNT = 4.0
@@ -80,12 +82,8 @@
         most = sorted(told, key=lambda name: told[name][0], reverse=True)
         return {name: told[name] for name in most[:MOST_TOLD]}
 
-    def ratio(self, upstream: model.UpstreamId, now: float) -> float:
-        """Returns the ratio of an upstream; 1.0 where nothing is known."""
-        return self.ratios(now).get(upstream, 1.0)
-
     def ratios(self, now: float) -> dict[model.UpstreamId, float]:
-        """Returns the ratios of all upstreams that something is known of."""
+        """Returns the ratios of upstreams; others count as `UNKNOWN_RATIO`."""
         sums: dict[model.UpstreamId, tuple[float, float]] = {}
         for upstream, entry in self._own.items():
             entry.decay(now)
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -284,14 +284,18 @@
 
 def test_speeds_are_learned_from_all_vms_and_forgotten():
     book = speeds.SpeedBook()
+
+    def ratio(name: str, now: float) -> float:
+        return book.ratios(now).get(name, speeds.UNKNOWN_RATIO)
+
     told = {model.UpstreamId("u-1"): (200, 300)}
     book.hear(model.NodeId("vm-2"), told, 0.0)
-    assert book.ratio("u-1", 0.0) > 2.0
-    assert book.ratio("u-1", 30.0) == 1.0
+    assert ratio("u-1", 0.0) > 2.0
+    assert ratio("u-1", 30.0) == 1.0
     for _ in range(20):
         book.note("u-2", 4.0, 0.0)
-    assert book.ratio("u-2", 0.0) > 3.0
-    assert book.ratio("u-2", 40.0) < 1.2
+    assert ratio("u-2", 0.0) > 3.0
+    assert ratio("u-2", 40.0) < 1.2
     assert speeds.SpeedBook().tell(0.0) == {}
 
 
