--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -241,6 +241,12 @@
             while not await condition():
                 await asyncio.sleep(0.02)
 
+    async def play(self, scenario, start_s: float = 30) -> None:
+        """Plays a scenario on the running site; all promises must hold."""
+        async with self.running(start_s=start_s):
+            await scenario(self)
+        assert self.broken_promises() == []
+
     def broken_promises(self) -> list[str]:
         """Returns what callers and servers saw that mustn't be."""
         ran = {run.attempt for run in self.world.runs}
--- a/tests/integration/test_gateway_many.py
+++ b/tests/integration/test_gateway_many.py
@@ -12,18 +12,7 @@
 # Eight in each of three domains: more than follow the store themselves, and
 # more in other domains than are told each time.
 _COUNT = 24
-_NEW_ROUTE = {
-    "entry_type": "routes",
-    "metadata": {"name": "new"},
-    "spec": {
-        "host": "a.example",
-        "prefix": "/read/new/",
-        "kind": "safe",
-        "timeout": "2000ms",
-        "service": "plain",
-        "max_attempts": 1,
-    },
-}
+_NEW_ROUTE = users_standins.plain_route("/read/new/", "safe")
 
 
 def _events(gateway: gateways.Gateway, event: str) -> int:
@@ -59,10 +48,5 @@
             outcome = await site.callers.call("/read/new/x", gateway=gateway)
             assert outcome.status == 200
 
-    async def main():
-        site = gateways.Site(tmp_path, _COUNT)
-        async with site.running(start_s=_START_S):
-            await scenario(site)
-        assert site.broken_promises() == []
-
-    asyncio.run(main())
+    site = gateways.Site(tmp_path, _COUNT)
+    asyncio.run(site.play(scenario, start_s=_START_S))
--- a/tests/integration/test_gateway_site.py
+++ b/tests/integration/test_gateway_site.py
@@ -15,13 +15,7 @@
 
 
 def _run(tmp_path, scenario, count: int = 3, seed: int = 1) -> None:
-    async def main():
-        site = gateways.Site(tmp_path, count, seed)
-        async with site.running():
-            await scenario(site)
-        assert site.broken_promises() == []
-
-    asyncio.run(main())
+    asyncio.run(gateways.Site(tmp_path, count, seed).play(scenario))
 
 
 async def _all_served(site, timeout_s: float = 15) -> None:
@@ -75,18 +69,7 @@
 
 def test_a_configuration_takes_effect_everywhere_and_none_goes_back(tmp_path):
     async def scenario(site):
-        extra = {
-            "entry_type": "routes",
-            "metadata": {"name": "new"},
-            "spec": {
-                "host": "a.example",
-                "prefix": "/new/",
-                "kind": "unsafe",
-                "timeout": "2000ms",
-                "service": "plain",
-                "max_attempts": 1,
-            },
-        }
+        extra = users_standins.plain_route("/new/", "unsafe")
         site.store.put("op", "config", users_standins.config(5, extra))
 
         async def is_known():
--- a/tests/integration/test_gateway_stories.py
+++ b/tests/integration/test_gateway_stories.py
@@ -14,13 +14,7 @@
 
 
 def _run(tmp_path, scenario) -> None:
-    async def main():
-        site = gateways.Site(tmp_path, gateways=3, seed=1)
-        async with site.running():
-            await scenario(site)
-        assert site.broken_promises() == []
-
-    asyncio.run(main())
+    asyncio.run(gateways.Site(tmp_path, gateways=3).play(scenario))
 
 
 async def _owner(site):
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -385,22 +385,33 @@
     return asyncio.get_running_loop().time()
 
 
+def _entry(entry_type: str, name: str, **spec) -> dict:
+    return {"entry_type": entry_type, "metadata": {"name": name}, "spec": spec}
+
+
+def plain_route(prefix: str, kind: str) -> dict:
+    """Returns one more route, to the plain service, sent once."""
+    return _entry(
+        "routes",
+        "new",
+        host="a.example",
+        prefix=prefix,
+        kind=kind,
+        timeout="2000ms",
+        service="plain",
+        max_attempts=1,
+    )
+
+
 def config(version: int, *extra: dict) -> dict:
     """Returns the operator's configuration: one keyed service, one plain."""
 
-    def entry(entry_type: str, name: str, **spec) -> dict:
-        return {
-            "entry_type": entry_type,
-            "metadata": {"name": name},
-            "spec": spec,
-        }
-
     common = {"timeout": "2000ms", "objective": "600ms", "max_attempts": 2}
     return {
         "version": f"{version:08x}",
         "base_version": "00000000",
         "resources": [
-            entry(
+            _entry(
                 "routes",
                 "reads",
                 host="a.example",
@@ -410,7 +421,7 @@
                 service="keyed",
                 **common,
             ),
-            entry(
+            _entry(
                 "routes",
                 "writes",
                 host="a.example",
@@ -421,8 +432,8 @@
                 **common,
             ),
             *extra,
-            entry("services", "keyed", sharded=True, warm="1s"),
-            entry("services", "plain"),
-            entry("limits", "", max_body_bytes=1 << 24),
+            _entry("services", "keyed", sharded=True, warm="1s"),
+            _entry("services", "plain"),
+            _entry("limits", "", max_body_bytes=1 << 24),
         ],
     }
--- a/tests/unit/test_gateway_store.py
+++ b/tests/unit/test_gateway_store.py
@@ -262,13 +262,20 @@
         table.apply([stale], [interfaces.Write("keys/x", b"old")])
 
 
-def test_a_leader_that_is_heard_is_left_alone(monkeypatch):
+def _led_by_vm_1(monkeypatch, told_at: float):
+    """Returns vm-2, which was told then that vm-1 leads, and its clock."""
     table = builders.MemoryTable()
     one, _ = _leadership(table, "vm-1")
     two, peers = _leadership(table, "vm-2")
     _lead(one)
     clock = _Clock(monkeypatch)
+    clock.now = told_at
     two.apply(table.rows[leadership.LEADER_KEY])
+    return two, peers, clock
+
+
+def test_a_leader_that_is_heard_is_left_alone(monkeypatch):
+    two, peers, clock = _led_by_vm_1(monkeypatch, told_at=0.0)
     clock.now = 50.0
     row = builders.node_row("vm-1", run="----vm-1")
     told = builders.report(row, is_leader=True)
@@ -282,12 +289,7 @@
 
 
 def test_the_smaller_part_of_a_cut_does_not_take_over(monkeypatch):
-    table = builders.MemoryTable()
-    one, _ = _leadership(table, "vm-1")
-    two, peers = _leadership(table, "vm-2")
-    _lead(one)
-    clock = _Clock(monkeypatch)
-    two.apply(table.rows[leadership.LEADER_KEY])
+    two, peers, clock = _led_by_vm_1(monkeypatch, told_at=0.0)
     clock.now = 50.0
     for name in ("vm-1", "vm-3", "vm-4"):
         row = builders.node_row(name, run=name.rjust(8, "-"))
@@ -301,16 +303,10 @@
 
 
 def test_a_new_leader_that_was_never_heard_is_given_time_to_speak(monkeypatch):
-    table = builders.MemoryTable()
-    one, _ = _leadership(table, "vm-1")
-    two, peers = _leadership(table, "vm-2")
-    _lead(one)
-    clock = _Clock(monkeypatch)
-    clock.now = 50.0
+    two, peers, clock = _led_by_vm_1(monkeypatch, told_at=50.0)
     # Of many VMs those of other domains tell nothing here until they lead.
     row = builders.node_row("vm-1", run="----vm-1", domain="far")
     peers.by_node["vm-1"] = builders.peer(row, None, heard_at=0.0)
-    two.apply(table.rows[leadership.LEADER_KEY])
     clock.now = 50.5
     _lead(two)
     assert not two.is_leader
