--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -23,6 +23,7 @@
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keymap
 from swiftstile.gateway import model
+from swiftstile.gateway import parallel
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
 
@@ -223,13 +224,17 @@
         queue.reverse()
         # Orders that get no answer cost nothing but waiting: more at a time.
         is_losing = owner in self._losing
-        parallel = _PARALLEL_LOSING if is_losing else _PARALLEL
+        count = _PARALLEL_LOSING if is_losing else _PARALLEL
         answers: list[bool] = []
-        await asyncio.gather(
-            *(
-                self._work_off(service, owner, queue, answers)
-                for _ in range(min(parallel, len(queue)))
-            )
+
+        async def grant(run: range) -> None:
+            answers.append(await self._grant(service, owner, run))
+
+        await parallel.work_off(
+            queue,
+            min(count, len(queue)),
+            grant,
+            lambda: any(answers) or len(answers) < _GIVE_UP_AFTER,
         )
         if all(answers):
             self._losing.discard(owner)
@@ -237,12 +242,6 @@
             self._losing.add(owner)
         return any(answers)
 
-    async def _work_off(self, service, owner, queue, answers) -> None:
-        while queue:
-            answers.append(await self._grant(service, owner, queue.pop()))
-            if len(answers) >= _GIVE_UP_AFTER and not any(answers):
-                return
-
     async def _grant(self, service, owner, run: range) -> bool:
         key_map = self._maps.by_service[service]
         slot = key_map.slots[run.start]
--- a/src/swiftstile/gateway/takeback.py
+++ b/src/swiftstile/gateway/takeback.py
@@ -17,6 +17,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership
 from swiftstile.gateway import model
+from swiftstile.gateway import parallel
 from swiftstile.gateway import renewals
 from swiftstile.gateway import targets
 
@@ -153,19 +154,19 @@
         """Takes the slots in `left` back, the last one first."""
         failed: list[errors.PeerUnavailableError] = []
 
-        async def work_off() -> None:
-            while left and len(failed) < _MOST_FAILURES:
-                index = left.pop()
-                if not self._is_leaving(current, index):
-                    continue
-                try:
-                    source.tokens[index] = await self._take(
-                        current, target, index, source.is_fenced
-                    )
-                except errors.PeerUnavailableError as error:
-                    failed.append(error)
-
-        await asyncio.gather(*(work_off() for _ in range(_PARALLEL)))
+        async def take(index: int) -> None:
+            if not self._is_leaving(current, index):
+                return
+            try:
+                source.tokens[index] = await self._take(
+                    current, target, index, source.is_fenced
+                )
+            except errors.PeerUnavailableError as error:
+                failed.append(error)
+
+        await parallel.work_off(
+            left, _PARALLEL, take, lambda: len(failed) < _MOST_FAILURES
+        )
         if failed:
             source.note_failures(clocks.monotonic())
             self._meters.ownership.add("release-unanswered", len(failed))
@@ -243,11 +244,12 @@
         left = [index for index in slots if self._is_leaving(current, index)]
         left.reverse()
 
-        async def work_off() -> None:
-            while left and not target.is_failing:
-                await self._keep_one(current, target, source, left.pop())
+        async def keep_one(index: int) -> None:
+            await self._keep_one(current, target, source, index)
 
-        await asyncio.gather(*(work_off() for _ in range(_PARALLEL)))
+        await parallel.work_off(
+            left, _PARALLEL, keep_one, lambda: not target.is_failing
+        )
 
     async def _keep_one(self, current, target, source, index: int) -> None:
         slot = current.slots[index]
