Requests that callers pipeline are begun as they arrive

Cause: aiohttp's server connection takes the next request of a connection only after the last answer, so one slow lookup held up those behind it. Weighed: a second parser in front of aiohttp's connection (parses twice, and two views of one stream can differ), aiohttp's private queue (breaks with any release). Found on the way: a malformed request took the good ones along that were read with it (400 for all); the parser now stops after each request.

--- a/src/swiftstile/gateway/front.py
+++ b/src/swiftstile/gateway/front.py
@@ -10,6 +10,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile import settings as settings_lib
+from swiftstile.gateway import callers
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
@@ -18,17 +19,8 @@
 
 _HEADER_TOO_LARGE = 431
 _BAD_REQUEST = 400
-# aiohttp's own timer for idle connections is out of use: the limit may change
-# while a connection is open, so a look at all connections enforces it.
-_NEVER_S = 3600.0
-# Idle connections are kept a little longer than the limit, so that a caller
-# that keeps to it never meets a closed one.
-_IDLE_SLACK_S = 0.5
 _SWEEP_INTERVAL_S = 0.5
 _BACKLOG = 1024
-# Longest line that the parser takes, in bytes; what the operator allows is
-# less and may change, so it is checked for each request.
-_MAX_LINE_BYTES = 65536
 
 
 class _ErrorBody(msgspec.Struct):
@@ -38,52 +30,11 @@
     message: str
 
 
-class _Connection(web.RequestHandler):
-    """A caller's connection, with the times that limits are checked by."""
-
-    __slots__ = ("active", "last_at", "head_at")
-
-    def __init__(self, manager, *, loop, **kwargs):
-        super().__init__(manager, loop=loop, **kwargs)
-        self.active = 0
-        self.last_at = clocks.monotonic()
-        self.head_at: float | None = None
-
-    def data_received(self, data: bytes) -> None:
-        if not self.active and self.head_at is None:
-            self.head_at = clocks.monotonic()
-        super().data_received(data)
-
-    def handle_error(self, request, status=500, exc=None, message=None):
-        is_long = isinstance(exc, http_exceptions.LineTooLong)
-        if status == _BAD_REQUEST and is_long:
-            status = _HEADER_TOO_LARGE
-        logs.logger.info("malformed request", status=status, error=repr(exc))
-        return super().handle_error(request, status, None, "malformed request")
-
-    def begin(self) -> None:
-        """A request was read."""
-        self.active += 1
-        self.head_at = None
-
-    def end(self) -> None:
-        """A request was answered."""
-        self.active -= 1
-        self.last_at = clocks.monotonic()
-
-
-class _Server(web.Server):
-
-    def __call__(self) -> web.RequestHandler:
-        return _Connection(self, loop=self._loop, **self._kwargs)
-
-
-class Front:
+class Front(callers.Responder):
     """Serves callers over HTTP.
 
     Attributes:
-        in_flight: Requests that have no answer yet.
-        is_leaving: Connections are closed with the next answer.
+        is_leaving: Connections end as soon as what was begun is answered.
         is_closed: New requests are turned away.
     """
 
@@ -96,26 +47,26 @@
         self._listen = listen
         self._handler = handler
         self._meters = meters
-        self._server: _Server | None = None
+        self._connections: set[callers.CallerConnection] = set()
         self._listener: asyncio.Server | None = None
-        self.in_flight = 0
         self.is_leaving = False
         self.is_closed = False
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that were read and have no answer yet."""
+        return sum(connection.active for connection in self._connections)
+
     async def start(self) -> None:
         """Starts to listen."""
-        self._server = _Server(
-            self._handle,
-            handler_cancellation=True,
-            auto_decompress=False,
-            access_log=None,
-            keepalive_timeout=_NEVER_S,
-            max_line_size=_MAX_LINE_BYTES,
-            max_field_size=_MAX_LINE_BYTES,
-        )
+        loop = asyncio.get_running_loop()
         host, port = settings_lib.split_address(self._listen)
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._server, host, port, backlog=_BACKLOG, reuse_address=True
+        self._listener = await loop.create_server(
+            lambda: callers.CallerConnection(loop, self, self._connections),
+            host,
+            port,
+            backlog=_BACKLOG,
+            reuse_address=True,
         )
 
     def stop_listening(self) -> None:
@@ -124,9 +75,9 @@
 
     def close_idle(self) -> None:
         """Closes connections on which no request is being served."""
-        for connection in list(self._server.connections):
+        for connection in list(self._connections):
             if not connection.active and connection.head_at is None:
-                connection.force_close()
+                connection.close()
 
     async def enforce_limits(self) -> None:
         """Closes connections that are idle or slow beyond the limits."""
@@ -135,36 +86,30 @@
             config = self._handler.config
             limits = model.Limits() if config is None else config.limits
             now = clocks.monotonic()
-            for connection in list(self._server.connections):
-                if self._is_overdue(connection, limits, now):
+            for connection in list(self._connections):
+                if connection.is_overdue(
+                    limits.header_timeout_s, limits.idle_timeout_s, now
+                ):
                     self._meters.refusals.add("connection-limit")
-                    connection.force_close()
-
-    @staticmethod
-    def _is_overdue(connection, limits: model.Limits, now: float) -> bool:
-        if connection.active:
-            return False
-        if connection.head_at is not None:
-            slack_s = now - connection.head_at - limits.header_timeout_s
-        else:
-            slack_s = now - connection.last_at - limits.idle_timeout_s
-        return slack_s > _IDLE_SLACK_S
-
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        started = clocks.monotonic()
-        self.in_flight += 1
-        request.protocol.begin()
-        try:
-            return await self._respond(request, started)
-        finally:
-            self.in_flight -= 1
-            request.protocol.end()
+                    connection.close()
+
+    def may_overlap(self, request: web.BaseRequest) -> bool:
+        """See base class."""
+        return self._handler.may_overlap(request)
+
+    def respond_malformed(self, error: Exception) -> web.StreamResponse:
+        """See base class."""
+        is_long = isinstance(error, http_exceptions.LineTooLong)
+        status = _HEADER_TOO_LARGE if is_long else _BAD_REQUEST
+        logs.logger.info("malformed request", status=status, error=repr(error))
+        return web.Response(status=status, text="malformed request")
 
-    async def _respond(self, request, started) -> web.StreamResponse:
+    async def respond(self, arrival: callers.Arrival) -> web.StreamResponse:
+        """See base class."""
         try:
             if self.is_closed:
                 raise outcomes.NotReadyError("about to stop", step="accept")
-            response = await self._handler.answer(request)
+            response = await self._handler.answer(arrival)
             outcome = "answered"
         except outcomes.GatewayError as error:
             response = _failure(error)
@@ -176,10 +121,8 @@
             logs.logger.exception("request failed")
             response = _failure(_internal(error))
             outcome = "internal"
-        if self.is_leaving:
-            response.force_close()
         self._meters.requests.add(outcome)
-        self._meters.durations.record(clocks.monotonic() - started)
+        self._meters.durations.record(clocks.monotonic() - arrival.arrived)
         return response
 
 
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -10,6 +10,7 @@
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
+from swiftstile.gateway import callers
 from swiftstile.gateway import decisions
 from swiftstile.gateway import exchange
 from swiftstile.gateway import follow
@@ -88,21 +89,30 @@
         self._times = admission.ServiceTimes()
         self._shares = shares.ShareDealer()
 
-    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+    def may_overlap(self, request: web.BaseRequest) -> bool:
+        """Whether a request may run beside those ahead on its connection."""
+        if request.body_exists:
+            return False
+        try:
+            route, _ = self._route(request)
+        except outcomes.GatewayError:
+            # Its failure is found when it is its turn.
+            return False
+        return route.repeatability is model.Repeatability.IDEMPOTENT
+
+    async def answer(self, arrival: callers.Arrival) -> web.StreamResponse:
         """Returns the response for a caller.
 
         Raises:
             GatewayError: There is no upstream's answer.
         """
-        arrived = clocks.monotonic()
+        request, arrived = arrival.request, arrival.arrived
         inbound = self._dialect.read_request(request.headers)
         story = decisions.Story(self._log)
         is_well = False
         try:
             route, config = self._route(request)
-            response = await self._serve(
-                request, inbound, route, config, arrived, story
-            )
+            response = await self._serve(arrival, inbound, route, config, story)
             is_well = response.status < _FIRST_FAILURE
             return response
         except outcomes.GatewayError as error:
@@ -146,7 +156,8 @@
             )
         return route, config
 
-    async def _serve(self, request, inbound, route, config, arrived, story):
+    async def _serve(self, arrival, inbound, route, config, story):
+        request, arrived = arrival.request, arrival.arrived
         service = self._shares.draw(route)
         self._budget.note_request(service, arrived)
         wait_s = route.timeout_s
@@ -169,6 +180,7 @@
         )
         answer = await self._attempts(call, waiter, story)
         if answer.body is None:
+            await arrival.turn()
             return await exchange.relay(request, answer)
         response = web.Response(status=answer.status, body=answer.body)
         response.headers.popall("Content-Type", None)
--- /dev/null
+++ b/tests/integration/test_gateway_callers.py
@@ -0,0 +1,353 @@
+"""Callers that send further requests before the first is answered."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from swiftstile.gateway import callers
+
+# Long enough that an order that isn't kept shows.
+_SLOW_S = 0.05
+
+
+class _Scripted(callers.Responder):
+    """Answers by the path: `/NAME/DELAY_MS/BYTES`, `/x...` on its own only.
+
+    Attributes:
+        begun: Paths in the order in which they were begun.
+        cancelled: Paths that were given up.
+        arrivals: Times of arrival by path.
+    """
+
+    def __init__(self):
+        self.begun: list[str] = []
+        self.cancelled: list[str] = []
+        self.arrivals: dict[str, float] = {}
+        self.gates: dict[str, asyncio.Event] = {}
+        self.at_once = 0
+        self.most_at_once = 0
+
+    async def respond(self, arrival):
+        path = arrival.request.path
+        self.begun.append(path)
+        self.arrivals[path] = arrival.arrived
+        self.at_once += 1
+        self.most_at_once = max(self.at_once, self.most_at_once)
+        try:
+            return await self._answer(arrival, path)
+        except asyncio.CancelledError:
+            self.cancelled.append(path)
+            raise
+        finally:
+            self.at_once -= 1
+
+    async def _answer(self, arrival, path):
+        _, name, delay_ms, size = path.split("/")
+        body = await arrival.request.read()
+        gate = self.gates.get(path)
+        if gate is not None:
+            await gate.wait()
+        await asyncio.sleep(int(delay_ms) / 1000)
+        if name.startswith("fail"):
+            return web.Response(status=503, text=path)
+        if not name.startswith("long"):
+            return web.Response(text=path + "." * int(size) + str(len(body)))
+        await arrival.turn()
+        response = web.StreamResponse()
+        response.content_length = len(path)
+        await response.prepare(arrival.request)
+        for byte in path.encode():
+            await response.write(bytes([byte]))
+        await response.write_eof()
+        return response
+
+    def respond_malformed(self, error):
+        return web.Response(status=400, text="malformed")
+
+    def may_overlap(self, request):
+        return request.method == "GET" and not request.path.startswith("/x")
+
+
+class _Caller:
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self.writer = writer
+
+    def send(self, *paths: str, extra: str = "") -> None:
+        head = "GET {} HTTP/1.1\r\nHost: a.example\r\n{}\r\n"
+        data = "".join(head.format(path, extra) for path in paths)
+        self.writer.write(data.encode())
+
+    async def answer(self) -> tuple[int, str, bool]:
+        """Returns status, body and whether the connection ends with it."""
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode().lower()
+        status = int(head.split()[1])
+        length = int(head.split("content-length: ")[1].split("\r\n")[0])
+        body = (await self._reader.readexactly(length)).decode()
+        return status, body, "connection: close" in head
+
+    async def has_ended(self) -> bool:
+        return await self._reader.read() == b""
+
+
+def _run(scenario) -> None:
+    async def main():
+        responder = _Scripted()
+        connections: set = set()
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(
+            lambda: callers.CallerConnection(loop, responder, connections),
+            "127.0.0.1",
+            0,
+        )
+        port = listener.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            async with asyncio.timeout(10):
+                await scenario(responder, _Caller(reader, writer))
+        finally:
+            writer.close()
+            listener.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
+        await _until(lambda: not connections)
+
+    asyncio.run(main())
+
+
+async def _until(condition) -> None:
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+def _gate(responder, path: str) -> asyncio.Event:
+    return responder.gates.setdefault(path, asyncio.Event())
+
+
+def test_a_slow_request_does_not_hold_up_the_work_of_those_behind_it():
+    async def scenario(responder, caller):
+        gate = _gate(responder, "/slow/0/0")
+        paths = ["/slow/0/0", "/a/0/0", "/b/0/0"]
+        caller.send(*paths)
+        await _until(lambda: responder.begun == paths)
+        gate.set()
+        for path in paths:
+            status, body, ends = await caller.answer()
+            assert (status, body, ends) == (200, path + "0", False)
+
+    _run(scenario)
+
+
+def test_a_request_behind_one_that_runs_once_waits_for_its_turn():
+    async def scenario(responder, caller):
+        gate = _gate(responder, "/x1/0/0")
+        caller.send("/x1/0/0", "/a/0/0", "/x2/0/0", "/b/0/0")
+        await _until(lambda: responder.begun == ["/x1/0/0"])
+        # One that may overlap doesn't begin beside one that may not, either.
+        await asyncio.sleep(0)
+        assert responder.begun == ["/x1/0/0"]
+        gate.set()
+        for path in ("/x1/0/0", "/a/0/0", "/x2/0/0", "/b/0/0"):
+            assert (await caller.answer())[1].startswith(path)
+        assert responder.most_at_once == 1
+
+    _run(scenario)
+
+
+def test_a_request_behind_one_with_a_body_waits_for_its_turn():
+    async def scenario(responder, caller):
+        caller.writer.write(
+            b"POST /p/20/0 HTTP/1.1\r\nHost: a.example\r\n"
+            b"Content-Length: 100000\r\n\r\n" + b"z" * 100000
+        )
+        caller.send("/a/0/0")
+        assert (await caller.answer())[1] == "/p/20/0100000"
+        assert (await caller.answer())[1] == "/a/0/00"
+        assert responder.most_at_once == 1
+
+    _run(scenario)
+
+
+def test_nothing_behind_a_request_that_closes_is_begun():
+    async def scenario(responder, caller):
+        caller.send("/a/20/0", extra="Connection: close\r\n")
+        caller.send("/b/0/0")
+        assert await caller.answer() == (200, "/a/20/00", True)
+        assert await caller.has_ended()
+        assert responder.begun == ["/a/20/0"]
+
+    _run(scenario)
+
+
+def test_what_was_begun_is_answered_before_a_leaving_vm_closes():
+    async def scenario(responder, caller):
+        gate = _gate(responder, "/slow/0/0")
+        caller.send("/slow/0/0", "/a/0/0")
+        await _until(lambda: len(responder.begun) == 2)
+        responder.is_leaving = True
+        caller.send("/b/0/0", "/c/0/0")
+        await asyncio.sleep(_SLOW_S)
+        gate.set()
+        assert await caller.answer() == (200, "/slow/0/00", False)
+        assert await caller.answer() == (200, "/a/0/00", True)
+        assert await caller.has_ended()
+        # Behind the answer that closes: to be taken as not read.
+        assert responder.begun == ["/slow/0/0", "/a/0/0"]
+
+    _run(scenario)
+
+
+def test_a_failure_between_two_answers_leaves_both_whole():
+    async def scenario(responder, caller):
+        caller.send("/a/30/0", "/fail/0/0", "/b/10/5")
+        assert await caller.answer() == (200, "/a/30/00", False)
+        assert await caller.answer() == (503, "/fail/0/0", False)
+        assert await caller.answer() == (200, "/b/10/5.....0", False)
+
+    _run(scenario)
+
+
+def test_a_long_answer_is_written_at_its_turn():
+    async def scenario(responder, caller):
+        gate = _gate(responder, "/slow/0/0")
+        caller.send("/slow/0/0", "/long/0/0", "/b/0/0")
+        await _until(lambda: len(responder.begun) == 3)
+        await asyncio.sleep(_SLOW_S)
+        gate.set()
+        assert (await caller.answer())[1] == "/slow/0/00"
+        assert (await caller.answer())[1] == "/long/0/0"
+        assert (await caller.answer())[1] == "/b/0/00"
+
+    _run(scenario)
+
+
+def test_a_caller_that_leaves_ends_all_work():
+    async def scenario(responder, caller):
+        paths = [f"/a{i}/5000/0" for i in range(3)]
+        caller.send(*paths)
+        await _until(lambda: len(responder.begun) == 3)
+        caller.writer.transport.abort()
+        await _until(lambda: sorted(responder.cancelled) == paths)
+
+    _run(scenario)
+
+
+def test_one_caller_cannot_take_all_slots():
+    async def scenario(responder, caller):
+        paths = [f"/a{i}/2/0" for i in range(3 * callers.MAX_UNANSWERED)]
+        caller.send(*paths)
+        for path in paths:
+            assert (await caller.answer())[1] == path + "0"
+        assert responder.begun == paths
+        assert 1 < responder.most_at_once <= callers.MAX_OVERLAPPING
+
+    _run(scenario)
+
+
+def test_answers_that_wait_are_bounded_in_bytes():
+    async def scenario(responder, caller):
+        gate = _gate(responder, "/slow/0/0")
+        size = callers.MAX_HELD_BYTES
+        paths = [f"/a{i}/0/{size}" for i in range(4)]
+        caller.send("/slow/0/0", paths[0])
+        await _until(lambda: len(responder.begun) == 2)
+        await asyncio.sleep(_SLOW_S)
+        caller.send(*paths[1:])
+        await asyncio.sleep(_SLOW_S)
+        # One answer fills the room: none of the others is begun.
+        assert responder.begun == ["/slow/0/0", paths[0]]
+        gate.set()
+        assert (await caller.answer())[1] == "/slow/0/00"
+        for path in paths:
+            assert (await caller.answer())[1].startswith(path)
+
+    _run(scenario)
+
+
+def test_the_time_of_a_request_counts_from_its_head():
+    async def scenario(responder, caller):
+        count = callers.MAX_OVERLAPPING + 4
+        paths = [f"/a{i}/20/0" for i in range(count)]
+        caller.send(*paths)
+        for _ in paths:
+            await caller.answer()
+        times = [responder.arrivals[path] for path in paths]
+        assert max(times) - min(times) < 0.02
+
+    _run(scenario)
+
+
+def test_what_cannot_be_read_takes_nothing_along_that_came_with_it():
+    async def scenario(_responder, caller):
+        head = "GET /a/5/0 HTTP/1.1\r\nHost: a.example\r\n\r\n"
+        caller.writer.write(head.encode() * 2 + b"no request\r\n\r\n")
+        assert await caller.answer() == (200, "/a/5/00", False)
+        assert await caller.answer() == (200, "/a/5/00", False)
+        assert await caller.answer() == (400, "malformed", True)
+
+    _run(scenario)
+
+
+def test_what_cannot_be_read_is_answered_after_what_could():
+    async def scenario(responder, caller):
+        caller.send("/a/20/0")
+        await _until(lambda: responder.begun == ["/a/20/0"])
+        caller.writer.write(b"no request\r\n\r\n")
+        caller.send("/b/0/0")
+        assert await caller.answer() == (200, "/a/20/00", False)
+        assert await caller.answer() == (400, "malformed", True)
+        assert await caller.has_ended()
+        assert responder.begun == ["/a/20/0"]
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("size", [1, 7, 64])
+def test_requests_in_pieces_are_read_whole(size):
+    async def scenario(_responder, caller):
+        paths = ["/a/0/0", "/x/0/0", "/b/3/0"]
+        head = "GET {} HTTP/1.1\r\nHost: a.example\r\n\r\n"
+        data = "".join(map(head.format, paths)).encode()
+        for start in range(0, len(data), size):
+            caller.writer.write(data[start : start + size])
+            await asyncio.sleep(0)
+        for path in paths:
+            assert (await caller.answer())[1] == path + "0"
+
+    _run(scenario)
+
+
+_requests = st.lists(
+    st.tuples(
+        st.sampled_from(["a", "x", "fail", "long"]),
+        st.integers(0, 6),
+        st.integers(0, 2000),
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@hypothesis.settings(max_examples=30, deadline=None)
+@hypothesis.given(wanted=_requests, split=st.integers(0, 12))
+def test_answers_keep_their_order_and_are_their_requests_own(wanted, split):
+    async def scenario(_responder, caller):
+        paths = [
+            f"/{name}{i}/{delay_ms}/{size}"
+            for i, (name, delay_ms, size) in enumerate(wanted)
+        ]
+        caller.send(*paths[:split])
+        await asyncio.sleep(0.002)
+        caller.send(*paths[split:])
+        for path in paths:
+            status, body, _ = await caller.answer()
+            assert body.startswith(path)
+            assert status == (503 if path.startswith("/fail") else 200)
+
+    _run(scenario)
