Upstreams that start again under their id; entries of other writers

An upstream with another time of its start is another life: a new target, no renewal under the earlier fence, and the leader gives it its slots once more under a newer one. They stay with it: a grant of before may have reached the new life, so another owner would have to wait until it is over. A registration that can't be understood, or names a service that the configuration doesn't, is passed over with a line and a counter; before, an entry of an unknown service at a lost upstream's address made that count as ended.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -271,6 +271,7 @@
         if known is not None and known.version >= config.version:
             return
         self._handler.config = config
+        self._registry.name_services(frozenset(config.services_by_name))
         logs.logger.info(
             "configuration in force",
             version=config.version,
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -146,6 +146,8 @@
         if current is None:
             await self._first_deal(weights, now)
             return
+        if await self._give_to_new_lives(current):
+            return
         await self._mark(current, weights, now)
         current = self._maps.by_service[self._service]
         await self._commit_cleared(current, weights, now)
@@ -176,7 +178,50 @@
             return
         dealt = keyplan.deal(SLOT_COUNT, weights)
         empty = keymap.KeyMap.empty(SLOT_COUNT)
-        await self._write(empty.give({}, dict(enumerate(dealt))), "first deal")
+        started_ms = self._started_ms(set(dealt))
+        first = empty.give({}, dict(enumerate(dealt)), started_ms)
+        await self._write(first, "first deal")
+
+    async def _give_to_new_lives(self, current) -> bool:
+        """Gives the slots of owners that started again to them once more.
+
+        The new life holds nothing, and grants of before may still arrive there
+        or already have: only under a newer fence is it known what it holds. The
+        slots stay with it, as another upstream would have to wait until all
+        that may be granted to it by the old fence is over.
+        """
+        again = self._started_again(current)
+        if not again:
+            return False
+        owners = {
+            index: owner
+            for owner in again
+            for index in current.slots_by_owner[owner]
+            if index not in current.leaving
+        }
+        given = current.give({}, owners, self._started_ms(again))
+        if await self._write(given, "owner started again"):
+            self._meters.ownership.add("started-again", len(again))
+        return True
+
+    def _started_again(self, current) -> list[model.UpstreamId]:
+        """Returns owners that started again since they got their slots."""
+        return [
+            owner
+            for owner in current.slots_by_owner
+            if owner in self._book.by_id
+            and self._book.by_id[owner].upstream.is_life_after(
+                current.started_ms.get(owner, 0)
+            )
+        ]
+
+    def _started_ms(self, owners) -> dict[model.UpstreamId, int]:
+        """Returns when upstreams started, as far as they say."""
+        return {
+            owner: self._book.by_id[owner].upstream.started_ms
+            for owner in owners
+            if owner in self._book.by_id
+        }
 
     async def _mark(self, current, weights, now: float) -> None:
         lost = [
@@ -291,7 +336,11 @@
             wanted = self._wanted.pop(index, None)
             if wanted in weights:
                 placed[index] = wanted
-        if await self._write(current.give(tokens, placed), "moved"):
+        started_ms = self._started_ms(set(placed.values()))
+        if self._started_again(current):
+            # One fence is for one life: its other slots come first.
+            return
+        if await self._write(current.give(tokens, placed, started_ms), "moved"):
             self._given_at = clocks.monotonic()
             self._meters.ownership.add("moved", len(placed))
 
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -51,6 +51,8 @@
     fences: bytes
     leaving: list[int]
     tokens: dict[int, str]
+    # By upstream, in the order of `upstreams`.
+    started_ms: list[int] = []
 
 
 class KeyMap:
@@ -62,6 +64,8 @@
             to another owner, but kept for shutting out late grants of the
             present one.
         slots: Slots by index.
+        started_ms: The start of each owner that its slots were given to, as
+            `model.Upstream` tells it, where that is known.
     """
 
     def __init__(self, version: int, next_fence: int, slots: list[KeySlot]):
@@ -73,6 +77,7 @@
         for index, slot in enumerate(slots):
             if slot.owner is not None:
                 self.slots_by_owner.setdefault(slot.owner, []).append(index)
+        self.started_ms: dict[model.UpstreamId, int] = {}
         self._runs_by_owner: dict[model.UpstreamId, list[range]] = {}
         # What it was read from, if it was.
         self._columns: _Columns | None = None
@@ -94,8 +99,11 @@
         for index, slot in changed.items():
             slots[index] = slot
         if len(changed) > _MOST_CHANGED * len(slots):
-            return KeyMap(version, next_fence, slots)
+            made = KeyMap(version, next_fence, slots)
+            made.started_ms = self.started_ms
+            return made
         made = KeyMap(version, next_fence, [])
+        made.started_ms = self.started_ms
         made.slots = slots
         made.leaving = self.leaving - set(changed)
         made.leaving |= {i for i, slot in changed.items() if slot.is_leaving}
@@ -167,19 +175,26 @@
         )
 
     def give(
-        self, tokens: dict[int, str], owners: dict[int, model.UpstreamId]
+        self,
+        tokens: dict[int, str],
+        owners: dict[int, model.UpstreamId],
+        started_ms: dict[model.UpstreamId, int] | None = None,
     ) -> "KeyMap":
         """Returns a map in which slots have new owners, under a new fence.
 
         Args:
             tokens: Hand-over tokens by slot, where there are any.
             owners: New owners by slot.
+            started_ms: The start of each new owner, where it is known. It must
+                be that to which its other slots were given.
         """
         changed = {
             index: KeySlot(owner, self.next_fence + 1, tokens.get(index, ""))
             for index, owner in owners.items()
         }
-        return self.with_slots(changed, self.next_fence + 2, self.version)
+        made = self.with_slots(changed, self.next_fence + 2, self.version)
+        made.started_ms = self.started_ms | (started_ms or {})
+        return made
 
     def raise_fence(self) -> "KeyMap":
         """Returns the same map with a fence that nobody used yet."""
@@ -224,6 +239,7 @@
             fences.tobytes(),
             [i for i, slot in enumerate(self.slots) if slot.is_leaving],
             {i: slot.token for i, slot in enumerate(self.slots) if slot.token},
+            [self.started_ms.get(name, 0) for name in names],
         )
         return zlib.compress(msgspec.msgpack.encode(document), _COMPRESSION)
 
@@ -254,6 +270,9 @@
             repr(error), step="decode key map", peer=peer
         ) from error
     made._columns = columns
+    made.started_ms = dict(
+        zip(document.upstreams, document.started_ms, strict=False)
+    )
     return made
 
 
--- a/src/swiftstile/gateway/model.py
+++ b/src/swiftstile/gateway/model.py
@@ -27,7 +27,7 @@
 
 # Grows with each configuration of the operator, in uneven steps.
 ConfigVersion = typing.NewType("ConfigVersion", int)
-# One run of one upstream server; a restarted server has another.
+# One upstream server. It may start again under the same id, see `started_ms`.
 UpstreamId = typing.NewType("UpstreamId", str)
 # One VM that runs the gateway.
 NodeId = typing.NewType("NodeId", str)
@@ -131,13 +131,16 @@
     """An upstream as it registered itself.
 
     Attributes:
-        id: This run of it.
+        id: Its id.
         service: What it serves.
         address: `host:port`.
         failure_domain: Where it runs.
         slots: Requests it works on at the same time.
         state: Ready, or leaving.
         cold_s: How much longer it is slow after its start, when registered.
+        started_ms: When it started, by its own time of day in milliseconds
+            since the Unix epoch; 0 if it doesn't say. Only tells one life from
+            another: one that started again holds and knows nothing of before.
     """
 
     id: UpstreamId
@@ -147,3 +150,9 @@
     slots: int
     state: UpstreamState
     cold_s: float
+    started_ms: int = 0
+
+    def is_life_after(self, started_ms: int) -> bool:
+        """Whether it started again since it told another time of its start."""
+        known = started_ms and self.started_ms
+        return bool(known) and self.started_ms != started_ms
--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -73,6 +73,9 @@
         target = self._book.by_id.get(slot.owner)
         if target is None or target.is_replaced:
             return None, HAND_OVER_S
+        if target.upstream.is_life_after(key_map.started_ms.get(slot.owner, 0)):
+            # It holds nothing until the leader gave it its slots once more.
+            return None, HAND_OVER_S
         changed = self._maps.changed_at[service].get(index, 0.0)
         if now - changed < FIRST_GRANT_S:
             return None, changed + FIRST_GRANT_S - now
--- a/src/swiftstile/gateway/registry.py
+++ b/src/swiftstile/gateway/registry.py
@@ -1,8 +1,14 @@
-"""Turns registrations of upstreams into targets, with care after outages."""
+"""Turns registrations of upstreams into targets, with care after outages.
+
+Others may write into the same table. What can't be understood, or names a
+service that the configuration doesn't, is no upstream; all others stay.
+"""
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile import ids
 from swiftstile import logs
+from swiftstile import metrics
 from swiftstile.gateway import follow
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
@@ -25,12 +31,27 @@
         book: The targets.
         decode: Returns an upstream from its id and the row's value.
         on_change: Called after targets changed.
+        meters: Counts what was passed over.
+
+    Attributes:
+        follower: Follows the table.
     """
 
-    def __init__(self, book: targets.TargetBook, decode, on_change):
+    def __init__(
+        self,
+        book: targets.TargetBook,
+        decode,
+        on_change,
+        meters: metrics.Meters,
+    ):
         self._book = book
         self._decode = decode
         self._on_change = on_change
+        self._meters = meters
+        # Services that the configuration names; None until one is known.
+        self._services: frozenset[ids.ServiceName] | None = None
+        # Registrations of services that it doesn't name, by id.
+        self._unnamed: dict[model.UpstreamId, bytes] = {}
         self._missing: dict[model.UpstreamId, float] = {}
         self.follower: follow.TableFollower | None = None
 
@@ -39,17 +60,36 @@
         now = clocks.monotonic()
         for change in changes:
             upstream_id = model.UpstreamId(change.key)
+            self._unnamed.pop(upstream_id, None)
             if change.value is None:
                 self._note_missing(upstream_id, now)
             else:
                 self._put(upstream_id, change.value, now)
         self._on_change()
 
+    def name_services(self, services: frozenset[ids.ServiceName]) -> None:
+        """Takes in the services that the configuration names."""
+        if services == self._services:
+            return
+        self._services = services
+        now = clocks.monotonic()
+        waiting, self._unnamed = self._unnamed, {}
+        for upstream_id, value in waiting.items():
+            self._put(upstream_id, value, now)
+        self._on_change()
+
     def _put(self, upstream_id, value: bytes, now: float) -> None:
         try:
             upstream = self._decode(upstream_id, value)
         except errors.SwiftstileError as error:
-            logs.logger.warning("registration dropped", error=str(error))
+            self._pass_over(upstream_id, "malformed", str(error), now)
+            return
+        if self._services is None or upstream.service not in self._services:
+            self._unnamed[upstream_id] = value
+            if self._services is not None:
+                self._pass_over(
+                    upstream_id, "unknown-service", upstream.service, now
+                )
             return
         self._missing.pop(upstream_id, None)
         known = self._book.by_id.get(upstream_id)
@@ -64,6 +104,17 @@
                 address=upstream.address,
             )
 
+    def _pass_over(self, upstream_id, reason: str, detail: str, now: float):
+        """An entry names no upstream that could be used."""
+        self._meters.refusals.add(f"registration-{reason}")
+        logs.logger.warning(
+            "registration passed over",
+            upstream=upstream_id,
+            reason=reason,
+            detail=detail,
+        )
+        self._note_missing(upstream_id, now)
+
     def _note_missing(self, upstream_id: model.UpstreamId, now: float) -> None:
         if upstream_id not in self._book.by_id:
             return
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -213,6 +213,9 @@
     async def _renew_due(self, service, owner) -> bool:
         key_map = self._maps.by_service[service]
         now = clocks.monotonic()
+        if self._has_started_again(key_map, owner):
+            # Its new life needs a newer fence, which the leader gives it.
+            return True
         due = []
         for run in key_map.runs_of(owner):
             at = self._granted_at.get(_name(service, key_map, run), 0.0)
@@ -247,6 +250,8 @@
         slot = key_map.slots[run.start]
         if any(self._is_stale(key_map.slots[i], owner, slot) for i in run):
             return True
+        if self._has_started_again(key_map, owner):
+            return True
         target = self._book.by_id.get(owner)
         now = clocks.monotonic()
         if target is None or not self._authority.may_renew(service):
@@ -331,6 +336,13 @@
                 book.note_lost(run, clocks.monotonic(), hold_s)
         return result
 
+    def _has_started_again(self, key_map: keymap.KeyMap, owner) -> bool:
+        """Whether an owner started again since its slots were given to it."""
+        target = self._book.by_id.get(owner)
+        return target is not None and target.upstream.is_life_after(
+            key_map.started_ms.get(owner, 0)
+        )
+
     @staticmethod
     def _is_stale(slot, owner, first) -> bool:
         return (
--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -108,7 +108,7 @@
     ("store", "address"),
 )
 _TIMES = ("drain", "grace", "retry_window")
-_TIME = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _UNITS_S = {"ms": 0.001, "s": 1.0}
 
 
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -154,6 +154,13 @@
     def put(self, upstream: model.Upstream, now: float) -> Target:
         """Adds an upstream, or takes over what it registered anew."""
         target = self.by_id.get(upstream.id)
+        if target is not None and upstream.is_life_after(
+            target.upstream.started_ms
+        ):
+            # What was known of its earlier life says nothing of this one, and
+            # requests that are still counted there end with it.
+            target.is_replaced = True
+            target = None
         if target is None:
             target = Target(upstream, now)
             self.by_id[upstream.id] = target
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -168,7 +168,7 @@
             admission.Admission(self._book, self._node.domain, self._drain_s)
         )
         registry = registry_lib.Registry(
-            self._book, adapters.decode_upstream, gate.pump
+            self._book, adapters.decode_upstream, gate.pump, self._meters
         )
         registrations = follow.TableFollower(
             "registrations",
--- a/tests/unit/test_gateway_keeper.py
+++ b/tests/unit/test_gateway_keeper.py
@@ -1,122 +1,18 @@
 """The leader's moves: what it may still send, and what it takes over."""
 
 import asyncio
-import types
 
-from swiftstile import errors
-from swiftstile import metrics
-from swiftstile.gateway import gossip
-from swiftstile.gateway import heat
-from swiftstile.gateway import interfaces
 from swiftstile.gateway import keeper
-from swiftstile.gateway import keymap
 from swiftstile.gateway import renewals
-from swiftstile.gateway import speeds
 from swiftstile.gateway import takeback
 from tests import gateway_builders as builders
-
-
-class _Control(interfaces.UpstreamControl):
-    """Notes calls; `during` runs while the first grant is under way."""
-
-    def __init__(self):
-        self.grants: list[tuple] = []
-        # Those of the grants that keep a slot where it was.
-        self.kept: list[tuple] = []
-        self.releases: list[tuple] = []
-        self.during = None
-        self.is_silent = False
-
-    async def grant(self, address, upstream, keys, fence, hold_s, token):
-        self.grants.append((upstream, keys.first, fence))
-        if hold_s == takeback.KEEP_HOLD_S:
-            self.kept.append((upstream, keys.first, fence, token))
-        if self.during is not None:
-            self.during()
-        if self.is_silent:
-            raise errors.PeerTimeoutError("silent", step="grant")
-        return interfaces.GrantResult.HELD
-
-    async def release(self, address, upstream, keys, fence):
-        self.releases.append((upstream, keys.first, fence))
-        return "warm"
-
-
-class _Parts:
-    """A keeper that leads two upstreams.
-
-    Args:
-        vms: VMs that read its maps, its own included.
-    """
-
-    def __init__(self, vms: int = 1):
-        self.table = builders.MemoryTable()
-        self.maps = renewals.KeyMaps()
-        self.control = _Control()
-        self.book = builders.book(
-            builders.upstream("u-1"), builders.upstream("u-2")
-        )
-        self.leads = types.SimpleNamespace(
-            is_leader=True,
-            condition=lambda: interfaces.Condition("leader", 0),
-        )
-        self.right = types.SimpleNamespace(
-            is_able=lambda now: True,
-            may_renew=lambda service: True,
-            quorum_since=0.0,
-        )
-        peers = gossip.Peers(builders.node_row(), lambda *_: None)
-        for number in range(2, vms + 1):
-            row = builders.node_row(f"vm-{number}")
-            peers.apply(row, row.node, 0.0)
-        meters = metrics.Meters()
-        self.renewing = renewals.Renewals(
-            self.maps, self.book, peers, self.control, self.right, meters
-        )
-        follower = types.SimpleNamespace(failing_since=None, version=0)
-        self.keeper = keeper.MapKeeper(
-            builders.LOOKUPS,
-            self.maps,
-            self.book,
-            speeds.SpeedBook(),
-            heat.HeatBook(),
-            lambda service: None,
-            peers,
-            self.renewing,
-            self.leads,
-            self.table,
-            follower,
-            self.control,
-            self.right,
-            65536,
-            meters,
-        )
-
-    def start(self, leaving=(0, 1)) -> keymap.KeyMap:
-        """Writes a map of which u-1 owns all, some of it leaving."""
-        owners = dict.fromkeys(range(keeper.SLOT_COUNT), "u-1")
-        made = keymap.KeyMap.empty(keeper.SLOT_COUNT).give({}, owners)
-        made = made.mark_leaving(leaving)
-        key = keeper.MAP_PREFIX + builders.LOOKUPS
-        write = interfaces.Write(key, made.encode("x"))
-        made.version = self.table.apply([], [write])
-        self.maps.put(builders.LOOKUPS, made, 0.0)
-        return made
-
-    def release(self, current: keymap.KeyMap, is_fenced: bool = True):
-        source = takeback.Source(current.version, 0.0)
-        source.is_fenced = is_fenced
-        target = self.book.by_id["u-1"]
-        asyncio.run(
-            self.keeper._take_back.release(current, target, source, [1, 0])
-        )
-        return source
+from tests import keeper_parts
 
 
 def test_a_release_that_outlives_its_move_sends_nothing():
     # Found on trouble-3 of hbrt-gw: slots were given away as their holds had
     # ended, while a release of the same slots was still working its way down.
-    parts = _Parts()
+    parts = keeper_parts.Parts()
     current = parts.start()
     given = current.give({}, {0: "u-2", 1: "u-2"})
     given.version = current.version + 1
@@ -127,7 +23,7 @@
 
 
 def test_a_fencing_grant_under_way_keeps_the_slot_from_being_given():
-    parts = _Parts()
+    parts = keeper_parts.Parts()
     current = parts.start()
     book = parts.renewing.holds(builders.LOOKUPS, keeper.SLOT_COUNT)
     seen = []
@@ -138,7 +34,7 @@
 
 
 def test_a_fencing_grant_without_answer_counts_as_a_grant():
-    parts = _Parts()
+    parts = keeper_parts.Parts()
     current = parts.start()
     parts.control.is_silent = True
     source = parts.release(current)
@@ -151,7 +47,7 @@
 def test_tries_to_fence_off_a_silent_owner_let_its_slots_free(monkeypatch):
     # Found by seed 3 of the soak: each try counted as a grant of full length,
     # so the keys of a dead owner were never given away.
-    parts = _Parts()
+    parts = keeper_parts.Parts()
     current = parts.start()
     parts.control.is_silent = True
     clock = [1000.0]
@@ -173,7 +69,7 @@
 
 
 def test_without_the_right_to_act_nothing_is_sent():
-    parts = _Parts()
+    parts = keeper_parts.Parts()
     current = parts.start()
     parts.right.is_able = lambda now: False
     parts.release(current)
@@ -181,7 +77,7 @@
 
 
 def test_fencing_grants_of_a_former_leader_are_older_than_ours():
-    parts = _Parts()
+    parts = keeper_parts.Parts()
     before = parts.start()
     asyncio.run(parts.keeper.tick())
     after = parts.maps.by_service[builders.LOOKUPS]
@@ -192,7 +88,7 @@
 
 def test_slots_of_an_owner_that_released_them_are_given_with_its_tokens():
     async def scenario():
-        parts = _Parts()
+        parts = keeper_parts.Parts()
         parts.start()
         async with asyncio.timeout(5):
             while parts.maps.by_service[builders.LOOKUPS].leaving:
@@ -216,7 +112,7 @@
     # Found by CI: an outage of the store in the middle of a move left the
     # released slots without an owner until the store was back.
     async def scenario():
-        parts = _Parts()
+        parts = keeper_parts.Parts()
         parts.start()
         # The store answers until the slots were released.
         original = parts.control.release
@@ -248,7 +144,7 @@
 
 def test_nothing_is_released_while_the_store_does_not_answer():
     async def scenario():
-        parts = _Parts()
+        parts = keeper_parts.Parts()
         parts.start()
         await parts.keeper.tick()
         parts.keeper._store_answered_at = 0.0
@@ -260,7 +156,7 @@
 
 
 def test_slots_that_turn_hot_one_after_the_other_are_placed_apart(monkeypatch):
-    parts = _Parts()
+    parts = keeper_parts.Parts()
     for name in ("u-3", "u-4"):
         parts.book.put(builders.upstream(name), 0.0)
     current = parts.start(leaving=())
@@ -282,7 +178,7 @@
     """Returns writes of the map while another slot is hot at each look."""
 
     async def scenario() -> int:
-        parts = _Parts(vms)
+        parts = keeper_parts.Parts(vms)
         parts.start(leaving=())
         slots = iter(range(keeper.SLOT_COUNT))
         monkeypatch.setattr(
@@ -307,7 +203,7 @@
 
 def test_slots_of_an_owner_that_is_gone_are_not_granted_to_it():
     async def scenario():
-        parts = _Parts()
+        parts = keeper_parts.Parts()
         parts.start()
         await parts.keeper.tick()
         parts.book.mark_gone("u-1", keeper.clocks.monotonic())
--- /dev/null
+++ b/tests/unit/test_gateway_restart.py
@@ -0,0 +1,123 @@
+"""Upstreams that start again under the id that they had."""
+
+import asyncio
+
+from swiftstile.gateway import heat
+from swiftstile.gateway import keymap
+from swiftstile.gateway import model
+from swiftstile.gateway import owners
+from tests import gateway_builders as builders
+from tests import keeper_parts
+
+_FIRST, _SECOND = 1_789_144_553_235, 1_789_144_560_000
+
+
+def _life(started_ms: int, name: str = "u-1") -> model.Upstream:
+    return builders.upstream(name, started_ms=started_ms)
+
+
+def _parts() -> tuple[keeper_parts.Parts, keymap.KeyMap]:
+    """Returns a keeper whose two upstreams are in their first life.
+
+    Slots 0 and 1 of u-1 are leaving, all others stay with it.
+    """
+    parts = keeper_parts.Parts()
+    for name in ("u-1", "u-2"):
+        parts.book.put(_life(_FIRST, name), 0.0)
+    started = {model.UpstreamId("u-1"): _FIRST}
+    return parts, parts.start(leaving=(0, 1), started_ms=started)
+
+
+def test_nothing_is_known_of_a_new_life():
+    book = builders.book(_life(_FIRST))
+    before = book.by_id["u-1"]
+    builders.occupy(before, 4)
+    before.note_failure(0.0)
+    before.peers["vm-2"] = (3, 1, 0.0)
+    after = book.put(_life(_SECOND), 0.1)
+    assert after is book.by_id["u-1"] is not before
+    assert after.occupied(0.1) == 0 and not after.is_penalised(0.1)
+    # What is still under way to the earlier life ends with that.
+    assert before.is_replaced
+    before.note_ended(-1)
+    assert after.own == 0
+
+
+def test_the_same_life_stays_what_it_was():
+    book = builders.book(_life(_FIRST))
+    before = book.by_id["u-1"]
+    assert book.put(_life(_FIRST), 1.0) is before
+    assert book.put(_life(0), 2.0) is before
+
+
+def test_one_that_had_left_and_starts_again_is_used():
+    book = builders.book(_life(_FIRST))
+    book.mark_gone("u-1", 1.0)
+    assert not book.by_id["u-1"].takes_requests(9.0, drain_s=2.0)
+    book.put(_life(_SECOND), 9.0)
+    assert book.by_id["u-1"].takes_requests(9.0, drain_s=2.0)
+
+
+def test_a_map_remembers_to_which_life_slots_were_given():
+    made = keymap.KeyMap.empty(8)
+    made = made.give({}, {0: "u-1", 1: "u-2"}, {"u-1": _FIRST})
+    first = keymap.decode(made.encode("a"), 1)
+    assert first.started_ms == {"u-1": _FIRST, "u-2": 0}
+    later = made.give({}, {0: "u-1"}, {"u-1": _SECOND})
+    followed = keymap.decode(later.encode("b"), 2, known=first)
+    assert followed.started_ms["u-1"] == _SECOND
+    assert first.started_ms["u-1"] == _FIRST
+
+
+def test_a_new_life_is_not_granted_by_the_fence_of_the_earlier_one():
+    parts, _ = _parts()
+
+    def renew():
+        asyncio.run(parts.renewing._renew_due(builders.LOOKUPS, "u-1"))
+
+    parts.book.put(_life(_SECOND), 1.0)
+    renew()
+    assert parts.control.grants == []
+    parts.book.put(_life(_FIRST), 2.0)
+    renew()
+    assert parts.control.grants
+
+
+def test_the_leader_gives_a_new_life_its_slots_under_a_newer_fence():
+    parts, before = _parts()
+    parts.book.put(_life(_SECOND), 1.0)
+    asyncio.run(parts.keeper.tick())
+    after = parts.maps.by_service[builders.LOOKUPS]
+    assert after.started_ms["u-1"] == _SECOND
+    old, new = before.slots[5], after.slots[5]
+    assert (new.owner, new.token) == ("u-1", "")
+    assert new.fence > old.fence
+    # What was on its way to another upstream goes on.
+    assert after.leaving == {0, 1}
+    asyncio.run(parts.renewing._renew_due(builders.LOOKUPS, "u-1"))
+    assert {fence for _, _, fence in parts.control.grants} == {new.fence}
+
+
+def test_a_gift_to_one_that_starts_again_meanwhile_waits():
+    parts, _ = _parts()
+    current = parts.maps.by_service[builders.LOOKUPS]
+    parts.book.put(_life(_SECOND), 1.0)
+    give = parts.keeper._give(current, [0, 1], {}, {"u-1": 3.0})
+    asyncio.run(give)
+    assert parts.maps.by_service[builders.LOOKUPS] is current
+
+
+def test_requests_wait_until_a_new_life_holds_its_keys():
+    parts, _ = _parts()
+    found = owners.KeyOwners(parts.maps, parts.book, heat.HeatBook())
+    key = 100
+
+    def owner(now: float):
+        return found.find(builders.LOOKUPS, key, now)[0]
+
+    assert owner(10.0) is parts.book.by_id["u-1"]
+    parts.book.put(_life(_SECOND), 10.0)
+    assert owner(10.0) is None
+    asyncio.run(parts.keeper.tick())
+    later = parts.maps.changed_at[builders.LOOKUPS][10] + 1.0
+    assert owner(later) is parts.book.by_id["u-1"]
--- a/tests/unit/test_gateway_store.py
+++ b/tests/unit/test_gateway_store.py
@@ -6,6 +6,8 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile import ids
+from swiftstile import metrics
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
 from swiftstile.gateway import interfaces
@@ -168,14 +170,19 @@
     asyncio.run(run())
 
 
-def _registry(recovered_at: float = 0.0):
+def _registry(recovered_at: float = 0.0, decode=None):
     book = targets.TargetBook()
+    meters = metrics.Meters()
     made = registry.Registry(
-        book, lambda name, _: builders.upstream(name), lambda: None
+        book,
+        decode or (lambda name, _: builders.upstream(name)),
+        lambda: None,
+        meters,
     )
+    made.name_services(frozenset([builders.LOOKUPS]))
     made.follower = follow.TableFollower("t", builders.MemoryTable(), None)
     made.follower.recovered_at = recovered_at
-    return made, book
+    return made, book, meters
 
 
 def _row(name: str, value: bytes | None, version: int) -> interfaces.Change:
@@ -184,7 +191,7 @@
 
 def test_a_registration_that_is_gone_makes_the_target_leave(monkeypatch):
     clock = _Clock(monkeypatch)
-    made, book = _registry(recovered_at=-100.0)
+    made, book, _ = _registry(recovered_at=-100.0)
     clock.now = 10.0
     made.apply([_row("u-1", b"", 1)])
     made.apply([_row("u-1", None, 2)])
@@ -193,7 +200,7 @@
 
 def test_a_registration_that_lapsed_in_an_outage_may_come_back(monkeypatch):
     clock = _Clock(monkeypatch)
-    made, book = _registry(recovered_at=10.0)
+    made, book, _ = _registry(recovered_at=10.0)
     clock.now = 10.1
     made.apply([_row("u-1", b"", 1), _row("u-2", b"", 1)])
     made.apply([_row("u-1", None, 2), _row("u-2", None, 2)])
@@ -204,17 +211,52 @@
     assert book.by_id["u-2"].leaving_since is not None
 
 
-def test_a_malformed_registration_is_dropped_and_the_rest_kept():
-    def decode(name, data):
-        if data == b"bad":
-            raise errors.ControlMessageError("bad", step="decode")
-        return builders.upstream(name)
+def _decode_by_value(name, data):
+    if data == b"bad":
+        raise errors.ControlMessageError("bad", step="decode")
+    service = builders.LOOKUPS if data == b"" else ids.ServiceName("other")
+    address = "127.0.0.1:9" if data == b"other" else None
+    changes = {"address": address} if address else {}
+    return builders.upstream(name, service=service, **changes)
 
-    book = targets.TargetBook()
-    made = registry.Registry(book, decode, lambda: None)
-    made.follower = follow.TableFollower("t", builders.MemoryTable(), None)
+
+def test_a_malformed_registration_is_dropped_and_the_rest_kept():
+    made, book, meters = _registry(decode=_decode_by_value)
     made.apply([_row("u-1", b"bad", 1), _row("u-2", b"", 1)])
     assert list(book.by_id) == ["u-2"]
+    assert meters.refusals.get("registration-malformed") == 1
+
+
+def test_an_upstream_whose_entry_turned_unreadable_is_used_no_longer(
+    monkeypatch,
+):
+    clock = _Clock(monkeypatch)
+    made, book, _ = _registry(recovered_at=-100.0, decode=_decode_by_value)
+    clock.now = 10.0
+    made.apply([_row("u-1", b"", 1), _row("u-2", b"", 1)])
+    made.apply([_row("u-1", b"bad", 2)])
+    assert book.by_id["u-1"].leaving_since == 10.0
+    assert book.by_id["u-2"].leaving_since is None
+    made.apply([_row("u-1", b"", 3)])
+    assert book.by_id["u-1"].leaving_since is None
+
+
+def test_an_entry_of_an_unknown_service_ends_nobody_at_its_address():
+    made, book, meters = _registry(recovered_at=-100, decode=_decode_by_value)
+    book.put(builders.upstream("u-1", address="127.0.0.1:9"), 0.0)
+    book.mark_gone("u-1", 1.0)
+    made.apply([_row("x", b"other", 1)])
+    assert "x" not in book.by_id
+    assert not book.by_id["u-1"].is_replaced
+    assert meters.refusals.get("registration-unknown-service") == 1
+
+
+def test_a_service_that_is_named_later_gets_its_upstreams():
+    made, book, _ = _registry(decode=_decode_by_value)
+    made.apply([_row("x", b"other", 1), _row("y", b"other", 1)])
+    made.apply([_row("y", None, 2)])
+    made.name_services(frozenset([builders.LOOKUPS, "other"]))
+    assert list(book.by_id) == ["x"]
 
 
 class _Clock:
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """The adapter: what the platform's bytes mean to us."""
 
+import asyncio
 import json
 
 import hypothesis
@@ -8,12 +9,13 @@
 import pytest
 from users_platform import dialect
 from users_platform import documents
-from users_platform import wire
+from users_platform import store
 
 from swiftstile import errors
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import settings
 
 
 def _headers(**values) -> multidict.CIMultiDict:
@@ -120,10 +122,116 @@
     assert upstream.cold_s == 1.5
 
 
+_ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining": "0ms",
+    "sequence": 4,
+    "born": 1789144553235,
+}
+
+
+def test_a_registration_tells_one_life_from_another():
+    def decode(**changes):
+        data = json.dumps(_ENTRY | changes).encode()
+        return documents.decode_upstream(model.UpstreamId("u"), data)
+
+    first, second = decode(), decode(born=1789144559999)
+    assert second.is_life_after(first.started_ms)
+    assert not decode(sequence=9).is_life_after(first.started_ms)
+    # One that doesn't say is taken to be the same.
+    silent = dict(_ENTRY)
+    del silent["born"]
+    data = json.dumps(silent).encode()
+    unknown = documents.decode_upstream(model.UpstreamId("u"), data)
+    assert not unknown.is_life_after(first.started_ms)
+    assert not first.is_life_after(unknown.started_ms)
+
+
+_VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=20),
+    strategies.lists(strategies.integers(), max_size=3),
+    strategies.dictionaries(strategies.text(max_size=3), strategies.text()),
+    strategies.sampled_from(["1e999ms", "-5s", "nans", "10.0.0.1:0", "a:80"]),
+)
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from([*_ENTRY, "more"]), _VALUES, max_size=3
+    ),
+    strategies.sets(strategies.sampled_from(list(_ENTRY)), max_size=2),
+)
+def test_an_entry_of_another_writer_is_an_upstream_or_an_error(changes, gone):
+    entry = {k: v for k, v in (_ENTRY | changes).items() if k not in gone}
+    data = json.dumps(entry).encode("utf-8", "surrogatepass")
+    try:
+        upstream = documents.decode_upstream(model.UpstreamId("u"), data)
+    except errors.ControlMessageError:
+        return
+    assert upstream.slots >= 1
+    assert 0 <= upstream.cold_s < float("inf")
+    assert upstream.started_ms >= 0
+    host, port = upstream.address.rsplit(":", 1)
+    assert host.count(".") == 3 and 0 < int(port) < 65536
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xfe",
+        b"[" * 100_000,
+        b'{"service":"s"}',
+        json.dumps(_ENTRY | {"state": "paused"}).encode(),
+        json.dumps(_ENTRY | {"slots": 0}).encode(),
+        json.dumps(_ENTRY | {"slots": "3"}).encode(),
+        json.dumps(_ENTRY | {"born": "1789144553235"}).encode(),
+        json.dumps(_ENTRY | {"born": 1.5}).encode(),
+        json.dumps(_ENTRY | {"address": "host.example:80"}).encode(),
+        json.dumps(_ENTRY | {"address": "10.0.0.1:99999"}).encode(),
+    ],
+)
+def test_an_entry_that_names_no_upstream_is_an_error(data):
+    with pytest.raises(errors.ControlMessageError):
+        documents.decode_upstream(model.UpstreamId("u"), data)
+
+
+@pytest.mark.parametrize("value", ["%%%", "YQ", "\u00e9"])
+def test_a_row_that_is_no_base64_takes_no_other_row_along(value):
+    page = {"rows": [], "ver": 7, "has_more": False}
+    page["rows"] = [
+        {"key": "bad", "value": value, "ver": 3},
+        {"key": "good", "value": "YQ==", "ver": 4},
+    ]
+    table = store.StoreTable(_FixedClient(json.dumps(page).encode()), "t")
+    snapshot = asyncio.run(table.read_all())
+    assert [row.key for row in snapshot.rows] == ["bad", "good"]
+    assert snapshot.rows[1].value == b"a"
+
+
+class _FixedClient(store.StoreClient):
+    """A store that always answers the same."""
+
+    def __init__(self, body: bytes):
+        super().__init__("127.0.0.1:1")
+        self._body = body
+
+    async def query(self, path, params, timeout_s):
+        return 200, self._body
+
+
 @pytest.mark.parametrize("text", ["", "2", "ms", "2m", "s", "-"])
 def test_a_time_needs_its_unit(text):
     with pytest.raises(ValueError):
-        wire.seconds(text)
+        settings.seconds(text)
 
 
 def test_headers_of_one_connection_and_forged_ones_stay_behind():
