Permits: one VM hands out the slots of an upstream that owns keys

Hypothesis: lookups are lost to what VMs don't know of each other. Counts come from other domains each 0.35 s and work lasts 60 ms. Change: a VM of the owner's domain, chosen by rendezvous hashing, decides for all VMs; three datagrams a request; without an answer in 60 ms the VM decides by counts as before, and avoids that arbiter for 1 s.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -140,6 +140,7 @@
         expected_s: Time of a target of mean speed for it.
         excluded: Targets that already refused or failed it.
         awaited: The one target that it waits for, if its key has an owner.
+        occupied: Other requests at its target when it was sent there.
     """
 
     _sequence = itertools.count()
@@ -161,6 +162,7 @@
         self.expected_s = expected_s
         self.excluded: set[model.UpstreamId] = set()
         self.awaited: targets.Target | None = None
+        self.occupied = 0
         self.sequence = next(self._sequence)
 
     @property
--- a/src/swiftstile/gateway/circulation.py
+++ b/src/swiftstile/gateway/circulation.py
@@ -57,6 +57,10 @@
         self._me = me
         self._by_node = by_node
 
+    # Whether VMs of other domains tell only the leader and readers that they
+    # live.
+    tells_through_readers = False
+
     @abc.abstractmethod
     def regular(self, report: reports.Report) -> list[reports.Peer]:
         """Returns the peers to tell now and then."""
@@ -130,6 +134,8 @@
 class ThroughReaders(Circulation):
     """Each VM tells the leader, and readers tell each other."""
 
+    tells_through_readers = True
+
     def regular(self, report: reports.Report) -> list[reports.Peer]:
         """See base class."""
         if report.is_leader:
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -20,6 +20,7 @@
 from swiftstile.gateway import leadership
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
+from swiftstile.gateway import permits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import relay
@@ -56,6 +57,7 @@
         ready_listen: str,
         handler: handler_lib.Handler,
         gate: gate_lib.Gate,
+        arbiter: permits.Arbiter,
         book: targets.TargetBook,
         maps: renewals.KeyMaps,
         renewing: renewals.Renewals,
@@ -81,6 +83,7 @@
         self._ready = front_lib.ReadyPage(ready_listen, self._is_ready)
         self._handler = handler
         self._gate = gate
+        self._arbiter = arbiter
         self._book = book
         self._maps = maps
         self._renewing = renewing
@@ -116,6 +119,7 @@
             self._renewing.run(),
             self._member.run(),
             self._gate.run(),
+            self._arbiter.run(),
             self._log.run(),
             self._front.enforce_limits(),
             self._housekeeping(),
@@ -141,6 +145,11 @@
             and all(follower.is_loaded for follower in self._followers.values())
         )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it was told to stop."""
+        return self._is_leaving
+
     async def _drain(self) -> None:
         started = clocks.monotonic()
         logs.logger.info("gateway drains", in_flight=self._front.in_flight)
@@ -200,10 +209,11 @@
     def _counts(self) -> tuple[reports.Counts, reports.Counts]:
         shared, local = {}, {}
         for target in self._book.by_id.values():
-            if target.own or target.waiting:
+            own = target.own - target.permitted
+            if own or target.waiting:
                 is_shared = target.upstream.service in self._maps.by_service
                 counts = shared if is_shared else local
-                counts[target.id] = (target.own, target.waiting)
+                counts[target.id] = (own, target.waiting)
         return shared, local
 
     def on_report(self, peer: reports.Peer, now: float) -> None:
--- a/src/swiftstile/gateway/gate.py
+++ b/src/swiftstile/gateway/gate.py
@@ -7,7 +7,7 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import targets
 
-__all__ = ["Gate"]
+__all__ = ["Gate", "refused"]
 
 # Between two looks at the queue without news: estimates of targets age.
 PUMP_INTERVAL_S = 0.02
@@ -27,25 +27,47 @@
         Raises:
             RefusedError: No slot in time.
         """
+        decided = self.begin(waiter)
+        if isinstance(decided, admission.Overload):
+            raise refused(decided)
+        if isinstance(decided, targets.Target):
+            return decided
+        try:
+            return await decided
+        except asyncio.CancelledError:
+            self.give_up(waiter, decided)
+            raise
+
+    def begin(
+        self, waiter: admission.Waiter
+    ) -> targets.Target | admission.Overload | asyncio.Future[targets.Target]:
+        """Returns a target with the request counted there, if there is one.
+
+        Returns:
+            A target, a refusal, or what tells of either later. Whoever doesn't
+            wait for that any more calls `give_up`.
+        """
         self.pump()
         now = clocks.monotonic()
         decided = self.decisions.offer(waiter, now)
-        if isinstance(decided, admission.Overload):
-            raise _refused(decided)
         if decided is None:
             future = asyncio.get_running_loop().create_future()
             self._waiting[waiter.sequence] = future
             self._has_waiting.set()
-            try:
-                decided = await future
-            except asyncio.CancelledError:
-                self._give_up(waiter, future)
-                raise
-        else:
-            decided.note_sent(waiter.sequence, now, waiter.expected_s)
+            return future
+        if isinstance(decided, targets.Target):
+            self._count(waiter, decided, now)
         return decided
 
-    def _give_up(self, waiter, future) -> None:
+    @staticmethod
+    def _count(waiter, target: targets.Target, now: float) -> None:
+        waiter.occupied = target.occupied(now)
+        target.note_sent(waiter.sequence, now, waiter.expected_s)
+
+    def give_up(
+        self, waiter: admission.Waiter, future: asyncio.Future[targets.Target]
+    ) -> None:
+        """Nobody waits any more for what `begin` promised."""
         self._waiting.pop(waiter.sequence, None)
         self.decisions.leave(waiter)
         if future.done() and not future.cancelled() and not future.exception():
@@ -71,12 +93,12 @@
         if not self._waiting:
             return
         now = clocks.monotonic()
-        assigned, refused = self.decisions.pump(now)
+        assigned, turned_away = self.decisions.pump(now)
         for waiter, target in assigned:
-            target.note_sent(waiter.sequence, now, waiter.expected_s)
+            self._count(waiter, target, now)
             self._settle(waiter, target, None)
-        for waiter, overload in refused:
-            self._settle(waiter, None, _refused(overload))
+        for waiter, overload in turned_away:
+            self._settle(waiter, None, refused(overload))
 
     def _settle(self, waiter, target, error) -> None:
         future = self._waiting.pop(waiter.sequence, None)
@@ -100,11 +122,13 @@
                 self._has_waiting.clear()
 
 
-def _refused(overload: admission.Overload) -> outcomes.RefusedError:
+def refused(overload: admission.Overload) -> outcomes.RefusedError:
+    """Returns the error that tells a caller of a refusal."""
     error = outcomes.RefusedError(
         f"no slot within {overload.wait_s:.3f} s",
         step="wait for a slot",
         peer=overload.owner or "",
     )
     error.retry_after_s = overload.retry_after_s
+    error.overload = overload
     return error
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -11,6 +11,7 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile import ids
 from swiftstile import logs
 from swiftstile.gateway import circulation as circulation_lib
 from swiftstile.gateway import measures as measures_lib
@@ -41,6 +42,8 @@
 PAUSE_S = 0.25
 # In this time after a pause all that had queued up has been read.
 CATCH_UP_S = 0.1
+# First byte of a datagram: what it is.
+_REPORT, _PERMIT = b"r", b"p"
 
 
 def _state(report: reports.Report) -> tuple:
@@ -55,6 +58,11 @@
     )
 
 
+def _address(peer: reports.Peer) -> tuple[str, int]:
+    host, _, port = peer.row.address.rpartition(":")
+    return host, int(port)
+
+
 class _Socket(asyncio.DatagramProtocol):
 
     def __init__(self, receive):
@@ -93,6 +101,8 @@
         self.by_node: dict[model.NodeId, reports.Peer] = {}
         self._by_run: dict[str, reports.Peer] = {}
         self._on_report = on_report
+        # Takes what other VMs say of permits; set by who hands them out.
+        self.on_permit = None
         self._decoder = msgspec.msgpack.Decoder(reports.Report)
         self._encoder = msgspec.msgpack.Encoder()
         self._transport: asyncio.DatagramTransport | None = None
@@ -144,6 +154,26 @@
             if peer.heard_at > since and peer.report is not None
         ]
 
+    def of_run(self, run: str) -> reports.Peer | None:
+        """Returns the VM whose present run has a short name, if any."""
+        return self._by_run.get(run)
+
+    def reachable(
+        self, domain: ids.FailureDomain, now: float
+    ) -> list[reports.Peer]:
+        """Returns the peers of a domain that are likely to answer."""
+        is_unheard = (
+            domain != self.me.domain and self.circulation.tells_through_readers
+        )
+        return [
+            peer
+            for peer in self.by_node.values()
+            if peer.row.domain == domain
+            and not peer.row.is_retired
+            and (is_unheard or peer.is_heard(now))
+            and not (peer.report is not None and peer.report.is_leaving)
+        ]
+
     def counted(self, now: float) -> list[reports.Peer]:
         """Returns the peers of which a majority is counted.
 
@@ -275,12 +305,26 @@
     def _send_to(self, peer: reports.Peer, data: bytes, now: float) -> None:
         if peer.row.is_retired and not peer.is_heard(now):
             return
-        host, _, port = peer.row.address.rpartition(":")
-        self._transport.sendto(data, (host, int(port)))
+        self._transport.sendto(_REPORT + data, _address(peer))
+
+    def send_permit(self, peer: reports.Peer, data: bytes) -> None:
+        """Sends something about permits; it may be lost."""
+        if self._transport is not None:
+            self._transport.sendto(_PERMIT + data, _address(peer))
 
     def _receive(self, data: bytes, sender) -> None:
+        now = clocks.monotonic()
+        if now < self._deaf_until or now - self._tick_at > PAUSE_S:
+            # It may have waited in the socket while this process stood still.
+            return
+        if data[:1] == _REPORT:
+            self._receive_report(data[1:MAX_BYTES], sender, now)
+        elif data[:1] == _PERMIT and self.on_permit is not None:
+            self.on_permit(data[1:MAX_BYTES], sender)
+
+    def _receive_report(self, data: bytes, sender, now: float) -> None:
         try:
-            report = self._decoder.decode(data[:MAX_BYTES])
+            report = self._decoder.decode(data)
         except msgspec.MsgspecError as error:
             problem = errors.ControlMessageError(
                 str(error), step="decode report", peer=str(sender)
@@ -294,10 +338,6 @@
         known = peer.report
         if known is not None and known.sequence >= report.sequence:
             return
-        now = clocks.monotonic()
-        if now < self._deaf_until or now - self._tick_at > PAUSE_S:
-            # It may have waited in the socket while this process stood still.
-            return
         peer.report = report
         peer.heard_at = now
         self._on_report(peer, now)
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -14,11 +14,11 @@
 from swiftstile.gateway import decisions
 from swiftstile.gateway import exchange
 from swiftstile.gateway import follow
-from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import owners
+from swiftstile.gateway import permits as permits_lib
 from swiftstile.gateway import shares
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
@@ -64,7 +64,7 @@
 
     def __init__(
         self,
-        gate: gate_lib.Gate,
+        permits: permits_lib.Permits,
         sender: exchange.Exchange,
         dialect: interfaces.RequestDialect,
         book: targets.TargetBook,
@@ -76,7 +76,7 @@
         meters: metrics.Meters,
     ):
         self.config: model.Config | None = None
-        self._gate = gate
+        self._permits = permits
         self._sender = sender
         self._dialect = dialect
         self._book = book
@@ -234,7 +234,7 @@
         progress = _Progress()
         while True:
             try:
-                target = await self._gate.acquire(waiter)
+                target = await self._permits.acquire(waiter)
             except outcomes.RefusedError as error:
                 raise self._final(error, progress) from error
             progress.sends += 1
@@ -251,7 +251,7 @@
                 self._note_answer(call, waiter, target, answer, sent, story)
                 return answer
             finally:
-                self._gate.release(waiter, target)
+                self._permits.release(waiter, target)
 
     def _learn(self, error, waiter, target, progress, call, now) -> None:
         """Takes from a failure what it says of the target."""
@@ -321,7 +321,7 @@
         took_s = now - sent
         self._meters.sends.add("answered")
         target.note_answer(now)
-        if answer.status < 300 and _did_not_wait(target, answer, now):
+        if answer.status < 300 and _did_not_wait(waiter, target, answer):
             prior_s = admission.prior_s(waiter.route)
             self._speeds.note(target.id, took_s / prior_s, now)
             self._times.note(
@@ -357,7 +357,7 @@
                 key_map=self._owners.version(waiter.service),
                 store_age_ms=_ms(now - self._store.contact_at),
                 occupied=target.occupied(now),
-                queued=len(self._gate.decisions),
+                queued=self._permits.queued,
             )
         )
 
@@ -378,7 +378,7 @@
                 config=self.config.version if self.config else 0,
                 store_age_ms=_ms(now - self._store.contact_at),
                 occupied=target.occupied(now) if target is not None else 0,
-                queued=len(self._gate.decisions),
+                queued=self._permits.queued,
             )
         )
 
@@ -400,12 +400,12 @@
         request.writer.output_size = 0
 
 
-def _did_not_wait(target, answer, now: float) -> bool:
+def _did_not_wait(waiter, target, answer) -> bool:
     """Whether the time of an answer was its work, as far as can be told."""
     load = answer.verdict.load
     if load is not None and load.waiting:
         return False
-    return target.occupied(now) <= target.upstream.slots
+    return waiter.occupied < target.upstream.slots
 
 
 def _ms(seconds: float) -> int:
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -73,10 +73,15 @@
 
 
 class RefusedError(GatewayError):
-    """It can't be served in time; it was sent to nobody that ran it."""
+    """It can't be served in time; it was sent to nobody that ran it.
+
+    Attributes:
+        overload: What decided it.
+    """
 
     status = 503
     reason = "overloaded"
+    overload = None
 
 
 class UnknownOutcomeError(GatewayError):
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -27,7 +27,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
 
-__all__ = ["HOLD_S", "Authority", "KeyMaps", "Renewals"]
+__all__ = ["HOLD_S", "Authority", "KeyMaps", "Renewals", "affinity"]
 
 # Hold of each grant. A lost owner's keys wait so long for another; longer
 # holds would need fewer renewals.
@@ -383,8 +383,8 @@
     me: reports.NodeRow, others: list[reports.NodeRow], owner: model.UpstreamId
 ) -> bool:
     """Whether of some VMs this one is chosen for an upstream."""
-    own = _affinity(me.node, owner)
-    return all(_affinity(row.node, owner) <= own for row in others)
+    own = affinity(me.node, owner)
+    return all(affinity(row.node, owner) <= own for row in others)
 
 
 def _reaching(peers, owner: model.UpstreamId) -> list[reports.NodeRow]:
@@ -392,7 +392,8 @@
 
 
 @functools.lru_cache(maxsize=_AFFINITIES)
-def _affinity(node: model.NodeId, owner: model.UpstreamId) -> int:
+def affinity(node: model.NodeId, owner: model.UpstreamId) -> int:
+    """Returns how much a VM is preferred for an upstream, alike on all VMs."""
     return zlib.crc32(f"{node}/{owner}".encode())
 
 
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -27,7 +27,8 @@
     """One upstream.
 
     Attributes:
-        own: Requests that this VM has there now.
+        own: Requests that this VM has there now, or that it permitted others.
+        permitted: Those of its own that another VM permitted and counts.
         waiting: Requests that wait at this VM for it alone.
         peers: Requests of other VMs, by VM: (count, waiting, when heard).
         slowness: Its service time over the mean of all, 1.0 when as fast.
@@ -39,6 +40,7 @@
     def __init__(self, upstream: model.Upstream, now: float):
         self.upstream = upstream
         self.own = 0
+        self.permitted = 0
         self.waiting = 0
         self.peers: dict[model.NodeId, tuple[int, int, float]] = {}
         self.slowness = 1.0
@@ -115,6 +117,16 @@
         self.own -= 1
         self._started.pop(token, None)
 
+    def note_permitted(self, token: int, now: float, expected_s: float) -> None:
+        """A request goes there that another VM counts."""
+        self.permitted += 1
+        self.note_sent(token, now, expected_s)
+
+    def note_permit_ended(self, token: int) -> None:
+        """Such a request is no longer there."""
+        self.permitted -= 1
+        self.note_ended(token)
+
     def note_answer(self, now: float) -> None:
         """It answered."""
         self._failures = 0
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -31,6 +31,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import outage
 from swiftstile.gateway import owners
+from swiftstile.gateway import permits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import relay
@@ -189,8 +190,15 @@
             outage=self._outage,
         )
         key_owners = owners.KeyOwners(self._maps, self._book, self._heat)
-        self._handler = handler = handler_lib.Handler(
+        arbiter = permits.Arbiter(
+            self._peers,
             gate,
+            self._book,
+            lambda: self._daemon.is_leaving,
+            self._meters,
+        )
+        self._handler = handler = handler_lib.Handler(
+            permits.Permits(self._peers, gate, arbiter, self._meters),
             exchange.Exchange(connections.ConnectionPool(), adapters.dialect),
             adapters.dialect,
             self._book,
@@ -225,6 +233,7 @@
             self._settings.vm.ready,
             handler,
             gate,
+            arbiter,
             self._book,
             self._maps,
             self._renewing,
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -76,6 +76,7 @@
         self.control_bytes = Counts()
         self.control_messages = Counts()
         self.ownership = Counts()
+        self.permits = Counts()
 
     def count_http(
         self, kind: str, response: aiohttp.ClientResponse, sent: int
--- a/tests/unit/test_gateway_store.py
+++ b/tests/unit/test_gateway_store.py
@@ -366,10 +366,11 @@
     encoder = gossip.msgspec.msgpack.Encoder()
     old = builders.node_row("vm-2", run="cccccccc")
     peers._tick_at = clocks.monotonic()
-    peers._receive(encoder.encode(builders.report(old, 9)), "x")
-    peers._receive(encoder.encode(builders.report(row, 2)), "x")
-    peers._receive(encoder.encode(builders.report(row, 1)), "x")
-    peers._receive(b"not a report", "x")
+    peers._receive(b"r" + encoder.encode(builders.report(old, 9)), "x")
+    peers._receive(b"r" + encoder.encode(builders.report(row, 2)), "x")
+    peers._receive(b"r" + encoder.encode(builders.report(row, 1)), "x")
+    peers._receive(b"rnot a report", "x")
+    peers._receive(b"?", "x")
     assert heard == [2]
 
 
@@ -384,12 +385,12 @@
     encoder = gossip.msgspec.msgpack.Encoder()
     peers.note_tick(100.0)
     clock.now = 107.0
-    peers._receive(encoder.encode(builders.report(row, 1)), "x")
+    peers._receive(b"r" + encoder.encode(builders.report(row, 1)), "x")
     peers.note_tick(107.0)
     clock.now = 107.01
-    peers._receive(encoder.encode(builders.report(row, 2)), "x")
+    peers._receive(b"r" + encoder.encode(builders.report(row, 2)), "x")
     assert heard == []
     clock.now = 107.2
     peers.note_tick(107.19)
-    peers._receive(encoder.encode(builders.report(row, 3)), "x")
+    peers._receive(b"r" + encoder.encode(builders.report(row, 3)), "x")
     assert heard == [3]
