Owners that are out of reach are refused at once, not held

Now an owner that failed, in a domain of which nothing is heard, counts as lost until it is heard; and a request in the queue is refused as soon as its key can get no owner in time.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -290,6 +290,9 @@
                 target.own += 1
                 assigned.append(Assignment(waiter, target))
                 continue
+            if self._is_hopeless(waiter, now):
+                refused.append((waiter, self._turn_away(waiter, now)))
+                continue
             if waiter.contest is None:
                 continue
             if not waiter.is_late(now):
@@ -304,6 +307,13 @@
             assignment.target.own -= 1
         return assigned, refused
 
+    @staticmethod
+    def _is_hopeless(waiter: Waiter, now: float) -> bool:
+        """Whether its key gets no owner within the time that it has left."""
+        if waiter.owner is None or waiter.owner.target(now) is not None:
+            return False
+        return waiter.owner.ready_in_s(now) > waiter.end - now
+
     def _turn_away(self, waiter: Waiter, now: float) -> Overload:
         """Takes a request out of the queue that waited in vain."""
         overload = self._refusal(waiter, 0.0, now - waiter.arrived, now)
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -174,6 +174,17 @@
             and not (peer.report is not None and peer.report.is_leaving)
         ]
 
+    def is_silent(self, domain: ids.FailureDomain, now: float) -> bool:
+        """Whether VMs are registered in another domain and none is heard of."""
+        if domain == self.me.domain or self.circulation.hears_of(domain, now):
+            return False
+        known = [
+            peer
+            for peer in self.by_node.values()
+            if peer.row.domain == domain and not peer.row.is_retired
+        ]
+        return bool(known) and not any(peer.is_heard(now) for peer in known)
+
     def counted(self, now: float) -> list[reports.Peer]:
         """Returns the peers of which a majority is counted.
 
--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -2,6 +2,7 @@
 
 from swiftstile import ids
 from swiftstile.gateway import admission
+from swiftstile.gateway import gossip
 from swiftstile.gateway import heat
 from swiftstile.gateway import renewals
 from swiftstile.gateway import targets
@@ -30,10 +31,12 @@
         maps: renewals.KeyMaps,
         book: targets.TargetBook,
         heat_book: heat.HeatBook,
+        peers: gossip.Peers,
     ):
         self._maps = maps
         self._book = book
         self._heat = heat_book
+        self._peers = peers
         self._misdirected: dict[
             tuple[ids.ServiceName, int], tuple[int, float]
         ] = {}
@@ -87,12 +90,22 @@
                 return None, at + pause_s - now
             if now - at > MISDIRECTED_LIFE_S or fence != slot.fence:
                 del self._misdirected[service, index]
+        if target.is_failing and (
+            target.is_gone or self._is_cut_off(target, now)
+        ):
+            return None, LOST_OWNER_S
         if target.is_penalised(now):
             return None, target.penalty_left_s(now)
-        if target.is_gone and target.is_failing:
-            return None, LOST_OWNER_S
         return target, 0.0
 
+    def _is_cut_off(self, target: targets.Target, now: float) -> bool:
+        """Whether nothing is heard of a target's failure domain.
+
+        Then it isn't tried again and again: each try holds its caller for as
+        long as a connection may take to open.
+        """
+        return self._peers.is_silent(target.upstream.failure_domain, now)
+
 
 class OwnerOfKey(admission.OwnerLookup):
     """The owner of one key."""
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -189,7 +189,9 @@
             reader_watch_s=readers.READER_WATCH_S,
             outage=self._outage,
         )
-        key_owners = owners.KeyOwners(self._maps, self._book, self._heat)
+        key_owners = owners.KeyOwners(
+            self._maps, self._book, self._heat, self._peers
+        )
         arbiter = permits.Arbiter(
             self._peers,
             gate,
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -75,6 +75,9 @@
         self._owner = owner
         self._ready_in_s = ready_in_s
 
+    def lose(self, ready_in_s: float) -> None:
+        self._owner, self._ready_in_s = None, ready_in_s
+
     def target(self, now: float) -> targets.Target | None:
         return self._owner
 
--- a/tests/keeper_parts.py
+++ b/tests/keeper_parts.py
@@ -66,6 +66,7 @@
             quorum_since=0.0,
         )
         peers = gossip.Peers(builders.node_row(), lambda *_: None)
+        self.peers = peers
         for number in range(2, vms + 1):
             row = builders.node_row(f"vm-{number}")
             peers.apply(row, row.node, 0.0)
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -8,6 +8,7 @@
 from swiftstile.gateway import budget
 from swiftstile.gateway import gate
 from swiftstile.gateway import model
+from swiftstile.gateway import returns
 from swiftstile.gateway import speeds
 from tests import gateway_builders as builders
 
@@ -221,6 +222,123 @@
     assert refused.retry_after_s > 1.0
 
 
+def test_one_whose_key_lost_its_owner_meanwhile_is_refused_at_once():
+    book = builders.book(builders.upstream())
+    decisions = _admission(book)
+    builders.occupy(book.by_id["u-1"], 4)
+    lookup = builders.FixedOwner(book.by_id["u-1"])
+    waiter = builders.waiter(owner=lookup)
+    assert decisions.offer(waiter, 0.0) is None
+    lookup.lose(ready_in_s=0.3)
+    assert decisions.pump(0.1) == ([], [])
+    lookup.lose(ready_in_s=5.0)
+    _, refused = decisions.pump(0.1)
+    assert [entry for entry, _ in refused] == [waiter]
+    assert book.by_id["u-1"].waiting == 0
+
+
+def test_a_lookup_waits_for_its_owner_beyond_its_objective():
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    decisions = _admission(book)
+    builders.occupy(target, 12)
+    waiter = builders.waiter(owner=builders.FixedOwner(target))
+    assert decisions.expected_wait_s(waiter, 0.0) > builders.route().objective_s
+    assert decisions.offer(waiter, 0.0) is None
+
+
+def _crowded_owner():
+    """Returns an owner for which lookups that can be in time always wait."""
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    decisions = _admission(book)
+    builders.occupy(target, 5, 100.0)
+    owner = builders.FixedOwner(target)
+    now, last = 100.0, None
+    while now < 100.0 + 2 * builders.route().objective_s:
+        fresh = builders.waiter(now, owner)
+        assert decisions.offer(fresh, now) is None
+        if last is not None:
+            decisions.leave(last)
+        last = fresh
+        decisions.pump(now)
+        now += 0.05
+    return decisions, target, owner, now
+
+
+def test_where_others_always_wait_a_lookup_that_would_be_late_is_refused():
+    decisions, target, owner, now = _crowded_owner()
+    builders.occupy(target, 7, now)
+    refused = decisions.offer(builders.waiter(now, owner), now)
+    assert isinstance(refused, admission.Overload)
+
+
+def test_a_late_lookup_goes_to_an_idle_slot_only():
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    decisions = _admission(book)
+    builders.occupy(target, 3)
+    owner = builders.FixedOwner(target)
+    late = builders.waiter(-0.59, owner)
+    assert decisions.offer(late, 0.0) is None
+    assert decisions.offer(builders.waiter(0.0, owner), 0.0) is target
+    target.note_ended(-1)
+    assert [entry.waiter for entry in decisions.pump(0.0)[0]] == [late]
+
+
+def test_what_is_late_is_told_by_the_speed_of_its_owner():
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    waiter = builders.waiter(owner=builders.FixedOwner(target))
+    waiter.awaited = target
+    assert not waiter.is_late(0.3)
+    target.slowness = 2.0
+    assert waiter.is_late(0.3)
+
+
+def _returning(key: int, arrived: float, left_s: float) -> admission.Waiter:
+    waiter = builders.waiter(arrived)
+    waiter.key, waiter.gives_up_at = key, arrived + left_s
+    return waiter
+
+
+def test_a_caller_that_comes_back_is_known_by_its_key_and_its_patience():
+    book = returns.Returns()
+    book.expect(_returning(7, 10.0, 0.8), back_at=10.1)
+    others = [
+        _returning(8, 10.1, 0.7),
+        _returning(7, 10.1, 0.75),
+        _returning(7, 10.02, 0.78),
+    ]
+    for other in others:
+        book.recognise(other, other.arrived)
+        assert other.arrived > 10.0
+    back = _returning(7, 10.105, 0.693)
+    book.recognise(back, 10.105)
+    assert back.arrived == 10.0
+    again = _returning(7, 10.106, 0.694)
+    book.recognise(again, 10.106)
+    assert again.arrived == 10.106
+
+
+def test_callers_that_do_not_come_back_are_forgotten():
+    book = returns.Returns()
+    for number in range(100):
+        book.expect(_returning(number, 10.0, 0.8), back_at=10.1)
+    book.recognise(_returning(500, 11.0, 0.8), 11.0)
+    assert not book._by_key
+
+
+def test_a_target_is_slow_only_beyond_what_is_usual_there():
+    book = builders.book(builders.upstream())
+    target = book.by_id["u-1"]
+    target.slowness = 2.0
+    target.note_sent(1, 0.0, 0.2)
+    # Twice its usual time: one request was ahead of it.
+    assert target.slow_factor(0.8) == 2.0
+    assert target.slow_factor(2.0) > 6.0
+
+
 def test_a_refusal_names_the_owner_that_was_too_busy():
     book = builders.book(builders.upstream())
     target = book.by_id["u-1"]
--- a/tests/unit/test_gateway_restart.py
+++ b/tests/unit/test_gateway_restart.py
@@ -109,7 +109,9 @@
 
 def test_requests_wait_until_a_new_life_holds_its_keys():
     parts, _ = _parts()
-    found = owners.KeyOwners(parts.maps, parts.book, heat.HeatBook())
+    found = owners.KeyOwners(
+        parts.maps, parts.book, heat.HeatBook(), parts.peers
+    )
     key = 100
 
     def owner(now: float):
