A new leader counts from its predecessor's marks; questions that wait are asked less often

Now each VM notes when the leader first told of the version of a map in which slots are marked; a successor that heard the very leader it replaces counts from then. What a silent VM said of slots that it knows to be leaving stays true. A former leader's own orders are bounded apart (it may have let owners go on). VMs tell how long their run has lived, so that earlier runs are bounded by its start. Sixteen releases at a time filled an upstream's queue, four don't.

--- a/src/swiftstile/gateway/authority.py
+++ b/src/swiftstile/gateway/authority.py
@@ -21,7 +21,13 @@
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
 
-__all__ = ["FRESH_S", "STOPPED_AFTER_S", "STORELESS_S", "PeerAuthority"]
+__all__ = [
+    "FRESH_S",
+    "LEADER_STOPPED_AFTER_S",
+    "STOPPED_AFTER_S",
+    "STORELESS_S",
+    "PeerAuthority",
+]
 
 # Word of a VM counts so long. Four heartbeats; three may be lost.
 FRESH_S = 1.0
@@ -32,6 +38,9 @@
 # A VM follows a former leader until so long after that lost its right: both
 # may count on word that is nearly stale. The rest is for messages under way.
 STOPPED_AFTER_S = 2 * FRESH_S + 0.5
+# A former leader itself gives no orders from so long after a majority followed
+# another one: the newest word that it may still count on is older than that.
+LEADER_STOPPED_AFTER_S = FRESH_S + 0.5
 
 
 class PeerAuthority(renewals.Authority):
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -105,6 +105,7 @@
         self._grace_s = grace_s
         self.meters = meters
         self._keepers: dict[ids.ServiceName, object] = {}
+        self._started = clocks.monotonic()
         self._is_leaving = False
 
     async def run(self, stopping: asyncio.Event) -> None:
@@ -193,6 +194,7 @@
             self._tables_to_tell(now),
             self._store_readers.is_reader(now),
             *self._peers.circulation.to_tell(now),
+            up_s=round(now - self._started, 3),
         )
 
     def _tables_to_tell(self, now: float) -> dict[str, reports.TableWord]:
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -351,4 +351,5 @@
             return
         peer.report = report
         peer.heard_at = now
+        peer.changed_at = min(peer.changed_at, now - report.up_s)
         self._on_report(peer, now)
--- a/src/swiftstile/gateway/holds.py
+++ b/src/swiftstile/gateway/holds.py
@@ -5,7 +5,7 @@
 connection was reset, so the grant arrived before the reset or never will.
 """
 
-__all__ = ["CLOCK_RATE", "HoldBook"]
+__all__ = ["CLOCK_RATE", "HoldBook", "longest_s"]
 
 # An upstream's clock may run this much slow (the platform's pages).
 CLOCK_RATE = 1.02
@@ -15,7 +15,7 @@
 _UNBOUNDED = float("inf")
 
 
-def _bound_s(hold_s: float) -> float:
+def longest_s(hold_s: float) -> float:
     """Returns the longest that a grant can be held, in seconds."""
     return hold_s * CLOCK_RATE + MARGIN_S
 
@@ -29,7 +29,7 @@
     """
 
     def __init__(self, count: int, hold_s: float):
-        self.longest_s = _bound_s(hold_s)
+        self.longest_s = longest_s(hold_s)
         self._in_flight = [0] * count
         self._end = [0.0] * count
         # Ends of grants without an answer, which may still be carried out.
@@ -42,7 +42,7 @@
 
     def note_answered(self, slots: range, now: float, hold_s: float) -> None:
         """It was answered, so it had arrived."""
-        end = now + _bound_s(hold_s)
+        end = now + longest_s(hold_s)
         for index in slots:
             self._in_flight[index] -= 1
             self._end[index] = max(self._end[index], end)
@@ -54,7 +54,7 @@
 
     def note_lost(self, slots: range, now: float, hold_s: float) -> None:
         """It wasn't answered, and its connection was reset now."""
-        end = now + _bound_s(hold_s)
+        end = now + longest_s(hold_s)
         for index in slots:
             self._in_flight[index] -= 1
             self._end[index] = max(self._end[index], end)
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
 from swiftstile.gateway import heat
+from swiftstile.gateway import holds
 from swiftstile.gateway import hotplan
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keymap
@@ -23,6 +24,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import settle
 from swiftstile.gateway import speeds
+from swiftstile.gateway import succession
 from swiftstile.gateway import takeback
 from swiftstile.gateway import targets
 
@@ -92,6 +94,7 @@
         peers: gossip.Peers,
         renewing: renewals.Renewals,
         leads: leadership.Leadership,
+        successor: succession.Succession,
         table: interfaces.StateTable,
         follower: follow.TableFollower,
         control: interfaces.UpstreamControl,
@@ -113,6 +116,7 @@
         self._peers = peers
         self._renewing = renewing
         self._leads = leads
+        self._succession = successor
         self._table = table
         self._follower = follower
         self._authority = right
@@ -354,10 +358,23 @@
         done = clocks.monotonic()
         version = self._maps.by_service[self._service].version
         self.forget()
+        slots = current.leaving_by_owner()
         self._sources = {
-            owner: takeback.Source(version, done) for owner in owners
+            owner: self._adopted(slots.get(owner, []), version, done)
+            for owner in owners
         }
 
+    def _adopted(self, slots, version: int, now: float) -> takeback.Source:
+        """Returns what is known of slots that a former leader marked."""
+        marked = self._succession.marked_version(self._service, slots)
+        stopped_at = None
+        if marked is not None:
+            stopped_at = self._succession.stopped_at(self._service, marked)
+        if stopped_at is None:
+            return takeback.Source(version, now)
+        former = (self._leads.former_leader, version)
+        return takeback.Source(marked, now, stopped_at, former)
+
     async def _store_answers(self) -> bool:
         """Asks the store whether it answers, unless it just did."""
         now = clocks.monotonic()
@@ -408,6 +425,7 @@
             self._stopped_at(source),
             book.longest_s,
             now,
+            self._former_leader(source),
         )
         if known.all_stopped and known.held_s <= 0:
             return _Move.CLEAR
@@ -431,11 +449,25 @@
 
     def _stopped_at(self, source: takeback.Source) -> float:
         """Returns when VMs that tell nothing have stopped renewing."""
+        if source.stopped_at is not None:
+            return source.stopped_at
         since = self._authority.quorum_since
         if since is None:
             return float("inf")
         return max(since, source.marked_at) + authority.STOPPED_AFTER_S
 
+    def _former_leader(self, source) -> moves.FormerLeader | None:
+        """Returns until when the VM that marked slots gave orders for them."""
+        if source.former is None:
+            return None
+        since = self._authority.quorum_since
+        stopped_at = float("inf")
+        if since is not None:
+            stopped_at = since + authority.LEADER_STOPPED_AFTER_S
+        return moves.FormerLeader(
+            *source.former, stopped_at, holds.longest_s(takeback.KEEP_HOLD_S)
+        )
+
     def _is_replaced(self, owner: model.UpstreamId) -> bool:
         """Whether another upstream runs at its address, so that it ended."""
         target = self._book.by_id.get(owner)
--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -18,6 +18,7 @@
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
 from swiftstile.gateway import interfaces
+from swiftstile.gateway import model
 from swiftstile.gateway import reports
 from swiftstile.gateway import settle
 
@@ -41,18 +42,32 @@
 
 
 class LeaderRow(msgspec.Struct, array_like=True):
-    """Who leads. `node` is empty after a leader stepped down."""
+    """Who leads.
+
+    Attributes:
+        node: The VM; empty after a leader stepped down.
+        incarnation: The run of it that leads.
+        attempt: Makes each writing of the row unique.
+        vacated: Version of the row that a leader replaced by this one when it
+            stepped down.
+    """
 
     node: str
     incarnation: str
     attempt: str
+    vacated: int = interfaces.NEW_ROW
 
 
 class Leadership:
     """Knows who leads and takes over when nobody does.
 
     Attributes:
-        row: The row as the store last told it, and its version.
+        row: The row as the store last told it.
+        version: Its version.
+        predecessor: Version of the row of the one that led directly before
+            this VM, while this VM leads.
+        former_leader: That VM, as far as it is known.
+        led_since: When this VM began to lead, on the steady clock.
     """
 
     def __init__(
@@ -70,12 +85,18 @@
         self._applied_at = self._started
         self.row: LeaderRow | None = None
         self.version = interfaces.NEW_ROW
+        self.predecessor = interfaces.NEW_ROW
+        self.former_leader: model.NodeId | None = None
+        self.led_since = 0.0
 
     def apply(self, change: interfaces.Change) -> None:
         """Takes in the leader's row."""
         was = self.is_leader
         if change.version < self.version:
             return
+        if self.row is not None and self.row.node:
+            self.former_leader = model.NodeId(self.row.node)
+        before, vacated = self.version, self.row.vacated if self.row else 0
         self.version = change.version
         self._applied_at = clocks.monotonic()
         self._silent_since = None
@@ -89,6 +110,11 @@
         )
         if was and not self.is_leader:
             logs.logger.info("no longer leading")
+        if self.is_leader and not was:
+            # This VM's write was done on condition of the version before, so
+            # nobody led in between.
+            self.predecessor = vacated or before
+            self.led_since = self._applied_at
 
     @property
     def is_leader(self) -> bool:
@@ -146,7 +172,7 @@
     async def step_down(self) -> None:
         """Lets another VM lead at once."""
         if self.is_leader:
-            await self._write(LeaderRow("", "", _attempt()))
+            await self._write(LeaderRow("", "", _attempt(), self.version))
 
     async def _write(self, row: LeaderRow) -> None:
         value = msgspec.msgpack.encode(row)
--- a/src/swiftstile/gateway/moves.py
+++ b/src/swiftstile/gateway/moves.py
@@ -12,7 +12,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import reports
 
-__all__ = ["Clearance", "clearance"]
+__all__ = ["Clearance", "FormerLeader", "clearance"]
 
 
 class Clearance(msgspec.Struct):
@@ -30,6 +30,25 @@
     open_s: float
 
 
+class FormerLeader(msgspec.Struct, frozen=True):
+    """The VM that led before, where it marked the slots.
+
+    It may have let their owners go on with them for a while, after it had
+    marked them.
+
+    Attributes:
+        node: That VM.
+        version: Version of the map that it knows once it knows its successor.
+        stopped_at: When it gave no more orders, whatever it knew.
+        longest_s: Longest that such an order can be held.
+    """
+
+    node: model.NodeId
+    version: int
+    stopped_at: float
+    longest_s: float
+
+
 def clearance(
     service: ids.ServiceName,
     owner: model.UpstreamId,
@@ -39,6 +58,7 @@
     stopped_at: float,
     longest_s: float,
     now: float,
+    former: FormerLeader | None = None,
 ) -> Clearance:
     """Combines what all VMs say of one owner's leaving slots.
 
@@ -52,32 +72,51 @@
             infinite if that isn't known.
         longest_s: Longest that one grant can be held.
         now: The time.
+        former: Who marked them, if that was another VM.
     """
     result = Clearance(True, own.held_s, own.open_s)
     for peer in peers:
-        hold = _word_of(peer, service, owner, marked_version, now)
+        version, stop, longest = marked_version, stopped_at, longest_s
+        if former is not None and peer.row.node == former.node:
+            version = former.version
+            stop, longest = former.stopped_at, former.longest_s
+        hold = _word_of(peer, service, owner, version, now)
         if hold is None:
-            bound = max(0.0, stopped_at + longest_s - now)
-            result.all_stopped &= now > stopped_at
-            hold = reports.Hold(bound, bound)
+            hold = _hold_until(stop + longest, now)
+            result.all_stopped &= now > stop
         elif peer.changed_at + longest_s > now:
             # An earlier run of it may have granted up to when it ended.
-            left = peer.changed_at + longest_s - now
-            hold = reports.Hold(max(hold.held_s, left), max(hold.open_s, left))
+            hold = _longer(hold, _hold_until(peer.changed_at + longest_s, now))
+        if former is not None and not peer.is_heard(now):
+            # It may have led itself, before the one that led last.
+            hold = _longer(hold, _hold_until(stop + former.longest_s, now))
         result.held_s = max(result.held_s, hold.held_s)
         result.open_s = max(result.open_s, hold.open_s)
     return result
 
 
+def _hold_until(end: float, now: float) -> reports.Hold:
+    left_s = max(0.0, end - now)
+    return reports.Hold(left_s, left_s)
+
+
+def _longer(one: reports.Hold, other: reports.Hold) -> reports.Hold:
+    return reports.Hold(
+        max(one.held_s, other.held_s), max(one.open_s, other.open_s)
+    )
+
+
 def _word_of(peer, service, owner, version, now) -> reports.Hold | None:
+    """Returns what a VM said of its grants; None if it may still grant."""
     report = peer.report
     if report is None or report.versions.get(service, 0) < version:
         return None
     told = report.holds.get(service, {}).get(owner)
     if told is None:
         # It knows the map, and lists what its grants may still hold: without
-        # an entry there is nothing. Without a voice that may be long ago.
-        return reports.Hold(0.0, 0.0) if peer.is_heard(now) else None
+        # an entry there is nothing. Nor will there be, also if it is silent
+        # since: who knows that a slot is leaving renews it no more.
+        return reports.Hold(0.0, 0.0)
     age_s = now - peer.heard_at
     return reports.Hold(
         max(0.0, told.held_s - age_s), max(0.0, told.open_s - age_s)
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -40,9 +40,11 @@
 # Without an answer for so long the arbiter counts as out of reach. Short, as
 # the request waits meanwhile; a datagram or two may be lost.
 NO_ANSWER_S = 0.06
-# While a request waits at the arbiter it is asked again now and then: its
-# answer may be lost, or it may be gone.
-WAITING_AGAIN_S = 0.1
+# While a request waits at the arbiter it is asked again now and then, as its
+# answer may be lost, or the arbiter gone: first after this, then after twice as
+# long each time, up to the latter. Asked each 0.1 s, lookups that wait for
+# seconds doubled what goes between domains.
+WAITING_AGAIN_S, LONGEST_AGAIN_S = 0.1, 0.8
 # An arbiter that didn't answer isn't asked for so long, as long as it takes to
 # notice that a peer is silent.
 AVOID_S = 1.0
@@ -123,14 +125,32 @@
 
     Attributes:
         decided: The last answer, if any.
-        heard_at: When that came, or when the question was first sent.
-        news: Wakes the one that asked.
     """
 
-    def __init__(self, now: float):
+    def __init__(self):
         self.decided: _Decided | None = None
-        self.heard_at = now
-        self.news = asyncio.Event()
+        self._news = asyncio.Event()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it was decided for good."""
+        decided = self.decided
+        return decided is not None and decided.verdict is not _Verdict.WAITING
+
+    def note(self, decided: _Decided) -> None:
+        """An answer came."""
+        self.decided = decided
+        self._news.set()
+
+    async def news_within(self, seconds: float) -> bool:
+        """Waits for an answer; whether one came."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._news.wait()
+        except TimeoutError:
+            return False
+        self._news.clear()
+        return True
 
 
 class Permits:
@@ -230,7 +250,7 @@
     ) -> _Decided | None:
         """Returns what was decided; None if it has to be asked elsewhere."""
         number = next(self._numbers)
-        asked = self._asked[number] = _Asked(clocks.monotonic())
+        asked = self._asked[number] = _Asked()
         self._arbiter_by_number[number] = arbiter
         is_granted = False
         try:
@@ -251,25 +271,28 @@
     async def _await_verdict(
         self, number, asked, waiter, target, arbiter
     ) -> _Decided | None:
+        pause_s = WAITING_AGAIN_S
         while True:
-            now = clocks.monotonic()
-            if now - asked.heard_at > NO_ANSWER_S + (
-                WAITING_AGAIN_S if asked.decided is not None else 0.0
-            ):
-                self._avoid(arbiter, now)
+            if not await self._hear(number, asked, waiter, target, arbiter):
+                self._avoid(arbiter, clocks.monotonic())
                 return None
-            if waiter.owner.target(now) is not target:
-                return None
-            self._send_ask(number, waiter, target, arbiter, now)
-            again_s = ASK_AGAIN_S if asked.decided is None else WAITING_AGAIN_S
-            try:
-                async with asyncio.timeout(again_s):
-                    await asked.news.wait()
-            except TimeoutError:
-                continue
-            asked.news.clear()
-            if asked.decided.verdict is not _Verdict.WAITING:
+            end = clocks.monotonic() + pause_s
+            while not asked.is_settled and clocks.monotonic() < end:
+                await asked.news_within(WAITING_AGAIN_S)
+                if waiter.owner.target(clocks.monotonic()) is not target:
+                    return None
+            if asked.is_settled:
                 return asked.decided
+            pause_s = min(2 * pause_s, LONGEST_AGAIN_S)
+
+    async def _hear(self, number, asked, waiter, target, arbiter) -> bool:
+        """Asks until anything is heard; whether something was, in time."""
+        end = clocks.monotonic() + NO_ANSWER_S
+        while clocks.monotonic() < end:
+            self._send_ask(number, waiter, target, arbiter)
+            if await asked.news_within(ASK_AGAIN_S):
+                return True
+        return False
 
     def _is_avoided(self, arbiter: reports.Peer, now: float) -> bool:
         return self._avoided_until.get(arbiter.row.node, 0.0) > now
@@ -279,7 +302,8 @@
         self._meters.permits.add("arbiter-silent")
         logs.logger.info("arbiter silent", peer_node=arbiter.row.node)
 
-    def _send_ask(self, number, waiter, target, arbiter, now: float) -> None:
+    def _send_ask(self, number, waiter, target, arbiter) -> None:
+        now = clocks.monotonic()
         gives_up_at = waiter.gives_up_at
         ask = _Ask(
             reports.short_run(self._peers.me.incarnation),
@@ -320,9 +344,7 @@
         if isinstance(message, _Decided):
             asked = self._asked.get(message.number)
             if asked is not None:
-                asked.decided = message
-                asked.heard_at = clocks.monotonic()
-                asked.news.set()
+                asked.note(message)
             return
         peer = self._peers.of_run(message.run)
         if peer is None:
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -12,6 +12,8 @@
 import functools
 import zlib
 
+import msgspec
+
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import ids
@@ -57,17 +59,33 @@
 AbleByDomain = dict[ids.FailureDomain, list[reports.Peer]]
 
 
+class Mark(msgspec.Struct, frozen=True):
+    """A slot that is leaving its owner, as this VM knows it.
+
+    Attributes:
+        version: Version of the map in which it was seen to be marked first.
+        fence: Under which its owner has it.
+        known_at: When that was, on the steady clock.
+    """
+
+    version: int
+    fence: int
+    known_at: float
+
+
 class KeyMaps:
     """The key maps in force, by service.
 
     Attributes:
         by_service: Maps as this VM knows them.
+        marks_by_service: Slots that are leaving, by service and slot.
         changed_at: When a slot's owner last changed, by service and slot.
         changed: Wakes those that wait for a newer map.
     """
 
     def __init__(self):
         self.by_service: dict[ids.ServiceName, keymap.KeyMap] = {}
+        self.marks_by_service: dict[ids.ServiceName, dict[int, Mark]] = {}
         self.changed_at: dict[ids.ServiceName, dict[int, float]] = {}
         self.changed = signals.Signal()
 
@@ -84,8 +102,20 @@
                 if newer.slots[index].fence != known.slots[index].fence:
                     times[index] = now
         self.by_service[service] = newer
+        self._note_marks(service, newer, now)
         self.changed.wake()
 
+    def _note_marks(self, service, newer: keymap.KeyMap, now: float) -> None:
+        known = self.marks_by_service.get(service, {})
+        marks = {}
+        for index in newer.leaving:
+            fence = newer.slots[index].fence
+            mark = known.get(index)
+            if mark is None or mark.fence != fence:
+                mark = Mark(newer.version, fence, now)
+            marks[index] = mark
+        self.marks_by_service[service] = marks
+
 
 class Authority(abc.ABC):
     """Knows whether grants may be renewed by what this VM knows."""
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -102,6 +102,7 @@
             to other domains by readers.
         far_heard: VMs of other domains, by domain, as readers there told; told
             to the own domain by readers.
+        up_s: How long this run has lived, in seconds.
     """
 
     run: str
@@ -122,6 +123,7 @@
     is_reader: bool = False
     near_heard: int = 0
     far_heard: dict[ids.FailureDomain, int] = {}
+    up_s: float = 0.0
 
 
 class Peer:
@@ -131,7 +133,8 @@
         row: Its registration.
         report: Its newest report, or None.
         heard_at: When that came, on the steady clock.
-        changed_at: When its present run was first known.
+        changed_at: When its present run began at the latest; it granted
+            nothing by an earlier run after this.
         retired_at: When it was first known to be retired, if it is.
         told_of: Upstreams at which it has requests, by its newest report.
     """
--- a/src/swiftstile/gateway/takeback.py
+++ b/src/swiftstile/gateway/takeback.py
@@ -25,7 +25,7 @@
 
 # Calls to one upstream at the same time, when it releases slots: its busy
 # slots answer only when their work has ended.
-_PARALLEL = 16
+_PARALLEL = 4
 # Hold of a grant that only shuts out older ones; it is released at once.
 FENCING_HOLD_S = 0.5
 # Hold of slots that wait for the store at the owner they leave: short, as it
@@ -46,14 +46,27 @@
 
     Attributes:
         version: Version of the map in which they were marked.
-        marked_at: When that was, on the steady clock.
+        marked_at: When that was, or when this VM took them over, on the
+            steady clock.
+        stopped_at: When all VMs had stopped renewing them, if a former leader
+            marked them and that is known.
+        former: Node of the VM that marked them, with the version of the map
+            that it has to know, if `stopped_at` is known.
         tokens: Hand-over tokens by slot, of those that it released.
         is_fenced: Whether it refuses older grants, whoever may send them.
     """
 
-    def __init__(self, version: int, marked_at: float):
+    def __init__(
+        self,
+        version: int,
+        marked_at: float,
+        stopped_at: float | None = None,
+        former: tuple[model.NodeId, int] | None = None,
+    ):
         self.version = version
         self.marked_at = marked_at
+        self.stopped_at = stopped_at
+        self.former = former
         self.tokens: dict[int, str] = {}
         self.is_fenced = False
         self._release: asyncio.Task | None = None
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -39,6 +39,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import speeds
+from swiftstile.gateway import succession
 from swiftstile.gateway import targets
 from swiftstile.peers import links
 
@@ -145,6 +146,7 @@
         self._leads = leadership.Leadership(
             self._peers, adapters.state, self._state
         )
+        self._succession = succession.Succession(self._leads, self._maps)
         self._member = membership.Membership(
             self._peers, adapters.state, self._state
         )
@@ -271,6 +273,7 @@
             self._peers,
             self._renewing,
             self._leads,
+            self._succession,
             self._adapters.state,
             self._state,
             self._adapters.control,
@@ -280,6 +283,7 @@
         )
 
     def _on_report(self, peer: reports.Peer, now: float) -> None:
+        self._succession.note_report(peer, now)
         self._daemon.on_report(peer, now)
 
     def _apply_state(self, changes: list[interfaces.Change]) -> None:
--- a/tests/keeper_parts.py
+++ b/tests/keeper_parts.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import renewals
 from swiftstile.gateway import speeds
+from swiftstile.gateway import succession
 from swiftstile.gateway import takeback
 from tests import gateway_builders as builders
 
@@ -59,6 +60,11 @@
         self.leads = types.SimpleNamespace(
             is_leader=True,
             condition=lambda: interfaces.Condition("leader", 0),
+            version=1,
+            predecessor=0,
+            former_leader=None,
+            led_since=0.0,
+            row=None,
         )
         self.right = types.SimpleNamespace(
             is_able=lambda now: True,
@@ -85,6 +91,7 @@
             peers,
             self.renewing,
             self.leads,
+            succession.Succession(self.leads, self.maps),
             self.table,
             follower,
             self.control,
