Moves don't wait for VMs that are long silent, or that stopped in good order

A silent VM might hear the leader without being heard, so each mark counted from anew. A VM that stops in good order gives no more grants, if others will, and tells when its last ones end, so its successor isn't waited for. And after an outage of the store for all, the leader gets 1 s to reach it again before another takes over.

--- a/src/swiftstile/gateway/authority.py
+++ b/src/swiftstile/gateway/authority.py
@@ -7,7 +7,8 @@
   included, told it within `FRESH_S` that they follow its leadership, and the
   store answered it within `STORELESS_S`;
 * any other VM may while it heard the leader within `FRESH_S`, which has that
-  right itself, and both know the same version of the map.
+  right itself and hears this VM, and both know the same version of the map. So
+  a VM that is silent, to the leader, for long has no right, whatever it hears.
 
 Another leader counts on the former one having stopped when more than half of
 the VMs told that they follow the new one: any two majorities share a VM. No
@@ -89,7 +90,7 @@
             storeless_s = now - self._store_contact_at()
             return self._has_quorum(now) and storeless_s < STORELESS_S
         leader = self._leader(now)
-        return leader is not None and leader.report.is_able
+        return leader is not None and leader.report.is_able and leader.hears_us
 
     def may_renew(self, service: ids.ServiceName) -> bool:
         """See base class."""
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -156,6 +156,9 @@
         logs.logger.info("gateway drains", in_flight=self._front.in_flight)
         self._is_leaving = True
         self._front.is_leaving = True
+        for keeper in self._keepers.values():
+            keeper.forget()
+        self._renewing.stop(started)
         self._peers.send_now(self._report(self._peers.next_sequence()))
         step_down = asyncio.create_task(self._leads.step_down())
         await asyncio.sleep(LINGER_S)
@@ -195,6 +198,7 @@
             self._store_readers.is_reader(now),
             *self._peers.circulation.to_tell(now),
             up_s=round(now - self._started, 3),
+            grants_end_s=self._renewing.grants_end_s(now),
         )
 
     def _tables_to_tell(self, now: float) -> dict[str, reports.TableWord]:
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -44,6 +44,8 @@
 CATCH_UP_S = 0.1
 # First byte of a datagram: what it is.
 _REPORT, _PERMIT = b"r", b"p"
+# Second byte of a report: whether the VM that it goes to was heard lately.
+_HEARD, _NOT_HEARD = b"h", b"-"
 
 
 def _state(report: reports.Report) -> tuple:
@@ -135,8 +137,7 @@
             known = self.by_node[node] = reports.Peer(row, now)
         self._by_run[reports.short_run(row.incarnation)] = known
         if known.row.incarnation != row.incarnation:
-            known.changed_at = now
-            known.report = None
+            known.note_run(row, now)
         if row.is_retired and not known.row.is_retired:
             known.retired_at = now
         known.row = row
@@ -316,7 +317,8 @@
     def _send_to(self, peer: reports.Peer, data: bytes, now: float) -> None:
         if peer.row.is_retired and not peer.is_heard(now):
             return
-        self._transport.sendto(_REPORT + data, _address(peer))
+        word = _HEARD if peer.is_heard(now) else _NOT_HEARD
+        self._transport.sendto(_REPORT + word + data, _address(peer))
 
     def send_permit(self, peer: reports.Peer, data: bytes) -> None:
         """Sends something about permits; it may be lost."""
@@ -329,11 +331,14 @@
             # It may have waited in the socket while this process stood still.
             return
         if data[:1] == _REPORT:
-            self._receive_report(data[1:MAX_BYTES], sender, now)
+            is_heard = data[1:2] == _HEARD
+            self._receive_report(data[2:MAX_BYTES], is_heard, sender, now)
         elif data[:1] == _PERMIT and self.on_permit is not None:
             self.on_permit(data[1:MAX_BYTES], sender)
 
-    def _receive_report(self, data: bytes, sender, now: float) -> None:
+    def _receive_report(
+        self, data: bytes, hears_us: bool, sender, now: float
+    ) -> None:
         try:
             report = self._decoder.decode(data)
         except msgspec.MsgspecError as error:
@@ -349,7 +354,5 @@
         known = peer.report
         if known is not None and known.sequence >= report.sequence:
             return
-        peer.report = report
-        peer.heard_at = now
-        peer.changed_at = min(peer.changed_at, now - report.up_s)
+        peer.note_report(report, now, hears_us)
         self._on_report(peer, now)
--- a/src/swiftstile/gateway/holds.py
+++ b/src/swiftstile/gateway/holds.py
@@ -60,6 +60,12 @@
             self._end[index] = max(self._end[index], end)
             self._open_end[index] = max(self._open_end[index], end)
 
+    def all_over_in_s(self, now: float) -> float:
+        """Returns until when any slot may be held by these grants."""
+        if any(self._in_flight):
+            return _UNBOUNDED
+        return max(0.0, max(self._end, default=0.0) - now)
+
     def held_for_s(self, slots, now: float) -> float:
         """Returns how long any of these slots may still be held."""
         return self._longest(self._end, slots, now)
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -344,6 +344,7 @@
             book.longest_s,
             now,
             self._former_leader(source),
+            self._authority.quorum_since,
         )
         if known.all_stopped and known.held_s <= 0:
             return _Move.CLEAR
--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -27,6 +27,10 @@
 LEADER_KEY = "leader"
 # A leader without the store for this long is replaced if others reach it.
 STORELESS_S = 1.5
+# After an outage of the store for this VM, too, the leader gets so long to
+# reach it again: twice the longest pause between its tries. Each change of the
+# leader makes moves wait for what the former one may have done.
+LEADER_RETURNS_S = 1.0
 # A leader whose failure domain is cut off isn't replaced by the smaller part,
 # unless it is silent for so long.
 LONG_SILENCE_S = 4.0
@@ -150,8 +154,7 @@
             return True
         if leader.is_heard(now):
             self._silent_since = None
-            report = leader.report
-            return report.is_leaving or report.store_silent_s > STORELESS_S
+            return self._gave_up(leader.report, now)
         if self._silent_since is None:
             # Where VMs are many, one of another domain says nothing here before
             # it leads.
@@ -165,6 +168,13 @@
             return False
         return 2 * heard > len(known) or silent_s > LONG_SILENCE_S
 
+    def _gave_up(self, report: reports.Report, now: float) -> bool:
+        """Whether a leader that is heard can't lead for now."""
+        if report.is_leaving:
+            return True
+        is_just_back = now - self._follower.recovered_at < LEADER_RETURNS_S
+        return report.store_silent_s > STORELESS_S and not is_just_back
+
     async def _take_over(self) -> None:
         me = self._peers.me
         await self._write(LeaderRow(me.node, me.incarnation, _attempt()))
--- a/src/swiftstile/gateway/moves.py
+++ b/src/swiftstile/gateway/moves.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from swiftstile import ids
+from swiftstile.gateway import authority
 from swiftstile.gateway import model
 from swiftstile.gateway import reports
 
@@ -59,6 +60,7 @@
     longest_s: float,
     now: float,
     former: FormerLeader | None = None,
+    quorum_since: float | None = None,
 ) -> Clearance:
     """Combines what all VMs say of one owner's leaving slots.
 
@@ -73,10 +75,13 @@
         longest_s: Longest that one grant can be held.
         now: The time.
         former: Who marked them, if that was another VM.
+        quorum_since: Since when a majority follows this VM, which leads. One
+            that was silent ever since has no right to renew.
     """
     result = Clearance(True, own.held_s, own.open_s)
     for peer in peers:
-        version, stop, longest = marked_version, stopped_at, longest_s
+        version, longest = marked_version, longest_s
+        stop = min(stopped_at, _silenced_at(peer, quorum_since))
         if former is not None and peer.row.node == former.node:
             version = former.version
             stop, longest = former.stopped_at, former.longest_s
@@ -84,9 +89,10 @@
         if hold is None:
             hold = _hold_until(stop + longest, now)
             result.all_stopped &= now > stop
-        elif peer.changed_at + longest_s > now:
+        else:
             # An earlier run of it may have granted up to when it ended.
-            hold = _longer(hold, _hold_until(peer.changed_at + longest_s, now))
+            end = peer.earlier_grants_end_at(longest_s)
+            hold = _longer(hold, _hold_until(end, now))
         if former is not None and not peer.is_heard(now):
             # It may have led itself, before the one that led last.
             hold = _longer(hold, _hold_until(stop + former.longest_s, now))
@@ -95,6 +101,14 @@
     return result
 
 
+def _silenced_at(peer: reports.Peer, quorum_since: float | None) -> float:
+    """Returns when a VM must have stopped as its leader doesn't hear it."""
+    if quorum_since is None:
+        return float("inf")
+    heard_at = max(peer.heard_at, quorum_since)
+    return heard_at + authority.STOPPED_AFTER_S
+
+
 def _hold_until(end: float, now: float) -> reports.Hold:
     left_s = max(0.0, end - now)
     return reports.Hold(left_s, left_s)
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -151,6 +151,7 @@
         self._granted_at: dict[tuple[ids.ServiceName, int, int], float] = {}
         self._losing: set[model.UpstreamId] = set()
         self._tasks: dict[model.UpstreamId, asyncio.Task] = {}
+        self._is_stopped = False
         self.holds_by_service: dict[ids.ServiceName, holds.HoldBook] = {}
         self.unreachable: set[model.UpstreamId] = set()
 
@@ -164,7 +165,29 @@
             for task in self._tasks.values():
                 task.cancel()
 
+    def stop(self, now: float) -> bool:
+        """Grants no more, if others will; whether it stopped.
+
+        Told to the others, it saves a successor the wait for what this run may
+        have granted until its end.
+        """
+        if any(self._able_peers(now).values()):
+            self._is_stopped = True
+            for task in self._tasks.values():
+                task.cancel()
+            self._tasks.clear()
+        return self._is_stopped
+
+    def grants_end_s(self, now: float) -> float | None:
+        """Returns until when its grants may hold; None while it gives any."""
+        if not self._is_stopped:
+            return None
+        books = self.holds_by_service.values()
+        return max((book.all_over_in_s(now) for book in books), default=0.0)
+
     def _share_out(self, now: float) -> None:
+        if self._is_stopped:
+            return
         able = self._able_peers(now)
         wanted = {
             owner
@@ -345,6 +368,10 @@
             PeerTimeoutError: No answer; it may have arrived.
             PeerUnavailableError: Nothing was sent.
         """
+        if self._is_stopped:
+            raise errors.PeerUnavailableError(
+                "this VM grants no more", step="grant keys", peer=target.id
+            )
         count = len(self._maps.by_service[service].slots)
         book = self.holds(service, count)
         book.note_sent(run)
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -103,6 +103,8 @@
         far_heard: VMs of other domains, by domain, as readers there told; told
             to the own domain by readers.
         up_s: How long this run has lived, in seconds.
+        grants_end_s: Seconds until all grants of this run are over, told once
+            it gives no more; None before.
     """
 
     run: str
@@ -124,6 +126,7 @@
     near_heard: int = 0
     far_heard: dict[ids.FailureDomain, int] = {}
     up_s: float = 0.0
+    grants_end_s: float | None = None
 
 
 class Peer:
@@ -133,9 +136,9 @@
         row: Its registration.
         report: Its newest report, or None.
         heard_at: When that came, on the steady clock.
-        changed_at: When its present run began at the latest; it granted
-            nothing by an earlier run after this.
+        changed_at: When its present run began at the latest.
         retired_at: When it was first known to be retired, if it is.
+        hears_us: Whether it heard this VM lately when it sent that report.
         told_of: Upstreams at which it has requests, by its newest report.
     """
 
@@ -144,9 +147,49 @@
         self.report: Report | None = None
         self.heard_at = 0.0
         self.changed_at = now
+        # The latest moment at which a run ended that didn't tell until when its
+        # grants hold, and whether that was the one before the present.
+        self._untold_at = now
+        self._is_untold = True
+        # When the grants of all runs that told so are over.
+        self._told_over_at = float("-inf")
         self.retired_at = now
+        self.hears_us = False
         self.told_of: set[model.UpstreamId] = set()
 
+    def note_run(self, row: NodeRow, now: float) -> None:
+        """Another run of it registered."""
+        told = None if self.report is None else self.report.grants_end_s
+        self._is_untold = told is None
+        if told is None:
+            self._untold_at = now
+        else:
+            end = self.heard_at + told
+            self._told_over_at = max(self._told_over_at, end)
+        self.row = row
+        self.changed_at = now
+        self.report = None
+
+    def note_report(
+        self, report: Report, now: float, hears_us: bool = True
+    ) -> None:
+        """It told something."""
+        self.report = report
+        self.hears_us = hears_us
+        self.heard_at = now
+        began = now - report.up_s
+        self.changed_at = min(self.changed_at, began)
+        if self._is_untold:
+            self._untold_at = min(self._untold_at, began)
+
+    def earlier_grants_end_at(self, longest_s: float) -> float:
+        """Returns when grants of its earlier runs are over at the latest.
+
+        Args:
+            longest_s: Longest that one grant can be held.
+        """
+        return max(self._untold_at + longest_s, self._told_over_at)
+
     @property
     def claims_lead(self) -> bool:
         """Whether it believes to lead, as far as it told."""
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -131,6 +131,7 @@
     made = reports.Peer(row, now=-1000.0)
     made.report = told
     made.heard_at = heard_at
+    made.hears_us = True
     return made
 
 
