--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -317,7 +317,10 @@
     def _send_to(self, peer: reports.Peer, data: bytes, now: float) -> None:
         if peer.row.is_retired and not peer.is_heard(now):
             return
-        word = _HEARD if peer.is_heard(now) else _NOT_HEARD
+        # A retired VM doesn't count as heard until it registers anew: it may
+        # not know yet, and must not act on our word.
+        is_counted = peer.is_heard(now) and not peer.row.is_retired
+        word = _HEARD if is_counted else _NOT_HEARD
         self._transport.sendto(_REPORT + word + data, _address(peer))
 
     def send_permit(self, peer: reports.Peer, data: bytes) -> None:
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -79,6 +79,7 @@
         control: interfaces.UpstreamControl,
         right: authority.PeerAuthority,
         row_bytes: int,
+        started: float,
         meters: metrics.Meters,
     ):
         self._service = service
@@ -96,7 +97,7 @@
         self._authority = right
         self._row_bytes = row_bytes
         self._meters = meters
-        self._started = clocks.monotonic()
+        self._started = started
         self._sources: dict[model.UpstreamId, takeback.Source] = {}
         self._take_back = takeback.TakeBack(
             service, maps, book, renewing, leads, control, right, meters
--- a/src/swiftstile/gateway/moves.py
+++ b/src/swiftstile/gateway/moves.py
@@ -102,11 +102,15 @@
 
 
 def _silenced_at(peer: reports.Peer, quorum_since: float | None) -> float:
-    """Returns when a VM must have stopped as its leader doesn't hear it."""
-    if quorum_since is None:
-        return float("inf")
-    heard_at = max(peer.heard_at, quorum_since)
-    return heard_at + authority.STOPPED_AFTER_S
+    """Returns when a VM must have stopped as no leader counts it as heard."""
+    silent_since = float("inf")
+    if quorum_since is not None:
+        silent_since = max(peer.heard_at, quorum_since)
+    if peer.row.is_retired:
+        # Whoever led when it was retired hadn't heard it for long, and none
+        # that led since counts it.
+        silent_since = min(silent_since, peer.retired_at)
+    return silent_since + authority.STOPPED_AFTER_S
 
 
 def _hold_until(end: float, now: float) -> reports.Hold:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -114,6 +114,8 @@
         self._settings = settings
         self._adapters = adapters
         self._meters = metrics.Meters()
+        # Before this, an earlier run of this VM may have granted.
+        self._started = self._now()
         vm = settings.vm
         self._drain_s = settings_lib.seconds(settings.bounds.drain)
         incarnation = ids.new_incarnation(ids.VmId(vm.id))
@@ -289,6 +291,7 @@
             self._adapters.control,
             self._authority,
             self._settings.store.row_bytes,
+            self._started,
             self._meters,
         )
 
--- a/tests/keeper_parts.py
+++ b/tests/keeper_parts.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import metrics
 from swiftstile.gateway import gossip
@@ -106,6 +107,7 @@
             self.control,
             self.right,
             65536,
+            clocks.monotonic(),
             meters,
         )
 
--- a/tests/unit/test_gateway_keeper.py
+++ b/tests/unit/test_gateway_keeper.py
@@ -156,6 +156,24 @@
     asyncio.run(scenario())
 
 
+def test_a_new_leader_does_not_wait_for_its_own_run_from_when_it_leads(
+    monkeypatch,
+):
+    # Found on trouble-3 of armor-encheres: each VM that led for the first time
+    # counted what an earlier run of its own may have granted from then on.
+    clock = [100.0]
+    monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: clock[0])
+    parts = keeper_parts.Parts()
+    current = parts.start(leaving=(0,))
+    clock[0] = 120.0
+    made = keeper_parts.Parts()
+    made.maps.put(builders.LOOKUPS, current, 120.0)
+    book = parts.renewing.holds(builders.LOOKUPS, slotplan.SLOT_COUNT)
+    # Built when the process started, at 100, and led since 120.
+    assert parts.keeper._own_hold(book, [0], 120.0).held_s == 0.0
+    assert made.keeper._own_hold(book, [0], 120.0).held_s > 5.0
+
+
 def test_slots_that_turn_hot_one_after_the_other_are_placed_apart(monkeypatch):
     parts = keeper_parts.Parts()
     for name in ("u-3", "u-4"):
--- a/tests/unit/test_gateway_keys.py
+++ b/tests/unit/test_gateway_keys.py
@@ -214,6 +214,16 @@
     assert known.held_s == pytest.approx(2.3 + 5.25)
 
 
+def test_a_retired_peer_has_no_right_whoever_leads():
+    row = builders.node_row("vm-2", is_retired=True)
+    peer = builders.peer(row, None, heard_at=0.0)
+    peer.retired_at = 3.0
+    known = _clearance([peer], 10.2, stopped_at=20.0)
+    assert known.all_stopped
+    assert known.held_s == pytest.approx(3.0 + 2.5 + 5.25 - 10.2)
+    assert _clearance([peer], 11.0, stopped_at=20.0).held_s == 0.0
+
+
 def test_what_a_peer_said_runs_down_while_it_is_silent():
     known = _clearance([_told(7, reports.Hold(4.0, 2.0), 10.1)], 13.1)
     assert known.all_stopped
--- a/tests/unit/test_gateway_store.py
+++ b/tests/unit/test_gateway_store.py
@@ -1,6 +1,7 @@
 """Writes with lost answers, followed tables, registrations, leadership."""
 
 import asyncio
+import types
 
 import pytest
 
@@ -390,6 +391,24 @@
     assert heard == [2]
 
 
+@pytest.mark.parametrize(
+    ("heard_at", "is_retired", "word"),
+    [(49.9, False, b"rh"), (48.0, False, b"r-"), (49.9, True, b"r-")],
+)
+def test_a_report_says_whether_its_receiver_is_heard(
+    heard_at, is_retired, word
+):
+    sent = []
+    peers = gossip.Peers(builders.node_row("vm-1"), lambda *_: None)
+    peers._transport = types.SimpleNamespace(
+        sendto=lambda data, address: sent.append(data)
+    )
+    row = builders.node_row("vm-2", is_retired=is_retired)
+    peer = builders.peer(row, builders.report(row), heard_at)
+    peers._send_to(peer, b"...", 50.0)
+    assert [data[:2] for data in sent] == [word]
+
+
 def test_what_queued_up_while_the_process_stood_still_is_not_fresh(monkeypatch):
     heard = []
     clock = _Clock(monkeypatch)
--- /dev/null
+++ b/tools/ablate.py
@@ -0,0 +1,426 @@
+"""Switches mechanisms off one by one and measures what each is worth.
+
+Plays days of a bench on copies of this checkout, each with one mechanism taken
+out by an edit of the source, and writes worths by mechanism, site and seed:
+
+    python tools/ablate.py measure --bench PATH --site A.toml --site B.toml
+    python tools/ablate.py table docs/measures/ablation.json
+    python tools/ablate.py plot docs/measures/ablation.json --out ablation.png
+
+An edit must fit exactly once, so that a mechanism that changed is noticed
+(tests/unit/test_ablate.py). What keeps promises isn't listed: fencing grants,
+waits for holds and conditions of writes are no matter of worth.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import queue
+import shutil
+import statistics
+import subprocess
+import sys
+
+__all__ = ["MECHANISMS", "Edit", "Mechanism", "apply"]
+
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
+_GATEWAY = "src/swiftstile/gateway"
+_BASE = "all on"
+
+
+@dataclasses.dataclass(frozen=True)
+class Edit:
+    """One replacement in a source file, which must fit exactly once."""
+
+    path: str
+    old: str
+    new: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Mechanism:
+    """A mechanism and how it is taken out.
+
+    Attributes:
+        name: Short name, for the table.
+        edits: What takes it out.
+    """
+
+    name: str
+    edits: tuple[Edit, ...] = ()
+
+
+def _off(name: str, module: str, old: str, new: str) -> Mechanism:
+    return Mechanism(name, (Edit(f"{_GATEWAY}/{module}.py", old, new),))
+
+
+MECHANISMS = (
+    Mechanism(_BASE),
+    _off(
+        "requests overlap on a connection",
+        "callers",
+        "MAX_OVERLAPPING = 8",
+        "MAX_OVERLAPPING = 1",
+    ),
+    _off(
+        "permits from one VM an owner",
+        "permits",
+        "            arbiter = None if target is None else"
+        " self._choose(target, now)",
+        "            arbiter = None",
+    ),
+    _off(
+        "returning callers are known",
+        "returns",
+        "        if not fitting:",
+        "        if fitting or not fitting:",
+    ),
+    _off(
+        "lookups wait beyond their objective",
+        "admission",
+        "if waiter.owner is not None and not self._is_crowded(waiter, now):",
+        "if False:",
+    ),
+    _off(
+        "late lookups go to idle slots only",
+        "admission",
+        "if waiter.owner is not None and waiter.is_late(now):",
+        "if False:",
+    ),
+    _off(
+        "late requests after those in time",
+        "admission",
+        "            self.is_late(now),\n            self.route.priority,",
+        "            False,\n            self.route.priority,",
+    ),
+    _off(
+        "starved late requests are refused",
+        "admission",
+        "return waiter.contest in contested and"
+        " self._is_crowded(waiter, now)",
+        "return False",
+    ),
+    _off(
+        "slow only beyond three times the usual",
+        "targets",
+        "OVERDUE = 3.0",
+        "OVERDUE = 1.4",
+    ),
+    _off(
+        "sheds with room return soon",
+        "exchange",
+        "load is not None and load.running < load.slots",
+        "False",
+    ),
+    _off(
+        "cut-off owners are refused at once",
+        "owners",
+        "return self._peers.is_silent(target.upstream.failure_domain, now)",
+        "return False",
+    ),
+    _off(
+        "hot slots move to faster upstreams",
+        "slotplan",
+        "        return list(found)",
+        "        return []",
+    ),
+    _off(
+        "keys beside a hot slot move away",
+        "slotplan",
+        "                left[owner] = max(kept, left[owner] - share *"
+        " weights[owner])",
+        "                left[owner] = max(kept, left[owner])",
+    ),
+    _off(
+        "one slow owner of many is relieved",
+        "keyplan",
+        "OVERLOAD = 0.4",
+        "OVERLOAD = 1e9",
+    ),
+    _off(
+        "shares by measured speed",
+        "slotplan",
+        "return max(1, target.upstream.slots) * speed",
+        "return max(1, target.upstream.slots) * min(1.0, max(1.0, speed))",
+    ),
+    _off(
+        "speeds from all VMs' answers",
+        "speeds",
+        "        self._peers[node] = (samples, now)",
+        "        self._peers.pop(node, None)",
+    ),
+    _off(
+        "counts from other VMs",
+        "targets",
+        "            if now - heard < PEER_COUNT_LIFE_S\n        )\n\n"
+        "    def waiting_elsewhere",
+        "            if now < heard\n        )\n\n    def waiting_elsewhere",
+    ),
+    _off(
+        "home first",
+        "admission",
+        "OTHER_DOMAIN = 0.2",
+        "OTHER_DOMAIN = 0.0",
+    ),
+    _off(
+        "large bodies stay home",
+        "admission",
+        "OTHER_DOMAIN_LARGE = 0.75",
+        "OTHER_DOMAIN_LARGE = 0.2",
+    ),
+    _off(
+        "spread of Retry-After",
+        "admission",
+        "RETRY_SPREAD = 0.4",
+        "RETRY_SPREAD = 0.0",
+    ),
+    _off(
+        "hand-over tokens",
+        "renewals",
+        "                slot.token,\n            )",
+        '                "",\n            )',
+    ),
+    _off(
+        "penalties after failures",
+        "targets",
+        "        self._penalty_until = now + penalty",
+        "        self._penalty_until = now",
+    ),
+    _off(
+        "second sends",
+        "budget",
+        "        return repeats + 1 <= SAFETY * bound",
+        "        return repeats + 1 <= 0 * bound",
+    ),
+    _off(
+        "a successor knows its predecessor's marks",
+        "succession",
+        "        return times[position] + authority.STOPPED_AFTER_S",
+        "        return None",
+    ),
+    _off(
+        "silent VMs aren't waited for",
+        "moves",
+        "        stop = min(stopped_at, _silenced_at(peer, quorum_since))",
+        "        stop = stopped_at",
+    ),
+    _off(
+        "our own table through readers",
+        "readers",
+        "FEW_VMS_FOR_STATE = 2",
+        "FEW_VMS_FOR_STATE = 6",
+    ),
+)
+
+
+def apply(mechanism: Mechanism, root: pathlib.Path) -> None:
+    """Takes a mechanism out of a checkout.
+
+    Raises:
+        ValueError: An edit doesn't fit exactly once.
+    """
+    for edit in mechanism.edits:
+        path = root / edit.path
+        text = path.read_text()
+        if text.count(edit.old) != 1:
+            raise ValueError(
+                f"{mechanism.name}: {text.count(edit.old)} places in"
+                f" {edit.path}, expected 1"
+            )
+        path.write_text(text.replace(edit.old, edit.new))
+
+
+@dataclasses.dataclass(frozen=True)
+class _Play:
+    """One day of one site, with one mechanism taken out."""
+
+    mechanism: Mechanism
+    site: pathlib.Path
+    day: str
+    seed: int
+
+
+class _Workers:
+    """Copies of the checkout, one for each play at a time."""
+
+    def __init__(self, folder: pathlib.Path, count: int):
+        self._free: queue.Queue[pathlib.Path] = queue.Queue()
+        for number in range(count):
+            copy = folder / f"copy-{number}"
+            if copy.exists():
+                shutil.rmtree(copy)
+            subprocess.run(
+                ["git", "clone", "-q", str(_ROOT), str(copy)], check=True
+            )
+            self._free.put(copy)
+
+    def play(self, play: _Play, options) -> dict:
+        """Returns the bench's report of one play."""
+        copy = self._free.get()
+        try:
+            subprocess.run(["git", "checkout", "-q", "."], cwd=copy, check=True)
+            apply(play.mechanism, copy)
+            return _run(play, copy, options)
+        finally:
+            self._free.put(copy)
+
+
+def _run(play: _Play, copy: pathlib.Path, options) -> dict:
+    report = copy / "target" / "report.json"
+    report.parent.mkdir(exist_ok=True)
+    report.unlink(missing_ok=True)
+    command = [
+        options.bench,
+        "run",
+        str(play.site),
+        play.day,
+        "--seed",
+        str(play.seed),
+        "--no-cpu",
+        "--report",
+        str(report),
+        "--why",
+        f"ablation: {play.mechanism.name}, seed {play.seed}",
+    ]
+    if options.until:
+        command += ["--until", str(options.until)]
+    done = subprocess.run(command, cwd=copy, capture_output=True, text=True)
+    if not report.exists():
+        raise RuntimeError(f"{play}: {done.stdout[-500:]}{done.stderr[-500:]}")
+    return json.loads(report.read_text())
+
+
+def _summary(play: _Play, told: dict) -> dict:
+    return {
+        "mechanism": play.mechanism.name,
+        "site": play.site.stem,
+        "day": play.day,
+        "seed": play.seed,
+        "worth": told["G"],
+        "served": told["served"],
+        "broken": sorted(told["breaks"]),
+        "prices": {name: price for name, _, price in told["prices"] if price},
+    }
+
+
+def _measure(options) -> int:
+    chosen = [
+        entry
+        for entry in MECHANISMS
+        if not options.only or entry.name in (_BASE, *options.only)
+    ]
+    plays = [
+        _Play(mechanism, pathlib.Path(site), options.day, seed)
+        for mechanism in chosen
+        for seed in range(
+            options.first_seed, options.first_seed + options.seeds
+        )
+        for site in options.site
+    ]
+    workers = _Workers(pathlib.Path(options.work), options.jobs)
+    results = []
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        futures = {
+            pool.submit(workers.play, play, options): play for play in plays
+        }
+        for future in concurrent.futures.as_completed(futures):
+            play = futures[future]
+            results.append(_summary(play, future.result()))
+            print(json.dumps(results[-1]), flush=True)
+    pathlib.Path(options.out).write_text(json.dumps(results, indent=1) + "\n")
+    return 0
+
+
+def _differences(results: list[dict]) -> dict[str, dict[str, list[float]]]:
+    """Returns what is lost without each mechanism, by site, seed by seed."""
+    by_play = {
+        (entry["mechanism"], entry["site"], entry["seed"]): entry["worth"]
+        for entry in results
+    }
+    found: dict[str, dict[str, list[float]]] = {}
+    for (name, site, seed), worth in sorted(by_play.items()):
+        base = by_play.get((_BASE, site, seed))
+        if name != _BASE and base is not None:
+            sites = found.setdefault(name, {})
+            sites.setdefault(site, []).append(base - worth)
+    return found
+
+
+def _table(options) -> int:
+    results = json.loads(pathlib.Path(options.results).read_text())
+    found = _differences(results)
+    sites = sorted({entry["site"] for entry in results})
+    print("| without | " + " | ".join(sites) + " |")
+    print("|---|" + "---|" * len(sites))
+    for name in sorted(found, key=lambda key: -_mean(found[key])):
+        cells = []
+        for site in sites:
+            lost = found[name].get(site, [])
+            spread = f" ({min(lost):+.3f} to {max(lost):+.3f})" if lost else ""
+            cells.append(
+                f"{statistics.mean(lost):+.3f}{spread}" if lost else "not run"
+            )
+        print(f"| {name} | " + " | ".join(cells) + " |")
+    return 0
+
+
+def _mean(by_site: dict[str, list[float]]) -> float:
+    return statistics.mean(
+        value for values in by_site.values() for value in values
+    )
+
+
+def _plot(options) -> int:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    results = json.loads(pathlib.Path(options.results).read_text())
+    found = _differences(results)
+    names = sorted(found, key=lambda key: _mean(found[key]))
+    sites = sorted({entry["site"] for entry in results})
+    figure, axes = pyplot.subplots(figsize=(9, 0.34 * len(names) + 1.5))
+    for offset, site in enumerate(sites):
+        means = [statistics.mean(found[n].get(site, [0.0])) for n in names]
+        rows = [row + 0.25 * (offset - 1) for row in range(len(names))]
+        axes.barh(rows, means, height=0.24, label=site)
+    axes.set_yticks(range(len(names)), names)
+    axes.axvline(0, color="black", linewidth=0.8)
+    axes.set_xlabel("worth that is lost without it (mean of the seeds)")
+    axes.legend(loc="lower right")
+    figure.tight_layout()
+    figure.savefig(options.out, dpi=110)
+    return 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    verbs = parser.add_subparsers(required=True)
+    measure = verbs.add_parser("measure", help="play and write results")
+    measure.add_argument("--bench", required=True, help="the bench's program")
+    measure.add_argument("--site", action="append", required=True)
+    measure.add_argument("--day", default="scale-1")
+    measure.add_argument("--seeds", type=int, default=3)
+    measure.add_argument("--first-seed", type=int, default=1)
+    measure.add_argument("--until", type=float, default=0, help="seconds")
+    measure.add_argument("--jobs", type=int, default=4)
+    measure.add_argument("--only", action="append", default=[])
+    measure.add_argument("--work", required=True, help="folder for copies")
+    measure.add_argument("--out", required=True)
+    measure.set_defaults(run=_measure)
+    table = verbs.add_parser("table", help="print results as a table")
+    table.add_argument("results")
+    table.set_defaults(run=_table)
+    plot = verbs.add_parser("plot", help="draw results")
+    plot.add_argument("results")
+    plot.add_argument("--out", required=True)
+    plot.set_defaults(run=_plot)
+    return parser
+
+
+if __name__ == "__main__":
+    _options = _parser().parse_args()
+    sys.exit(_options.run(_options))
