Grants count from when they are sent, and an owner out of reach is tried once

Now a grant is counted right before it is sent, and whether it is due is asked then: a slot that was marked, or a right that was lost, while the connection opened is not granted. One failed connection ends a round.

--- a/src/swiftstile/errors.py
+++ b/src/swiftstile/errors.py
@@ -8,6 +8,7 @@
     "OutcomeUnknownError",
     "PeerTimeoutError",
     "PeerUnavailableError",
+    "PeerUnreachableError",
     "PlatformError",
     "PlatformUnavailableError",
     "SettingsError",
@@ -69,5 +70,9 @@
     """A peer couldn't be reached."""
 
 
+class PeerUnreachableError(PeerUnavailableError):
+    """No connection to a peer could be opened."""
+
+
 class PeerTimeoutError(PeerUnavailableError):
     """A peer didn't answer in time."""
--- a/src/swiftstile/gateway/authority.py
+++ b/src/swiftstile/gateway/authority.py
@@ -89,20 +89,27 @@
         if self._leads.is_leader:
             storeless_s = now - self._store_contact_at()
             return self._has_quorum(now) and storeless_s < STORELESS_S
-        leader = self._leader(now)
-        return leader is not None and leader.report.is_able and leader.hears_us
+        return self._able_leader(now) is not None
 
     def may_renew(self, service: ids.ServiceName) -> bool:
         """See base class."""
         now = clocks.monotonic()
-        if not self.is_able(now):
-            return False
         if self._leads.is_leader:
-            return True
+            return self.is_able(now)
+        leader = self._able_leader(now)
+        if leader is None or not self._is_registered():
+            return False
         key_map = self._maps.by_service.get(service)
-        told = self._leader(now).report.versions.get(service)
+        told = leader.report.versions.get(service)
         return key_map is not None and told == key_map.version
 
+    def _able_leader(self, now: float) -> reports.Peer | None:
+        """Returns the leader, if it gives this VM the right to renew."""
+        leader = self._leader(now)
+        if leader is None or not leader.report.is_able or not leader.hears_us:
+            return None
+        return leader
+
     def _leader(self, now: float) -> reports.Peer | None:
         row = self._leads.row
         if row is None:
--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import functools
 import socket
 import struct
 
@@ -90,6 +91,9 @@
         self._payload: aiohttp.StreamReader | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._error: BaseException | None = None
+        # Of the last exchange, while idle, and whether its answer has a body.
+        self._idle_parser: http.HttpResponseParser | None = None
+        self._has_body = True
 
     def connection_made(self, transport) -> None:
         """See base class."""
@@ -159,18 +163,29 @@
         self._heads.clear()
         self.has_answered = False
         self._payload = None
-        self._parser = http.HttpResponseParser(
+        has_body = method != "HEAD"
+        if has_body and self._idle_parser is not None:
+            # It ended with a whole answer. Making one is a fifth of what a
+            # renewal of a grant costs, and there are 200 a second.
+            self._parser = self._idle_parser
+        else:
+            self._parser = self._new_parser(has_body)
+        self._idle_parser = None
+        self._has_body = has_body
+        self.transport.write(data)
+
+    def _new_parser(self, has_body: bool) -> http.HttpResponseParser:
+        return http.HttpResponseParser(
             self,
             self._loop,
             2**16,
             max_line_size=_MAX_HEAD_BYTES,
             max_field_size=_MAX_HEAD_BYTES,
             payload_exception=aiohttp.ClientPayloadError,
-            response_with_body=method != "HEAD",
+            response_with_body=has_body,
             read_until_eof=True,
             auto_decompress=False,
         )
-        self.transport.write(data)
 
     async def send_more(self, data: bytes) -> None:
         """Sends more of a body, waiting for room."""
@@ -205,6 +220,7 @@
         if unsent or self._heads or head.closes or not self.is_usable:
             self.abort()
             return
+        self._idle_parser = self._parser if self._has_body else None
         self._parser = None
         self.idle_since = clocks.monotonic()
         self.idle_s = _keep_alive_s(head.headers)
@@ -218,6 +234,11 @@
             and now - self.idle_since < self.idle_s - IDLE_MARGIN_S
         )
 
+    def expire(self) -> None:
+        """Ends what waits for an answer, as its time is over."""
+        self._fail(TimeoutError("no answer in time"))
+        self.abort()
+
     def abort(self) -> None:
         """Resets the connection: what wasn't delivered yet is lost."""
         self.is_usable = False
@@ -226,7 +247,12 @@
 
 
 def _keep_alive_s(headers) -> float:
-    for part in headers.get("Keep-Alive", "").split(","):
+    return _parse_keep_alive_s(headers.get("Keep-Alive", ""))
+
+
+@functools.lru_cache(maxsize=64)
+def _parse_keep_alive_s(text: str) -> float:
+    for part in text.split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
             return float(value)
@@ -276,7 +302,7 @@
                     lambda: UpstreamConnection(loop, address), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError) as error:
-            raise errors.PeerUnavailableError(
+            raise errors.PeerUnreachableError(
                 repr(error), step="connect", peer=address
             ) from error
         self.opened += 1
--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -66,7 +66,7 @@
         contact_at: When the last call that succeeded was sent; the rows are
             at least as new as that.
         failing_since: When calls began to fail; None while they succeed.
-        recovered_at: When calls last succeeded again after they failed.
+        recovered_at: Since when calls succeed, the first one included.
         is_loaded: Whether the table was read since the start.
     """
 
@@ -245,7 +245,9 @@
         ]
         self._note_version(snapshot.version)
         self._merge(snapshot.rows + removed)
-        self.is_loaded = True
+        if not self.is_loaded:
+            self.is_loaded = True
+            self.recovered_at = clocks.monotonic()
 
     def _merge(self, changes: list[interfaces.Change]) -> None:
         newer = []
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+import collections.abc
 import enum
 
 import msgspec
@@ -133,12 +134,24 @@
         fence: int,
         hold_s: float,
         token: str,
+        on_send: collections.abc.Callable[[], None],
     ) -> GrantResult:
         """Grants or renews keys for `hold_s` seconds from its arrival.
 
+        Args:
+            address: Where the upstream listens.
+            upstream: Its id.
+            keys: The keys.
+            fence: Under which fence.
+            hold_s: For how long.
+            token: Hand-over token; empty if there is none.
+            on_send: Called right before it is sent, once there is a connection.
+                Whatever it raises keeps the grant from being sent.
+
         Raises:
             PeerTimeoutError: No answer. Its connection was reset, so it can't
                 arrive any more, but may have arrived.
+            PeerUnreachableError: There was no connection; nothing was sent.
             PeerUnavailableError: Nothing was sent.
         """
 
--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -356,6 +356,7 @@
         if is_certain:
             return _Move.RELEASE
         if now - source.marked_at > STOP_WAIT_S:
+            source.note_wait(known, owner, len(slots), now)
             return _Move.FENCE_AND_RELEASE
         return _Move.WAITING
 
--- a/src/swiftstile/gateway/moves.py
+++ b/src/swiftstile/gateway/moves.py
@@ -24,11 +24,13 @@
             must have stopped.
         held_s: Until all grants are over, in seconds; may be infinite.
         open_s: Until all unanswered grants are over.
+        waits_for: The VM whose grants hold longest; empty for the own.
     """
 
     all_stopped: bool
     held_s: float
     open_s: float
+    waits_for: str = ""
 
 
 class FormerLeader(msgspec.Struct, frozen=True):
@@ -96,6 +98,8 @@
         if former is not None and not peer.is_heard(now):
             # It may have led itself, before the one that led last.
             hold = _longer(hold, _hold_until(stop + former.longest_s, now))
+        if hold.held_s > result.held_s:
+            result.waits_for = peer.row.node
         result.held_s = max(result.held_s, hold.held_s)
         result.open_s = max(result.open_s, hold.open_s)
     return result
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -9,6 +9,7 @@
 
 import abc
 import asyncio
+import collections.abc
 import functools
 import zlib
 
@@ -117,6 +118,40 @@
         self.marks_by_service[service] = marks
 
 
+class _Sending:
+    """Counts one grant: that it was sent, and what became of it."""
+
+    def __init__(self, book: holds.HoldBook, run: range, hold_s: float):
+        self._book = book
+        self._run = run
+        self._hold_s = hold_s
+        self._is_open = False
+
+    def begin(self) -> None:
+        """It is about to be sent."""
+        self._is_open = True
+        self._book.note_sent(self._run)
+
+    def end_answered(self) -> None:
+        """It was answered."""
+        self._is_open = False
+        now = clocks.monotonic()
+        self._book.note_answered(self._run, now, self._hold_s)
+
+    def end_unsent(self) -> None:
+        """It wasn't sent after all."""
+        if self._is_open:
+            self._is_open = False
+            self._book.note_unsent(self._run)
+
+    def end_lost(self) -> None:
+        """Nothing more comes of it; it may have arrived if it is open."""
+        if self._is_open:
+            self._is_open = False
+            now = clocks.monotonic()
+            self._book.note_lost(self._run, now, self._hold_s)
+
+
 class Authority(abc.ABC):
     """Knows whether grants may be renewed by what this VM knows."""
 
@@ -148,7 +183,11 @@
         self._control = control
         self._authority = authority
         self._meters = meters
-        self._granted_at: dict[tuple[ids.ServiceName, int, int], float] = {}
+        # When a run of slots was last granted, and under which fence, by its
+        # first slot.
+        self._granted: dict[ids.ServiceName, dict[int, tuple[int, float]]] = {}
+        # Until when none of an owner's slots is due, by the map that says so.
+        self._due: dict[model.UpstreamId, tuple[keymap.KeyMap, float]] = {}
         self._losing: set[model.UpstreamId] = set()
         self._tasks: dict[model.UpstreamId, asyncio.Task] = {}
         self._is_stopped = False
@@ -269,15 +308,9 @@
         if self._has_started_again(key_map, owner):
             # Its new life needs a newer fence, which the leader gives it.
             return True
-        due = []
-        for run in key_map.runs_of(owner):
-            at = self._granted_at.get(_name(service, key_map, run), 0.0)
-            if now - at >= RENEW_EVERY_S:
-                due.append((at, run))
-        queue = [run for _, run in sorted(due, key=lambda entry: entry[0])]
+        queue = self._due_runs(service, key_map, owner, now)
         if not queue:
             return True
-        queue.reverse()
         # Orders that get no answer cost nothing but waiting: more at a time.
         is_losing = owner in self._losing
         count = _PARALLEL_LOSING if is_losing else _PARALLEL
@@ -298,16 +331,36 @@
             self._losing.add(owner)
         return any(answers)
 
+    def _due_runs(self, service, key_map, owner, now: float) -> list[range]:
+        """Returns runs of slots to renew, the one granted longest ago last."""
+        known = self._due.get(owner)
+        if known is not None and known[0] is key_map and now < known[1]:
+            return []
+        granted = self._granted.get(service, {})
+        due, earliest = [], now + RENEW_EVERY_S
+        for run in key_map.runs_of(owner):
+            fence, at = granted.get(run.start, (0, 0.0))
+            if fence != key_map.slots[run.start].fence:
+                at = 0.0
+            if now - at >= RENEW_EVERY_S:
+                due.append((at, run))
+            else:
+                earliest = min(earliest, at + RENEW_EVERY_S)
+        if not due:
+            self._due[owner] = key_map, earliest
+        due.sort(key=lambda entry: entry[0], reverse=True)
+        return [run for _, run in due]
+
     async def _grant(self, service, owner, run: range) -> bool:
         key_map = self._maps.by_service[service]
         slot = key_map.slots[run.start]
-        if any(self._is_stale(key_map.slots[i], owner, slot) for i in run):
-            return True
-        if self._has_started_again(key_map, owner):
-            return True
         target = self._book.by_id.get(owner)
         now = clocks.monotonic()
-        if target is None or not self._authority.may_renew(service):
+
+        def is_due() -> bool:
+            return self._is_due(service, owner, run, slot)
+
+        if target is None or not is_due():
             return True
         try:
             result = await self.grant_counted(
@@ -318,17 +371,21 @@
                 slot.fence,
                 HOLD_S,
                 slot.token,
+                is_due,
             )
         except errors.PeerTimeoutError as error:
             self._meters.ownership.add("grant-unanswered")
             logs.logger.debug("grant unanswered", error=str(error))
             return False
         except errors.PeerUnavailableError as error:
+            if not is_due():
+                return True
             self._meters.ownership.add("grant-unsent")
             logs.logger.debug("grant not sent", error=str(error))
             return False
         self._meters.ownership.add(f"grant-{result.value}")
-        self._granted_at[_name(service, key_map, run)] = now
+        granted = self._granted.setdefault(service, {})
+        granted[run.start] = slot.fence, now
         if result is interfaces.GrantResult.REPLACED:
             self._book.mark_replaced(target, now)
             return False
@@ -343,6 +400,15 @@
             )
         return True
 
+    def _is_due(self, service, owner, run: range, first) -> bool:
+        """Whether a run of slots is still its owner's, and ours to renew."""
+        key_map = self._maps.by_service[service]
+        if any(self._is_stale(key_map.slots[i], owner, first) for i in run):
+            return False
+        if self._has_started_again(key_map, owner):
+            return False
+        return self._authority.may_renew(service)
+
     async def grant_counted(
         self,
         service: ids.ServiceName,
@@ -352,6 +418,7 @@
         fence: int,
         hold_s: float,
         token: str,
+        is_due: collections.abc.Callable[[], bool],
     ) -> interfaces.GrantResult:
         """Sends one grant, and counts what its upstream may hold by it.
 
@@ -363,34 +430,42 @@
             fence: Under which fence.
             hold_s: For how long, from its arrival.
             token: Hand-over token; empty if there is none.
+            is_due: Whether it may be sent. Asked right before that, as opening
+                a connection takes time, in which a slot may be marked.
 
         Raises:
             PeerTimeoutError: No answer; it may have arrived.
+            PeerUnreachableError: No connection; nothing was sent.
             PeerUnavailableError: Nothing was sent.
         """
-        if self._is_stopped:
-            raise errors.PeerUnavailableError(
-                "this VM grants no more", step="grant keys", peer=target.id
-            )
         count = len(self._maps.by_service[service].slots)
-        book = self.holds(service, count)
-        book.note_sent(run)
-        is_over = False
+        sending = _Sending(self.holds(service, count), run, hold_s)
+
+        def on_send() -> None:
+            if self._is_stopped or not is_due():
+                raise errors.PeerUnavailableError(
+                    "not due any more", step="grant keys", peer=target.id
+                )
+            sending.begin()
+
         try:
             result = await self._control.grant(
-                target.upstream.address, target.id, keys, fence, hold_s, token
+                target.upstream.address,
+                target.id,
+                keys,
+                fence,
+                hold_s,
+                token,
+                on_send,
             )
-            is_over = True
-            book.note_answered(run, clocks.monotonic(), hold_s)
+            sending.end_answered()
         except errors.PeerTimeoutError:
             raise
         except errors.PeerUnavailableError:
-            is_over = True
-            book.note_unsent(run)
+            sending.end_unsent()
             raise
         finally:
-            if not is_over:
-                book.note_lost(run, clocks.monotonic(), hold_s)
+            sending.end_lost()
         return result
 
     def _has_started_again(self, key_map: keymap.KeyMap, owner) -> bool:
@@ -452,7 +527,3 @@
 def affinity(node: model.NodeId, owner: model.UpstreamId) -> int:
     """Returns how much a VM is preferred for an upstream, alike on all VMs."""
     return zlib.crc32(f"{node}/{owner}".encode())
-
-
-def _name(service, key_map: keymap.KeyMap, run: range):
-    return service, run.start, key_map.slots[run.start].fence
--- a/src/swiftstile/gateway/takeback.py
+++ b/src/swiftstile/gateway/takeback.py
@@ -17,6 +17,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership
 from swiftstile.gateway import model
+from swiftstile.gateway import moves
 from swiftstile.gateway import parallel
 from swiftstile.gateway import renewals
 from swiftstile.gateway import targets
@@ -41,6 +42,12 @@
 _FAILURE_PAUSE_S = 0.2
 
 
+# Between two lines on slots that wait.
+WAIT_LINE_EVERY_S = 1.0
+# An unbounded wait is told as this.
+MOST_TOLD_S = 999.0
+
+
 class Source:
     """An owner whose slots are leaving.
 
@@ -73,6 +80,7 @@
         self._retry_at = 0.0
         self._failures = 0
         self._kept_at = 0.0
+        self._told_at = 0.0
 
     @property
     def is_releasing(self) -> bool:
@@ -100,6 +108,27 @@
         """The slots were granted to their owner once more."""
         self._kept_at = now
 
+    def note_wait(
+        self,
+        known: moves.Clearance,
+        owner: model.UpstreamId,
+        count: int,
+        now: float,
+    ) -> None:
+        """Says now and then what slots that can't be given away wait for."""
+        if now - self._told_at < WAIT_LINE_EVERY_S:
+            return
+        self._told_at = now
+        logs.logger.info(
+            "slots wait",
+            upstream=owner,
+            slots=count,
+            since_s=round(now - self.marked_at, 2),
+            all_stopped=known.all_stopped,
+            held_s=round(min(known.held_s, MOST_TOLD_S), 2),
+            waits_for=known.waits_for,
+        )
+
     def cancel(self) -> None:
         """Ends the release that is under way, if any."""
         if self._release is not None:
@@ -167,6 +196,14 @@
         """Takes the slots in `left` back, the last one first."""
         failed: list[errors.PeerUnavailableError] = []
 
+        def goes_on() -> bool:
+            # All slots are at one address: where it can't be reached for one,
+            # the others would only wait for the same.
+            is_reached = not failed or not isinstance(
+                failed[-1], errors.PeerUnreachableError
+            )
+            return is_reached and len(failed) < _MOST_FAILURES
+
         async def take(index: int) -> None:
             if not self._is_leaving(current, index):
                 return
@@ -177,9 +214,7 @@
             except errors.PeerUnavailableError as error:
                 failed.append(error)
 
-        await parallel.work_off(
-            left, _PARALLEL, take, lambda: len(failed) < _MOST_FAILURES
-        )
+        await parallel.work_off(left, _PARALLEL, take, goes_on)
         if failed:
             source.note_failures(clocks.monotonic())
             self._meters.ownership.add("release-unanswered", len(failed))
@@ -212,10 +247,12 @@
         fence = current.slots[index].fence
         if fences:
             fence = current.next_fence
-            await self._fence_off(target, index, keys, fence)
+            await self._fence_off(current, target, index, keys, fence)
         return await self._control.release(address, target.id, keys, fence)
 
-    async def _fence_off(self, target, index: int, keys, fence: int) -> None:
+    async def _fence_off(
+        self, current, target, index: int, keys, fence: int
+    ) -> None:
         """Grants a slot for a moment, so that older grants are refused."""
         result = await self._renewing.grant_counted(
             self._service,
@@ -225,6 +262,7 @@
             fence,
             FENCING_HOLD_S,
             "",
+            lambda: self._is_leaving(current, index),
         )
         if result is not interfaces.GrantResult.HELD:
             raise errors.PeerUnavailableError(
@@ -275,6 +313,7 @@
                 current.next_fence if source.is_fenced else slot.fence,
                 KEEP_HOLD_S,
                 source.tokens.pop(index, slot.token),
+                lambda: self._is_leaving(current, index),
             )
         except errors.PeerUnavailableError as error:
             self._meters.ownership.add("keep-unanswered")
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -340,12 +340,14 @@
         address = target.upstream.address
         keys = interfaces.KeyRange(16, 31)
         assert (
-            await calls.grant(address, "u-1", keys, 7, 4.0, "warm")
+            await calls.grant(
+                address, "u-1", keys, 7, 4.0, "warm", lambda: None
+            )
             is interfaces.GrantResult.HELD
         )
         assert await calls.release(address, "u-1", keys, 7) == "warm"
         assert (
-            await calls.grant(address, "u-1", keys, 6, 4.0, "")
+            await calls.grant(address, "u-1", keys, 6, 4.0, "", lambda: None)
             is interfaces.GrantResult.FENCED
         )
         assert server.requests[0].endswith(
@@ -379,6 +381,7 @@
                 1,
                 4.0,
                 "",
+                lambda: None,
             )
         async with asyncio.timeout(2):
             await gone.wait()
--- a/tests/keeper_parts.py
+++ b/tests/keeper_parts.py
@@ -28,9 +28,19 @@
         self.kept: list[tuple] = []
         self.releases: list[tuple] = []
         self.during = None
+        # Runs while a connection is being opened, before anything is sent.
+        self.before_send = None
+        self.is_unreachable = False
         self.is_silent = False
 
-    async def grant(self, address, upstream, keys, fence, hold_s, token):
+    async def grant(
+        self, address, upstream, keys, fence, hold_s, token, on_send
+    ):
+        if self.before_send is not None:
+            self.before_send()
+        if self.is_unreachable:
+            raise errors.PeerUnreachableError("refused", step="connect")
+        on_send()
         self.grants.append((upstream, keys.first, fence))
         if hold_s == takeback.KEEP_HOLD_S:
             self.kept.append((upstream, keys.first, fence, token))
@@ -41,6 +51,8 @@
         return interfaces.GrantResult.HELD
 
     async def release(self, address, upstream, keys, fence):
+        if self.is_unreachable:
+            raise errors.PeerUnreachableError("refused", step="connect")
         self.releases.append((upstream, keys.first, fence))
         return "warm"
 
--- a/tests/unit/test_gateway_exclusivity.py
+++ b/tests/unit/test_gateway_exclusivity.py
@@ -337,11 +337,12 @@
 
 
 def test_without_the_leaders_word_that_it_hears_a_vm_they_overlap(monkeypatch):
-    def is_able(self, now):
+    def able_leader(self, now):
         leader = self._leader(now)
-        return leader is not None and leader.report.is_able
+        is_able = leader is not None and leader.report.is_able
+        return leader if is_able else None
 
-    monkeypatch.setattr(authority.PeerAuthority, "is_able", is_able)
+    monkeypatch.setattr(authority.PeerAuthority, "_able_leader", able_leader)
     assert _overlaps(monkeypatch, _Mute) > 0
 
 
--- a/tests/unit/test_gateway_keeper.py
+++ b/tests/unit/test_gateway_keeper.py
@@ -156,6 +156,79 @@
     asyncio.run(scenario())
 
 
+def test_a_grant_is_counted_from_when_it_is_sent():
+    # Found on trouble-3 of armor-encheres: while connections to a lost owner
+    # were being opened its slots counted as held, for seconds after all holds
+    # were over.
+    parts = keeper_parts.Parts()
+    parts.start(leaving=())
+    book = parts.renewing.holds(builders.LOOKUPS, slotplan.SLOT_COUNT)
+    seen = []
+    parts.control.before_send = lambda: seen.append(book.held_for_s([0], 0.0))
+    parts.control.is_unreachable = True
+    asyncio.run(parts.renewing._renew_due(builders.LOOKUPS, "u-1"))
+    assert seen and set(seen) == {0.0}
+    assert book.held_for_s([0], 0.0) == 0.0
+
+
+def test_a_slot_that_is_marked_while_a_connection_opens_is_not_granted():
+    parts = keeper_parts.Parts()
+    current = parts.start(leaving=())
+
+    def mark() -> None:
+        marked = current.mark_leaving(range(slotplan.SLOT_COUNT))
+        marked.version = current.version + 1
+        parts.maps.put(builders.LOOKUPS, marked, 1.0)
+
+    parts.control.before_send = mark
+    asyncio.run(parts.renewing._renew_due(builders.LOOKUPS, "u-1"))
+    assert parts.control.grants == []
+
+
+def test_one_that_lost_its_right_while_a_connection_opens_does_not_grant():
+    parts = keeper_parts.Parts()
+    parts.start(leaving=())
+
+    def lose() -> None:
+        parts.right.may_renew = lambda service: False
+
+    parts.control.before_send = lose
+    asyncio.run(parts.renewing._renew_due(builders.LOOKUPS, "u-1"))
+    assert parts.control.grants == []
+
+
+def test_a_slot_that_was_given_while_a_connection_opens_is_not_fenced_off():
+    parts = keeper_parts.Parts()
+    current = parts.start()
+    parts.control.before_send = lambda: parts.maps.put(
+        builders.LOOKUPS, _given(current), 1.0
+    )
+    parts.release(current)
+    assert parts.control.grants == []
+
+
+def _given(current):
+    given = current.give({}, {0: "u-2", 1: "u-2"})
+    given.version = current.version + 1
+    return given
+
+
+def test_one_slot_of_an_owner_out_of_reach_is_tried_not_all():
+    parts = keeper_parts.Parts()
+    current = parts.start(leaving=range(100))
+    parts.control.is_unreachable = True
+    tries = []
+    parts.control.before_send = lambda: tries.append(1)
+    source = takeback.Source(current.version, 0.0)
+    source.is_fenced = True
+    target = parts.book.by_id["u-1"]
+    run = parts.keeper._take_back.release(
+        current, target, source, list(range(100))
+    )
+    asyncio.run(run)
+    assert 1 <= len(tries) <= 4
+
+
 def test_a_new_leader_does_not_wait_for_its_own_run_from_when_it_leads(
     monkeypatch,
 ):
--- a/tests/unit/test_gateway_leaving.py
+++ b/tests/unit/test_gateway_leaving.py
@@ -30,6 +30,7 @@
         1,
         5.0,
         "",
+        lambda: True,
     )
     asyncio.run(grant)
 
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -179,8 +179,8 @@
     _off(
         "hand-over tokens",
         "renewals",
-        "                slot.token,\n            )",
-        '                "",\n            )',
+        "                slot.token,\n                is_due,",
+        '                "",\n                is_due,',
     ),
     _off(
         "penalties after failures",
