Arbiters have bandwidth, and an end of a request serves its own service's queue

Each begin and each release also walked all waiting requests of all services.

Now arbiters are the VMs with at least half of their domain's largest link, a question is repeated after max(25 ms, 0.08 of the objective) and three times at most, and a release serves only the queue of its contest; begin serves none.

Ruled out: all VMs as arbiters with more repeats (more datagrams on the slow links, not fewer).

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -18,6 +18,7 @@
 __all__ = [
     "Admission",
     "Assignment",
+    "Contest",
     "Overload",
     "OwnerLookup",
     "ServiceTimes",
@@ -64,6 +65,9 @@
 SAMPLE = 2
 _FOREVER = float("inf")
 
+# What requests wait for: any upstream of a service, or the one that owns a key.
+Contest = tuple[ids.ServiceName, model.UpstreamId | None]
+
 
 class Overload(typing.NamedTuple):
     """A refusal: when to come back, and what decided it.
@@ -180,7 +184,7 @@
         return self.arrived + self.route.objective_s
 
     @property
-    def contest(self) -> tuple[ids.ServiceName, model.UpstreamId | None] | None:
+    def contest(self) -> Contest | None:
         """What it waits for: any of a service, or the owner of its key.
 
         None if its key has no owner: nobody overtakes it there.
@@ -228,7 +232,7 @@
         self._waiters: dict[int, Waiter] = {}
         # Since when requests that can be in time have been waiting for the
         # same, without a break.
-        self._contested_since: dict[tuple, float] = {}
+        self._contested_since: dict[Contest, float] = {}
         self._returns = returns.Returns()
         self.vms = 1
 
@@ -271,15 +275,24 @@
             waiter.awaited = None
 
     def pump(
-        self, now: float
+        self, now: float, only: Contest | None = None
     ) -> tuple[list[Assignment], list[tuple[Waiter, Overload]]]:
-        """Returns waiting requests that may be sent, and those to refuse."""
+        """Returns waiting requests that may be sent, and those to refuse.
+
+        Args:
+            now: The time.
+            only: Looks at the requests that wait for this alone; all if left
+                out.
+        """
         assigned, refused = [], []
         # For what requests wait that can be in time.
-        contested: set[tuple] = set()
-        for waiter in sorted(
-            self._waiters.values(), key=lambda entry: entry.rank(now)
-        ):
+        contested: set[Contest] = set()
+        looked_at = [
+            waiter
+            for waiter in self._waiters.values()
+            if only is None or waiter.contest == only
+        ]
+        for waiter in sorted(looked_at, key=lambda entry: entry.rank(now)):
             if waiter.end - now < LEAST_TIME_LEFT * waiter.expected_s:
                 refused.append((waiter, self._turn_away(waiter, now)))
                 continue
@@ -299,10 +312,7 @@
                 contested.add(waiter.contest)
             elif self._is_starved(waiter, contested, now):
                 refused.append((waiter, self._turn_away(waiter, now)))
-        self._contested_since = {
-            contest: self._contested_since.get(contest, now)
-            for contest in contested
-        }
+        self._note_contested(contested, only, now)
         for assignment in assigned:
             assignment.target.own -= 1
         return assigned, refused
@@ -314,13 +324,26 @@
             return False
         return waiter.owner.ready_in_s(now) > waiter.end - now
 
+    def _note_contested(
+        self, contested: set[Contest], only: Contest | None, now: float
+    ) -> None:
+        """Notes since when requests that can be in time wait for the same."""
+        kept = {
+            contest: since
+            for contest, since in self._contested_since.items()
+            if contest in contested or (only is not None and contest != only)
+        }
+        self._contested_since = dict.fromkeys(contested, now) | kept
+
     def _turn_away(self, waiter: Waiter, now: float) -> Overload:
         """Takes a request out of the queue that waited in vain."""
         overload = self._refusal(waiter, 0.0, now - waiter.arrived, now)
         self.leave(waiter)
         return overload
 
-    def _is_starved(self, waiter: Waiter, contested: set, now: float) -> bool:
+    def _is_starved(
+        self, waiter: Waiter, contested: set[Contest], now: float
+    ) -> bool:
         """Whether a late request would wait in vain.
 
         Those that can be in time go first. Where some have been waiting for as
--- a/src/swiftstile/gateway/gate.py
+++ b/src/swiftstile/gateway/gate.py
@@ -47,7 +47,6 @@
             A target, a refusal, or what tells of either later. Whoever doesn't
             wait for that any more calls `give_up`.
         """
-        self.pump()
         now = clocks.monotonic()
         decided = self.decisions.offer(waiter, now)
         if decided is None:
@@ -77,7 +76,8 @@
     def release(self, waiter: admission.Waiter, target: targets.Target) -> None:
         """The request is no longer at the target."""
         target.note_ended(waiter.sequence)
-        self.pump()
+        is_owner = waiter.owner is not None
+        self.pump((waiter.service, target.id if is_owner else None))
 
     def note_report(self) -> None:
         """A peer told how busy targets are by its requests.
@@ -88,12 +88,12 @@
         if self.decisions.vms <= admission.FEW_VMS:
             self.pump()
 
-    def pump(self) -> None:
-        """Gives free slots to those that wait."""
+    def pump(self, only: admission.Contest | None = None) -> None:
+        """Gives free slots to those that wait, for something alone if told."""
         if not self._waiting:
             return
         now = clocks.monotonic()
-        assigned, turned_away = self.decisions.pump(now)
+        assigned, turned_away = self.decisions.pump(now, only)
         for waiter, target in assigned:
             self._count(waiter, target, now)
             self._settle(waiter, target, None)
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -34,12 +34,17 @@
 
 __all__ = ["Arbiter", "Permits"]
 
-# A question without an answer is asked again after this: ten round trips
-# between the users' failure domains.
-ASK_AGAIN_S = 0.025
-# Without an answer for so long the arbiter counts as out of reach. Short, as
-# the request waits meanwhile; a datagram or two may be lost.
-NO_ANSWER_S = 0.06
+# A question without an answer is asked again after this part of its objective,
+# and not before the latter, ten round trips between the users' failure domains.
+# Links of 10 Mbit/s are taken for 50 ms by each large body.
+ASK_AGAIN, LEAST_ASK_AGAIN_S = 0.08, 0.025
+# Without an answer to so many questions the arbiter counts as out of reach.
+# Few, as the request waits meanwhile.
+MOST_ASKED = 3
+# VMs with less than this part of the bandwidth that others of their domain have
+# are no arbiters: with 10 Mbit/s beside 200, each second question went without
+# an answer in time.
+LEAST_BANDWIDTH = 0.5
 # While a request waits at the arbiter it is asked again now and then, as its
 # answer may be lost, or the arbiter gone: first after this, then after twice as
 # long each time, up to the latter. Asked each 0.1 s, lookups that wait for
@@ -231,11 +236,18 @@
         """Returns the arbiter of an upstream; None if this VM decides."""
         me = self._peers.me
         domain = target.upstream.failure_domain
+        peers = self._peers.reachable(domain, now)
+        is_near = domain == me.domain and not self._arbiter.is_leaving()
+        most_mbps = max(
+            [peer.row.link_mbps for peer in peers] + [me.link_mbps] * is_near,
+            default=0.0,
+        )
+        least_mbps = LEAST_BANDWIDTH * most_mbps
         best, best_affinity = None, -1
-        if domain == me.domain and not self._arbiter.is_leaving():
+        if is_near and me.link_mbps >= least_mbps:
             best_affinity = renewals.affinity(me.node, target.id)
-        for peer in self._peers.reachable(domain, now):
-            if self._is_avoided(peer, now):
+        for peer in peers:
+            if peer.row.link_mbps < least_mbps or self._is_avoided(peer, now):
                 continue
             affinity = renewals.affinity(peer.row.node, target.id)
             if affinity > best_affinity:
@@ -287,10 +299,10 @@
 
     async def _hear(self, number, asked, waiter, target, arbiter) -> bool:
         """Asks until anything is heard; whether something was, in time."""
-        end = clocks.monotonic() + NO_ANSWER_S
-        while clocks.monotonic() < end:
+        again_s = max(LEAST_ASK_AGAIN_S, ASK_AGAIN * waiter.route.objective_s)
+        for _ in range(MOST_ASKED):
             self._send_ask(number, waiter, target, arbiter)
-            if await asked.news_within(ASK_AGAIN_S):
+            if await asked.news_within(again_s):
                 return True
         return False
 
