--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -245,16 +245,14 @@
             self._authority.tick(now)
             if now - self._slowness_at >= SLOWNESS_INTERVAL_S:
                 self._slowness_at = now
-                self._compare_speeds(now)
+                ratios = self._speeds.ratios(now)
+                for target in self._book.by_id.values():
+                    target.slowness = ratios.get(
+                        target.id, speeds.UNKNOWN_RATIO
+                    )
             self._gate.decisions.vms = self._peers.circulation.near_heard(now)
             self._budget.set_vms(len(self._peers.by_node) + 1)
 
-    def _compare_speeds(self, now: float) -> None:
-        for group in self._book.by_service.values():
-            slowness = self._speeds.slowness(group.keys(), now)
-            for target in group.values():
-                target.slowness = slowness[target.id]
-
     async def _lead(self) -> None:
         while True:
             await asyncio.sleep(TICK_S / 2)
--- a/src/swiftstile/gateway/slotplan.py
+++ b/src/swiftstile/gateway/slotplan.py
@@ -77,9 +77,9 @@
     def weights(self, now: float) -> Weights:
         """Returns what the upstreams that stay can do."""
         group = self._book.by_service.get(self._service, {})
-        slowness = self._speeds.slowness(group.keys(), now)
+        ratios = self._speeds.compared(group.keys(), now)
         weights = {
-            target.id: _weight(target, slowness[target.id])
+            target.id: _weight(target, ratios[target.id])
             for target in group.values()
             if target.leaving_since is None
         }
@@ -187,7 +187,7 @@
         return {owner: weight / work_s for owner, weight in weights.items()}
 
 
-def _weight(target: targets.Target, slowness: float) -> float:
+def _weight(target: targets.Target, ratio: float) -> float:
     """Returns how much a target can do: its slots over its slowness."""
-    speed = 1.0 / min(max(slowness, 1 / FASTEST_WEIGHT), 1 / SLOWEST_WEIGHT)
+    speed = 1.0 / min(max(ratio, 1 / FASTEST_WEIGHT), 1 / SLOWEST_WEIGHT)
     return max(1, target.upstream.slots) * speed
--- a/src/swiftstile/gateway/speeds.py
+++ b/src/swiftstile/gateway/speeds.py
@@ -5,15 +5,18 @@
 """
 
 from collections import abc
+import statistics
 
 from swiftstile.gateway import model
 
-__all__ = ["Samples", "SpeedBook"]
+__all__ = ["UNKNOWN_RATIO", "Samples", "SpeedBook"]
 
 # An answer counts half after this long: a slow upstream shows within seconds.
 HALF_LIFE_S = 4.0
-# Answers at the others' mean speed that are taken for granted; with less, a few
-# odd requests would move keys.
+# Of an upstream of which nothing is known.
+UNKNOWN_RATIO = 1.0
+# Answers at mean speed that are taken for granted; with less, a few odd
+# requests would move keys.
 PRIOR_COUNT = 4.0
 # Ratios are bounded so that one odd request doesn't outweigh all others.
 LEAST_RATIO, GREATEST_RATIO = 0.2, 12.0
@@ -82,24 +85,36 @@
         most = sorted(told, key=lambda name: told[name][0], reverse=True)
         return {name: told[name] for name in most[:MOST_TOLD]}
 
-    def slowness(
+    def compared(
         self, members: abc.Collection[model.UpstreamId], now: float
     ) -> dict[model.UpstreamId, float]:
-        """Returns the work time of each member over the mean of all of them.
+        """Returns ratios that tell members apart, to place keys by.
 
-        Compared with each other and not with what was expected: where work
-        takes a fifth of that, each that was asked would seem five times as fast
-        as those of which nothing is known, and keys would move to it.
+        All count alike while there are few answers. One of which nothing is
+        known counts as the mean of the others: where work takes a fifth of what
+        is expected, each that was asked would otherwise seem five times as fast
+        as it, and keys would move for no reason.
         """
+        ratios = self.ratios(now)
+        known = {name: ratios[name] for name in members if name in ratios}
+        least = PRIOR_COUNT * len(members)
+        if not known or self._count(known.keys(), now) < least:
+            return dict.fromkeys(members, UNKNOWN_RATIO)
+        mean = statistics.fmean(known.values())
+        return {name: known.get(name, mean) for name in members}
+
+    def _count(
+        self, names: abc.Collection[model.UpstreamId], now: float
+    ) -> float:
+        """Returns the answers of these upstreams that are known of."""
         sums = self._sums(now)
-        known = [sums[name] for name in members if name in sums]
-        count = sum(entry[1] for entry in known)
-        if count < _LEAST_COUNT:
-            return dict.fromkeys(members, 1.0)
-        mean = sum(entry[0] for entry in known) / count
+        return sum(sums[name][1] for name in names)
+
+    def ratios(self, now: float) -> dict[model.UpstreamId, float]:
+        """Returns the ratios of upstreams; others count as `UNKNOWN_RATIO`."""
         return {
-            name: _slowness(*sums.get(name, (0.0, 0.0)), mean)
-            for name in members
+            upstream: (PRIOR_COUNT + total) / (PRIOR_COUNT + count)
+            for upstream, (total, count) in self._sums(now).items()
         }
 
     def _sums(self, now: float) -> dict[model.UpstreamId, tuple[float, float]]:
@@ -120,7 +135,3 @@
                     count + weight,
                 )
         return sums
-
-
-def _slowness(total: float, count: float, mean: float) -> float:
-    return (PRIOR_COUNT * mean + total) / (PRIOR_COUNT + count) / mean
--- a/tools/lost_worth.py
+++ b/tools/lost_worth.py
@@ -125,9 +125,7 @@
 
 def _print_causes(report: dict, losses: Losses) -> None:
     everyone = report["all"]
-    lost = sum(
-        entry["n"] * (1 - entry["worth"]) for entry in report["classes"]
-    )
+    lost = sum(entry["n"] * (1 - entry["worth"]) for entry in report["classes"])
     causes = _shares((1 - LATE_WORTH) * everyone["late"], losses.late)
     causes |= _shares(everyone["refused"], losses.refused)
     failed = _shares(everyone["failed"], losses.failed)
