Arbiters, permit messages and arrivals are modules of their own

Moves alone, no change of behaviour: permits.py held both sides and their wire, callers.py the requests besides the connection.

--- /dev/null
+++ b/src/swiftstile/gateway/arbiter.py
@@ -0,0 +1,220 @@
+"""Hands out the slots of an upstream that owns keys, to all VMs.
+
+The other side of `permits.py`, which tells why one VM decides for all.
+"""
+
+import asyncio
+
+import msgspec
+
+from swiftstile import clocks
+from swiftstile import metrics
+from swiftstile.gateway import admission
+from swiftstile.gateway import gate as gate_lib
+from swiftstile.gateway import gossip
+from swiftstile.gateway import model
+from swiftstile.gateway import permit_messages
+from swiftstile.gateway import reports
+from swiftstile.gateway import targets
+
+__all__ = ["Arbiter"]
+
+# A permit whose end was never told lapses this long after its request's end.
+LAPSE_S = 0.1
+_SWEEP_S = 0.25
+
+
+class _Permit:
+    """What another VM was told of one request.
+
+    Attributes:
+        waiter: The request.
+        target: Where it may be sent, once that is decided.
+        lapses_at: When the permit counts as ended, whoever says nothing.
+    """
+
+    __slots__ = ("lapses_at", "target", "waiter", "waiting")
+
+    def __init__(self, waiter: admission.Waiter):
+        self.waiter = waiter
+        self.target: targets.Target | None = None
+        self.waiting: asyncio.Future | None = None
+        self.lapses_at = waiter.end + LAPSE_S
+
+
+class _Wanted(admission.OwnerLookup):
+    """The upstream that another VM asked for; that VM knows why."""
+
+    def __init__(self, target: targets.Target):
+        self._target = target
+
+    def target(self, now: float) -> targets.Target | None:
+        """See base class."""
+        return self._target
+
+    def ready_in_s(self, now: float) -> float:
+        """See base class."""
+        return 0.0
+
+
+class Arbiter:
+    """Hands out the slots of upstreams to other VMs.
+
+    Args:
+        peers: The other VMs.
+        gate: Decides, for requests of this VM too.
+        book: The upstreams.
+        is_leaving: Returns whether this VM shuts down.
+        meters: Counts permits.
+    """
+
+    def __init__(
+        self,
+        peers: gossip.Peers,
+        gate: gate_lib.Gate,
+        book: targets.TargetBook,
+        is_leaving,
+        meters: metrics.Meters,
+    ):
+        self._peers = peers
+        self._gate = gate
+        self._book = book
+        self.is_leaving = is_leaving
+        self._meters = meters
+        self._permits: dict[tuple[str, int], _Permit] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+
+    async def run(self) -> None:
+        """Ends permits of which nothing is heard any more, until cancelled."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            now = clocks.monotonic()
+            lapsed = [
+                name
+                for name, permit in self._permits.items()
+                if now > permit.lapses_at or self._peers.of_run(name[0]) is None
+            ]
+            for name in lapsed:
+                self._meters.permits.add("lapsed")
+                self._drop(name)
+
+    def decide(self, peer: reports.Peer, ask: permit_messages.Ask) -> None:
+        """Decides on a question, or says again what was decided."""
+        name = (ask.run, ask.number)
+        known = self._permits.get(name)
+        if known is not None:
+            self._tell_state(peer, ask.number, known)
+            return
+        target = self._book.by_id.get(ask.upstream)
+        if target is None or target.is_replaced:
+            # The one that asks knows more of it.
+            self._tell(
+                peer,
+                permit_messages.Decided(
+                    ask.number, permit_messages.Verdict.GRANTED
+                ),
+            )
+            return
+        waiter = _waiter(ask, target, clocks.monotonic())
+        decided = self._gate.begin(waiter)
+        if isinstance(decided, admission.Overload):
+            self._tell_refused(peer, ask.number, decided)
+            return
+        permit = self._permits[name] = _Permit(waiter)
+        if isinstance(decided, targets.Target):
+            permit.target = decided
+        else:
+            permit.waiting = decided
+            decided.add_done_callback(
+                lambda future: self._settle(peer, name, permit, future)
+            )
+        self._tell_state(peer, ask.number, permit)
+
+    def end(self, peer: reports.Peer, number: int) -> None:
+        """A request ended, or doesn't want a slot any more."""
+        self._drop((reports.short_run(peer.row.incarnation), number))
+
+    def _drop(self, name: tuple[str, int]) -> None:
+        permit = self._permits.pop(name, None)
+        if permit is None:
+            return
+        if permit.waiting is not None and permit.target is None:
+            self._gate.give_up(permit.waiter, permit.waiting)
+            permit.waiting.cancel()
+        else:
+            self._gate.release(permit.waiter, permit.target)
+
+    def _settle(self, peer, name, permit: _Permit, future) -> None:
+        """A request that waited got a slot or was refused."""
+        if future.cancelled() or self._permits.get(name) is not permit:
+            return
+        error = future.exception()
+        if error is not None:
+            del self._permits[name]
+            self._tell_refused(peer, name[1], error.overload)
+            return
+        permit.target = future.result()
+        self._tell_state(peer, name[1], permit)
+
+    def _tell_state(self, peer, number: int, permit: _Permit) -> None:
+        if permit.target is None:
+            self._tell(
+                peer,
+                permit_messages.Decided(
+                    number, permit_messages.Verdict.WAITING
+                ),
+            )
+            return
+        occupied = permit.waiter.occupied
+        self._tell(
+            peer,
+            permit_messages.Decided(
+                number, permit_messages.Verdict.GRANTED, occupied
+            ),
+        )
+
+    def _tell_refused(self, peer, number: int, overload) -> None:
+        self._meters.permits.add("refused")
+        self._tell(
+            peer,
+            permit_messages.Decided(
+                number,
+                permit_messages.Verdict.REFUSED,
+                retry_after_ms=permit_messages.milliseconds(
+                    overload.retry_after_s
+                ),
+                wait_ms=permit_messages.milliseconds(overload.wait_s),
+            ),
+        )
+
+    def _tell(
+        self, peer: reports.Peer, decided: permit_messages.Decided
+    ) -> None:
+        self._peers.send_permit(peer, self._encoder.encode(decided))
+
+
+def _waiter(
+    ask: permit_messages.Ask, target: targets.Target, now: float
+) -> admission.Waiter:
+    """Returns a request as another VM described it."""
+    route = model.Route(
+        name="",
+        host="",
+        prefix="",
+        repeatability=model.Repeatability.IDEMPOTENT,
+        timeout_s=(ask.age_ms + ask.left_ms) / 1000,
+        objective_s=ask.objective_ms / 1000,
+        priority=ask.priority,
+        shares=(),
+        max_attempts=1,
+    )
+    return admission.Waiter(
+        route,
+        target.upstream.service,
+        _Wanted(target),
+        now - ask.age_ms / 1000,
+        now + ask.left_ms / 1000,
+        max(1, ask.expected_ms) / 1000,
+        ask.key,
+        None if ask.gives_up_ms is None else now + ask.gives_up_ms / 1000,
+    )
--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -7,10 +7,8 @@
 `aiohttp`; its server connection takes one request at a time.
 """
 
-import abc
 import asyncio
 import collections
-import collections.abc
 
 import aiohttp
 from aiohttp import base_protocol
@@ -23,8 +21,9 @@
 
 from swiftstile import clocks
 from swiftstile import logs
+from swiftstile.gateway import arrivals
 
-__all__ = ["Arrival", "CallerConnection", "Responder"]
+__all__ = ["CallerConnection"]
 
 # Requests of one connection that are worked on at the same time. A browser
 # sends about six; without a bound one caller could take all slots.
@@ -60,105 +59,6 @@
 )
 
 
-class Arrival:
-    """A request as it was read.
-
-    Attributes:
-        request: The request.
-        arrived: When its head was read, on the steady clock.
-    """
-
-    def __init__(
-        self,
-        request: web.BaseRequest,
-        arrived: float,
-        turn: collections.abc.Callable[[], collections.abc.Awaitable[None]],
-    ):
-        self.request = request
-        self.arrived = arrived
-        self._turn = turn
-
-    async def turn(self) -> None:
-        """Returns once all requests ahead of it are answered.
-
-        An answer that is written piece by piece waits for this; all others are
-        written by the connection.
-        """
-        await self._turn()
-
-
-class Responder(abc.ABC):
-    """Answers the requests of callers.
-
-    Attributes:
-        is_leaving: Connections end as soon as what was begun is answered.
-    """
-
-    is_leaving = False
-
-    @abc.abstractmethod
-    async def respond(self, arrival: Arrival) -> web.StreamResponse:
-        """Returns the response to a request, whatever happens."""
-
-    @abc.abstractmethod
-    def respond_malformed(self, error: Exception) -> web.StreamResponse:
-        """Returns the response to what can't be understood."""
-
-    @abc.abstractmethod
-    def may_overlap(self, request: web.BaseRequest) -> bool:
-        """Whether a request may run beside those ahead of it."""
-
-
-class _Unanswered:
-    """A request of a connection that has no answer yet.
-
-    Attributes:
-        request: The request.
-        arrived: When its head was read.
-        payload: Its body.
-        error: Why it can't be understood, if so.
-        is_last: The connection ends with its answer.
-        task: Works on it, if it was begun ahead of its turn.
-    """
-
-    __slots__ = (
-        "_overlaps",
-        "arrived",
-        "error",
-        "is_last",
-        "payload",
-        "request",
-        "task",
-        "turn",
-    )
-
-    def __init__(self, request, payload, arrived: float, error, is_last: bool):
-        self.request = request
-        self.payload = payload
-        self.arrived = arrived
-        self.error = error
-        self.is_last = is_last
-        self.task: asyncio.Task[web.StreamResponse] | None = None
-        self.turn: asyncio.Future[None] | None = None
-        self._overlaps: bool | None = None
-
-    def may_overlap(self, responder: Responder) -> bool:
-        """Whether it may be begun beside those ahead of it."""
-        if self._overlaps is None:
-            self._overlaps = self.error is None and responder.may_overlap(
-                self.request
-            )
-        return self._overlaps
-
-    def held_bytes(self) -> int:
-        """Returns the size of its answer, if that is ready."""
-        task = self.task
-        if task is None or not task.done() or task.cancelled():
-            return 0
-        body = getattr(task.result(), "body", None)
-        return len(body) if isinstance(body, bytes) else 0
-
-
 class CallerConnection(base_protocol.BaseProtocol):
     """One connection of a caller.
 
@@ -176,7 +76,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        responder: Responder,
+        responder: arrivals.Responder,
         connections: set["CallerConnection"],
     ):
         super().__init__(loop)
@@ -192,7 +92,9 @@
             auto_decompress=False,
             max_msg_queue_size=1,
         )
-        self._unanswered: collections.deque[_Unanswered] = collections.deque()
+        self._unanswered: collections.deque[arrivals.Unanswered] = (
+            collections.deque()
+        )
         self._arrival: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._is_full = False
@@ -310,7 +212,9 @@
             self._loop,
         )
         self._unanswered.append(
-            _Unanswered(request, payload, now, error, message.should_close)
+            arrivals.Unanswered(
+                request, payload, now, error, message.should_close
+            )
         )
         if self._arrival is not None and not self._arrival.done():
             self._arrival.set_result(None)
@@ -335,7 +239,9 @@
             if position and pending.task is None:
                 pending.task = self._loop.create_task(self._respond(pending))
 
-    async def _respond(self, pending: _Unanswered) -> web.StreamResponse:
+    async def _respond(
+        self, pending: arrivals.Unanswered
+    ) -> web.StreamResponse:
         if pending.error is not None:
             return self._responder.respond_malformed(pending.error)
 
@@ -344,7 +250,7 @@
                 pending.turn = self._loop.create_future()
                 await pending.turn
 
-        arrival = Arrival(pending.request, pending.arrived, turn)
+        arrival = arrivals.Arrival(pending.request, pending.arrived, turn)
         return await self._responder.respond(arrival)
 
     async def _run(self) -> None:
@@ -364,7 +270,7 @@
             if self.transport is not None:
                 self.transport.close()
 
-    async def _next(self) -> _Unanswered:
+    async def _next(self) -> arrivals.Unanswered:
         while not self._unanswered:
             self._arrival = self._loop.create_future()
             try:
@@ -373,7 +279,7 @@
                 self._arrival = None
         return self._unanswered[0]
 
-    async def _answer(self, pending: _Unanswered) -> None:
+    async def _answer(self, pending: arrivals.Unanswered) -> None:
         if pending.task is not None:
             response = await pending.task
         else:
@@ -385,7 +291,7 @@
         self._is_ending |= not response.keep_alive
         await self._discard_body(pending)
 
-    def _ends_with(self, pending: _Unanswered) -> bool:
+    def _ends_with(self, pending: arrivals.Unanswered) -> bool:
         """Whether an answer is the last one on its connection.
 
         While this VM leaves, all that was begun is answered first: whatever
@@ -398,7 +304,7 @@
         behind = self._unanswered[1] if len(self._unanswered) > 1 else None
         return behind is not None and behind.task is not None
 
-    async def _discard_body(self, pending: _Unanswered) -> None:
+    async def _discard_body(self, pending: arrivals.Unanswered) -> None:
         payload = pending.payload
         if payload.is_eof():
             return
@@ -410,7 +316,7 @@
             logs.logger.debug("rest of a body not read", error=repr(error))
             self._is_ending = True
 
-    def _finish(self, pending: _Unanswered) -> None:
+    def _finish(self, pending: arrivals.Unanswered) -> None:
         self._unanswered.popleft()
         self.last_at = clocks.monotonic()
         if self._unanswered:
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -8,6 +8,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.daemons import inspection
+from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
 from swiftstile.gateway import decisions
@@ -20,7 +21,6 @@
 from swiftstile.gateway import leadership
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
-from swiftstile.gateway import permits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import relay
@@ -57,7 +57,7 @@
         ready_listen: str,
         handler: handler_lib.Handler,
         gate: gate_lib.Gate,
-        arbiter: permits.Arbiter,
+        arbiter: arbiter_lib.Arbiter,
         book: targets.TargetBook,
         maps: renewals.KeyMaps,
         renewing: renewals.Renewals,
--- a/src/swiftstile/gateway/front.py
+++ b/src/swiftstile/gateway/front.py
@@ -10,6 +10,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile import settings as settings_lib
+from swiftstile.gateway import arrivals
 from swiftstile.gateway import callers
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import model
@@ -30,7 +31,7 @@
     message: str
 
 
-class Front(callers.Responder):
+class Front(arrivals.Responder):
     """Serves callers over HTTP.
 
     Attributes:
@@ -104,7 +105,7 @@
         logs.logger.info("malformed request", status=status, error=repr(error))
         return web.Response(status=status, text="malformed request")
 
-    async def respond(self, arrival: callers.Arrival) -> web.StreamResponse:
+    async def respond(self, arrival: arrivals.Arrival) -> web.StreamResponse:
         """See base class."""
         try:
             if self.is_closed:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -10,8 +10,8 @@
 from swiftstile import ids
 from swiftstile import metrics
 from swiftstile.gateway import admission
+from swiftstile.gateway import arrivals
 from swiftstile.gateway import budget
-from swiftstile.gateway import callers
 from swiftstile.gateway import decisions
 from swiftstile.gateway import exchange
 from swiftstile.gateway import follow
@@ -104,7 +104,7 @@
             return False
         return route.repeatability is model.Repeatability.IDEMPOTENT
 
-    async def answer(self, arrival: callers.Arrival) -> web.StreamResponse:
+    async def answer(self, arrival: arrivals.Arrival) -> web.StreamResponse:
         """Returns the response for a caller.
 
         Raises:
--- /dev/null
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -0,0 +1,85 @@
+"""Messages between a VM that wants a slot of an owner and who hands it out.
+
+Datagrams of MessagePack arrays; times are whole milliseconds, so that a
+question takes some 60 bytes.
+"""
+
+import enum
+
+import msgspec
+
+from swiftstile.gateway import model
+
+__all__ = ["Ask", "Decided", "Ended", "Message", "Verdict", "milliseconds"]
+
+
+class Verdict(enum.IntEnum):
+    """What was decided on a question."""
+
+    GRANTED = 0
+    REFUSED = 1
+    WAITING = 2
+
+
+class Ask(msgspec.Struct, array_like=True, tag=1):
+    """Asks for a slot; sent again it is the same question.
+
+    Attributes:
+        run: Short name of the run that asks.
+        number: Names the request among those of that run.
+        upstream: Whose slot.
+        age_ms: How long ago the request came.
+        left_ms: How much longer its answer is of use.
+        expected_ms: Time of an upstream of mean speed for it.
+        objective_ms: Time within which its answer is of full use.
+        priority: Its rank; 0 is the most urgent.
+        key: Its key.
+        gives_up_ms: How much longer its caller waits, if it said.
+        ended: Requests of the same run that ended lately.
+    """
+
+    run: str
+    number: int
+    upstream: model.UpstreamId
+    age_ms: int
+    left_ms: int
+    expected_ms: int
+    objective_ms: int
+    priority: int
+    key: int
+    gives_up_ms: int | None
+    ended: list[int]
+
+
+class Decided(msgspec.Struct, array_like=True, tag=2):
+    """Answers a question.
+
+    Attributes:
+        number: The request.
+        verdict: What was decided.
+        occupied: Other requests at the upstream, when granted.
+        retry_after_ms: When to come back, if refused.
+        wait_ms: How long it would have waited, or did, if refused.
+    """
+
+    number: int
+    verdict: Verdict
+    occupied: int = 0
+    retry_after_ms: int = 0
+    wait_ms: int = 0
+
+
+class Ended(msgspec.Struct, array_like=True, tag=3):
+    """Tells that requests have ended, or don't want a slot any more."""
+
+    run: str
+    ended: list[int]
+
+
+# Any of them, as a datagram of permits holds it.
+Message = Ask | Decided | Ended
+
+
+def milliseconds(seconds: float) -> int:
+    """Returns a time as it stands in messages."""
+    return int(seconds * 1000)
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -14,7 +14,6 @@
 
 import asyncio
 import collections
-import enum
 import itertools
 
 import msgspec
@@ -24,15 +23,17 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import admission
+from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import permit_messages
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
 
-__all__ = ["Arbiter", "Permits"]
+__all__ = ["Permits"]
 
 # A question without an answer is asked again after this part of its objective,
 # and not before the latter, ten round trips between the users' failure domains.
@@ -56,73 +57,6 @@
 # Ends of requests are told again with the next messages to the same arbiter,
 # in case a datagram was lost.
 MOST_ENDED = 4
-# A permit whose end was never told lapses this long after its request's end.
-LAPSE_S = 0.1
-_SWEEP_S = 0.25
-
-
-class _Verdict(enum.IntEnum):
-    GRANTED = 0
-    REFUSED = 1
-    WAITING = 2
-
-
-class _Ask(msgspec.Struct, array_like=True, tag=1):
-    """Asks for a slot; sent again it is the same question.
-
-    Attributes:
-        run: Short name of the run that asks.
-        number: Names the request among those of that run.
-        upstream: Whose slot.
-        age_ms: How long ago the request came.
-        left_ms: How much longer its answer is of use.
-        expected_ms: Time of an upstream of mean speed for it.
-        objective_ms: Time within which its answer is of full use.
-        priority: Its rank; 0 is the most urgent.
-        key: Its key.
-        gives_up_ms: How much longer its caller waits, if it said.
-        ended: Requests of the same run that ended lately.
-    """
-
-    run: str
-    number: int
-    upstream: model.UpstreamId
-    age_ms: int
-    left_ms: int
-    expected_ms: int
-    objective_ms: int
-    priority: int
-    key: int
-    gives_up_ms: int | None
-    ended: list[int]
-
-
-class _Decided(msgspec.Struct, array_like=True, tag=2):
-    """Answers a question.
-
-    Attributes:
-        number: The request.
-        verdict: What was decided.
-        occupied: Other requests at the upstream, when granted.
-        retry_after_ms: When to come back, if refused.
-        wait_ms: How long it would have waited, or did, if refused.
-    """
-
-    number: int
-    verdict: _Verdict
-    occupied: int = 0
-    retry_after_ms: int = 0
-    wait_ms: int = 0
-
-
-class _Ended(msgspec.Struct, array_like=True, tag=3):
-    """Tells that requests have ended, or don't want a slot any more."""
-
-    run: str
-    ended: list[int]
-
-
-_Message = _Ask | _Decided | _Ended
 
 
 class _Asked:
@@ -133,16 +67,19 @@
     """
 
     def __init__(self):
-        self.decided: _Decided | None = None
+        self.decided: permit_messages.Decided | None = None
         self._news = asyncio.Event()
 
     @property
     def is_settled(self) -> bool:
         """Whether it was decided for good."""
         decided = self.decided
-        return decided is not None and decided.verdict is not _Verdict.WAITING
+        return (
+            decided is not None
+            and decided.verdict is not permit_messages.Verdict.WAITING
+        )
 
-    def note(self, decided: _Decided) -> None:
+    def note(self, decided: permit_messages.Decided) -> None:
         """An answer came."""
         self.decided = decided
         self._news.set()
@@ -172,7 +109,7 @@
         self,
         peers: gossip.Peers,
         gate: gate_lib.Gate,
-        arbiter: "Arbiter",
+        arbiter: arbiter_lib.Arbiter,
         meters: metrics.Meters,
     ):
         self._peers = peers
@@ -185,7 +122,7 @@
         self._ended_by_node: dict[model.NodeId, collections.deque[int]] = {}
         self._avoided_until: dict[model.NodeId, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(_Message)
+        self._decoder = msgspec.msgpack.Decoder(permit_messages.Message)
         # The permit of each request that has one from another VM.
         self._number_by_waiter: dict[int, int] = {}
         peers.on_permit = self._receive
@@ -209,7 +146,7 @@
                     return await self._gate.acquire(waiter)
                 # The key has another owner by now.
                 continue
-            if decided.verdict is _Verdict.REFUSED:
+            if decided.verdict is permit_messages.Verdict.REFUSED:
                 raise _refused(decided, target)
             now = clocks.monotonic()
             waiter.occupied = decided.occupied
@@ -259,7 +196,7 @@
         waiter: admission.Waiter,
         target: targets.Target,
         arbiter: reports.Peer,
-    ) -> _Decided | None:
+    ) -> permit_messages.Decided | None:
         """Returns what was decided; None if it has to be asked elsewhere."""
         number = next(self._numbers)
         asked = self._asked[number] = _Asked()
@@ -269,7 +206,10 @@
             decided = await self._await_verdict(
                 number, asked, waiter, target, arbiter
             )
-            if decided is not None and decided.verdict is _Verdict.GRANTED:
+            if (
+                decided is not None
+                and decided.verdict is permit_messages.Verdict.GRANTED
+            ):
                 is_granted = waiter.owner.target(clocks.monotonic()) is target
                 if not is_granted:
                     return None
@@ -282,7 +222,7 @@
 
     async def _await_verdict(
         self, number, asked, waiter, target, arbiter
-    ) -> _Decided | None:
+    ) -> permit_messages.Decided | None:
         pause_s = WAITING_AGAIN_S
         while True:
             if not await self._hear(number, asked, waiter, target, arbiter):
@@ -317,17 +257,19 @@
     def _send_ask(self, number, waiter, target, arbiter) -> None:
         now = clocks.monotonic()
         gives_up_at = waiter.gives_up_at
-        ask = _Ask(
+        ask = permit_messages.Ask(
             reports.short_run(self._peers.me.incarnation),
             number,
             target.id,
-            _ms(now - waiter.arrived),
-            _ms(waiter.end - now),
-            _ms(waiter.expected_s),
-            _ms(waiter.route.objective_s),
+            permit_messages.milliseconds(now - waiter.arrived),
+            permit_messages.milliseconds(waiter.end - now),
+            permit_messages.milliseconds(waiter.expected_s),
+            permit_messages.milliseconds(waiter.route.objective_s),
             waiter.route.priority,
             waiter.key,
-            None if gives_up_at is None else _ms(gives_up_at - now),
+            None
+            if gives_up_at is None
+            else permit_messages.milliseconds(gives_up_at - now),
             list(self._ended_by_node.get(arbiter.row.node, ())),
         )
         self._peers.send_permit(arbiter, self._encoder.encode(ask))
@@ -341,7 +283,7 @@
         )
         ended.append(number)
         run = reports.short_run(self._peers.me.incarnation)
-        message = _Ended(run, list(ended))
+        message = permit_messages.Ended(run, list(ended))
         self._peers.send_permit(arbiter, self._encoder.encode(message))
 
     def _receive(self, data: bytes, sender) -> None:
@@ -353,7 +295,7 @@
             )
             logs.logger.warning("permit message dropped", error=str(problem))
             return
-        if isinstance(message, _Decided):
+        if isinstance(message, permit_messages.Decided):
             asked = self._asked.get(message.number)
             if asked is not None:
                 asked.note(message)
@@ -364,193 +306,14 @@
             return
         for number in message.ended:
             self._arbiter.end(peer, number)
-        if isinstance(message, _Ask):
+        if isinstance(message, permit_messages.Ask):
             self._arbiter.decide(peer, message)
 
 
-class _Permit:
-    """What another VM was told of one request.
-
-    Attributes:
-        waiter: The request.
-        target: Where it may be sent, once that is decided.
-        lapses_at: When the permit counts as ended, whoever says nothing.
-    """
-
-    __slots__ = ("lapses_at", "target", "waiter", "waiting")
-
-    def __init__(self, waiter: admission.Waiter):
-        self.waiter = waiter
-        self.target: targets.Target | None = None
-        self.waiting: asyncio.Future | None = None
-        self.lapses_at = waiter.end + LAPSE_S
-
-
-class _Wanted(admission.OwnerLookup):
-    """The upstream that another VM asked for; that VM knows why."""
-
-    def __init__(self, target: targets.Target):
-        self._target = target
-
-    def target(self, now: float) -> targets.Target | None:
-        """See base class."""
-        return self._target
-
-    def ready_in_s(self, now: float) -> float:
-        """See base class."""
-        return 0.0
-
-
-class Arbiter:
-    """Hands out the slots of upstreams to other VMs.
-
-    Args:
-        peers: The other VMs.
-        gate: Decides, for requests of this VM too.
-        book: The upstreams.
-        is_leaving: Returns whether this VM shuts down.
-        meters: Counts permits.
-    """
-
-    def __init__(
-        self,
-        peers: gossip.Peers,
-        gate: gate_lib.Gate,
-        book: targets.TargetBook,
-        is_leaving,
-        meters: metrics.Meters,
-    ):
-        self._peers = peers
-        self._gate = gate
-        self._book = book
-        self.is_leaving = is_leaving
-        self._meters = meters
-        self._permits: dict[tuple[str, int], _Permit] = {}
-        self._encoder = msgspec.msgpack.Encoder()
-
-    async def run(self) -> None:
-        """Ends permits of which nothing is heard any more, until cancelled."""
-        while True:
-            await asyncio.sleep(_SWEEP_S)
-            now = clocks.monotonic()
-            lapsed = [
-                name
-                for name, permit in self._permits.items()
-                if now > permit.lapses_at or self._peers.of_run(name[0]) is None
-            ]
-            for name in lapsed:
-                self._meters.permits.add("lapsed")
-                self._drop(name)
-
-    def decide(self, peer: reports.Peer, ask: _Ask) -> None:
-        """Decides on a question, or says again what was decided."""
-        name = (ask.run, ask.number)
-        known = self._permits.get(name)
-        if known is not None:
-            self._tell_state(peer, ask.number, known)
-            return
-        target = self._book.by_id.get(ask.upstream)
-        if target is None or target.is_replaced:
-            # The one that asks knows more of it.
-            self._tell(peer, _Decided(ask.number, _Verdict.GRANTED))
-            return
-        waiter = _waiter(ask, target, clocks.monotonic())
-        decided = self._gate.begin(waiter)
-        if isinstance(decided, admission.Overload):
-            self._tell_refused(peer, ask.number, decided)
-            return
-        permit = self._permits[name] = _Permit(waiter)
-        if isinstance(decided, targets.Target):
-            permit.target = decided
-        else:
-            permit.waiting = decided
-            decided.add_done_callback(
-                lambda future: self._settle(peer, name, permit, future)
-            )
-        self._tell_state(peer, ask.number, permit)
-
-    def end(self, peer: reports.Peer, number: int) -> None:
-        """A request ended, or doesn't want a slot any more."""
-        self._drop((reports.short_run(peer.row.incarnation), number))
-
-    def _drop(self, name: tuple[str, int]) -> None:
-        permit = self._permits.pop(name, None)
-        if permit is None:
-            return
-        if permit.waiting is not None and permit.target is None:
-            self._gate.give_up(permit.waiter, permit.waiting)
-            permit.waiting.cancel()
-        else:
-            self._gate.release(permit.waiter, permit.target)
-
-    def _settle(self, peer, name, permit: _Permit, future) -> None:
-        """A request that waited got a slot or was refused."""
-        if future.cancelled() or self._permits.get(name) is not permit:
-            return
-        error = future.exception()
-        if error is not None:
-            del self._permits[name]
-            self._tell_refused(peer, name[1], error.overload)
-            return
-        permit.target = future.result()
-        self._tell_state(peer, name[1], permit)
-
-    def _tell_state(self, peer, number: int, permit: _Permit) -> None:
-        if permit.target is None:
-            self._tell(peer, _Decided(number, _Verdict.WAITING))
-            return
-        occupied = permit.waiter.occupied
-        self._tell(peer, _Decided(number, _Verdict.GRANTED, occupied))
-
-    def _tell_refused(self, peer, number: int, overload) -> None:
-        self._meters.permits.add("refused")
-        self._tell(
-            peer,
-            _Decided(
-                number,
-                _Verdict.REFUSED,
-                retry_after_ms=_ms(overload.retry_after_s),
-                wait_ms=_ms(overload.wait_s),
-            ),
-        )
-
-    def _tell(self, peer: reports.Peer, decided: _Decided) -> None:
-        self._peers.send_permit(peer, self._encoder.encode(decided))
-
-
-def _waiter(ask: _Ask, target: targets.Target, now: float) -> admission.Waiter:
-    """Returns a request as another VM described it."""
-    route = model.Route(
-        name="",
-        host="",
-        prefix="",
-        repeatability=model.Repeatability.IDEMPOTENT,
-        timeout_s=(ask.age_ms + ask.left_ms) / 1000,
-        objective_s=ask.objective_ms / 1000,
-        priority=ask.priority,
-        shares=(),
-        max_attempts=1,
-    )
-    return admission.Waiter(
-        route,
-        target.upstream.service,
-        _Wanted(target),
-        now - ask.age_ms / 1000,
-        now + ask.left_ms / 1000,
-        max(1, ask.expected_ms) / 1000,
-        ask.key,
-        None if ask.gives_up_ms is None else now + ask.gives_up_ms / 1000,
-    )
-
-
 def _refused(
-    decided: _Decided, target: targets.Target
+    decided: permit_messages.Decided, target: targets.Target
 ) -> outcomes.RefusedError:
     overload = admission.Overload(
         decided.retry_after_ms / 1000, decided.wait_ms / 1000, target.id
     )
     return gate_lib.refused(overload)
-
-
-def _ms(seconds: float) -> int:
-    return int(seconds * 1000)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -10,6 +10,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import admission
+from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
 from swiftstile.gateway import connections
@@ -201,7 +202,7 @@
         key_owners = owners.KeyOwners(
             self._maps, self._book, self._heat, self._peers
         )
-        arbiter = permits.Arbiter(
+        arbiter = arbiter_lib.Arbiter(
             self._peers,
             gate,
             self._book,
--- a/tests/integration/test_gateway_callers.py
+++ b/tests/integration/test_gateway_callers.py
@@ -8,13 +8,14 @@
 from hypothesis import strategies as st
 import pytest
 
+from swiftstile.gateway import arrivals
 from swiftstile.gateway import callers
 
 # Long enough that an order that isn't kept shows.
 _SLOW_S = 0.05
 
 
-class _Scripted(callers.Responder):
+class _Scripted(arrivals.Responder):
     """Answers by the path: `/NAME/DELAY_MS/BYTES`, `/x...` on its own only.
 
     Attributes:
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -8,6 +8,7 @@
 from swiftstile import clocks
 from swiftstile import metrics
 from swiftstile.gateway import admission
+from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import outcomes
@@ -74,7 +75,7 @@
         self.is_leaving = False
         self.meters = metrics.Meters()
         self.gate = gate_lib.Gate(admission.Admission(self.book, domain, 2.0))
-        self.arbiter = permits.Arbiter(
+        self.arbiter = arbiter_lib.Arbiter(
             self.peers,
             self.gate,
             self.book,
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -83,6 +83,12 @@
         "if waiter.owner is not None and not self._is_crowded(waiter, now):",
         "if False:",
     ),
+    _off(
+        "late with a reserve, not by the mean work",
+        "admission",
+        "LATE_RESERVE, RESERVED_SLACK = 0.6, 0.5",
+        "LATE_RESERVE, RESERVED_SLACK = 0.0, 0.5",
+    ),
     _off(
         "late lookups go to idle slots only",
         "admission",
