--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -24,6 +24,7 @@
     "control_bytes": ("swiftstile.control.bytes", "By", "direction"),
     "control_messages": ("swiftstile.control.messages", "{message}", "kind"),
     "ownership": ("swiftstile.ownership.changes", "{change}", "kind"),
+    "permits": ("swiftstile.permits", "{permit}", "kind"),
 }
 
 
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -35,6 +35,15 @@
     assert seen[-1] == 2 * metrics.MOST_EARLY - 1
 
 
+def test_every_counter_of_a_process_shows():
+    counters = {
+        name
+        for name, value in vars(metrics.Meters()).items()
+        if isinstance(value, metrics.Counts)
+    }
+    assert counters == set(telemetry._DESCRIPTIONS)
+
+
 def test_a_gateway_starts_without_loading_telemetry():
     # It takes a fifth of a start, in which requests wait.
     code = (
