--- a/src/swiftstile/gateway/succession.py
+++ b/src/swiftstile/gateway/succession.py
@@ -1,12 +1,11 @@
 """What a new leader may conclude from the reports of the one before it.
 
 Slots that are leaving can be given away once nobody renews them any more. A
-leader knows when that is from its own marks; one that takes over knew nothing
-of when its predecessor's were made, and counted from its own beginning: a loss
-of the leader while slots of lost owners waited made them wait for 8 s more. Now
-each VM notes when the leader first told of a version of a map. From then on the
-leader renewed no slot that is marked there, and its followers stopped when its
-older word went stale, whoever led later.
+leader knows when that is from its own marks. One that takes over would have to
+count from its own beginning: slots of lost owners would wait for 8 s more at
+each loss of a leader. So each VM notes when the leader first told of a version
+of a map. From then on the leader renews no slot that is marked there, and its
+followers stop when its older word goes stale, whoever leads later.
 
 It holds only if nothing was missed: the VM heard the very leader that it
 replaces, while that had its right, and it knew the marks before it took over.
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -165,6 +165,29 @@
         self.outcomes.append(outcome)
         return outcome
 
+    async def pipeline(self, gateway: Gateway, count: int) -> None:
+        """Sends reads on one connection at once; answers come in order."""
+        attempts = [uuid.uuid4().hex[:16] for _ in range(count)]
+        heads = [
+            f"GET /read/x HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 3000\r\n"
+            f"X-Shard-Key: {self._random.randrange(users_standins.KEYS)}"
+            "\r\n\r\n"
+            for attempt in attempts
+        ]
+        host, _, port = gateway.front.rpartition(":")
+        try:
+            async with asyncio.timeout(8):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write("".join(heads).encode())
+                for attempt in attempts:
+                    outcome = await _read_answer(reader, attempt)
+                    self.outcomes.append(outcome)
+                writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            # Whatever wasn't answered may have been lost with the VM.
+            return
+
     async def load(self, per_s: float, until: asyncio.Event) -> None:
         """Calls at a steady rate until told to stop."""
         calls = set()
@@ -180,6 +203,17 @@
         return collections.Counter(entry.status for entry in self.outcomes)
 
 
+async def _read_answer(reader, attempt: str) -> Outcome:
+    """Reads one answer of a connection, which should be to this attempt."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    status, *lines = head.rstrip().split("\r\n")
+    pairs = (line.split(":", 1) for line in lines)
+    fields = {name.lower(): value.strip() for name, value in pairs}
+    body = await reader.readexactly(int(fields.get("content-length", "0")))
+    echoed = fields.get("x-attempt-id", attempt)
+    return Outcome(attempt, "GET", int(status.split()[1]), body, echoed)
+
+
 class Site:
     """A store, servers, gateways and callers."""
 
--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -5,8 +5,9 @@
 come in series and overlap: processes are killed, paused, stopped in order and
 started again by signals; connections to servers pass a proxy that delays,
 resets, silences them or cuts one way; the store turns VMs away, loses answers,
-does writes late and drops its history; servers crash, leave, join and leave
-orders unanswered. Checked is what callers and servers see.
+does writes late and drops its history; servers crash, leave, join, start again
+under their id and leave orders unanswered; callers pipeline. Checked is what
+callers and servers see.
 """
 
 import argparse
@@ -91,10 +92,18 @@
 
 
 class Soak:
-    """One seed's faults on one site."""
+    """One seed's faults on one site.
 
-    def __init__(self, site: gateways.Site, seed: int):
+    Args:
+        site: The site.
+        seed: Draws the faults.
+        has_all: Whether all kinds are drawn; otherwise those of the seeds that
+            were played before servers started again and callers pipelined.
+    """
+
+    def __init__(self, site: gateways.Site, seed: int, has_all: bool = True):
         self._site = site
+        self._has_all = has_all
         self._random = random.Random(seed)
         self._undo: set[asyncio.Task] = set()
         self._busy: set[int] = set()
@@ -113,6 +122,8 @@
             self._empty_server,
             self._ignore_orders,
         ]
+        if self._has_all:
+            faults += [self._start_server_again, self._pipeline]
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         while loop.time() < end:
@@ -236,6 +247,22 @@
         await asyncio.sleep(length_s)
         server.late_share = 0.0
 
+    async def _start_server_again(self, length_s: float) -> None:
+        server = self._server()
+        if server is None:
+            return
+        pause_s = min(length_s, 1.0)
+        self._note(f"{server.name} starts again after {pause_s:.1f}")
+        await server.start_again(pause_s)
+
+    async def _pipeline(self, length_s: float) -> None:
+        self._note(f"callers pipeline for {length_s:.1f}")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + length_s
+        while loop.time() < end:
+            gateway = self._random.choice(self._site.gateways)
+            await self._site.callers.pipeline(gateway, 6)
+
 
 class ProxiedSite(gateways.Site):
     """A site whose servers stand behind proxies."""
@@ -253,11 +280,13 @@
         return server
 
 
-async def play(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+async def play(
+    seed: int, seconds: float, folder: pathlib.Path, has_all: bool = True
+) -> list[str]:
     """Plays one seed and returns the promises that were broken."""
     site = ProxiedSite(folder, 4, seed)
     async with site.running():
-        soak = Soak(site, seed)
+        soak = Soak(site, seed, has_all)
         over = asyncio.Event()
         load = asyncio.create_task(site.callers.load(_RATE, over))
         await soak.run(seconds)
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -244,9 +244,12 @@
         self.work_s = work_s
         self.slots = slots
         self.address = ""
+        self._port = 0
         self.is_up = False
         self.is_leaving = False
         self.late_share = 0.0
+        # Which of its lives this is; it remembers nothing of earlier ones.
+        self.life = 1
         self.until = [0.0] * KEYS
         self.seen = [0] * KEYS
         self.running = 0
@@ -264,10 +267,13 @@
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        # One that starts again does so at its address.
+        site = web.TCPSite(
+            self._runner, "127.0.0.1", self._port, reuse_address=True
+        )
         await site.start()
-        port = site._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self._port = site._server.sockets[0].getsockname()[1]
+        self.address = self.address or f"127.0.0.1:{self._port}"
         self.is_up = True
         self.register("ready")
 
@@ -284,9 +290,21 @@
                 "state": state,
                 "cold_remaining": "0ms",
                 "sequence": 1,
+                "born": self.life,
             },
         )
 
+    async def start_again(self, pause_s: float) -> None:
+        """Crashes and starts once more under its id, at its address."""
+        await self.stop()
+        await asyncio.sleep(pause_s)
+        self.life += 1
+        self.until = [0.0] * KEYS
+        self.seen = [0] * KEYS
+        self.running = self.waiting = 0
+        self._working.clear()
+        await self.start()
+
     def unregister(self) -> None:
         self.world.store.remove("servers", self.name)
 
@@ -301,14 +319,14 @@
         arrived = _now()
         if random.random() < self.late_share:
             asyncio.get_running_loop().call_later(
-                random.uniform(0.5, 3.0), self._take, call, arrived
+                random.uniform(0.5, 3.0), self._take, call, arrived, self.life
             )
             await asyncio.sleep(3600)
-        return web.Response(status=self._take(call, arrived))
+        return web.Response(status=self._take(call, arrived, self.life))
 
-    def _take(self, call, arrived: float) -> int:
+    def _take(self, call, arrived: float, life: int) -> int:
         first, last, fence = call["from"], call["to"], call["fence"]
-        if not self.is_up:
+        if not self.is_up or life != self.life:
             return 409
         if any(self.seen[key] > fence for key in range(first, last + 1)):
             return 409
@@ -343,11 +361,12 @@
             return web.Response(status=421, headers=headers)
         if self.waiting >= _QUEUE:
             await asyncio.sleep(3600)
+        life = self.life
         await self._enter()
         try:
             return await self._work(request, headers, key)
         finally:
-            await self._leave(key)
+            await self._leave(key, life)
 
     async def _enter(self) -> None:
         async with self._room:
@@ -358,7 +377,9 @@
                 self.waiting -= 1
             self.running += 1
 
-    async def _leave(self, key: int | None) -> None:
+    async def _leave(self, key: int | None, life: int) -> None:
+        if life != self.life:
+            return
         self.running -= 1
         if key in self._working:
             self._working.remove(key)
