--- a/tests/keyed_load.py
+++ b/tests/keyed_load.py
@@ -9,11 +9,10 @@
 
 import collections
 import dataclasses
-import heapq
-import itertools
 import random
 
 from swiftstile.gateway import admission
+from tests import event_clock
 from tests import gateway_builders as builders
 
 
@@ -103,8 +102,7 @@
     def __init__(self, load: KeyedLoad):
         self._load = load
         self._random = random.Random(load.seed)
-        self._events: list[tuple] = []
-        self._order = itertools.count()
+        self._clock = event_clock.EventClock()
         specs = [
             builders.upstream(
                 f"u-{i}", address=f"127.0.0.1:{9000 + i}", slots=load.slots
@@ -120,30 +118,26 @@
         self._callers: dict[int, _Caller] = {}
         self.result = Result()
 
-    def _at(self, when: float, action, *arguments) -> None:
-        entry = (when, next(self._order), action, arguments)
-        heapq.heappush(self._events, entry)
-
     def play(self) -> Result:
         random.seed(self._load.seed)
-        self._at(0.0, self._arrive)
-        self._at(self._load.hot_from_s, self._arrive_hot)
-        self._at(0.0, self._look)
-        while self._events:
-            now, _, action, arguments = heapq.heappop(self._events)
-            action(now, *arguments)
+        self._clock.at(0.0, self._arrive)
+        self._clock.at(self._load.hot_from_s, self._arrive_hot)
+        self._clock.at(0.0, self._look)
+        self._clock.run()
         return self.result
 
     def _arrive(self, now: float) -> None:
         load = self._load
         if now >= load.length_s:
             return
-        self._at(now + self._random.expovariate(load.per_s), self._arrive)
+        self._clock.at(now + self._random.expovariate(load.per_s), self._arrive)
         owners = list(self._owners)
         weights = load.shares or load.speeds
         owner = self._random.choices(owners, weights)[0]
         key = self._random.randrange(2000)
-        self._at(now + load.way_s, self._ask, self._caller(owner, now, key))
+        self._clock.at(
+            now + load.way_s, self._ask, self._caller(owner, now, key)
+        )
 
     def _caller(self, owner: str, now: float, key: int) -> _Caller:
         # Callers' patience differs by some 15%.
@@ -155,14 +149,16 @@
         if not load.hot_per_s or now >= load.hot_until_s:
             return
         wait_s = self._random.expovariate(load.hot_per_s)
-        self._at(now + wait_s, self._arrive_hot)
+        self._clock.at(now + wait_s, self._arrive_hot)
         owner = next(iter(self._owners))
-        self._at(now + load.way_s, self._ask, self._caller(owner, now, -1))
+        self._clock.at(
+            now + load.way_s, self._ask, self._caller(owner, now, -1)
+        )
 
     def _look(self, now: float) -> None:
         """The regular look at the queue; estimates age."""
         if now < self._load.length_s + self._load.wait_s:
-            self._at(now + 0.02, self._look)
+            self._clock.at(now + 0.02, self._look)
         self._pump(now)
 
     def _ask(self, now: float, caller: _Caller) -> None:
@@ -197,11 +193,11 @@
             return
         caller.returns = 1
         self.result.returned += 1
-        self._at(now + load.way_s + back_s, self._ask, caller)
+        self._clock.at(now + load.way_s + back_s, self._ask, caller)
 
     def _grant(self, now: float, waiter, target) -> None:
         target.note_sent(waiter.sequence, now, waiter.expected_s)
-        self._at(now + 2 * self._load.way_s, self._reach, waiter, target)
+        self._clock.at(now + 2 * self._load.way_s, self._reach, waiter, target)
 
     def _reach(self, now: float, waiter, target) -> None:
         owner = self._owners[target.id]
@@ -215,7 +211,7 @@
             owner.free -= 1
             waiter, target, work_s = owner.queue.popleft()
             end = now + work_s / owner.speed
-            self._at(end, self._finish, owner, waiter, target)
+            self._clock.at(end, self._finish, owner, waiter, target)
 
     def _finish(self, now: float, owner: _Owner, waiter, target) -> None:
         owner.free += 1
@@ -228,7 +224,7 @@
         else:
             self.result.refused += 1
         self._start(now, owner)
-        self._at(now + 2 * self._load.way_s, self._free, waiter, target)
+        self._clock.at(now + 2 * self._load.way_s, self._free, waiter, target)
 
     def _free(self, now: float, waiter, target) -> None:
         target.note_ended(waiter.sequence)
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -7,11 +7,10 @@
 
 import collections
 import dataclasses
-import heapq
-import itertools
 import random
 
 from swiftstile.gateway import admission
+from tests import event_clock
 from tests import gateway_builders as builders
 
 
@@ -90,8 +89,7 @@
     def __init__(self, load: Load):
         self._load = load
         self._random = random.Random(load.seed)
-        self._events: list[tuple] = []
-        self._order = itertools.count()
+        self._clock = event_clock.EventClock()
         speeds = [
             load.speeds[i % len(load.speeds)] for i in range(load.upstreams)
         ]
@@ -108,26 +106,20 @@
         ]
         self.result = Result()
 
-    def _at(self, when: float, action, *arguments) -> None:
-        entry = (when, next(self._order), action, arguments)
-        heapq.heappush(self._events, entry)
-
     def play(self) -> Result:
         random.seed(self._load.seed)
-        self._at(0.0, self._arrive)
+        self._clock.at(0.0, self._arrive)
         for number, vm in enumerate(self._vms):
             offset = self._load.exchange_s * number / len(self._vms)
-            self._at(offset, self._tell, vm)
-        while self._events:
-            now, _, action, arguments = heapq.heappop(self._events)
-            action(now, *arguments)
+            self._clock.at(offset, self._tell, vm)
+        self._clock.run()
         return self.result
 
     def _arrive(self, now: float) -> None:
         load = self._load
         if now >= load.length_s:
             return
-        self._at(now + self._random.expovariate(load.per_s), self._arrive)
+        self._clock.at(now + self._random.expovariate(load.per_s), self._arrive)
         vm = self._random.choice(self._vms)
         waiter = admission.Waiter(
             builders.route(objective_s=load.objective_s),
@@ -157,7 +149,7 @@
             vm, waiter, target, work_s, sent = upstream.queue.popleft()
             self.result.waits.append(now - sent)
             end = now + work_s / upstream.speed
-            self._at(end, self._finish, upstream, vm, waiter, target)
+            self._clock.at(end, self._finish, upstream, vm, waiter, target)
 
     def _finish(self, now: float, upstream, vm, waiter, target) -> None:
         upstream.free += 1
@@ -177,7 +169,7 @@
 
     def _tell(self, now: float, vm) -> None:
         if now < self._load.length_s + 2.0:
-            self._at(now + self._load.exchange_s, self._tell, vm)
+            self._clock.at(now + self._load.exchange_s, self._tell, vm)
         for other in self._vms:
             if other is vm:
                 continue
