One function turns seconds into whole milliseconds, instead of two

handler.py had one and permit_messages.py a second, found in reading the change. No change of behaviour.

--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -180,10 +180,8 @@
             permit_messages.Decided(
                 number,
                 permit_messages.Verdict.REFUSED,
-                retry_after_ms=permit_messages.milliseconds(
-                    overload.retry_after_s
-                ),
-                wait_ms=permit_messages.milliseconds(overload.wait_s),
+                retry_after_ms=clocks.milliseconds(overload.retry_after_s),
+                wait_ms=clocks.milliseconds(overload.wait_s),
             ),
         )
 
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -129,7 +129,7 @@
                     id=inbound.attempt_id,
                     event="abandoned",
                     reason="the caller left",
-                    waited_ms=_ms(clocks.monotonic() - arrived),
+                    waited_ms=clocks.milliseconds(clocks.monotonic() - arrived),
                     key=inbound.key,
                 )
             )
@@ -346,7 +346,7 @@
                 service=waiter.service,
                 upstream=target.id,
                 status=answer.status,
-                waited_ms=_ms(now - waiter.arrived),
+                waited_ms=clocks.milliseconds(now - waiter.arrived),
             )
         )
 
@@ -361,12 +361,12 @@
                 service=waiter.service,
                 upstream=target.id,
                 attempt=progress.sends,
-                waited_ms=_ms(now - waiter.arrived),
-                left_ms=_ms(call.end - now),
+                waited_ms=clocks.milliseconds(now - waiter.arrived),
+                left_ms=clocks.milliseconds(call.end - now),
                 key=call.inbound.key,
                 config=config.version if config else 0,
                 key_map=self._owners.version(waiter.service),
-                store_age_ms=_ms(now - self._store.contact_at),
+                store_age_ms=clocks.milliseconds(now - self._store.contact_at),
                 occupied=target.occupied(now),
                 queued=self._permits.queued,
             )
@@ -384,11 +384,11 @@
                 upstream=error.peer,
                 status=error.status,
                 reason=f"{error.reason}: {error}",
-                waited_ms=_ms(now - arrived),
-                retry_after_ms=_ms(error.retry_after_s or 0),
+                waited_ms=clocks.milliseconds(now - arrived),
+                retry_after_ms=clocks.milliseconds(error.retry_after_s or 0),
                 key=inbound.key,
                 config=self.config.version if self.config else 0,
-                store_age_ms=_ms(now - self._store.contact_at),
+                store_age_ms=clocks.milliseconds(now - self._store.contact_at),
                 occupied=target.occupied(now) if target is not None else 0,
                 queued=self._permits.queued,
             )
@@ -420,10 +420,6 @@
     return waiter.occupied < target.upstream.slots
 
 
-def _ms(seconds: float) -> int:
-    return int(seconds * 1000)
-
-
 async def _rest(pieces: list[bytes], content, limit: int):
     size = 0
     for piece in pieces:
--- a/src/swiftstile/gateway/permit_messages.py
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -10,7 +10,7 @@
 
 from swiftstile.gateway import model
 
-__all__ = ["Ask", "Decided", "Ended", "Message", "Verdict", "milliseconds"]
+__all__ = ["Ask", "Decided", "Ended", "Message", "Verdict"]
 
 
 class Verdict(enum.IntEnum):
@@ -78,8 +78,3 @@
 
 # Any of them, as a datagram of permits holds it.
 Message = Ask | Decided | Ended
-
-
-def milliseconds(seconds: float) -> int:
-    """Returns a time as it stands in messages."""
-    return int(seconds * 1000)
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -261,15 +261,15 @@
             reports.short_run(self._peers.me.incarnation),
             number,
             target.id,
-            permit_messages.milliseconds(now - waiter.arrived),
-            permit_messages.milliseconds(waiter.end - now),
-            permit_messages.milliseconds(waiter.expected_s),
-            permit_messages.milliseconds(waiter.route.objective_s),
+            clocks.milliseconds(now - waiter.arrived),
+            clocks.milliseconds(waiter.end - now),
+            clocks.milliseconds(waiter.expected_s),
+            clocks.milliseconds(waiter.route.objective_s),
             waiter.route.priority,
             waiter.key,
             None
             if gives_up_at is None
-            else permit_messages.milliseconds(gives_up_at - now),
+            else clocks.milliseconds(gives_up_at - now),
             list(self._ended_by_node.get(arbiter.row.node, ())),
         )
         self._peers.send_permit(arbiter, self._encoder.encode(ask))
