--- /dev/null
+++ b/tests/unit/test_progress.py
@@ -0,0 +1,89 @@
+"""Transfers are bounded by silence, not by their whole time."""
+
+import asyncio
+import contextlib
+from unittest import mock
+
+import aiohttp
+from aiohttp import base_protocol
+import pytest
+
+from swiftstile import progress
+
+_SILENT_S = 0.2
+_PIECE = b"x" * 1000
+
+
+def _content() -> aiohttp.StreamReader:
+    loop = asyncio.get_running_loop()
+    protocol = base_protocol.BaseProtocol(loop)
+    protocol.connection_made(mock.Mock())
+    return aiohttp.StreamReader(protocol, 1 << 16, loop=loop)
+
+
+async def _feed(content, pieces: int, pause_s: float, is_whole: bool) -> None:
+    for _ in range(pieces):
+        await asyncio.sleep(pause_s)
+        content.feed_data(_PIECE)
+    if is_whole:
+        content.feed_eof()
+
+
+@contextlib.asynccontextmanager
+async def _fed(pieces: int, pause_s: float, is_whole: bool):
+    content = _content()
+    feeding = asyncio.create_task(_feed(content, pieces, pause_s, is_whole))
+    try:
+        async with asyncio.timeout(5):
+            yield content
+    finally:
+        feeding.cancel()
+
+
+def test_a_body_that_keeps_coming_may_take_longer_than_the_limit():
+    async def scenario():
+        async with _fed(20, _SILENT_S / 10, is_whole=True) as content:
+            body = await progress.read_body(content, _SILENT_S)
+        assert body == _PIECE * 20
+
+    asyncio.run(scenario())
+
+
+def test_a_body_that_stops_is_given_up_and_the_error_says_how_much_came():
+    async def scenario():
+        async with _fed(3, 0.01, is_whole=False) as content:
+            with pytest.raises(TimeoutError, match="3000 bytes"):
+                await progress.read_body(content, _SILENT_S)
+
+    asyncio.run(scenario())
+
+
+def test_a_body_that_never_begins_is_given_up():
+    async def scenario():
+        async with _fed(0, 0.01, is_whole=False) as content:
+            with pytest.raises(TimeoutError, match="after 0 bytes"):
+                await progress.read_body(content, _SILENT_S)
+
+    asyncio.run(scenario())
+
+
+def test_an_empty_body_is_read():
+    async def scenario():
+        async with _fed(0, 0.01, is_whole=True) as content:
+            assert await progress.read_body(content, _SILENT_S) == b""
+
+    asyncio.run(scenario())
+
+
+def test_a_connection_that_breaks_is_told_of():
+    async def scenario():
+        async with _fed(1, 0.01, is_whole=False) as content:
+            reading = asyncio.create_task(
+                progress.read_body(content, _SILENT_S)
+            )
+            await asyncio.sleep(0.05)
+            content.set_exception(aiohttp.ClientPayloadError("cut off"))
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await reading
+
+    asyncio.run(scenario())
