--- a/tests/integration/test_narrow_links.py
+++ b/tests/integration/test_narrow_links.py
@@ -3,6 +3,16 @@
 What users saw: minutes of the day in which proper requests were answered 404
 by some VMs, though the operator had added their route 10 s before and all other
 VMs served it.
+
+Order of events: the operator's configuration grew to 340 kB; the store refused
+some VMs; those on links of 5 Mbit/s asked the store and peers again and again
+and stayed on the configuration that they had.
+
+Cause: the time limit of a call to the store was one for its whole answer. A
+first call had up to a second more, but after a failure each had 0.7 s, and the
+answer needs 0.72 s on such a link that carries nothing else. Evidence: VMs that
+the store served, too, were late, their links were full all the time, and calls
+ended with most of the answer received.
 """
 
 import asyncio
