A test that fails: a leader reads large configurations over its own link

Suspected after the incident, not seen: a leader with 5 Mbit/s follows the operator's table itself, 0.72 s for each version of 340 kB, and the store hands over every version that it missed.

--- /dev/null
+++ b/tests/unit/test_gateway_wiring.py
@@ -0,0 +1,61 @@
+"""Which parts the composition root ties together."""
+
+import types
+
+import pytest
+
+from swiftstile import clocks
+from swiftstile import gateway_wiring
+from swiftstile.gateway import reports
+from swiftstile.gateway import settings
+from tests import gateway_builders as builders
+
+_NEAR_VMS = 20
+
+
+def _daemon():
+    """Returns the daemon of the VM with the least bandwidth of a domain."""
+    made = settings.GatewaySettings(
+        vm=settings.NodeSettings(
+            "vm-50", builders.HOME, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
+        ),
+        store=settings.StoreSettings("127.0.0.1:4"),
+    )
+    table = builders.MemoryTable()
+    adapters = gateway_wiring.Adapters(
+        table, table, table, None, None, "config", None, None
+    )
+    lines = types.SimpleNamespace(vm="")
+    return gateway_wiring.gateway(made, adapters, lines)
+
+
+def _lead(daemon) -> None:
+    """Makes the VM believe that it leads, and hear its domain's readers."""
+    row = daemon._node
+    daemon._leads.row = types.SimpleNamespace(
+        node=row.node, incarnation=row.incarnation
+    )
+    words = {name: reports.TableWord(1, 0.1) for name in daemon._followers}
+    for number in range(10, 10 + _NEAR_VMS):
+        peer = builders.node_row(f"vm-{number}", link_mbps=100.0)
+        told = builders.report(peer, tables=words)
+        daemon._peers.by_node[peer.node] = builders.peer(
+            peer, told, clocks.monotonic()
+        )
+    for follower in daemon._followers.values():
+        follower.is_loaded = True
+
+
+@pytest.mark.parametrize(
+    ("table", "is_led"),
+    [("operations", True), ("registrations", False), ("state", False)],
+)
+def test_a_leader_follows_itself_only_what_it_plans_by(table, is_led):
+    # A leader on a narrow link read each large configuration from the store,
+    # several at once when they followed each other closely; its domain's
+    # readers hand it over compressed, and only the newest.
+    daemon = _daemon()
+    _lead(daemon)
+    assert daemon._leads.is_leader
+    follower = daemon._followers[table]
+    assert follower.is_led(clocks.monotonic()) is is_led
