A leader takes the configuration from its domain's readers, like other VMs

Cause: a leader followed all tables of the store itself. It plans by registrations and our own table; the configuration it only needs for its own requests, and on a narrow link one version takes 0.72 s, several that follow each other as many times that. Change: the operator's table has no exception for the leader.

--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -195,7 +195,9 @@
             "operations",
             adapters.operations,
             self._apply_operations,
-            store_readers=self._readers,
+            # Not planned by, so a leader takes it from readers like others: it
+            # may be large, and a leader's link narrow.
+            store_readers=readers.StoreReaders(self._peers, lambda: False),
             reader_watch_s=readers.READER_WATCH_S,
             outage=self._outage,
         )
