Tests that fail: a VM that lacks news answers 404, and takes its rows for new

What users saw: routes that exist were answered 404, which is final for a caller, by VMs whose configuration was up to 9.5 s old. One test starts three gateways, has the store turn them away, adds a route and asks each for it; the other has a peer tell of a row that doesn't come, and looks at the age that the follower claims.

--- /dev/null
+++ b/tests/integration/test_gateway_stale.py
@@ -0,0 +1,63 @@
+"""A gateway that may lack news says so, instead of "there is no such route".
+
+What users saw: routes that the operator had added seconds before were answered
+404 by some VMs and served by others. 404 is final: callers didn't try again.
+"""
+
+import asyncio
+
+from tests.integration import gateways
+from tests.integration import users_standins
+
+_NEW_ROUTE = users_standins.plain_route("/new/", "unsafe")
+_PATH = "/new/x"
+
+
+async def _lose_the_store(site) -> None:
+    """Waits until every gateway's calls for the operator's table fail."""
+
+    async def is_lost() -> bool:
+        return all(
+            any(
+                '"event":"table lost"' in line and '"operations"' in line
+                for line in gateway.log.read_text().splitlines()
+            )
+            for gateway in site.gateways
+        )
+
+    for gateway in site.gateways:
+        site.store.mode_by_door[gateway.number] = "busy"
+    # A change ends the calls that wait for one.
+    site.store.put("op", "other", {})
+    await site.until(is_lost, 10)
+
+
+async def _statuses(site, path: str) -> list[int]:
+    return [
+        (await site.callers.call(path, gateway=gateway)).status
+        for gateway in site.gateways
+    ]
+
+
+async def _until_all(site, path: str, status: int) -> None:
+    async def is_told() -> bool:
+        return await _statuses(site, path) == [status] * len(site.gateways)
+
+    await site.until(is_told, 5)
+
+
+def test_a_route_that_was_added_during_an_outage_is_not_denied(tmp_path):
+    async def scenario(site):
+        assert await _statuses(site, _PATH) == [404] * 3
+        await _lose_the_store(site)
+        site.store.put("op", "config", users_standins.config(5, _NEW_ROUTE))
+        assert await _statuses(site, _PATH) == [503] * 3
+        # What was known before is served.
+        assert await _statuses(site, "/read/x") == [200] * 3
+        site.store.mode_by_door.clear()
+
+        await _until_all(site, _PATH, 200)
+        # Rows may come from a peer before the store answers again.
+        await _until_all(site, "/nowhere/x", 404)
+
+    asyncio.run(gateways.Site(tmp_path, 3).play(scenario))
--- a/tests/unit/test_gateway_readers.py
+++ b/tests/unit/test_gateway_readers.py
@@ -202,6 +202,19 @@
     asyncio.run(scenario())
 
 
+def test_rows_are_not_as_new_as_a_readers_word_while_some_are_missing():
+    led = _follower(lambda _: None, _AlwaysLed())
+    led.accept(_snapshot(2, ("x", b"1", 2)), True)
+    led._note_led(100.0)
+    before = led.contact_at
+    led.note_told(8, 100.1)
+    led._note_led(100.2)
+    assert led.contact_at == before
+    led.accept(_snapshot(8, ("x", b"2", 8)), False)
+    led._note_led(100.4)
+    assert led.contact_at == pytest.approx(before + 0.4)
+
+
 def test_a_led_vm_does_not_ask_the_store():
     async def scenario():
         table = builders.MemoryTable()
