Rows aren't as new as a reader's word while a told row is missing

Cause: while peers tell of a table, its follower took the age of their word for that of its own rows, whether or not it had the rows they told of. Change: while a told row is missing, contact_at stays. It is read for our own table only: by a leader, which follows the store itself, and by the lines of requests (store_age_ms).

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -175,16 +175,20 @@
         since = self._behind_since
         return since is not None and now - since > BEHIND_S
 
+    def _is_behind(self) -> bool:
+        """Whether a peer told of a row that isn't here."""
+        return self._told_version > self.version
+
     def note_told(self, version: int, now: float) -> None:
         """A peer told that there is a row of a version."""
         self._told_version = max(self._told_version, version)
-        if self._told_version > self.version and self._behind_since is None:
+        if self._is_behind() and self._behind_since is None:
             self._behind_since = now
 
     def _note_version(self, version: int) -> None:
         self.version = max(self.version, version)
         since = self._behind_since
-        if since is None or self.version < self._told_version:
+        if since is None or self._is_behind():
             return
         self._behind_since = None
         behind_s = clocks.monotonic() - since
@@ -203,9 +207,10 @@
         return reports.TableWord(self.row_version, age_s)
 
     def _note_led(self, now: float) -> None:
-        # A reader's word is no older than this.
-        age_s = self._reader_watch_s + readers.WORD_MARGIN_S
-        self.contact_at = max(self.contact_at, now - age_s)
+        if not self._is_behind():
+            # A reader's word is no older than this.
+            age_s = self._reader_watch_s + readers.WORD_MARGIN_S
+            self.contact_at = max(self.contact_at, now - age_s)
         self._note_recovery(now)
 
     def accept(self, snapshot: interfaces.Snapshot, is_whole: bool) -> None:
--- a/tests/unit/test_gateway_readers.py
+++ b/tests/unit/test_gateway_readers.py
@@ -203,6 +203,10 @@
 
 
 def test_rows_are_not_as_new_as_a_readers_word_while_some_are_missing():
+    # Users saw routes denied by VMs whose configuration was seconds old. A peer
+    # told such a VM of a newer row, the row didn't come, and the age of its
+    # rows was told as that of the peer's word. Evidence: a follower on its own
+    # that was told of version 8 and had 2 claimed an age of 4.4 s at any time.
     led = _follower(lambda _: None, _AlwaysLed())
     led.accept(_snapshot(2, ("x", b"1", 2)), True)
     led._note_led(100.0)
