Tests that fail: the platform's large answers don't come over narrow links

A scan, an object, the VM list and the upload of an object, 600 kB or more each, over a link of 5 Mbit/s with a time-out of 0.5 s. Two more guard the mend: an answer that never begins, and one that stops, are given up.

--- /dev/null
+++ b/tests/integration/test_platform_transfers.py
@@ -0,0 +1,177 @@
+"""What the platform keeps comes over narrow links, however large it is."""
+
+import asyncio
+import contextlib
+import os
+
+import aiohttp
+from aiohttp import web
+import msgspec
+import pytest
+
+from standins import platform
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile import metrics
+from swiftstile.provider import base
+from swiftstile.provider import http as provider_http
+from tests.integration import narrow_link
+
+_TIMEOUT_S = 0.5
+# Takes about twice the time-out over the narrowest link.
+_SIZE_BYTES = 600_000
+_SLOW_READ_BYTES = 8192
+
+
+@contextlib.asynccontextmanager
+async def _platform():
+    """Yields the address of a platform and a narrow link to it."""
+    app = platform.PlatformStandin(seed=1).app()
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    address = f"127.0.0.1:{port}"
+    async with narrow_link.NarrowLink(address) as link:
+        yield address, link
+    await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def _open(kind, address: str, path: str = ""):
+    """Yields a client of one of the platform's services."""
+    client = kind(f"http://{address}{path}", _TIMEOUT_S, metrics.Meters())
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+async def _write_rows(address: str) -> list[base.Row]:
+    rows = [
+        base.Row(f"row/{number}", os.urandom(_SIZE_BYTES // 10), 1)
+        for number in range(10)
+    ]
+    async with _open(provider_http.HttpTable, address) as near:
+        writes = [base.Write(row.key, base.ABSENT, row.value) for row in rows]
+        await near.transact(writes, ids.new_attempt_id())
+    return rows
+
+
+def test_many_rows_are_scanned_over_a_narrow_link():
+    async def scenario():
+        async with _platform() as (address, link):
+            rows = await _write_rows(address)
+            async with _open(provider_http.HttpTable, link.address) as far:
+                assert await far.scan("row/") == rows
+
+    asyncio.run(scenario())
+
+
+def test_a_large_object_comes_over_a_narrow_link():
+    async def scenario():
+        body = os.urandom(_SIZE_BYTES)
+        async with _platform() as (address, link):
+            async with _open(provider_http.HttpObjectStore, address) as near:
+                await near.put("large", body)
+            kind = provider_http.HttpObjectStore
+            async with _open(kind, link.address) as far:
+                assert await far.get("large") == body
+
+    asyncio.run(scenario())
+
+
+def _many_vms() -> list[base.Vm]:
+    return [
+        base.Vm(
+            ids.VmId(f"vm-{number}-{os.urandom(40).hex()}"),
+            base.VmKind.ENTRY,
+            ids.FailureDomain("a"),
+            control_address="10.0.0.1:81",
+            organisations=(ids.OrganisationId("tiny"),),
+        )
+        for number in range(3000)
+    ]
+
+
+def test_a_long_vm_list_comes_over_a_narrow_link():
+    async def scenario():
+        listed = _many_vms()
+        async with _platform() as (address, link):
+            async with aiohttp.ClientSession() as session:
+                url = f"http://{address}/view/a/vms"
+                body = msgspec.json.encode(listed)
+                async with session.put(url, data=body) as answer:
+                    assert answer.status == 200
+            kind = provider_http.HttpVmList
+            async with _open(kind, link.address, "/view/a") as far:
+                assert await far.fetch() == listed
+
+    asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def _slow_reader():
+    """Yields the address of a store that reads at a narrow link's pace."""
+
+    async def accept(reader, writer) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        fields = dict(
+            line.lower().split(b": ", 1)
+            for line in head.split(b"\r\n")[1:]
+            if line
+        )
+        left = int(fields[b"content-length"])
+        while left > 0:
+            piece = await reader.read(min(left, _SLOW_READ_BYTES))
+            if not piece:
+                writer.close()
+                return
+            left -= len(piece)
+            pause_s = _SLOW_READ_BYTES / narrow_link.NARROW_BYTES_PER_S
+            await asyncio.sleep(pause_s)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        await writer.drain()
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"127.0.0.1:{port}"
+    finally:
+        server.close()
+
+
+def test_a_large_object_is_stored_over_a_narrow_link():
+    async def scenario():
+        async with _slow_reader() as address:
+            kind = provider_http.HttpObjectStore
+            async with _open(kind, address) as far:
+                await far.put("large", os.urandom(_SIZE_BYTES))
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_that_stops_on_its_way_is_given_up():
+    async def scenario():
+        async with _platform() as (address, link):
+            await _write_rows(address)
+            link.stop_after = 200_000
+            async with _open(provider_http.HttpTable, link.address) as far:
+                async with asyncio.timeout(_TIMEOUT_S + 1):
+                    with pytest.raises(errors.PlatformUnavailableError):
+                        await far.scan("row/")
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_that_never_begins_is_given_up_in_time():
+    async def scenario():
+        async with _platform() as (_, link):
+            link.stop_after = 0
+            async with _open(provider_http.HttpTable, link.address) as far:
+                async with asyncio.timeout(_TIMEOUT_S + 0.3):
+                    with pytest.raises(errors.PlatformUnavailableError):
+                        await far.read("row/0")
+
+    asyncio.run(scenario())
