The platform's answers are bounded by silence, not by their size

Cause: `timeout_s` (2 s) bounded a whole exchange, connection, upload and answer, so that over 1.25 MB never came over 5 Mbit/s, less where daemons share the link, and each try began at the first byte. Change: an answer has to begin within `timeout_s`, besides the time that an upload takes at a tenth of the narrowest link, and may not be silent for longer; 60 s in all.

--- a/src/swiftstile/provider/http.py
+++ b/src/swiftstile/provider/http.py
@@ -1,17 +1,25 @@
 """The platform over HTTP: adapters for table, object store and VM list."""
 
+import asyncio
+
 import aiohttp
 import msgspec
 
 from swiftstile import errors
 from swiftstile import ids
 from swiftstile import metrics
+from swiftstile import progress
 from swiftstile.provider import base
 
 __all__ = ["HttpObjectStore", "HttpTable", "HttpVmList", "TransactBody"]
 
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.InvalidURL)
 _ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+# No request goes on for longer, whatever its size.
+_LONGEST_S = 60.0
+# An upload may be as slow as a tenth of the narrowest link. What the system
+# took from us isn't sent yet, so silence says nothing before the answer.
+_LEAST_UPLOAD_BYTES_PER_S = 62_500
 
 
 class WriteBody(msgspec.Struct):
@@ -38,6 +46,14 @@
 
 
 class _Client:
+    """Sends requests.
+
+    Args:
+        url: Where to.
+        timeout_s: Longest silence: until an answer begins, besides what the
+            upload of a body takes, and between its bytes.
+        meters: Counts bytes.
+    """
 
     def __init__(self, url: str, timeout_s: float, meters: metrics.Meters):
         self._url = url.rstrip("/")
@@ -49,12 +65,17 @@
 
     async def request(self, method, path, step, **options):
         """Returns (status, body); raises PlatformUnavailableError."""
+        sent = len(options.get("data", b""))
+        begins_s = self._timeout_s + sent / _LEAST_UPLOAD_BYTES_PER_S
         try:
-            async with self._opened().request(
-                method, self._url + path, **options
-            ) as response:
-                body = await response.read()
-                sent = len(options.get("data", b""))
+            async with asyncio.timeout(begins_s):
+                response = await self._opened().request(
+                    method, self._url + path, **options
+                )
+            async with response:
+                body = await progress.read_body(
+                    response.content, self._timeout_s
+                )
                 self._meters.count_http("platform", response, sent)
                 self.etag = response.headers.get("ETag")
                 return response.status, body
@@ -66,7 +87,7 @@
     def _opened(self) -> aiohttp.ClientSession:
         # Opened late: a session belongs to the loop that is running.
         if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+            timeout = aiohttp.ClientTimeout(total=_LONGEST_S)
             self._session = aiohttp.ClientSession(
                 timeout=timeout,
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
--- a/src/swiftstile/settings.py
+++ b/src/swiftstile/settings.py
@@ -35,7 +35,7 @@
         table_url: Base URL of the table service.
         objects_url: Base URL of the object store.
         vms_url: Base URL of the VM list.
-        timeout_s: Longest wait for one answer, in seconds.
+        timeout_s: Longest silence of a service that was asked, in seconds.
         poll_interval_s: Between two looks at bundles and VMs, in seconds.
     """
 
