A test that fails: a question given up breaks the answers beside it

A link brings a row of 500 kB over 5 Mbit/s; a ping on the same link waits 0.1 s, is given up, and the row's question ends with ConnectionReset. Two more guard the mend: after a lost answer there is a new connection, and a closed link frees all of its own.

--- /dev/null
+++ b/tests/integration/test_links.py
@@ -0,0 +1,106 @@
+"""Control links: questions beside each other, and documents that are large."""
+
+import asyncio
+import contextlib
+import os
+
+import pytest
+
+from swiftstile import errors
+from swiftstile import ids
+from swiftstile import metrics
+from swiftstile.peers import links
+from swiftstile.peers import messages
+from tests.integration import gateways
+from tests.integration import narrow_link
+
+_LARGE_BYTES = 500_000
+_PARALLEL = 4
+_SENDER = ids.Incarnation("vm#1")
+
+
+class _Answerer(links.ControlHandler):
+    """Answers pings at once, and questions for rows with one large row."""
+
+    def __init__(self, size: int):
+        row = messages.Row("config", os.urandom(size), 1)
+        self.rows = messages.Rows([row], 1)
+        self.pings = 0
+
+    async def handle(self, message: messages.Message) -> messages.Message:
+        if isinstance(message, messages.Ping):
+            self.pings += 1
+            return messages.Pong(ids.VmId("vm"), _SENDER, True)
+        return self.rows
+
+
+@contextlib.asynccontextmanager
+async def _answered(size: int = _LARGE_BYTES):
+    """Yields an answerer, a link to it, and the narrow link between them."""
+    meters = metrics.Meters()
+    address = f"127.0.0.1:{gateways.free_port('127.0.0.1')}"
+    answerer = _Answerer(size)
+    server = links.ControlServer(address, answerer, meters, _PARALLEL)
+    serving = asyncio.create_task(server.run())
+    calls = links.Links(meters)
+    try:
+        async with narrow_link.NarrowLink(address) as narrow:
+            yield answerer, calls.to(narrow.address), narrow
+    finally:
+        calls.close()
+        serving.cancel()
+        await asyncio.wait([serving])
+
+
+async def _ping(link: links.Link, timeout_s: float) -> messages.Pong:
+    return await link.call(messages.Ping(_SENDER), messages.Pong, timeout_s)
+
+
+async def _ask_rows(link: links.Link, timeout_s: float) -> messages.Rows:
+    question = messages.AskRows("op", 0)
+    return await link.call(question, messages.Rows, timeout_s)
+
+
+def test_a_question_that_is_given_up_does_not_break_those_beside_it():
+    async def scenario():
+        async with _answered() as (answerer, link, narrow):
+            await _ping(link, 1)
+            asking = asyncio.create_task(_ask_rows(link, 5))
+            await asyncio.sleep(0.1)
+            # Its answer comes behind the large one.
+            with pytest.raises(errors.PeerTimeoutError):
+                await _ping(link, 0.1)
+            assert await asking == answerer.rows
+            # Nothing was sent twice.
+            assert narrow.passed < 1.1 * _LARGE_BYTES
+
+    asyncio.run(scenario())
+
+
+def test_after_a_lost_answer_the_next_question_has_a_new_connection():
+    async def scenario():
+        async with _answered() as (_, link, narrow):
+            await _ping(link, 1)
+            narrow.stop_after = 0
+            with pytest.raises(errors.PeerTimeoutError):
+                await _ping(link, 0.1)
+            narrow.stop_after = None
+            await _ping(link, 1)
+
+    asyncio.run(scenario())
+
+
+def test_a_link_that_is_closed_frees_its_connections_and_opens_another():
+    async def scenario():
+        async with _answered() as (_, link, _narrow):
+            asking = asyncio.create_task(_ask_rows(link, 5))
+            await asyncio.sleep(0.1)
+            with pytest.raises(errors.PeerTimeoutError):
+                await _ping(link, 0.05)
+            link.close()
+            async with asyncio.timeout(1):
+                with pytest.raises(errors.PeerTimeoutError):
+                    await asking
+            await _ping(link, 1)
+
+    asyncio.run(scenario())
