A question given up ends itself, not those beside it on the link

Cause: `Link.call` closed the link's one connection when an answer was late. Other answers under way on it were lost and asked for again from their first byte; on a narrow link the small question behind a large answer did so each time. Change: no new question begins on that connection; it is closed when the last one that runs on it has ended. An address that is no longer listed still closes all at once.

--- a/src/swiftstile/peers/links.py
+++ b/src/swiftstile/peers/links.py
@@ -21,13 +21,23 @@
 T = typing.TypeVar("T")
 
 
+class _Connection:
+    """One connection of a link, and how many calls run on it."""
+
+    def __init__(self, socket: pynng.Req0):
+        self.socket = socket
+        self.calls = 0
+
+
 class Link:
     """A link to one peer. Calls may run at the same time."""
 
     def __init__(self, address: str, meters: metrics.Meters):
         self._address = address
         self._meters = meters
-        self._socket: pynng.Req0 | None = None
+        # For the next call; others only end what was begun on them.
+        self._connection: _Connection | None = None
+        self._open: set[_Connection] = set()
 
     async def call(
         self,
@@ -38,16 +48,15 @@
         """Sends a message and returns the answer.
 
         Raises:
-            PeerTimeoutError: No answer in time. The connection is given up,
-                as something between may have lost track of it.
+            PeerTimeoutError: No answer in time. No other call begins on that
+                connection, as something between may have lost track of it;
+                those that run on it go on.
             ControlMessageError: An answer of another kind.
         """
         step = f"call {type(message).__name__}"
         try:
-            async with asyncio.timeout(timeout_s):
-                data = await self._exchange(messages.CODEC.encode(message))
+            data = await self._ask(messages.CODEC.encode(message), timeout_s)
         except (TimeoutError, pynng.NNGException) as error:
-            self.close()
             raise errors.PeerTimeoutError(
                 repr(error), step=step, peer=self._address
             ) from error
@@ -58,12 +67,35 @@
             )
         return answer
 
-    async def _exchange(self, data: bytes) -> bytes:
-        if self._socket is None:
-            self._socket = self._dial()
+    async def _ask(self, data: bytes, timeout_s: float) -> bytes:
+        connection = self._connected()
+        connection.calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(connection, data)
+        except (TimeoutError, pynng.NNGException):
+            if self._connection is connection:
+                self._connection = None
+            raise
+        finally:
+            connection.calls -= 1
+            self._close_unused(connection)
+
+    def _connected(self) -> _Connection:
+        if self._connection is None:
+            self._connection = _Connection(self._dial())
+            self._open.add(self._connection)
+        return self._connection
+
+    def _close_unused(self, connection: _Connection) -> None:
+        if connection is not self._connection and not connection.calls:
+            _close_quietly(connection.socket)
+            self._open.discard(connection)
+
+    async def _exchange(self, connection: _Connection, data: bytes) -> bytes:
         self._meters.control_bytes.add("peer-sent", len(data))
         self._meters.control_messages.add("peer")
-        context = self._socket.new_context()
+        context = connection.socket.new_context()
         try:
             await context.asend(data)
             answer = await context.arecv()
@@ -81,10 +113,11 @@
         return socket
 
     def close(self) -> None:
-        """Closes the connection; the next call opens another."""
-        if self._socket is not None:
-            _close_quietly(self._socket)
-            self._socket = None
+        """Closes all connections; the next call opens another."""
+        for connection in self._open:
+            _close_quietly(connection.socket)
+        self._open.clear()
+        self._connection = None
 
 
 class Links:
