--- /dev/null
+++ b/tests/integration/test_standing_still.py
@@ -0,0 +1,46 @@
+"""Transfers of a process that stood still."""
+
+import asyncio
+import socket
+import threading
+import time
+
+import aiohttp
+
+from swiftstile import progress
+
+_SILENT_S = 0.2
+
+
+def test_bytes_that_came_while_the_process_stood_still_count():
+    # The sender pauses 50 ms at most; the reader's process gets no processor
+    # for 0.3 s in between.
+    listener = socket.create_server(("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+
+    def send():
+        connection, _ = listener.accept()
+        connection.recv(65536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n")
+        for _ in range(20):
+            connection.sendall(b"x" * 1000)
+            time.sleep(0.05)
+        connection.close()
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        url = f"http://127.0.0.1:{port}/"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as answer,
+        ):
+            loop.call_later(0.22, time.sleep, 0.3)
+            body = await progress.read_body(answer.content, _SILENT_S)
+        assert len(body) == 20_000
+
+    sender = threading.Thread(target=send, daemon=True)
+    sender.start()
+    try:
+        asyncio.run(scenario())
+    finally:
+        listener.close()
--- /dev/null
+++ b/tests/unit/test_gateway_rows_guards.py
@@ -0,0 +1,136 @@
+"""Rows that peers ask for: what they get, and what doesn't hold them up."""
+
+import asyncio
+import json
+import os
+
+import pytest
+
+from swiftstile import metrics
+from swiftstile.gateway import follow
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import relay
+from swiftstile.gateway import transfers
+from swiftstile.peers import messages
+from tests import gateway_builders as builders
+from tests.unit import test_gateway_readers as shared
+
+_NAMES = ("operations", "registrations")
+
+
+def _follower(name: str, version: int, *rows) -> follow.TableFollower:
+    made = follow.TableFollower(
+        name,
+        builders.MemoryTable(),
+        lambda _: None,
+        store_readers=shared._AlwaysLed(),
+    )
+    changes = [interfaces.Change(key, value, at) for key, value, at in rows]
+    made.accept(interfaces.Snapshot(changes, version), True)
+    return made
+
+
+def _relay(followers, peers=None, link=None) -> relay.RowRelay:
+    table = {follower.name: follower for follower in followers}
+    return relay.RowRelay(
+        table, peers or shared._peers(20), link, [], metrics.Meters()
+    )
+
+
+def _ask(server: relay.RowRelay, version: int) -> messages.Rows:
+    question = messages.AskRows("operations", version)
+    first = asyncio.run(server.handle(question))
+    return transfers.IncomingRows(first).rows()
+
+
+def test_who_knows_less_gets_more_of_the_same_version():
+    reader = _follower("operations", 3, ("a", b"1", 2))
+    change = interfaces.Change("b", b"1", 5)
+    reader.accept(interfaces.Snapshot([change], 9), False)
+    server = _relay([reader])
+    assert [row.key for row in _ask(server, 5).rows] == []
+    assert [row.key for row in _ask(server, 4).rows] == ["b"]
+    assert [row.key for row in _ask(server, 1).rows] == ["a", "b"]
+
+
+def test_an_answer_that_was_kept_is_not_given_once_there_is_a_newer_version():
+    reader = _follower("operations", 3, ("a", b"1", 2))
+    server = _relay([reader])
+    assert _ask(server, 1).version == 3
+    change = interfaces.Change("a", b"2", 5)
+    reader.accept(interfaces.Snapshot([change], 9), False)
+    assert _ask(server, 1).version == 9
+
+
+def test_a_configuration_of_many_routes_is_two_pieces_at_most():
+    routes = [
+        {
+            "entry_type": "routes",
+            "metadata": {"name": f"route-{number}"},
+            "spec": {
+                "host": "jepu9.example",
+                "prefix": f"/{os.urandom(5).hex()}/",
+                "kind": "safe",
+                "service": "benchmark-svc",
+                "timeout": "1200ms",
+                "max_attempts": 3,
+            },
+        }
+        for number in range(1500)
+    ]
+    value = json.dumps({"resources": routes}).encode()
+    assert len(value) > 250_000
+    server = _relay([_follower("operations", 3, ("config", value, 2))])
+    first = asyncio.run(server.handle(messages.AskRows("operations", 1)))
+    assert first.size <= 2 * transfers.PIECE_BYTES
+
+
+class _Link:
+    """A link to a peer that never answers about one table.
+
+    Attributes:
+        asked: Names of the tables that it was asked for.
+    """
+
+    def __init__(self, silent: str):
+        self._silent = silent
+        self.asked = []
+
+    def to(self, address):
+        return self
+
+    async def call(self, message, expected, timeout_s):
+        self.asked.append(message.table)
+        if message.table == self._silent:
+            await asyncio.get_running_loop().create_future()
+        rows = messages.Rows([], 0)
+        return transfers.OutgoingRows().begin((), lambda: rows, 0.0)
+
+
+@pytest.mark.parametrize("silent", _NAMES)
+def test_a_table_that_does_not_come_holds_up_no_other(monkeypatch, silent):
+    monkeypatch.setattr(relay, "INTERVAL_S", 0.02)
+    monkeypatch.setattr(relay.RowRelay, "_choose", lambda *_: "127.0.0.1:1")
+    link = _Link(silent)
+    followers = [_follower(name, 3) for name in _NAMES]
+    for follower in followers:
+        follower.failing_since = -1000.0
+
+    async def scenario():
+        asking = asyncio.create_task(_relay(followers, link=link).run())
+        await asyncio.sleep(0.3)
+        asking.cancel()
+
+    asyncio.run(scenario())
+    other = next(name for name in _NAMES if name != silent)
+    assert link.asked.count(silent) == 1
+    assert link.asked.count(other) > 2
+
+
+def test_each_piece_that_comes_keeps_the_store_unasked(monkeypatch):
+    noted = []
+    monkeypatch.setattr(
+        follow.TableFollower, "note_progress", lambda _, now: noted.append(now)
+    )
+    shared._ask_losing()
+    assert len(noted) >= 4
