An answer of the store that a peer's rows overtook is passed over

Cause: rows from a peer and an answer of the store under way were merged by row; a row that the peer's version had without was taken from the older answer, and stayed. A whole read that was overtaken counted as a failure of the store. Change: an answer as of an older version than what is known says nothing new.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -138,14 +138,18 @@
 
     async def _step(self) -> None:
         if not self.is_loaded:
-            self._replace(await self._table.read_all())
+            await self._read_all()
             return
         changes = await self._table.wait_for_changes(
             self.version, self._watch_s()
         )
         if changes is None:
             logs.logger.info("history dropped, reading all", table=self.name)
-            self._replace(await self._table.read_all())
+            await self._read_all()
+            return
+        if changes.version < self.version:
+            # A peer's rows were quicker. They include these, and the removal
+            # of some of them.
             return
         self._merge(changes.rows)
         self._note_version(changes.version)
@@ -153,6 +157,14 @@
             # What changes in the meantime comes with the next call.
             await asyncio.sleep(self._pause_after_change_s())
 
+    async def _read_all(self) -> None:
+        asked_at = self.version
+        snapshot = await self._table.read_all()
+        if self.is_loaded and asked_at <= snapshot.version < self.version:
+            # A peer's rows were quicker, and the store's answer wasn't stale.
+            return
+        self._replace(snapshot)
+
     def _longest_pause_s(self) -> float:
         chosen = self._readers
         longest_s = LONGEST_PAUSE_OF_MANY_S
