A VM that the store refuses asks the peer that tells of newer rows

Cause: only VMs that rely on their readers asked a peer as soon as it told of newer rows; one that was left behind once and then refused by the store asked some peer each 0.4 s. Change: a VM whose calls fail asks at once, too.

--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -85,7 +85,8 @@
             if follower is None or told.version <= follower.version:
                 continue
             follower.note_told(told.version, now)
-            if follower.is_led(now):
+            # Also where the store fails: this peer has what is missing.
+            if follower.is_led(now) or follower.failing_since is not None:
                 self._begin_asking(peer.row.address, follower)
 
     @property
