Peers that tell of newer rows are asked before others

Cause: a VM that the store refuses asked the peers of its domain by turns, most of which rely on the same readers and may know no more; each wrong one cost 0.4 s. Change: those that told of a newer row of the table come first.

--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -82,7 +82,7 @@
         """Asks a near peer for rows if it just told of newer ones."""
         for name, told in peer.report.tables.items():
             follower = self._followers.get(name)
-            if follower is None or told.version <= follower.version:
+            if follower is None or not _tells_newer(peer, follower):
                 continue
             follower.note_told(told.version, now)
             # Also where the store fails: this peer has what is missing.
@@ -110,26 +110,25 @@
         while True:
             await asyncio.sleep(INTERVAL_S)
             now = clocks.monotonic()
-            silent = [
-                follower
-                for follower in self._followers.values()
-                if follower.silent_s(now) > SILENT_S
-            ]
-            address = self._choose(now) if silent else None
-            if address is None:
-                continue
             # Each on its own: a large table doesn't hold up the others.
-            for follower in silent:
-                self._begin_asking(address, follower)
-
-    def _choose(self, now: float) -> str | None:
+            for follower in self._followers.values():
+                if follower.silent_s(now) <= SILENT_S:
+                    continue
+                address = self._choose(follower, now)
+                if address is not None:
+                    self._begin_asking(address, follower)
+
+    def _choose(self, follower: follow.TableFollower, now: float) -> str | None:
+        """Returns the address of a peer to ask, each in its turn."""
         served = [
             peer
             for peer in self._peers.heard(now)
             if peer.report.store_silent_s == 0
         ]
         near = [p for p in served if p.row.domain == self._peers.me.domain]
-        pool = [peer.row.address for peer in near or served]
+        # Others may rely on them as well, and know no more than this VM.
+        ahead = [p for p in near if _tells_newer(p, follower)]
+        pool = [peer.row.address for peer in ahead or near or served]
         if not pool and not self._peers.by_node:
             pool = self._seeds
         if not pool:
@@ -197,6 +196,12 @@
         return await link.call(question, messages.Piece, TIMEOUT_S)
 
 
+def _tells_newer(peer: reports.Peer, follower: follow.TableFollower) -> bool:
+    """Whether a peer told of a row that a follower of a table lacks."""
+    told = peer.report.tables.get(follower.name)
+    return told is not None and told.version > follower.version
+
+
 def _rows_since(follower: follow.TableFollower, version: int) -> messages.Rows:
     """Returns what a peer that knows a version lacks."""
     if follower.version <= version:
--- a/tests/unit/test_gateway_rows_racing.py
+++ b/tests/unit/test_gateway_rows_racing.py
@@ -194,7 +194,7 @@
     client = relay.RowRelay(
         {_TABLE: follower}, peers, None, [], metrics.Meters()
     )
-    assert client._choose(100.1) == teller.row.address
+    assert client._choose(follower, 100.1) == teller.row.address
 
 
 def test_a_read_that_a_peer_overtakes_is_no_failure_of_the_store():
