Peers that lack the same rows share one encoding

Cause: an answer was kept by the version that its asker knew, which is that of the store as of its own last call and differs from VM to VM: each had an encoding of its own, and where many fetched a large answer the bound on what is kept dropped answers being fetched. Change: an answer is kept by what it holds, from the first row that is missing on. Two lines are wrapped.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -298,8 +298,8 @@
                 step="read table",
                 peer=self.name,
             )
-        # Rows may have come and gone since the last read, unseen here; peers that
-        # saw them have to get all rows.
+        # Rows may have come and gone since the last read, unseen here; peers
+        # that saw them have to get all rows.
         self._remembers_since = max(self._remembers_since, snapshot.version)
         present = {row.key for row in snapshot.rows}
         removed = [
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -73,10 +73,9 @@
         follower = self._followers.get(message.table)
         if follower is None or not follower.is_loaded:
             return messages.Refused(f"table {message.table} isn't known")
-        span = (message.table, message.version, follower.version)
-        return self._outgoing.begin(
-            span, lambda: _rows_since(follower, message.version), now
-        )
+        rows = _rows_since(follower, message.version)
+        span = transfers.Span.of(message.table, rows, follower.row_version)
+        return self._outgoing.begin(span, lambda: rows, now)
 
     def note(self, peer: reports.Peer, now: float) -> None:
         """Asks a near peer for rows if it just told of newer ones."""
--- a/src/swiftstile/gateway/transfers.py
+++ b/src/swiftstile/gateway/transfers.py
@@ -14,7 +14,13 @@
 from swiftstile import errors
 from swiftstile.peers import messages
 
-__all__ = ["MOST_BYTES", "PIECE_BYTES", "IncomingRows", "OutgoingRows"]
+__all__ = [
+    "MOST_BYTES",
+    "PIECE_BYTES",
+    "IncomingRows",
+    "OutgoingRows",
+    "Span",
+]
 
 # A twentieth of a second on the narrowest link, 5 Mbit/s: ten such pieces may
 # be under way there at the same time before one is given up.
@@ -30,10 +36,46 @@
 # already makes a tenth of it.
 _LEVEL = 1
 
+# First rows of spans without one; versions of rows are greater.
+ALL_ROWS, NO_ROWS = -1, -2
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(messages.Rows)
 
 
+class Span(msgspec.Struct, frozen=True):
+    """What an answer holds, the same for all peers that lack the same rows.
+
+    Peers know different versions of the store, each as of its own last call.
+
+    Attributes:
+        table: Name of the table.
+        first: Version of the first row that is missing; `ALL_ROWS` if all rows
+            are told, and `NO_ROWS` if none is.
+        newest: Version of the newest row of the table.
+    """
+
+    table: str
+    first: int
+    newest: int
+
+    @classmethod
+    def of(cls, table: str, rows: messages.Rows, newest: int) -> "Span":
+        """Returns the span of an answer.
+
+        Args:
+            table: Name of the table.
+            rows: The answer; changes are ordered by version.
+            newest: Version of the newest row of the table.
+        """
+        if rows.is_whole:
+            return cls(table, ALL_ROWS, newest)
+        if not rows.rows:
+            # Says nothing but the version.
+            return cls(table, NO_ROWS, rows.version)
+        return cls(table, rows.rows[0].version, newest)
+
+
 class _Answer:
     """An encoded answer, for all peers that asked the same."""
 
@@ -49,20 +91,19 @@
     def __init__(self):
         self._number = 0
         self._by_number: dict[int, _Answer] = {}
-        # By table, version asked for and version of the answer.
-        self._number_by_span: dict[tuple[str, int, int], int] = {}
+        self._number_by_span: dict[Span, int] = {}
 
     def begin(
         self,
-        span: tuple[str, int, int],
+        span: Span,
         make_rows: collections.abc.Callable[[], messages.Rows],
         now: float,
     ) -> messages.Piece:
         """Returns the first piece of an answer.
 
         Args:
-            span: Table, version asked for and version of the answer. What was
-                encoded once serves all peers that know the same version.
+            span: What it holds. What was encoded once serves all peers that
+                lack the same.
             make_rows: Returns the rows, if they have to be encoded.
             now: The time.
         """
--- a/tests/unit/test_gateway_transfers.py
+++ b/tests/unit/test_gateway_transfers.py
@@ -11,7 +11,7 @@
 from swiftstile.gateway import transfers
 from swiftstile.peers import messages
 
-_SPAN = ("operations", 3, 7)
+_SPAN = transfers.Span("operations", 3, 7)
 
 
 def _rows(size: int) -> messages.Rows:
@@ -68,7 +68,7 @@
     outgoing = transfers.OutgoingRows()
     rows = _rows(200_000)
     first = outgoing.begin(_SPAN, lambda: rows, 0.0)
-    outgoing.begin(("operations", 3, 8), lambda: _rows(10), 0.1)
+    outgoing.begin(transfers.Span("operations", 3, 8), lambda: _rows(10), 0.1)
     assert _fetch(outgoing, first, 0.2) == rows
 
 
@@ -76,7 +76,7 @@
     outgoing = transfers.OutgoingRows()
     first = outgoing.begin(_SPAN, lambda: _rows(100_000), 0.0)
     later = transfers.KEPT_S + 0.1
-    outgoing.begin(("operations", 3, 8), lambda: _rows(10), later)
+    outgoing.begin(transfers.Span("operations", 3, 8), lambda: _rows(10), later)
     with pytest.raises(errors.ControlMessageError):
         outgoing.piece(first.number, 0, later)
 
@@ -85,7 +85,9 @@
     monkeypatch.setattr(transfers, "MOST_KEPT_BYTES", 250_000)
     outgoing = transfers.OutgoingRows()
     numbers = [
-        outgoing.begin(("t", 0, at), lambda: _rows(100_000), at / 10).number
+        outgoing.begin(
+            transfers.Span("t", 0, at), lambda: _rows(100_000), at / 10
+        ).number
         for at in range(5)
     ]
     assert outgoing.piece(numbers[-1], 0, 1.0).data
