A route is found by its prefix, not by a scan of all routes of its host

Change: HostRoutes holds the routes of a host by prefix and the lengths that prefixes have, longest first; a look-up cuts the path to each length. Lengths rather than slashes, so that a prefix without a slash at its end is found as before, and a path of thousands of slashes costs no more than another. Of two routes with one prefix the first still wins.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -287,7 +287,9 @@
         logs.logger.info(
             "configuration in force",
             version=config.version,
-            routes=sum(map(len, config.routes_by_host.values())),
+            routes=sum(
+                len(host.routes) for host in config.routes_by_host.values()
+            ),
             services=len(config.services_by_name),
         )
 
--- a/src/swiftstile/gateway/model.py
+++ b/src/swiftstile/gateway/model.py
@@ -1,5 +1,6 @@
 """What the gateway knows: routes, services, limits and upstreams."""
 
+import collections.abc
 import enum
 import typing
 
@@ -11,6 +12,7 @@
     "KEY_SPACE",
     "Config",
     "ConfigVersion",
+    "HostRoutes",
     "Limits",
     "NodeId",
     "Repeatability",
@@ -82,6 +84,41 @@
     max_attempts: int
 
 
+class HostRoutes(msgspec.Struct, frozen=True):
+    """The routes of one host, found by the start of a path.
+
+    A look-up costs one step for each length of a prefix, neither for each route
+    nor for each slash of the path, which a caller chooses.
+
+    Attributes:
+        routes: All of them, in the operator's order.
+        by_prefix: The first route of each prefix.
+        lengths: Lengths of the prefixes in characters, longest first.
+    """
+
+    routes: tuple[Route, ...]
+    by_prefix: dict[str, Route]
+    lengths: tuple[int, ...]
+
+    @classmethod
+    def of(cls, routes: collections.abc.Iterable[Route]) -> typing.Self:
+        """Returns the routes of one host, indexed."""
+        routes = tuple(routes)
+        by_prefix: dict[str, Route] = {}
+        for route in routes:
+            by_prefix.setdefault(route.prefix, route)
+        lengths = sorted(set(map(len, by_prefix)), reverse=True)
+        return cls(routes, by_prefix, tuple(lengths))
+
+    def find(self, path: str) -> Route | None:
+        """Returns the route with the longest prefix that starts `path`."""
+        for length in self.lengths:
+            route = self.by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 class Service(msgspec.Struct, frozen=True):
     """A group of upstreams that do the same work.
 
@@ -113,18 +150,14 @@
     """One version of the operator's configuration."""
 
     version: ConfigVersion
-    routes_by_host: dict[str, tuple[Route, ...]]
+    routes_by_host: dict[str, HostRoutes]
     services_by_name: dict[ids.ServiceName, Service]
     limits: Limits
 
     def find(self, host: str, path: str) -> Route | None:
-        """Returns the route with the longest prefix that starts `path`."""
-        matching = [
-            route
-            for route in self.routes_by_host.get(host, ())
-            if path.startswith(route.prefix)
-        ]
-        return max(matching, key=lambda r: len(r.prefix), default=None)
+        """Returns the route of a host with the longest prefix of `path`."""
+        routes = self.routes_by_host.get(host)
+        return None if routes is None else routes.find(path)
 
 
 class Upstream(msgspec.Struct, frozen=True):
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -31,13 +31,13 @@
 
 
 def config(version: int = 1, *routes: model.Route) -> model.Config:
-    by_host: dict[str, tuple] = {}
+    by_host: dict[str, list[model.Route]] = {}
     for entry in routes or (route(),):
-        by_host[entry.host] = (*by_host.get(entry.host, ()), entry)
+        by_host.setdefault(entry.host, []).append(entry)
     service = model.Service(LOOKUPS, "/health", 100, False, 3.0)
     return model.Config(
         model.ConfigVersion(version),
-        by_host,
+        {host: model.HostRoutes.of(group) for host, group in by_host.items()},
         {LOOKUPS: service},
         model.Limits(),
     )
