Tests that fail: a store's answer is read to its end though a peer was quicker

From a trial in which the store turned all VMs away for 6 s while a configuration of 330 kB changed: the store hands over each version that was missed, 0.7 s each over 5 Mbit/s, and VMs that had begun to read didn't ask the readers that told of the newest.

--- a/tests/unit/test_gateway_rows_racing.py
+++ b/tests/unit/test_gateway_rows_racing.py
@@ -10,6 +10,7 @@
 import json
 import os
 
+import pytest
 from users_platform import store
 
 from swiftstile import clocks
@@ -273,3 +274,83 @@
         assert lost == 0
 
     asyncio.run(scenario())
+
+
+class _NeverEnding(builders.MemoryTable):
+    """A table whose answers take longer than any test.
+
+    Attributes:
+        calls: Calls that were begun.
+        under_way: Those that weren't given up.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.calls = self.under_way = 0
+
+    async def wait_for_changes(self, after, wait_s):
+        return await self._never()
+
+    async def read_all(self):
+        return await self._never()
+
+    async def _never(self):
+        self.calls += 1
+        self.under_way += 1
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            self.under_way -= 1
+
+
+@pytest.mark.parametrize("is_loaded", [True, False])
+def test_an_answer_that_a_peer_overtook_is_given_up(is_loaded):
+    # What users saw: after the store had turned all VMs away, those on narrow
+    # links read each version of a large configuration that they had missed, up
+    # to 5.4 s, though their peers had handed over the newest long before.
+    async def scenario():
+        table, chosen = _NeverEnding(), _Led()
+        chosen.is_led = False
+        follower = _follower(table, chosen)
+        if is_loaded:
+            follower.accept(_snapshot(2, ("x", b"1", 2)), True)
+        running = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.01)
+        assert (table.calls, table.under_way) == (1, 1)
+        chosen.is_led = True
+        follower.accept(_snapshot(9, ("x", b"2", 8)), not is_loaded)
+        await asyncio.sleep(0.02)
+        assert (table.calls, table.under_way) == (1, 0)
+        # Its own end isn't held up.
+        running.cancel()
+        await asyncio.wait([running], timeout=1)
+        assert running.cancelled()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_loaded", [True, False])
+def test_a_vm_asks_a_peer_that_is_ahead_while_the_store_answers(is_loaded):
+    # Left behind for longer than a peer is waited for, or just started: the
+    # store's answer is on its way, and the peer's may be quicker.
+    async def scenario():
+        follower = _follower(_NeverEnding())
+        if is_loaded:
+            follower.accept(_snapshot(2, ("x", b"1", 2)), True)
+            follower.note_told(8, 100.0)
+            assert not follower.is_led(101.0)
+        client = relay.RowRelay(
+            {_TABLE: follower},
+            shared._peers(20),
+            shared._Losing(_server(9)),
+            [],
+            metrics.Meters(),
+        )
+        row = builders.node_row("vm-10")
+        words = {_TABLE: reports.TableWord(8, 0.1)}
+        told = builders.report(row, tables=words)
+        client.note(builders.peer(row, told, 101.0), 101.0)
+        await asyncio.sleep(0.05)
+        assert follower.version == 9
+
+    asyncio.run(scenario())
