Rows that a peer hands over end a slower answer of the store

What callers saw: after the store had turned all VMs away, one answered by a configuration that was 3.5 s too old. Cause: the store hands over each version that was missed. A VM on a narrow link that had begun to read them went on to the end, up to 5.4 s, and didn't ask the readers meanwhile. Change: newer rows of a peer end the call under way, and a VM that relies on peers, or has just started, asks the one that is ahead also while the store's answer is coming. Why it holds: what a VM lacks is never more than the newest version away, compressed, however many versions it missed.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -112,6 +112,8 @@
         self._behind_since: float | None = None
         # When a part of them last came.
         self._progress_at = 0.0
+        # Ends the step that is under way.
+        self._limit: asyncio.Timeout | None = None
         # Versions at which rows were removed, by key, oldest first.
         self._removed: dict[str, int] = {}
         # All rows that were removed after this version are in `_removed`.
@@ -127,14 +129,39 @@
                 await asyncio.sleep(LED_PAUSE_S)
                 continue
             try:
-                await self._step()
+                is_done = await self._step_unless_overtaken()
             except errors.PlatformError as error:
                 self._note_failure(error)
                 await self._outage.pause(pause_s * random.uniform(0.7, 1.3))
                 pause_s = min(pause_s * 2, self._longest_pause_s())
                 continue
-            pause_s = FIRST_PAUSE_S
-            self._note_contact(sent)
+            if is_done:
+                pause_s = FIRST_PAUSE_S
+                self._note_contact(sent)
+
+    async def _step_unless_overtaken(self) -> bool:
+        """Does a step; returns whether it came to its end.
+
+        It doesn't where a peer hands over newer rows meanwhile: the store's
+        answer may be on its way for seconds, as it holds each version that was
+        missed, and would take bandwidth from what is newer.
+        """
+        self._limit = limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                await self._step()
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return False
+        finally:
+            self._limit = None
+        return True
+
+    def _give_up_step(self) -> None:
+        if self._limit is not None:
+            self._limit.reschedule(asyncio.get_running_loop().time())
+            self._limit = None
 
     async def _step(self) -> None:
         if not self.is_loaded:
@@ -188,10 +215,12 @@
 
     def is_led(self, now: float) -> bool:
         """Whether peers tell of newer rows, so that the store isn't asked."""
+        return self.relies_on_peers(now) and not self._is_left_behind(now)
+
+    def relies_on_peers(self, now: float) -> bool:
+        """Whether it is for peers to follow the store, and they do."""
         if self._readers is None or not self.is_loaded:
             return False
-        if self._is_left_behind(now):
-            return False
         return not self._readers.follows_itself(
             self.name, self._reader_watch_s, now
         )
@@ -273,6 +302,7 @@
         """
         if snapshot.version <= self.version:
             return
+        self._give_up_step()
         if is_whole:
             self._replace(snapshot)
         else:
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -86,8 +86,7 @@
             if follower is None or not _tells_newer(peer, follower):
                 continue
             follower.note_told(told.version, now)
-            # Also where the store fails: this peer has what is missing.
-            if follower.is_led(now) or follower.failing_since is not None:
+            if _may_be_quicker(follower, now):
                 self._begin_asking(peer.row.address, follower)
 
     @property
@@ -200,6 +199,18 @@
         return await link.call(question, messages.Piece, timeout_s)
 
 
+def _may_be_quicker(follower: follow.TableFollower, now: float) -> bool:
+    """Whether to ask a peer that has newer rows, besides the store or not.
+
+    Not where the store is followed and answers: its answer is on its way. But
+    the first one, and that to a VM that relies on peers otherwise, may hold
+    much that isn't needed, and come over a narrow link.
+    """
+    if follower.failing_since is not None or not follower.is_loaded:
+        return True
+    return follower.relies_on_peers(now)
+
+
 def _tells_newer(peer: reports.Peer, follower: follow.TableFollower) -> bool:
     """Whether a peer told of a row that a follower of a table lacks."""
     told = peer.report.tables.get(follower.name)
