--- a/tests/integration/test_standing_still.py
+++ b/tests/integration/test_standing_still.py
@@ -1,6 +1,7 @@
 """Transfers of a process that stood still."""
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
@@ -22,10 +23,10 @@
         connection, _ = listener.accept()
         connection.recv(65536)
         connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n")
-        for _ in range(20):
-            connection.sendall(b"x" * 1000)
-            time.sleep(0.05)
-        connection.close()
+        with contextlib.suppress(OSError), connection:
+            for _ in range(20):
+                connection.sendall(b"x" * 1000)
+                time.sleep(0.05)
 
     async def scenario():
         loop = asyncio.get_running_loop()
