An answer without rows isn't all rows: who needs all gets them

Cause: `Rows` took itself for a whole table unless it was told otherwise, and an answer that says "nothing newer" wasn't. Since answers are shared by what they hold, the next VM that needed all rows got the one without any, as a whole table: all upstreams were gone. Change: `is_whole` has no default, and nothing newer is a change without rows.

--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -220,7 +220,7 @@
 def _rows_since(follower: follow.TableFollower, version: int) -> messages.Rows:
     """Returns what a peer that knows a version lacks."""
     if follower.version <= version:
-        return messages.Rows([], version)
+        return messages.Rows([], version, False)
     changed = follower.since(version)
     is_whole = changed is None
     rows = [
--- a/src/swiftstile/peers/messages.py
+++ b/src/swiftstile/peers/messages.py
@@ -163,7 +163,7 @@
 
     rows: list[Row]
     version: int
-    is_whole: bool = True
+    is_whole: bool
 
 
 class AskPiece(msgspec.Struct, tag="ask-piece", frozen=True):
--- a/tests/integration/test_links.py
+++ b/tests/integration/test_links.py
@@ -24,7 +24,7 @@
 
     def __init__(self, size: int):
         row = messages.Row("config", os.urandom(size), 1)
-        self.rows = messages.Rows([row], 1)
+        self.rows = messages.Rows([row], 1, True)
         self.pings = 0
 
     async def handle(self, message: messages.Message) -> messages.Message:
--- a/tests/unit/test_gateway_rows_guards.py
+++ b/tests/unit/test_gateway_rows_guards.py
@@ -103,7 +103,7 @@
         self.asked.append(message.table)
         if message.table == self._silent:
             await asyncio.get_running_loop().create_future()
-        rows = messages.Rows([], 0)
+        rows = messages.Rows([], 0, False)
         return transfers.OutgoingRows().begin((), lambda: rows, 0.0)
 
 
@@ -134,3 +134,16 @@
     )
     shared._ask_losing()
     assert len(noted) >= 4
+
+
+def test_who_needs_all_rows_gets_them_after_one_that_needed_none():
+    # All upstreams were gone for the VMs of a domain: a peer that had lost the
+    # store answered one that knew as much as itself with no rows, and the next,
+    # which needed all, with the same. Seen as `rows from a peer` with 0 bytes
+    # and `upstream gone` for all of them 2.2 s later.
+    server = _relay([_follower("operations", 9, ("a", b"1", 2))])
+    nothing = _ask(server, 9)
+    assert (nothing.rows, nothing.is_whole) == ([], False)
+    told = _ask(server, 0)
+    assert [row.key for row in told.rows] == ["a"]
+    assert told.is_whole
