A configuration that is nested too deeply is refused, like any that is malformed

Cause: the decoder's RecursionError passed the handler of malformed configurations and ended the task that follows the operator's table, and with it the process.

--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -90,6 +90,9 @@
             _entry("routes", "r", **{**_ROUTE["spec"], "timeout": "2"}),
             _SERVICE,
         ),
+        # Nested beyond what a decoder follows: it ended the task that reads the
+        # operator's table.
+        _config(_SERVICE)[:-1] + b', "x": ' + b"[" * 100_000,
     ],
 )
 def test_a_bad_configuration_names_step_and_peer(data):
