--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -89,11 +89,6 @@
             if _may_be_quicker(follower, now):
                 self._begin_asking(peer.row.address, follower)
 
-    @property
-    def is_asking(self) -> bool:
-        """Whether a peer is being asked for some table."""
-        return bool(self._asking)
-
     def _begin_asking(
         self, address: str, follower: follow.TableFollower
     ) -> None:
--- a/tests/integration/test_shared_links.py
+++ b/tests/integration/test_shared_links.py
@@ -88,7 +88,7 @@
             # Each is asked for once.
             client.note(teller, 100.0)
             async with asyncio.timeout(8):
-                while client.is_asking:
+                while client._asking:
                     await asyncio.sleep(0.01)
             versions = {name: one.version for name, one in led.items()}
             assert versions == dict.fromkeys(_NAMES, 9)
--- a/tests/unit/test_gateway_readers.py
+++ b/tests/unit/test_gateway_readers.py
@@ -315,7 +315,7 @@
         peer.report.tables[_TABLE] = reports.TableWord(8, 0.1)
         client.note(peer, 100.0)
         async with asyncio.timeout(2):
-            while client.is_asking:
+            while client._asking:
                 await asyncio.sleep(0.01)
         return link, led
 
