Rows of peers don't make a VM ask a store that is away more often

Cause: newer rows of a peer end the call under way, and the next began at once; where our own table changes often a VM that the store doesn't answer would have asked each time. Change: while calls fail the usual pause comes first.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -138,6 +138,10 @@
             if is_done:
                 pause_s = FIRST_PAUSE_S
                 self._note_contact(sent)
+            elif self.failing_since is not None:
+                # Rows of peers may come often; a store that is away isn't asked
+                # each time.
+                await self._outage.pause(pause_s * random.uniform(0.7, 1.3))
 
     async def _step_unless_overtaken(self) -> bool:
         """Does a step; returns whether it came to its end.
--- a/tests/unit/test_gateway_rows_racing.py
+++ b/tests/unit/test_gateway_rows_racing.py
@@ -354,3 +354,21 @@
         assert follower.version == 9
 
     asyncio.run(scenario())
+
+
+def test_rows_of_peers_do_not_make_a_vm_ask_a_silent_store_more_often():
+    async def scenario():
+        table, chosen = _NeverEnding(), _Led()
+        chosen.is_led = False
+        follower = _follower(table, chosen)
+        follower.accept(_snapshot(2, ("x", b"1", 2)), True)
+        follower.failing_since = clocks.monotonic()
+        running = asyncio.create_task(follower.run())
+        for version in range(10, 50):
+            follower.accept(_snapshot(version, ("x", b"2", version)), False)
+            await asyncio.sleep(0.005)
+        running.cancel()
+        # Once at first, and after each of the shortest pauses at most.
+        assert table.calls <= 1 + 0.3 / (0.7 * follow.FIRST_PAUSE_S)
+
+    asyncio.run(scenario())
