--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -89,11 +89,6 @@
             if _may_be_quicker(follower, now):
                 self._begin_asking(peer.row.address, follower)
 
-    @property
-    def is_asking(self) -> bool:
-        """Whether a peer is being asked for some table."""
-        return bool(self._asking)
-
     def _begin_asking(
         self, address: str, follower: follow.TableFollower
     ) -> None:
@@ -220,7 +215,7 @@
 def _rows_since(follower: follow.TableFollower, version: int) -> messages.Rows:
     """Returns what a peer that knows a version lacks."""
     if follower.version <= version:
-        return messages.Rows([], version)
+        return messages.Rows([], version, False)
     changed = follower.since(version)
     is_whole = changed is None
     rows = [
