A probe looks at the head of an answer, not at the whole page

Cause: the probe of a server that takes no grants read the start page to its end within 0.25 s: over 5 Mbit/s no page of more than some 150 kB came, and the server counted as failing for good. Change: a body of over 4 kB, or of unknown length, isn't read; its connection is closed.

--- a/src/swiftstile/ownership/upstream_http.py
+++ b/src/swiftstile/ownership/upstream_http.py
@@ -10,6 +10,8 @@
 
 __all__ = ["CLOCK_PATH", "GRANT_PATH", "HttpUpstreamControl"]
 
+# Of an answer that is only looked at; a longer one isn't read.
+_SHORT_BYTES = 4096
 GRANT_PATH = "/swiftstile/v1/grant"
 CLOCK_PATH = "/swiftstile/v1/clock"
 
@@ -40,8 +42,8 @@
         return await self._call("POST", address, GRANT_PATH, data=body)
 
     async def probe(self, address: str) -> None:
-        """See base class. Any HTTP answer will do."""
-        await self._request("GET", address, "/", {})
+        """See base class. The head of any HTTP answer will do."""
+        await self._request("GET", address, "/", {}, is_looked_at=True)
 
     async def _call(self, method, address, path, **options):
         body = await self._request(method, address, path, options)
@@ -52,7 +54,9 @@
                 f"malformed answer: {error}", step="call server", peer=address
             ) from error
 
-    async def _request(self, method, address, path, options) -> bytes:
+    async def _request(
+        self, method, address, path, options, is_looked_at=False
+    ) -> bytes:
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 timeout=self._timeout,
@@ -68,7 +72,9 @@
             async with self._session.request(
                 method, f"http://{address}{path}", **options
             ) as response:
-                body = await response.read()
+                body = b""
+                if not is_looked_at or _is_short(response):
+                    body = await response.read()
                 sent = len(options.get("data", b""))
                 self._meters.count_http("server", response, sent)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -81,3 +87,8 @@
         """See base class."""
         if self._session is not None:
             await self._session.close()
+
+
+def _is_short(response: aiohttp.ClientResponse) -> bool:
+    length = response.content_length
+    return length is not None and length <= _SHORT_BYTES
