A router that lost an answer gives the next one more time

Cause: the answer to a watch had 0.55 or 0.75 s whatever its size; a whole assignment that needs longer on the link never came, and the router had no owners. Change: after a lost answer the next question gets 0.25 s more, then twice as much, up to 8 s; the first answer that comes ends that.

--- a/src/swiftstile/routing/owners.py
+++ b/src/swiftstile/routing/owners.py
@@ -19,6 +19,11 @@
 
 _LOCATE_TIMEOUT_S = 0.3
 _LOCATE_RETRY_S = 0.1
+# An answer that was lost may be too large for the link and the time: the next
+# question gets this much longer, and twice as much each time it is lost again.
+# The longest brings the longest message over the narrowest link.
+_FIRST_EXTRA_S = 0.25
+_LONGEST_EXTRA_S = 8.0
 # Between two load reports: hot keys change within minutes.
 _REPORT_INTERVAL_S = 3.0
 # Longest wait for older requests to end before the next question.
@@ -153,6 +158,7 @@
         self._peers = peers
         self._wait_s = wait_s
         self._timeout_s = timeout_s
+        self._extra_s = 0.0
         self._epoch = ids.Epoch(0)
         self._reported_at = clocks.monotonic()
         self.holder = ids.VmId("")
@@ -227,7 +233,7 @@
             self._load_report(),
         )
         asked_at = clocks.monotonic()
-        reply = await link.call(request, messages.WatchReply, self._timeout_s)
+        reply = await self._ask_for_changes(link, request)
         if reply.epoch < self._epoch:
             raise errors.ControlMessageError(
                 f"epoch {reply.epoch} is over", step="watch", peer=""
@@ -239,6 +245,20 @@
         # the coordinator's own count of it.
         table.extend_lease(asked_at + reply.route_lease_s)
 
+    async def _ask_for_changes(
+        self, link: links.Link, request: messages.Watch
+    ) -> messages.WatchReply:
+        try:
+            reply = await link.call(
+                request, messages.WatchReply, self._timeout_s + self._extra_s
+            )
+        except errors.PeerTimeoutError:
+            longer_s = max(_FIRST_EXTRA_S, 2 * self._extra_s)
+            self._extra_s = min(longer_s, _LONGEST_EXTRA_S)
+            raise
+        self._extra_s = 0.0
+        return reply
+
     def _load_report(self) -> load_lib.LoadReport | None:
         now = clocks.monotonic()
         since = now - self._reported_at
