--- a/tests/integration/test_links.py
+++ b/tests/integration/test_links.py
@@ -104,3 +104,42 @@
             await _ping(link, 1)
 
     asyncio.run(scenario())
+
+
+class _Stuck:
+    """A connection whose questions end neither by an answer nor by a cancel."""
+
+    def __init__(self):
+        self.released = asyncio.Event()
+
+    def new_context(self) -> "_Stuck":
+        return self
+
+    async def asend(self, data: bytes) -> None:
+        """Sends nothing."""
+
+    async def arecv(self) -> bytes:
+        while not self.released.is_set():
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.released.wait()
+        return b""
+
+    def close(self) -> None:
+        """Stays as it is."""
+
+
+def test_a_question_whose_cancel_is_not_heeded_is_given_up_in_time(monkeypatch):
+    # Seen in tests: a question stayed in the library's cancel for good, and
+    # with it whoever had asked: a table would never be asked for again.
+    async def scenario():
+        stuck = _Stuck()
+        monkeypatch.setattr(links.Link, "_dial", lambda _: stuck)
+        link = links.Link("127.0.0.1:1", metrics.Meters())
+        asking = asyncio.create_task(_ping(link, 0.05))
+        done, _ = await asyncio.wait({asking}, timeout=1)
+        stuck.released.set()
+        assert done
+        with pytest.raises(errors.PeerTimeoutError):
+            asking.result()
+
+    asyncio.run(scenario())
