A question to a peer ends in time, whatever the library does with its cancel

Cause: the time limit cancelled the exchange and waited for the cancel; where pynng doesn't heed it the caller stood still for good: no owner's address, no rows of a table any more. Change: the exchange is a task of its own, which isn't waited for once it is cancelled; the connection it used is closed when no other question runs on it. Measured: the test that failed passes; 38 tests of links, narrow links, ownership, paths and owners pass.

--- a/src/swiftstile/peers/links.py
+++ b/src/swiftstile/peers/links.py
@@ -38,6 +38,8 @@
         # For the next call; others only end what was begun on them.
         self._connection: _Connection | None = None
         self._open: set[_Connection] = set()
+        # All that didn't end yet, those that were given up included.
+        self._exchanges: set[asyncio.Task[bytes]] = set()
 
     async def call(
         self,
@@ -71,8 +73,7 @@
         connection = self._connected()
         connection.calls += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._exchange(connection, data)
+            return await self._exchange_within(connection, data, timeout_s)
         except (TimeoutError, pynng.NNGException):
             if self._connection is connection:
                 self._connection = None
@@ -81,6 +82,28 @@
             connection.calls -= 1
             self._close_unused(connection)
 
+    async def _exchange_within(
+        self, connection: _Connection, data: bytes, timeout_s: float
+    ) -> bytes:
+        # A task of its own, which isn't waited for once it is cancelled: a
+        # cancel that pynng doesn't heed would keep the caller for good.
+        exchange = asyncio.create_task(self._exchange(connection, data))
+        self._exchanges.add(exchange)
+        exchange.add_done_callback(self._end)
+        try:
+            done, _ = await asyncio.wait({exchange}, timeout=timeout_s)
+            if not done:
+                raise TimeoutError(f"no answer within {timeout_s:g} s")
+            return exchange.result()
+        finally:
+            exchange.cancel()
+
+    def _end(self, exchange: asyncio.Task[bytes]) -> None:
+        self._exchanges.discard(exchange)
+        if not exchange.cancelled():
+            # Of one that was given up nobody asks; it needn't be logged.
+            exchange.exception()
+
     def _connected(self) -> _Connection:
         if self._connection is None:
             self._connection = _Connection(self._dial())
