--- a/tests/integration/test_narrow_links.py
+++ b/tests/integration/test_narrow_links.py
@@ -34,6 +34,7 @@
 from swiftstile.gateway import reports
 from swiftstile.peers import links
 from tests import gateway_builders as builders
+from tests import row_parts
 from tests.integration import gateways
 from tests.integration import narrow_link
 from tests.integration import users_standins
@@ -107,20 +108,10 @@
         _TABLE,
         builders.MemoryTable(),
         lambda _: None,
-        store_readers=_AlwaysLed(),
+        store_readers=row_parts.AlwaysLed(),
     )
 
 
-class _AlwaysLed:
-    """Readers that are always there."""
-
-    def follows_itself(self, table, watch_s, now):
-        return False
-
-    def is_many(self, now):
-        return True
-
-
 @contextlib.asynccontextmanager
 async def _reader_and_led():
     """Yields a reader's follower, a led VM's and its relay, and their link."""
--- a/tests/integration/test_shared_links.py
+++ b/tests/integration/test_shared_links.py
@@ -17,21 +17,13 @@
 from swiftstile.peers import links
 from swiftstile.peers import messages
 from tests import gateway_builders as builders
+from tests import row_parts
 from tests.integration import gateways
 from tests.integration import narrow_link
 
 _NAMES = ("operations", "registrations")
 
 
-class _AlwaysLed:
-
-    def follows_itself(self, table, watch_s, now):
-        return False
-
-    def is_many(self, now):
-        return True
-
-
 def _peers() -> gossip.Peers:
     return gossip.Peers(builders.node_row("vm-50"), lambda *_: None)
 
@@ -41,7 +33,7 @@
         name,
         builders.MemoryTable(),
         lambda _: None,
-        store_readers=_AlwaysLed(),
+        store_readers=row_parts.AlwaysLed(),
     )
     row = interfaces.Change("x", os.urandom(size), version)
     made.accept(interfaces.Snapshot([row], version), True)
--- /dev/null
+++ b/tests/row_parts.py
@@ -0,0 +1,54 @@
+"""Parts of tests about rows that VMs take from each other."""
+
+from swiftstile import errors
+from swiftstile.gateway import gossip
+from swiftstile.gateway import relay
+from swiftstile.gateway import reports
+from tests import gateway_builders as builders
+
+TABLE = "operations"
+
+
+def near_peers(count: int, me: str = "vm-50", **told) -> gossip.Peers:
+    """Returns peers of one domain, of which the first two tell of a table."""
+    peers = gossip.Peers(builders.node_row(me), lambda *_: None)
+    words = {TABLE: reports.TableWord(7, 0.2)}
+    for number in range(10, 10 + count):
+        row = builders.node_row(f"vm-{number}")
+        tables = words if number < 12 else {}
+        report = builders.report(row, **({"tables": tables} | told))
+        peers.by_node[row.node] = builders.peer(row, report, heard_at=100.0)
+    return peers
+
+
+class AlwaysLed:
+    """Readers that are always there."""
+
+    def follows_itself(self, table, watch_s, now):
+        return False
+
+    def is_many(self, now):
+        return True
+
+
+class LosingLink:
+    """A link to a peer, of whose answers some are lost.
+
+    Attributes:
+        lost: Questions whose answer is still to be lost, by number.
+        asked: All questions.
+    """
+
+    def __init__(self, server: relay.RowRelay, *lost: int):
+        self._server = server
+        self.lost = set(lost)
+        self.asked = []
+
+    async def call(self, message, expected, timeout_s):
+        self.asked.append(message)
+        if len(self.asked) in self.lost:
+            raise errors.PeerTimeoutError("lost", step="call")
+        return await self._server.handle(message)
+
+    def to(self, address):
+        return self
--- a/tests/unit/test_gateway_readers.py
+++ b/tests/unit/test_gateway_readers.py
@@ -16,20 +16,9 @@
 from swiftstile.gateway import transfers
 from swiftstile.peers import messages
 from tests import gateway_builders as builders
+from tests import row_parts
 
-_TABLE = "operations"
-
-
-def _peers(count: int, me: str = "vm-50", **told) -> gossip.Peers:
-    """Returns peers of one domain, of which the first two tell of a table."""
-    peers = gossip.Peers(builders.node_row(me), lambda *_: None)
-    words = {_TABLE: reports.TableWord(7, 0.2)}
-    for number in range(10, 10 + count):
-        row = builders.node_row(f"vm-{number}")
-        tables = words if number < 12 else {}
-        report = builders.report(row, **({"tables": tables} | told))
-        peers.by_node[row.node] = builders.peer(row, report, heard_at=100.0)
-    return peers
+_TABLE = row_parts.TABLE
 
 
 def _readers(peers: gossip.Peers, leads: bool = False):
@@ -37,28 +26,30 @@
 
 
 def test_where_there_are_few_vms_each_follows_the_store():
-    made = _readers(_peers(readers.FEW_VMS - 1))
+    made = _readers(row_parts.near_peers(readers.FEW_VMS - 1))
     assert made.follows_itself(_TABLE, 1.0, 100.1)
 
 
 def test_where_there_are_many_others_take_the_readers_word():
-    made = _readers(_peers(20))
+    made = _readers(row_parts.near_peers(20))
     assert not made.follows_itself(_TABLE, 1.0, 100.1)
 
 
 def test_the_readers_follow_the_store():
-    made = _readers(_peers(20, me="vm-00"))
+    made = _readers(row_parts.near_peers(20, me="vm-00"))
     assert made.follows_itself(_TABLE, 1.0, 100.1)
     assert made.is_many(100.1)
 
 
 def test_the_leader_follows_the_store():
-    assert _readers(_peers(20), leads=True).follows_itself(_TABLE, 1.0, 100.1)
+    assert _readers(row_parts.near_peers(20), leads=True).follows_itself(
+        _TABLE, 1.0, 100.1
+    )
 
 
 def test_readers_are_the_vms_with_the_most_bandwidth():
     row = builders.node_row("vm-99", link_mbps=200.0)
-    peers = _peers(20)
+    peers = row_parts.near_peers(20)
     peers.me = row
     assert _readers(peers).is_reader(100.1)
 
@@ -68,25 +59,15 @@
 )
 def test_word_of_a_reader_that_lost_the_store_grows_old(now, is_fresh):
     # Its last answer was 0.2 s old when it told; peers are heard for 1 s.
-    made = _readers(_peers(20))
+    made = _readers(row_parts.near_peers(20))
     assert made.follows_itself(_TABLE, 1.0, now) is not is_fresh
 
 
 def test_word_of_a_leaving_reader_does_not_count():
-    made = _readers(_peers(20, is_leaving=True))
+    made = _readers(row_parts.near_peers(20, is_leaving=True))
     assert made.follows_itself(_TABLE, 1.0, 100.1)
 
 
-class _AlwaysLed:
-    """Readers that are always there."""
-
-    def follows_itself(self, table, watch_s, now):
-        return False
-
-    def is_many(self, now):
-        return True
-
-
 def _follower(apply, store_readers=None) -> follow.TableFollower:
     return follow.TableFollower(
         _TABLE, builders.MemoryTable(), apply, store_readers=store_readers
@@ -128,11 +109,15 @@
         table.accept(_snapshot(2, ("x", b"1", 2)), True)
         table.accept(_snapshot(9, ("x", b"2", 8)), False)
         server = relay.RowRelay(
-            {_TABLE: table}, _peers(20), None, [], metrics.Meters()
+            {_TABLE: table},
+            row_parts.near_peers(20),
+            None,
+            [],
+            metrics.Meters(),
         )
         # The VM that is led.
         seen = []
-        led = _follower(seen.extend, _AlwaysLed())
+        led = _follower(seen.extend, row_parts.AlwaysLed())
         led.accept(_snapshot(2, ("x", b"1", 2)), True)
         led.is_loaded = True
         asked = []
@@ -148,7 +133,7 @@
             def to(self, address):
                 return _Link()
 
-        peers = _peers(20)
+        peers = row_parts.near_peers(20)
         client = relay.RowRelay(
             {_TABLE: led}, peers, _Links(), [], metrics.Meters()
         )
@@ -173,7 +158,7 @@
     # Suspected on the grown haddad-gw: VMs went on with a configuration that
     # was 5 s old, though reports of their readers came.
     async def scenario():
-        led = _follower(lambda _: None, _AlwaysLed())
+        led = _follower(lambda _: None, row_parts.AlwaysLed())
         led.accept(_snapshot(2, ("x", b"1", 2)), True)
         assert led.is_led(100.0)
 
@@ -185,7 +170,7 @@
             def to(self, address):
                 return self
 
-        peers = _peers(20)
+        peers = row_parts.near_peers(20)
         client = relay.RowRelay(
             {_TABLE: led}, peers, _Silent(), [], metrics.Meters()
         )
@@ -209,7 +194,7 @@
     # told such a VM of a newer row, the row didn't come, and the age of its
     # rows was told as that of the peer's word. Evidence: a follower on its own
     # that was told of version 8 and had 2 claimed an age of 4.4 s at any time.
-    led = _follower(lambda _: None, _AlwaysLed())
+    led = _follower(lambda _: None, row_parts.AlwaysLed())
     led.accept(_snapshot(2, ("x", b"1", 2)), True)
     led._note_led(100.0)
     before = led.contact_at
@@ -226,7 +211,7 @@
         table = builders.MemoryTable()
         table.apply([], [interfaces.Write("a", b"1")])
         follower = follow.TableFollower(
-            _TABLE, table, lambda _: None, store_readers=_AlwaysLed()
+            _TABLE, table, lambda _: None, store_readers=row_parts.AlwaysLed()
         )
         task = asyncio.create_task(follower.run())
         async with asyncio.timeout(2):
@@ -265,29 +250,6 @@
     ]
 
 
-class _Losing:
-    """A link to a peer, of whose answers some are lost.
-
-    Attributes:
-        lost: Questions whose answer is still to be lost, by number.
-        asked: All questions.
-    """
-
-    def __init__(self, server: relay.RowRelay, *lost: int):
-        self._server = server
-        self.lost = set(lost)
-        self.asked = []
-
-    async def call(self, message, expected, timeout_s):
-        self.asked.append(message)
-        if len(self.asked) in self.lost:
-            raise errors.PeerTimeoutError("lost", step="call")
-        return await self._server.handle(message)
-
-    def to(self, address):
-        return self
-
-
 def _large_table() -> follow.TableFollower:
     table = _follower(lambda _: None)
     rows = (("x", os.urandom(4 * transfers.PIECE_BYTES), 8),)
@@ -301,13 +263,17 @@
 
     async def scenario():
         server = relay.RowRelay(
-            {_TABLE: _large_table()}, _peers(20), None, [], metrics.Meters()
+            {_TABLE: _large_table()},
+            row_parts.near_peers(20),
+            None,
+            [],
+            metrics.Meters(),
         )
-        led = _follower(lambda _: None, _AlwaysLed())
+        led = _follower(lambda _: None, row_parts.AlwaysLed())
         led.accept(_snapshot(2, ("x", b"1", 2)), True)
         led.is_loaded = True
-        link = _Losing(server, *lost)
-        peers = _peers(20)
+        link = row_parts.LosingLink(server, *lost)
+        peers = row_parts.near_peers(20)
         client = relay.RowRelay(
             {_TABLE: led}, peers, link, [], metrics.Meters()
         )
@@ -341,10 +307,19 @@
 
 
 def test_the_store_is_not_asked_while_a_peer_hands_rows_over():
-    led = _follower(lambda _: None, _AlwaysLed())
+    led = _follower(lambda _: None, row_parts.AlwaysLed())
     led.accept(_snapshot(2, ("x", b"1", 2)), True)
     led.is_loaded = True
     led.note_told(8, 100.0)
     led.note_progress(100.4)
     assert led.is_led(100.4 + follow.BEHIND_S)
     assert not led.is_led(100.41 + follow.BEHIND_S)
+
+
+def test_each_piece_that_comes_keeps_the_store_unasked(monkeypatch):
+    noted = []
+    monkeypatch.setattr(
+        follow.TableFollower, "note_progress", lambda _, now: noted.append(now)
+    )
+    _ask_losing()
+    assert len(noted) >= 4
--- a/tests/unit/test_gateway_rows_guards.py
+++ b/tests/unit/test_gateway_rows_guards.py
@@ -13,7 +13,7 @@
 from swiftstile.gateway import transfers
 from swiftstile.peers import messages
 from tests import gateway_builders as builders
-from tests.unit import test_gateway_readers as shared
+from tests import row_parts
 
 _NAMES = ("operations", "registrations")
 
@@ -23,7 +23,7 @@
         name,
         builders.MemoryTable(),
         lambda _: None,
-        store_readers=shared._AlwaysLed(),
+        store_readers=row_parts.AlwaysLed(),
     )
     changes = [interfaces.Change(key, value, at) for key, value, at in rows]
     made.accept(interfaces.Snapshot(changes, version), True)
@@ -33,7 +33,7 @@
 def _relay(followers, peers=None, link=None) -> relay.RowRelay:
     table = {follower.name: follower for follower in followers}
     return relay.RowRelay(
-        table, peers or shared._peers(20), link, [], metrics.Meters()
+        table, peers or row_parts.near_peers(20), link, [], metrics.Meters()
     )
 
 
@@ -71,7 +71,7 @@
                 "host": "jepu9.example",
                 "prefix": f"/{os.urandom(5).hex()}/",
                 "kind": "safe",
-                "service": "benchmark-svc",
+                "service": "lookups",
                 "timeout": "1200ms",
                 "max_attempts": 3,
             },
@@ -127,15 +127,6 @@
     assert link.asked.count(other) > 2
 
 
-def test_each_piece_that_comes_keeps_the_store_unasked(monkeypatch):
-    noted = []
-    monkeypatch.setattr(
-        follow.TableFollower, "note_progress", lambda _, now: noted.append(now)
-    )
-    shared._ask_losing()
-    assert len(noted) >= 4
-
-
 def test_who_needs_all_rows_gets_them_after_one_that_needed_none():
     # All upstreams were gone for the VMs of a domain: a peer that had lost the
     # store answered one that knew as much as itself with no rows, and the next,
--- a/tests/unit/test_gateway_rows_racing.py
+++ b/tests/unit/test_gateway_rows_racing.py
@@ -23,7 +23,7 @@
 from swiftstile.gateway import transfers
 from swiftstile.peers import messages
 from tests import gateway_builders as builders
-from tests.unit import test_gateway_readers as shared
+from tests import row_parts
 
 _TABLE = "registrations"
 
@@ -168,9 +168,13 @@
         follower.note_told(8, 100.0)
         follower.failing_since = 100.5
         assert not follower.is_led(101.0)
-        link = shared._Losing(_server(9))
+        link = row_parts.LosingLink(_server(9))
         client = relay.RowRelay(
-            {_TABLE: follower}, shared._peers(20), link, [], metrics.Meters()
+            {_TABLE: follower},
+            row_parts.near_peers(20),
+            link,
+            [],
+            metrics.Meters(),
         )
         row = builders.node_row("vm-10")
         words = {_TABLE: reports.TableWord(8, 0.1)}
@@ -185,7 +189,7 @@
 def test_peers_that_have_the_newer_rows_are_asked_first():
     # 20 VMs of a domain are heard, one of which told of newer rows; the others
     # take theirs from it and may have none.
-    peers = shared._peers(20, tables={})
+    peers = row_parts.near_peers(20, tables={})
     for node, peer in peers.by_node.items():
         peer.row = builders.node_row(node, address=f"{node}:1")
     teller = peers.by_node["vm-17"]
@@ -231,7 +235,7 @@
     rows = (("x", os.urandom(size), version),)
     table.accept(_snapshot(version, *rows), True)
     return relay.RowRelay(
-        {_TABLE: table}, shared._peers(20), None, [], metrics.Meters()
+        {_TABLE: table}, row_parts.near_peers(20), None, [], metrics.Meters()
     )
 
 
@@ -341,8 +345,8 @@
             assert not follower.is_led(101.0)
         client = relay.RowRelay(
             {_TABLE: follower},
-            shared._peers(20),
-            shared._Losing(_server(9)),
+            row_parts.near_peers(20),
+            row_parts.LosingLink(_server(9)),
             [],
             metrics.Meters(),
         )
