Tests that fail: a slot is granted to its former owner while it is given away

Cause (by reading, then shown by the tests): the leader looks whether all holds of leaving slots are over, then asks the store whether it answers, then writes the next owner. Both waits let a release that is under way go on, and its fencing grants give the slots to their former owner for 0.5 s.

--- a/tests/keeper_parts.py
+++ b/tests/keeper_parts.py
@@ -62,12 +62,19 @@
 
     Args:
         vms: VMs that read its maps, its own included.
+        table: Its table; one in memory if there is none.
+        control: Its upstreams; they do as they are told if there is none.
     """
 
-    def __init__(self, vms: int = 1):
-        self.table = builders.MemoryTable()
+    def __init__(
+        self,
+        vms: int = 1,
+        table: builders.MemoryTable | None = None,
+        control: Control | None = None,
+    ):
+        self.table = table or builders.MemoryTable()
         self.maps = renewals.KeyMaps()
-        self.control = Control()
+        self.control = control or Control()
         self.book = builders.book(
             builders.upstream("u-1"), builders.upstream("u-2")
         )
--- /dev/null
+++ b/tests/unit/test_gateway_gifts.py
@@ -0,0 +1,133 @@
+"""A slot is given away, and its former owner gets nothing of it any more.
+
+Users saw a key that two upstreams worked on: its former owner, whose hold had
+been over for more than a second, ran a request for it while the next owner was
+granted it. The holds had ended while the leader was still taking the slots
+back, with grants that shut out older ones. By the ended holds the leader took
+the slots for free and had their next owner written; while that write was on its
+way, the taking back went on and granted the slots to their former owner anew.
+
+Evidence: the former owner refused the key 0.36 s before it ran the request, so
+it was granted the slot once more in between, which only the leader does with a
+slot that is leaving; and the tests here, each of which found such a grant.
+"""
+
+import asyncio
+
+from swiftstile.gateway import slotplan
+from tests import gateway_builders as builders
+from tests import keeper_parts
+
+_SLOTS = [0, 1]
+# Longer than any grant of an earlier run of the leader may last.
+_LONG_AGO_S = 60.0
+
+
+class _SlowTable(builders.MemoryTable):
+    """Lets something happen while a call is under way."""
+
+    def __init__(self):
+        super().__init__()
+        self.during_write = None
+        self.during_probe = None
+
+    async def write(self, conditions, writes) -> int:
+        if self.during_write is not None:
+            await self.during_write()
+        return await super().write(conditions, writes)
+
+    async def wait_for_changes(self, after: int, wait_s: float):
+        if self.during_probe is not None:
+            await self.during_probe()
+        return await super().wait_for_changes(after, wait_s)
+
+
+class _OpeningControl(keeper_parts.Control):
+    """Sends nothing before its connections are open."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_open = asyncio.Event()
+
+    async def grant(self, *arguments):
+        await self.is_open.wait()
+        return await super().grant(*arguments)
+
+
+async def _settle() -> None:
+    """Lets everything run that can run."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+async def _open(control: _OpeningControl) -> None:
+    control.is_open.set()
+    await _settle()
+
+
+async def _taking_back(table, control) -> keeper_parts.Parts:
+    """Returns a leader that takes slots back whose holds are over.
+
+    Its fencing grants are about to be sent.
+    """
+    parts = keeper_parts.Parts(table=table, control=control)
+    parts.start(_SLOTS)
+    parts.keeper._started -= _LONG_AGO_S
+    await parts.keeper.tick()
+    current = parts.maps.by_service[builders.LOOKUPS]
+    source = parts.keeper._sources["u-1"]
+    parts.keeper._take_back.start(current, "u-1", source, _SLOTS, True)
+    await _settle()
+    return parts
+
+
+def test_no_grant_to_the_former_owner_while_the_next_one_is_written():
+    async def scenario():
+        table, control = _SlowTable(), _OpeningControl()
+        parts = await _taking_back(table, control)
+        table.during_write = lambda: _open(control)
+        version = parts.maps.by_service[builders.LOOKUPS].version
+        await parts.keeper.tick()
+        await _settle()
+        given = parts.maps.by_service[builders.LOOKUPS]
+        assert given.version > version and not given.leaving
+        assert control.grants == []
+
+    asyncio.run(scenario())
+
+
+def test_a_slot_granted_while_the_store_was_asked_is_not_given_away():
+    async def scenario():
+        table, control = _SlowTable(), _OpeningControl()
+        parts = await _taking_back(table, control)
+        control.is_silent = True
+        parts.keeper._store_answered_at = 0.0
+        table.during_probe = lambda: _open(control)
+        await parts.keeper.tick()
+        await _settle()
+        book = parts.renewing.holds(builders.LOOKUPS, slotplan.SLOT_COUNT)
+        assert control.grants
+        assert book.open_for_s(_SLOTS, 0.0) > 0
+        assert parts.maps.by_service[builders.LOOKUPS].leaving == set(_SLOTS)
+
+    asyncio.run(scenario())
+
+
+def test_slots_whose_next_owner_was_not_written_are_taken_back_further():
+    async def scenario():
+        table, control = _SlowTable(), _OpeningControl()
+        parts = await _taking_back(table, control)
+
+        async def refuse() -> None:
+            table.refuse = 1
+
+        table.during_write = refuse
+        await parts.keeper.tick()
+        assert parts.maps.by_service[builders.LOOKUPS].leaving == set(_SLOTS)
+        await _open(control)
+        assert {fence for _, _, fence in control.grants} == {
+            parts.maps.by_service[builders.LOOKUPS].next_fence
+        }
+        assert len(control.releases) == len(_SLOTS)
+
+    asyncio.run(scenario())
