Nothing is granted to a slot's former owner while the next one is written

Cause: the leader took a slot for free by its ended holds, and then waited for the store, twice: for a word that it answers, and for the write of the next owner. A release of the same slot that was under way went on meanwhile, and its fencing grant gave the slot to its former owner for 0.5 s more.

Change: holds are looked at again after the store was asked; from that look until the write is settled, the source is marked as given, and neither a fencing grant nor one that keeps slots in an outage is sent to it. No wait stands between the look and the mark. A write that is known not to have been done takes the mark off again.

Ruled out: a VM that still renews (a follower renews no marked slot, and holds that are told count); a grant carried out late (fence 2 is refused after the fencing one; the request ran after a refusal of the same key).

--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import typing
 
 from swiftstile import clocks
 from swiftstile import errors
@@ -61,6 +62,24 @@
     CLEAR = "clear"
 
 
+class _Steps(typing.NamedTuple):
+    """What may be done next with slots that are leaving.
+
+    Attributes:
+        cleared: Slots that may be given away, by the owner that they leave.
+        releases: Owners that should release theirs, and whether older grants
+            may still arrive there.
+    """
+
+    cleared: dict[model.UpstreamId, list[int]]
+    releases: list[tuple[model.UpstreamId, bool]]
+
+    @property
+    def is_any(self) -> bool:
+        """Whether there is anything to do."""
+        return bool(self.cleared or self.releases)
+
+
 class MapKeeper:
     """Keeps the key map of one service while this VM leads."""
 
@@ -228,25 +247,16 @@
         if set(slots_by_source) - set(self._sources):
             await self._adopt(current, set(slots_by_source))
             return
-        cleared: list[int] = []
-        tokens: dict[int, str] = {}
-        releases: list[tuple[model.UpstreamId, bool]] = []
-        for owner, slots in slots_by_source.items():
-            source = self._sources[owner]
-            state = self._state_of(current, owner, source, slots, now)
-            if state is _Move.CLEAR:
-                cleared += slots
-                tokens |= source.tokens
-            elif state is not _Move.WAITING and source.may_release(now):
-                releases.append((owner, state is _Move.FENCE_AND_RELEASE))
-        if now - self._given_at < self._pause_s(GIVE_PAUSE_PER_VM_S):
-            cleared = []
-        if not releases and not (cleared and weights):
+        if not self._next_steps(current, weights, now).is_any:
             return
         if not await self._store_answers():
             await self._keep_leaving()
             return
-        for owner, fences in releases:
+        # Releases went on while the store was asked, and may have granted slots
+        # whose holds were over: only what holds now counts.
+        now = clocks.monotonic()
+        steps = self._next_steps(current, weights, now)
+        for owner, fences in steps.releases:
             self._take_back.start(
                 current,
                 owner,
@@ -254,18 +264,51 @@
                 slots_by_source[owner],
                 fences,
             )
-        if cleared and weights:
-            placed = self._plan.destinations(current, cleared, weights, now)
-            await self._give(current, placed, tokens)
+        if steps.cleared:
+            await self._give(current, steps.cleared, weights, now)
+
+    def _next_steps(self, current, weights, now: float) -> "_Steps":
+        """Returns what may be done next with the slots that are leaving."""
+        steps = _Steps({}, [])
+        is_paused = now - self._given_at < self._pause_s(GIVE_PAUSE_PER_VM_S)
+        for owner, slots in current.leaving_by_owner().items():
+            source = self._sources.get(owner)
+            if source is None:
+                # This VM began to leave.
+                continue
+            state = self._state_of(current, owner, source, slots, now)
+            if state is _Move.CLEAR:
+                if weights and not is_paused:
+                    steps.cleared[owner] = slots
+            elif state is not _Move.WAITING and source.may_release(now):
+                fences = state is _Move.FENCE_AND_RELEASE
+                steps.releases.append((owner, fences))
+        return steps
 
-    async def _give(self, current, placed, tokens) -> None:
+    async def _give(self, current, cleared, weights, now: float) -> None:
+        """Gives cleared slots, by the owner that they leave, to others.
+
+        From the look at their holds until this is settled nothing may be
+        granted to the owners that they leave: no wait stands between that look
+        and the flag that forbids it.
+        """
+        moving = [index for slots in cleared.values() for index in slots]
+        placed = self._plan.destinations(current, moving, weights, now)
         started_ms = self._started_ms(set(placed.values()))
         if self._started_again(current):
             # One fence is for one life: its other slots come first.
             return
+        sources = [self._sources[owner] for owner in cleared]
+        tokens: dict[int, str] = {}
+        for source in sources:
+            source.is_given = True
+            tokens |= source.tokens
         if await self._write(current.give(tokens, placed, started_ms), "moved"):
             self._given_at = clocks.monotonic()
             self._meters.ownership.add("moved", len(placed))
+            return
+        for source in sources:
+            source.is_given = False
 
     async def _adopt(self, current, owners: set[model.UpstreamId]) -> None:
         """Takes over moves that a former leader began.
--- a/src/swiftstile/gateway/takeback.py
+++ b/src/swiftstile/gateway/takeback.py
@@ -61,6 +61,8 @@
             that it has to know, if `stopped_at` is known.
         tokens: Hand-over tokens by slot, of those that it released.
         is_fenced: Whether it refuses older grants, whoever may send them.
+        is_given: Whether the next owner of its slots is being written. Nothing
+            is granted to it from then on.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.former = former
         self.tokens: dict[int, str] = {}
         self.is_fenced = False
+        self.is_given = False
         self._release: asyncio.Task | None = None
         self._retry_at = 0.0
         self._failures = 0
@@ -205,11 +208,11 @@
             return is_reached and len(failed) < _MOST_FAILURES
 
         async def take(index: int) -> None:
-            if not self._is_leaving(current, index):
+            if not self._may_order(current, source, index):
                 return
             try:
                 source.tokens[index] = await self._take(
-                    current, target, index, source.is_fenced
+                    current, target, source, index
                 )
             except errors.PeerUnavailableError as error:
                 failed.append(error)
@@ -225,18 +228,23 @@
                 error=str(failed[0]),
             )
 
-    def _is_leaving(self, current, index: int) -> bool:
-        """Whether a slot is still leaving the owner it had, and we lead."""
+    def _may_order(self, current, source: Source, index: int) -> bool:
+        """Whether the owner that a slot leaves may get orders for it.
+
+        It may while the slot is still leaving it, we lead, and no write is
+        under way by which another one owns it.
+        """
         now_map = self._maps.by_service[self._service]
         slot, before = now_map.slots[index], current.slots[index]
         return (
-            slot.is_leaving
+            not source.is_given
+            and slot.is_leaving
             and (slot.owner, slot.fence) == (before.owner, before.fence)
             and self._leads.is_leader
             and self._authority.is_able(clocks.monotonic())
         )
 
-    async def _take(self, current, target, index: int, fences: bool) -> str:
+    async def _take(self, current, target, source: Source, index: int) -> str:
         """Makes an owner release a slot; returns the hand-over token.
 
         Where grants under the old fence may still arrive, from a VM that tells
@@ -245,24 +253,24 @@
         """
         address, keys = target.upstream.address, current.keys_of(index)
         fence = current.slots[index].fence
-        if fences:
+        if source.is_fenced:
             fence = current.next_fence
-            await self._fence_off(current, target, index, keys, fence)
+            await self._fence_off(current, target, source, index, fence)
         return await self._control.release(address, target.id, keys, fence)
 
     async def _fence_off(
-        self, current, target, index: int, keys, fence: int
+        self, current, target, source: Source, index: int, fence: int
     ) -> None:
         """Grants a slot for a moment, so that older grants are refused."""
         result = await self._renewing.grant_counted(
             self._service,
             target,
             range(index, index + 1),
-            keys,
+            current.keys_of(index),
             fence,
             FENCING_HOLD_S,
             "",
-            lambda: self._is_leaving(current, index),
+            lambda: self._may_order(current, source, index),
         )
         if result is not interfaces.GrantResult.HELD:
             raise errors.PeerUnavailableError(
@@ -292,7 +300,9 @@
         if not source.may_keep(now):
             return
         source.note_kept(now)
-        left = [index for index in slots if self._is_leaving(current, index)]
+        left = [
+            index for index in slots if self._may_order(current, source, index)
+        ]
         left.reverse()
 
         async def keep_one(index: int) -> None:
@@ -313,7 +323,7 @@
                 current.next_fence if source.is_fenced else slot.fence,
                 KEEP_HOLD_S,
                 source.tokens.pop(index, slot.token),
-                lambda: self._is_leaving(current, index),
+                lambda: self._may_order(current, source, index),
             )
         except errors.PeerUnavailableError as error:
             self._meters.ownership.add("keep-unanswered")
