Ports of a gateway that a test starts differ from each other

Cause: the four ports of a gateway were drawn one by one, each given back before the next was drawn, so that now and then two were the same; that gateway ended with "Address in use" and the others waited for it.

Change: sites of gateways take their ports where the scenarios take theirs, which never gives a port twice and keeps below the range of outgoing connections. A site whose gateway ended says so at once, with the end of its log, instead of waiting for the whole time.

Ruled out: a store or leader that hangs (the other two gateways served all keys), a machine short of time (load 7 of 16 cores).

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -91,8 +91,10 @@
         return "\n".join(text.splitlines()[-lines:])
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports of loopback that nothing listens on.
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Returns ports of a loopback address that nothing listens on.
+
+    No port is returned twice in the life of a process.
 
     They are below the range that outgoing connections get theirs from, which
     would take one before its process listens on it.
@@ -103,7 +105,7 @@
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             with contextlib.suppress(OSError):
-                probe.bind(("127.0.0.1", port))
+                probe.bind((host, port))
                 if port not in _given:
                     _given.add(port)
                     found.append(port)
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -9,24 +9,19 @@
 import random
 import re
 import signal
-import socket
 import sys
 import uuid
 
 import aiohttp
 
+from benchmarks import processes
 from tests.integration import narrow_link
 from tests.integration import users_standins
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("z1", "z2", "z3")
-
-
-def free_port(host: str) -> int:
-    # The address belongs to one gateway of one test, so nobody else draws it.
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+# Of the log of a process that ended while it should have served.
+_TOLD_CHARS = 2000
 
 
 def render(template: str, fields: dict) -> str:
@@ -57,7 +52,7 @@
     def __post_init__(self):
         self.zone = ZONES[self.number % len(ZONES)]
         self.log = self.folder / f"gateway-{self.number}.log"
-        ports = [free_port(self.host) for _ in range(4)]
+        ports = processes.free_ports(4, self.host)
         self.front = f"{self.host}:{ports[0]}"
         self.ready = f"{self.host}:{ports[1]}"
         self.metrics = f"{self.host}:{ports[3]}"
@@ -276,6 +271,7 @@
     async def is_serving(self) -> bool:
         """Whether keys all over the key space are served by all gateways."""
         for gateway in self.gateways:
+            assert gateway.is_running, gateway.log.read_text()[-_TOLD_CHARS:]
             for key in range(0, users_standins.KEYS, 8192):
                 outcome = await self.callers.call("/read/x", key, gateway)
                 if outcome.status != 200:
--- a/tests/integration/test_links.py
+++ b/tests/integration/test_links.py
@@ -6,12 +6,12 @@
 
 import pytest
 
+from benchmarks import processes
 from swiftstile import errors
 from swiftstile import ids
 from swiftstile import metrics
 from swiftstile.peers import links
 from swiftstile.peers import messages
-from tests.integration import gateways
 from tests.integration import narrow_link
 
 _LARGE_BYTES = 500_000
@@ -38,7 +38,7 @@
 async def _answered(size: int = _LARGE_BYTES):
     """Yields an answerer, a link to it, and the narrow link between them."""
     meters = metrics.Meters()
-    address = f"127.0.0.1:{gateways.free_port('127.0.0.1')}"
+    address = f"127.0.0.1:{processes.free_ports(1)[0]}"
     answerer = _Answerer(size)
     server = links.ControlServer(address, answerer, meters, _PARALLEL)
     serving = asyncio.create_task(server.run())
--- a/tests/integration/test_narrow_links.py
+++ b/tests/integration/test_narrow_links.py
@@ -25,6 +25,7 @@
 import pytest
 from users_platform import store as store_lib
 
+from benchmarks import processes
 from swiftstile import errors
 from swiftstile import metrics
 from swiftstile.gateway import follow
@@ -118,7 +119,7 @@
     meters = metrics.Meters()
     reader = _follower()
     row_relay = relay.RowRelay({_TABLE: reader}, _peers(), None, [], meters)
-    port = gateways.free_port("127.0.0.1")
+    (port,) = processes.free_ports(1)
     address = f"127.0.0.1:{port}"
     server = links.ControlServer(address, row_relay, meters, relay.PARALLEL)
     serving = asyncio.create_task(server.run())
--- a/tests/integration/test_shared_links.py
+++ b/tests/integration/test_shared_links.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 
+from benchmarks import processes
 from swiftstile import metrics
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
@@ -18,7 +19,6 @@
 from swiftstile.peers import messages
 from tests import gateway_builders as builders
 from tests import row_parts
-from tests.integration import gateways
 from tests.integration import narrow_link
 
 _NAMES = ("operations", "registrations")
@@ -67,7 +67,7 @@
         held = {name: _follower(name, 9, size) for name in _NAMES}
         server = relay.RowRelay(held, _peers(), None, [], meters)
         handler = _LosesOne(server, lost=4)
-        address = f"127.0.0.1:{gateways.free_port('127.0.0.1')}"
+        address = f"127.0.0.1:{processes.free_ports(1)[0]}"
         control = links.ControlServer(address, handler, meters, relay.PARALLEL)
         serving = asyncio.create_task(control.run())
         led = {name: _follower(name, 2, 1) for name in _NAMES}
@@ -101,7 +101,7 @@
         reader = _follower("operations", 9, 30_000)
         held = {"operations": reader}
         server = relay.RowRelay(held, _peers(), None, [], meters)
-        address = f"127.0.0.1:{gateways.free_port('127.0.0.1')}"
+        address = f"127.0.0.1:{processes.free_ports(1)[0]}"
         control = links.ControlServer(address, server, meters, relay.PARALLEL)
         serving = asyncio.create_task(control.run())
         loop = asyncio.get_running_loop()
