--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -265,7 +265,12 @@
                 fences,
             )
         if steps.cleared:
-            await self._give(current, steps.cleared, weights, now)
+            moving = [i for slots in steps.cleared.values() for i in slots]
+            tokens: dict[int, str] = {}
+            for owner in steps.cleared:
+                tokens |= self._sources[owner].tokens
+            placed = self._plan.destinations(current, moving, weights, now)
+            await self._give(current, placed, tokens)
 
     def _next_steps(self, current, weights, now: float) -> "_Steps":
         """Returns what may be done next with the slots that are leaving."""
@@ -285,24 +290,21 @@
                 steps.releases.append((owner, fences))
         return steps
 
-    async def _give(self, current, cleared, weights, now: float) -> None:
-        """Gives cleared slots, by the owner that they leave, to others.
+    async def _give(self, current, placed, tokens) -> None:
+        """Gives cleared slots to others.
 
         From the look at their holds until this is settled nothing may be
         granted to the owners that they leave: no wait stands between that look
         and the flag that forbids it.
         """
-        moving = [index for slots in cleared.values() for index in slots]
-        placed = self._plan.destinations(current, moving, weights, now)
         started_ms = self._started_ms(set(placed.values()))
         if self._started_again(current):
             # One fence is for one life: its other slots come first.
             return
-        sources = [self._sources[owner] for owner in cleared]
-        tokens: dict[int, str] = {}
+        leaves = {current.slots[index].owner for index in placed}
+        sources = [self._sources[name] for name in leaves & set(self._sources)]
         for source in sources:
             source.is_given = True
-            tokens |= source.tokens
         if await self._write(current.give(tokens, placed, started_ms), "moved"):
             self._given_at = clocks.monotonic()
             self._meters.ownership.add("moved", len(placed))
