--- /dev/null
+++ b/src/swiftstile/commandline/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, by what they are for."""
--- /dev/null
+++ b/src/swiftstile/commandline/looks.py
@@ -0,0 +1,158 @@
+"""Commands that look at a running system, or at what it wrote."""
+
+import asyncio
+import pathlib
+
+import aiohttp
+import msgspec
+
+from swiftstile import explain
+from swiftstile import ids
+from swiftstile import settings as settings_lib
+from swiftstile.commandline import shared
+from swiftstile.ownership import documents
+
+__all__ = ["add"]
+
+
+def add(commands) -> None:
+    """Adds the commands."""
+    _add_looks(commands)
+    _add_explain(commands)
+
+
+def _add_looks(commands) -> None:
+    status = commands.add_parser(
+        "status", help="show the state of this VM's daemons, or of others"
+    )
+    status.add_argument("organisation")
+    status.add_argument(
+        "--address",
+        action="append",
+        default=[],
+        metavar="HOST:PORT",
+        help="a daemon's metrics address; may be repeated (default: this"
+        " VM's own, from the settings)",
+    )
+    status.set_defaults(run=_status)
+    audit = commands.add_parser("audit", help="print the audit trail")
+    audit.add_argument("organisation")
+    audit.add_argument("--actor", help="only entries of one operator")
+    audit.add_argument("--action", help="only entries of one action")
+    audit.add_argument(
+        "--ownership",
+        metavar="SERVICE",
+        help="changes of ownership of a service instead of bundles",
+    )
+    audit.set_defaults(run=_audit)
+    for command in (status, audit):
+        shared.add_settings(command)
+        shared.add_json(command)
+
+
+def _add_explain(commands) -> None:
+    text = "tell the story of one request from log files of any VMs"
+    command = commands.add_parser("explain", help=text, description=text)
+    command.add_argument("request", help="the caller's id of the attempt")
+    command.add_argument("file", type=pathlib.Path, nargs="+", help="a log")
+    command.add_argument("--json", action="store_true", help="for programs")
+    command.set_defaults(run=_explain)
+
+
+def _explain(args) -> int:
+    story = explain.find(args.request, args.file)
+    return shared.print_result(args, story, explain.render(story))
+
+
+def _audit(args) -> int:
+    if args.ownership is not None:
+        return _audit_ownership(args)
+    organisation = ids.OrganisationId(args.organisation)
+    entries = shared.with_platform(
+        args, lambda parts: parts.queries().audit(organisation)
+    )
+    chosen = [
+        entry
+        for entry in entries
+        if args.actor in (None, entry.actor)
+        and args.action in (None, entry.action)
+    ]
+    lines = [
+        f"{e.number:>6}  {e.at_ms}  {e.actor}  {e.action}  {e.subject}"
+        f"  {e.outcome}  {e.before} -> {e.after}"
+        for e in chosen
+    ]
+    return shared.print_result(args, chosen, "\n".join(lines) or "no entries")
+
+
+def _audit_ownership(args) -> int:
+    service = ids.ServiceId(
+        ids.OrganisationId(args.organisation), ids.ServiceName(args.ownership)
+    )
+    changes = shared.with_platform(
+        args, lambda parts: documents.changes(parts.table, service)
+    )
+    chosen = [
+        change
+        for change in changes
+        if args.actor in (None, change.actor)
+        and args.action in (None, change.reason)
+    ]
+    lines = [
+        f"{c.version:>6}  {c.at_ms}  {c.actor}  epoch {c.epoch}  {c.reason}"
+        f"  {c.moved} slices, {c.share:.2%} of keys"
+        f"  {', '.join(c.sources)} -> {', '.join(c.targets)}"
+        for c in chosen
+    ]
+    return shared.print_result(args, chosen, "\n".join(lines) or "no changes")
+
+
+def _status(args) -> int:
+    settings = settings_lib.load(args.settings)
+    own = [
+        section.metrics
+        for section in (settings.router, settings.coordinator)
+        if section is not None and section.metrics
+    ]
+    addresses = args.address or own
+
+    async def gather():
+        timeout = aiohttp.ClientTimeout(total=2)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            return await asyncio.gather(
+                *(_fetch_status(session, address) for address in addresses)
+            )
+
+    states = asyncio.run(gather())
+    lines = [
+        _status_line(*pair) for pair in zip(addresses, states, strict=True)
+    ]
+    shared.print_result(
+        args, dict(zip(addresses, states, strict=True)), "\n".join(lines)
+    )
+    return shared.EXIT_OK if all(states) else shared.EXIT_UNAVAILABLE
+
+
+async def _fetch_status(session, address: str) -> dict | None:
+    try:
+        async with session.get(f"http://{address}/status") as response:
+            return msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+        return None
+
+
+def _status_line(address: str, state: dict | None) -> str:
+    if state is None:
+        return f"{address}  no answer"
+    platform = "reachable" if state["platform_reachable"] else "UNREACHABLE"
+    lines = [
+        f"{address}  {state['vm']} ({state['failure_domain']})"
+        f"  platform {platform}  bundles {state['bundles']}"
+    ]
+    for service, entry in state["services"].items():
+        fields = ", ".join(f"{k} {v}" for k, v in entry.items())
+        lines.append(f"    {service}: {fields}")
+    refusals = state["meters"]["refusals"]
+    if refusals:
+        lines.append(f"    refused: {refusals}")
+    return "\n".join(lines)
--- /dev/null
+++ b/src/swiftstile/commandline/shared.py
@@ -0,0 +1,68 @@
+"""What commands share: options, output, exit statuses, the platform."""
+
+import asyncio
+import pathlib
+
+import msgspec
+
+from swiftstile import settings as settings_lib
+from swiftstile import wiring
+
+__all__ = [
+    "EXIT_CONFLICT",
+    "EXIT_FAILED",
+    "EXIT_OK",
+    "EXIT_UNAVAILABLE",
+    "EXIT_USAGE",
+    "add_json",
+    "add_settings",
+    "print_result",
+    "with_platform",
+]
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+
+
+def add_settings(command) -> None:
+    """Adds the option that names the settings file."""
+    command.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        required=True,
+        metavar="FILE",
+        help="settings of this process (INI)",
+    )
+
+
+def add_json(command) -> None:
+    """Adds the option for output that programs read."""
+    command.add_argument(
+        "--json", action="store_true", help="print JSON for programs"
+    )
+
+
+def with_platform(args, work) -> object:
+    """Runs `work(parts)` with the platform of the settings file."""
+    settings = settings_lib.load(args.settings)
+
+    async def run():
+        parts = wiring.Wiring(settings)
+        try:
+            return await work(parts)
+        finally:
+            await parts.close()
+
+    return asyncio.run(run())
+
+
+def print_result(args, document: object, text: str) -> int:
+    """Prints a document, or its text; returns the exit status."""
+    if args.json:
+        print(msgspec.json.encode(document).decode())
+    else:
+        print(text)
+    return EXIT_OK
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -8,6 +8,7 @@
 
 from benchmarks import processes
 from swiftstile import cli
+from swiftstile.commandline import shared
 from tests import builders
 from tests.integration import callers
 
@@ -102,14 +103,20 @@
     with concurrent.futures.ThreadPoolExecutor(2) as pool:
         statuses = list(pool.map(roll, versions))
     # Either both went in order, or the second saw that it was too late.
-    assert cli.EXIT_OK in statuses
-    assert set(statuses) <= {cli.EXIT_OK, cli.EXIT_CONFLICT, cli.EXIT_USAGE}
+    assert shared.EXIT_OK in statuses
+    assert set(statuses) <= {
+        shared.EXIT_OK,
+        shared.EXIT_CONFLICT,
+        shared.EXIT_USAGE,
+    }
     in_force = fleet.run_cli("bundle", "show", "tiny")["head"]["in_force"]
     winners = [
-        v for v, s in zip(versions, statuses, strict=True) if s == cli.EXIT_OK
+        v
+        for v, s in zip(versions, statuses, strict=True)
+        if s == shared.EXIT_OK
     ]
     assert in_force == max(winners)
-    assert roll_status(settings, versions[0]) == cli.EXIT_USAGE
+    assert roll_status(settings, versions[0]) == shared.EXIT_USAGE
 
     def everywhere():
         states = [fleet.status(v.router_metrics) for v in fleet.vms.values()]
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -8,6 +8,7 @@
 from swiftstile import cli
 from swiftstile import errors
 from swiftstile import explain
+from swiftstile.commandline import shared
 from swiftstile.gateway import decisions
 
 
@@ -85,11 +86,11 @@
 
 def test_the_command_prints_text_and_json(files, capsys):
     names = [str(path) for path in files]
-    assert cli.main(["explain", "a1", *names]) == cli.EXIT_OK
+    assert cli.main(["explain", "a1", *names]) == shared.EXIT_OK
     assert "timeout" in capsys.readouterr().out
-    assert cli.main(["explain", "a1", "--json", *names]) == cli.EXIT_OK
+    assert cli.main(["explain", "a1", "--json", *names]) == shared.EXIT_OK
     assert json.loads(capsys.readouterr().out)["id"] == "a1"
-    assert cli.main(["explain", "zz", *names]) == cli.EXIT_FAILED
+    assert cli.main(["explain", "zz", *names]) == shared.EXIT_FAILED
 
 
 def _story(lines, name: str, is_well: bool) -> None:
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -4,6 +4,7 @@
 
 from swiftstile import cli
 from swiftstile import errors
+from swiftstile.commandline import shared
 from swiftstile.gateway import settings
 
 _GOOD = """
@@ -59,7 +60,7 @@
 def test_the_command_line_checks_a_file(tmp_path, capsys):
     file = tmp_path / "gateway.ini"
     file.write_text(_GOOD)
-    assert cli.main(["check-gateway", str(file)]) == cli.EXIT_OK
+    assert cli.main(["check-gateway", str(file)]) == shared.EXIT_OK
     file.write_text("[vm]\n")
-    assert cli.main(["check-gateway", str(file)]) == cli.EXIT_USAGE
+    assert cli.main(["check-gateway", str(file)]) == shared.EXIT_USAGE
     assert "check settings" in capsys.readouterr().err
