Tests that fail: answers that are final by a configuration that may be old

Cause (by reading, then shown by the tests): whether the configuration is current is asked for routes only, not for 413 and 431; a newer configuration that can't be read counts as known; and where a domain has few VMs none tells the others which configuration it knows, so that a VM whose call fell silent says 404 until that is noticed.

The store's stand-in can be deaf: it says nothing of the operator's changes.

--- a/tests/integration/test_gateway_stale.py
+++ b/tests/integration/test_gateway_stale.py
@@ -70,3 +70,64 @@
         await _until_all(site, "/nowhere/x", 404)
 
     asyncio.run(gateways.Site(tmp_path, 3).play(scenario))
+
+
+def test_a_configuration_that_cannot_be_read_makes_no_answer_final(tmp_path):
+    """A newer configuration that isn't understood may have any route.
+
+    What callers would see: 404 for its routes, for good. Cause: the follower
+    had the newest row, so that the configuration counted as current though the
+    one in force was older. Evidence: this test without the mend; the platform
+    says that its store accepts only valid configurations, and no play has shown
+    another.
+    """
+
+    async def scenario(site):
+        assert await _statuses(site, _PATH) == [404] * 3
+        site.store.put("op", "config", {"version": "not a number"})
+        await _until_all(site, _PATH, 503)
+        assert await _statuses(site, "/read/x") == [200] * 3
+        site.store.put("op", "config", users_standins.config(7, _NEW_ROUTE))
+        await _until_all(site, _PATH, 200)
+        await _until_all(site, "/nowhere/x", 404)
+
+    asyncio.run(gateways.Site(tmp_path, 3).play(scenario))
+
+
+def test_a_call_that_fell_silent_keeps_no_vm_behind(tmp_path):
+    """A peer of the domain knows a route, and this VM's call says nothing.
+
+    What callers would see: 404 for 4.5 s. Order of events: a VM's call that
+    waits for changes falls silent in a domain of few VMs; the operator adds a
+    route; the domain's others have it. Cause: each VM of such a domain follows
+    the store itself and told the others nothing of what it knew, and a call's
+    silence counted as "nothing is new". Evidence: this test without the mend.
+    """
+
+    async def scenario(site):
+        # Two of the four are in one domain.
+        silent, peer = site.gateways[0], site.gateways[3]
+        assert silent.zone == peer.zone
+        # A change ends the calls that wait for one; those after it wait long.
+        site.store.put("op", "other", {})
+        await asyncio.sleep(0.3)
+        site.store.mode_by_door[silent.number] = "deaf"
+        site.store.put("op", "config", users_standins.config(5, _NEW_ROUTE))
+        told = asyncio.get_running_loop().time()
+
+        async def is_known() -> bool:
+            answer = await site.callers.call(_PATH, gateway=peer)
+            return answer.status == 200
+
+        async def has_come() -> bool:
+            answer = await site.callers.call(_PATH, gateway=silent)
+            assert answer.status in (200, 503), answer
+            return answer.status == 200
+
+        await site.until(is_known, 1)
+        # A report later.
+        await asyncio.sleep(0.1)
+        await site.until(has_come, 2)
+        assert asyncio.get_running_loop().time() - told < 2
+
+    asyncio.run(gateways.Site(tmp_path, 4).play(scenario))
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -28,7 +28,8 @@
 
     Attributes:
         mode_by_door: What callers at a door meet: `busy`, `silent`, `lost`
-            (done, not answered) or `late` (not answered, done later).
+            (done, not answered), `late` (not answered, done later) or `deaf`
+            (nothing is said of the operator's changes).
     """
 
     def __init__(self):
@@ -95,7 +96,7 @@
             return await self._transact(json.loads(body), mode)
         if name == "rows-get":
             return self._json(self._table(request.query["table"]))
-        return await self._feed(request.query)
+        return await self._feed(request.query, door)
 
     async def _transact(self, call, mode: str) -> web.Response:
         if mode == "late":
@@ -134,7 +135,7 @@
             return shown | {"tombstone": True}
         return shown | {"value": base64.b64encode(row.value).decode()}
 
-    async def _feed(self, query) -> web.Response:
+    async def _feed(self, query, door: int) -> web.Response:
         table, after = query["table"], int(query["after"])
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query["wait_ms"]) / 1000
@@ -147,6 +148,9 @@
                 if name == table and version > after
             }
             left_s = end - loop.time()
+            is_deaf = self.mode_by_door.get(door) == "deaf"
+            if is_deaf and table == "op":
+                await asyncio.sleep(3600)
             if names or left_s <= 0:
                 rows = [
                     self._row(key, self.rows[table, key])
--- a/tests/unit/test_gateway_stale.py
+++ b/tests/unit/test_gateway_stale.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from aiohttp import test_utils
+import msgspec
 import pytest
 
 from swiftstile import clocks
@@ -16,6 +17,7 @@
 from swiftstile.gateway import follow
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import interfaces
+from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from tests import gateway_builders as builders
 
@@ -160,6 +162,10 @@
         "GET", path, headers={"Host": "a.example"}
     )
     assert not handler.may_overlap(request)
+    return _refusal(handler, request)
+
+
+def _refusal(handler: handler_lib.Handler, request) -> outcomes.GatewayError:
     arrival = arrivals.Arrival(request, clocks.monotonic(), None)
     with pytest.raises(outcomes.GatewayError) as caught:
         asyncio.run(handler.answer(arrival))
@@ -187,3 +193,57 @@
     )
     route, _ = handler._route(request)
     assert route.name == "r-1"
+
+
+# Sizes of requests that the configuration in force doesn't allow.
+#
+# What callers would see: 413 and 431, which are final as 404 is, for requests
+# that a newer configuration allows.
+# Order of events: the operator raises a limit; the store turns this VM away, or
+# a peer tells it of the newer row; a request beyond the old limit comes.
+# Cause: whether the configuration is current was asked for routes alone.
+# Evidence: these tests without the mend; no play has shown it.
+
+
+class _NoShares:
+
+    def draw(self, route):
+        return builders.LOOKUPS
+
+
+class _NoBudget:
+
+    def note_request(self, service, now):
+        """Nothing is counted."""
+
+
+def _limited(operations: follow.TableFollower) -> handler_lib.Handler:
+    """Returns a handler by whose limits a request may be too large."""
+    made = _handler(operations)
+    made._shares, made._budget = _NoShares(), _NoBudget()
+    limits = model.Limits(max_header_bytes=100, max_body_bytes=100)
+    made.config = msgspec.structs.replace(made.config, limits=limits)
+    return made
+
+
+def _large(header: int = 0, body: int = 0):
+    headers = {"Host": "a.example", "X-Note": "x" * header}
+    headers["Content-Length"] = str(body)
+    return test_utils.make_mocked_request("POST", "/a/x", headers=headers)
+
+
+@pytest.mark.parametrize(
+    ("request_", "status"), [(_large(header=200), 431), (_large(body=200), 413)]
+)
+def test_sizes_are_final_only_while_the_configuration_is_current(
+    monkeypatch, request_, status
+):
+    clock = _Clock(monkeypatch)
+    operations = _follower()
+    operations._note_contact(clock.now)
+    handler = _limited(operations)
+    assert _refusal(handler, request_).status == status
+    operations.note_told(8, clock.now)
+    error = _refusal(handler, request_)
+    assert isinstance(error, outcomes.StaleConfigError)
+    assert 0 < error.retry_after_s < 1
