No 413 or 431 while the configuration may be old

Cause: only a request without a route was asked whether the configuration is current; sizes beyond its limits were refused for good. Change: all three go through one place (`_not_allowed`), which answers 503 config-behind unless the configuration is known to be current. Ruled out: a body of unknown length that grows beyond the limit while it is passed on. No 413 reaches the caller there; the upstream has a part of it, and 503 would promise too much.

--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -158,18 +158,26 @@
         name = host[0] if host[2].isdigit() and host[0] else "".join(host)
         route = config.find(name.lower(), target.partition("?")[0])
         if route is None:
-            raise self._no_route(config)
+            raise self._not_allowed(
+                outcomes.NoRouteError(
+                    f"no route in version {config.version}", step="find route"
+                )
+            )
         return route, config
 
-    def _no_route(self, config: model.Config) -> outcomes.GatewayError:
-        """Returns what is said of a request without a route."""
+    def _not_allowed(
+        self, error: outcomes.GatewayError
+    ) -> outcomes.GatewayError:
+        """Returns what is said of a request that the configuration bars.
+
+        A newer one may allow it, so a final answer is given only by one that is
+        known to be current.
+        """
         if self._operations.is_current(clocks.monotonic()):
-            return outcomes.NoRouteError(
-                f"no route in version {config.version}", step="find route"
-            )
+            return error
         return outcomes.StaleConfigError(
-            f"no route in version {config.version}, a newer one may have it",
-            step="find route",
+            f"{error.args[0]}; a newer configuration may allow it",
+            step=error.step,
         )
 
     async def _serve(self, arrival, inbound, route, config, story):
@@ -209,13 +217,9 @@
     async def _call(
         self, request, inbound, route, config, end
     ) -> exchange.Call:
-        _check_head(request, config.limits.max_header_bytes)
+        self._check_sizes(request, config.limits)
         limit = config.limits.max_body_bytes
         length = request.content_length
-        if length is not None and length > limit:
-            raise outcomes.BodyTooLargeError(
-                f"{length} bytes, at most {limit}", step="read body"
-            )
         body, stream = b"", None
         if request.body_exists:
             await _invite_body(request)
@@ -232,6 +236,15 @@
             route.repeatability is model.Repeatability.IDEMPOTENT,
         )
 
+    def _check_sizes(
+        self, request: web.BaseRequest, limits: model.Limits
+    ) -> None:
+        try:
+            _check_head(request, limits.max_header_bytes)
+            _check_length(request, limits.max_body_bytes)
+        except outcomes.GatewayError as error:
+            raise self._not_allowed(error) from error
+
     async def _read(self, request, limit: int):
         pieces, size = [], 0
         content = request.content
@@ -415,6 +428,14 @@
         )
 
 
+def _check_length(request: web.BaseRequest, limit: int) -> None:
+    length = request.content_length
+    if length is not None and length > limit:
+        raise outcomes.BodyTooLargeError(
+            f"{length} bytes, at most {limit}", step="read body"
+        )
+
+
 async def _invite_body(request: web.BaseRequest) -> None:
     """Tells a caller that waits for it to send the body."""
     if request.headers.get("Expect", "").lower() == "100-continue":
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -74,11 +74,11 @@
 
 
 class StaleConfigError(GatewayError):
-    """No route matches, and the configuration may not be the newest.
+    """The configuration bars the request, and may not be the newest.
 
-    A 404 is final for a caller, so it is kept for configurations that are known
-    to be current. Another VM may know the route already, and this one has the
-    news within tenths of a second unless the store is away.
+    404, 413 and 431 are final for a caller, so they are kept for configurations
+    that are known to be current. Another VM may know a newer one already, and
+    this one has the news within tenths of a second unless the store is away.
     """
 
     status = 503
