A configuration that can't be read leaves no final answers

Cause: the follower had the newest row, so the configuration counted as current though the newest one couldn't be decoded; 404 was said by the older one for good. Change: the handler knows that a newer one is unread, and answers 503 config-behind instead of 404, 413 and 431 until a readable one comes.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -279,6 +279,7 @@
 
     def apply_config(self, config: model.Config) -> None:
         """Puts a configuration in force, unless a newer one is."""
+        self._handler.is_config_unread = False
         known = self._handler.config
         if known is not None and known.version >= config.version:
             return
@@ -295,6 +296,7 @@
 
     def note_bad_config(self, error: errors.SwiftstileError) -> None:
         """Says that a configuration can't be used; the last one stays."""
+        self._handler.is_config_unread = True
         self.meters.refusals.add("bad-config")
         logs.logger.error("configuration refused", error=str(error))
 
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -64,6 +64,7 @@
 
     Attributes:
         config: The configuration; None until one is known.
+        is_config_unread: The operator wrote a newer one that can't be used.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         meters: metrics.Meters,
     ):
         self.config: model.Config | None = None
+        self.is_config_unread = False
         self._permits = permits
         self._sender = sender
         self._dialect = dialect
@@ -173,7 +175,8 @@
         A newer one may allow it, so a final answer is given only by one that is
         known to be current.
         """
-        if self._operations.is_current(clocks.monotonic()):
+        is_current = self._operations.is_current(clocks.monotonic())
+        if is_current and not self.is_config_unread:
             return error
         return outcomes.StaleConfigError(
             f"{error.args[0]}; a newer configuration may allow it",
