A VM of a small domain whose call fell silent takes the news from its peers

Cause: where a domain has few VMs each follows the store itself and told the others nothing, and a call that waits is trusted for its wait and 0.5 s: 4.5 s of 404 for routes that its peers served. A VM that is told of it answers 503 config-behind at once, and asks that peer if it still lacks it 0.5 s later; what comes ends the silent call. Ruled out: shorter calls (each has its price), word in every report. Left: all calls of a domain silent at the same time, and domains of one VM.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -64,6 +64,8 @@
             on this one.
         outage: What this VM's followers know of an outage together; None for
             a follower on its own.
+        tells_news: Whether peers are told of new rows also where none relies
+            on this VM: one whose call fell silent knows then that it is behind.
 
     Attributes:
         name: Name of the table, for logs.
@@ -87,6 +89,7 @@
         store_readers: readers.StoreReaders | None = None,
         reader_watch_s: float = WATCH_S,
         outage: outage_lib.Outage | None = None,
+        tells_news: bool = False,
     ):
         self.name = name
         self.rows: dict[str, interfaces.Change] = {}
@@ -103,6 +106,9 @@
         self._readers = store_readers
         self._reader_watch_s = reader_watch_s
         self._outage = outage or outage_lib.Outage()
+        self._tells_news = tells_news
+        # When the newest row of this table came.
+        self._row_at = float("-inf")
         self._started = clocks.monotonic()
         # Until when the last word, the store's or that of peers, stands for
         # "nothing is new".
@@ -219,7 +225,7 @@
 
     def is_led(self, now: float) -> bool:
         """Whether peers tell of newer rows, so that the store isn't asked."""
-        return self.relies_on_peers(now) and not self._is_left_behind(now)
+        return self.relies_on_peers(now) and not self.is_left_behind(now)
 
     def relies_on_peers(self, now: float) -> bool:
         """Whether it is for peers to follow the store, and they do."""
@@ -229,7 +235,8 @@
             self.name, self._reader_watch_s, now
         )
 
-    def _is_left_behind(self, now: float) -> bool:
+    def is_left_behind(self, now: float) -> bool:
+        """Whether a row that a peer told of doesn't come, for a while now."""
         since = self._behind_since
         if since is None:
             return False
@@ -282,13 +289,19 @@
 
     def word(self, now: float) -> reports.TableWord | None:
         """Returns what others may rely on; None if there is nothing."""
-        if self._readers is None or not self._readers.is_many(now):
+        if not self._is_for_peers(now):
             return None
         if self.failing_since is not None or self.is_led(now):
             return None
         age_s = round(now - self.answered_at, 2)
         return reports.TableWord(self.row_version, age_s)
 
+    def _is_for_peers(self, now: float) -> bool:
+        """Whether peers rely on this VM's word, or may lack what is new."""
+        if self._readers is not None and self._readers.is_many(now):
+            return True
+        return self._tells_news and now - self._row_at <= WATCH_S + ANSWER_S
+
     def _note_led(self, now: float) -> None:
         if not self._is_behind():
             # A reader's word is no older than this.
@@ -353,7 +366,9 @@
             known = self.rows.get(change.key)
             if known is not None and known.version >= change.version:
                 continue
-            self.row_version = max(self.row_version, change.version)
+            if change.version > self.row_version:
+                self.row_version = change.version
+                self._row_at = clocks.monotonic()
             if change.value is None:
                 self._remember_removed(change)
                 if known is None:
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -197,13 +197,14 @@
 def _may_be_quicker(follower: follow.TableFollower, now: float) -> bool:
     """Whether to ask a peer that has newer rows, besides the store or not.
 
-    Not where the store is followed and answers: its answer is on its way. But
-    the first one, and that to a VM that relies on peers otherwise, may hold
-    much that isn't needed, and come over a narrow link.
+    Not where the store is followed and answers: its answer is on its way,
+    unless it doesn't come for a while. But the first one, and that to a VM that
+    relies on peers otherwise, may hold much that isn't needed, and come over a
+    narrow link.
     """
     if follower.failing_since is not None or not follower.is_loaded:
         return True
-    return follower.relies_on_peers(now)
+    return follower.relies_on_peers(now) or follower.is_left_behind(now)
 
 
 def _tells_newer(peer: reports.Peer, follower: follow.TableFollower) -> bool:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -200,6 +200,8 @@
             store_readers=readers.StoreReaders(self._peers, lambda: False),
             reader_watch_s=readers.READER_WATCH_S,
             outage=self._outage,
+            # Has to be in force everywhere within a time.
+            tells_news=True,
         )
         key_owners = owners.KeyOwners(
             self._maps, self._book, self._heat, self._peers
--- a/tests/unit/test_gateway_stale.py
+++ b/tests/unit/test_gateway_stale.py
@@ -128,6 +128,32 @@
     assert not made.is_current(100.0 + follow.LED_TRUST_S + 0.01)
 
 
+class _FewVms:
+    """A domain in which each VM follows the store itself."""
+
+    def is_many(self, now):
+        return False
+
+    def follows_itself(self, table, watch_s, now):
+        return True
+
+
+def test_news_are_told_to_peers_that_may_lack_them_yet(monkeypatch):
+    clock = _Clock(monkeypatch)
+    made = follow.TableFollower(
+        "operations",
+        builders.MemoryTable(),
+        lambda _: None,
+        store_readers=_FewVms(),
+        tells_news=True,
+    )
+    row = interfaces.Change("config", b"1", 7)
+    made.accept(interfaces.Snapshot([row], 9), True)
+    assert made.word(clock.now).version == 7
+    # Whoever's call fell silent before that knows by now.
+    assert made.word(clock.now + follow.WATCH_S + follow.ANSWER_S + 0.1) is None
+
+
 class _Dialect:
 
     def read_request(self, headers):
