Tests that fail: reports beyond 8,192 bytes are heard by nobody

Cause (by reading, then shown by the tests): peers read 8,192 bytes of a datagram and drop what can't be decoded then, with a line at the receiver; the VM that sent it knows nothing, and counts as silent everywhere.

--- /dev/null
+++ b/tests/unit/test_gateway_report_sizes.py
@@ -0,0 +1,121 @@
+"""Reports of large deployments reach the other VMs, whatever they hold.
+
+What users would see: VMs that count as silent while they serve: their leads,
+renewals and counts lapse, and keys lie still.
+Order of events: a VM has requests at many upstreams, or renews for many whose
+slots are leaving; its report grows beyond what peers read of a datagram.
+Cause: peers cut datagrams off at 8,192 bytes and couldn't decode the rest; the
+VM that sent it noticed nothing.
+Evidence: these tests without the mend. No play has shown it: the largest
+deployment played has 89 VMs and 464 upstreams.
+"""
+
+import pytest
+
+from swiftstile import clocks
+from swiftstile import metrics
+from swiftstile.gateway import gossip
+from swiftstile.gateway import model
+from swiftstile.gateway import reports
+from tests import gateway_builders as builders
+
+_VMS, _UPSTREAMS = 89, 464
+# As long as a name with the service, the place and the run of the upstream.
+_NAMES = [f"benchmark-svc-amman-{n:03d}-8f3a1c" for n in range(_UPSTREAMS)]
+_HOLD = reports.Hold(4.5, 0.5)
+
+
+class _Network:
+    """Hands datagrams to one VM.
+
+    Attributes:
+        sizes: Of all that were sent.
+    """
+
+    def __init__(self, to: gossip.Peers):
+        self.sizes = []
+        self._to = to
+
+    def sendto(self, data, address):
+        self.sizes.append(len(data))
+        if address == ("127.0.0.1", 7001):
+            self._to._receive(data, ("127.0.0.1", 7000))
+
+
+class _Vms:
+    """A VM that reports, and one of the others that hears it."""
+
+    def __init__(self, monkeypatch):
+        monkeypatch.setattr(clocks, "monotonic", lambda: 100.0)
+        self.heard: list[reports.Report] = []
+        rows = [
+            builders.node_row(f"vm-{n}", f"{n:08}", address=f"127.0.0.1:{n}")
+            for n in range(7000, 7000 + _VMS)
+        ]
+        self.sender = gossip.Peers(rows[0], lambda *_: None)
+        self.receiver = gossip.Peers(
+            rows[1], lambda peer, _: self.heard.append(peer.report)
+        )
+        for row in rows:
+            for peers in (self.sender, self.receiver):
+                peers.apply(row, row.node, 100.0)
+        self.receiver._tick_at = 100.0
+        self.network = self.sender._transport = _Network(self.receiver)
+
+    def tell(self, **changes) -> list[reports.Report]:
+        """Sends a report to all; returns what one heard."""
+        told = builders.report(
+            self.sender.me, self.sender.next_sequence(), **changes
+        )
+        self.sender.send_now(told)
+        return self.heard
+
+
+def test_what_keys_depend_on_arrives_however_much_there_is(monkeypatch):
+    vms = _Vms(monkeypatch)
+    holds = {builders.LOOKUPS: dict.fromkeys(_NAMES, _HOLD)}
+    counts = dict.fromkeys(_NAMES, (3, 0))
+    [heard] = vms.tell(
+        shared=counts, local=counts, holds=holds, unreachable=_NAMES[:100]
+    )
+    assert heard.holds == holds
+    assert heard.unreachable == _NAMES[:100]
+    # A datagram holds 65,507 bytes at most.
+    assert max(vms.network.sizes) <= 40_000
+
+
+def test_of_many_counts_the_greatest_are_told(monkeypatch):
+    vms = _Vms(monkeypatch)
+    counts = {name: (n, 0) for n, name in enumerate(_NAMES)}
+    speeds = dict.fromkeys(_NAMES[:60], (10, 100))
+    [heard] = vms.tell(shared=counts, local={}, speeds=speeds)
+    assert max(vms.network.sizes) <= 8192
+    told = [count for count, _ in heard.shared.values()]
+    assert min(told) == _UPSTREAMS - len(told)
+    assert heard.speeds == speeds
+
+
+def test_a_usual_report_is_told_as_it_is(monkeypatch):
+    vms = _Vms(monkeypatch)
+    counts = dict.fromkeys(_NAMES[:50], (2, 1))
+    [heard] = vms.tell(shared=counts, local=counts, heat={"a": {7: 1.5}})
+    assert (heard.shared, heard.local) == (counts, counts)
+    assert heard.heat == {"a": {7: 1.5}}
+
+
+def test_a_report_that_fits_no_datagram_is_counted(monkeypatch):
+    vms = _Vms(monkeypatch)
+    vms.sender.meters = meters = metrics.Meters()
+    many = [model.UpstreamId(f"{name}-{n}") for name in _NAMES for n in "12345"]
+    assert vms.tell(unreachable=many) == []
+    assert vms.network.sizes == []
+    assert meters.control_messages.get("report-too-large") == 1
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x90" * 5])
+def test_what_is_no_report_is_counted(monkeypatch, data):
+    vms = _Vms(monkeypatch)
+    vms.sender.meters = meters = metrics.Meters()
+    vms.sender._tick_at = 100.0
+    vms.sender._receive(b"rh" + data, ("127.0.0.1", 7001))
+    assert meters.control_messages.get("report-dropped") == 1
