What keys depend on is told whatever the size of a report

Cause: peers read 8,192 bytes of a datagram; a longer report couldn't be decoded, and its VM counted as silent. Change: a report is read whole. Ruled out: leaving out holds (a slot would be given away while it may be held); reports in several datagrams (a lost one would leave half a report in force).

--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -13,9 +13,11 @@
 from swiftstile import errors
 from swiftstile import ids
 from swiftstile import logs
+from swiftstile import metrics
 from swiftstile.gateway import circulation as circulation_lib
 from swiftstile.gateway import measures as measures_lib
 from swiftstile.gateway import model
+from swiftstile.gateway import report_encoding
 from swiftstile.gateway import reports
 
 __all__ = ["Peers"]
@@ -33,8 +35,6 @@
 NEAR_PER_S = 100
 # While keys move every report counts, to all domains.
 URGENT_INTERVAL_S = 0.05
-# Datagrams beyond this are cut into pieces by the network; none is as large.
-MAX_BYTES = 8192
 # How long a retired VM still counts: longer than a leader goes on without the
 # store, and those that follow it.
 RETIRED_COUNTS_S = 20.0
@@ -85,6 +85,7 @@
         me: This VM.
         on_report: Called with a peer and the time when its report came.
         measures: What this VM tells with its reports now and then, if it does.
+        meters: Counts reports that can't be sent or understood.
 
     Attributes:
         by_node: All that are registered, this one excluded.
@@ -95,8 +96,10 @@
         me: reports.NodeRow,
         on_report,
         measures: measures_lib.Measures | None = None,
+        meters: metrics.Meters | None = None,
     ):
         self.me = me
+        self._meters = meters or metrics.Meters()
         self._measures = measures
         self._near_pace = measures_lib.Pace()
         self._leader_pace = measures_lib.Pace()
@@ -106,7 +109,7 @@
         # Takes what other VMs say of permits; set by who hands them out.
         self.on_permit = None
         self._decoder = msgspec.msgpack.Decoder(reports.Report)
-        self._encoder = msgspec.msgpack.Encoder()
+        self._encoder = report_encoding.ReportEncoder(self._meters)
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._to_every_vm = circulation_lib.ToEveryVm(me, self.by_node)
@@ -298,6 +301,8 @@
 
     def _send_far(self, report: reports.Report, now: float, to) -> None:
         self._sequence = report.sequence
+        if not to:
+            return
         data = self._encoder.encode(report)
         to_leader = data
         if any(peer.claims_lead for peer in to):
@@ -314,7 +319,11 @@
             return report
         return self._measures.attach(report, pace, len(self.by_node), now)
 
-    def _send_to(self, peer: reports.Peer, data: bytes, now: float) -> None:
+    def _send_to(
+        self, peer: reports.Peer, data: bytes | None, now: float
+    ) -> None:
+        if data is None:
+            return
         if peer.row.is_retired and not peer.is_heard(now):
             return
         # A retired VM doesn't count as heard until it registers anew: it may
@@ -335,9 +344,9 @@
             return
         if data[:1] == _REPORT:
             is_heard = data[1:2] == _HEARD
-            self._receive_report(data[2:MAX_BYTES], is_heard, sender, now)
+            self._receive_report(data[2:], is_heard, sender, now)
         elif data[:1] == _PERMIT and self.on_permit is not None:
-            self.on_permit(data[1:MAX_BYTES], sender)
+            self.on_permit(data[1:], sender)
 
     def _receive_report(
         self, data: bytes, hears_us: bool, sender, now: float
@@ -348,6 +357,7 @@
             problem = errors.ControlMessageError(
                 str(error), step="decode report", peer=str(sender)
             )
+            self._meters.control_messages.add("report-dropped")
             logs.logger.warning("report dropped", error=str(problem))
             return
         peer = self._by_run.get(report.run)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -135,6 +135,7 @@
             self._node,
             self._on_report,
             measures.Measures(self._speeds, self._heat),
+            self._meters,
         )
         self._readers = readers.StoreReaders(
             self._peers, lambda: self._leads.is_leader
--- a/tests/unit/test_gateway_report_sizes.py
+++ b/tests/unit/test_gateway_report_sizes.py
@@ -52,7 +52,8 @@
             builders.node_row(f"vm-{n}", f"{n:08}", address=f"127.0.0.1:{n}")
             for n in range(7000, 7000 + _VMS)
         ]
-        self.sender = gossip.Peers(rows[0], lambda *_: None)
+        self.meters = metrics.Meters()
+        self.sender = gossip.Peers(rows[0], lambda *_: None, None, self.meters)
         self.receiver = gossip.Peers(
             rows[1], lambda peer, _: self.heard.append(peer.report)
         )
@@ -105,17 +106,15 @@
 
 def test_a_report_that_fits_no_datagram_is_counted(monkeypatch):
     vms = _Vms(monkeypatch)
-    vms.sender.meters = meters = metrics.Meters()
     many = [model.UpstreamId(f"{name}-{n}") for name in _NAMES for n in "12345"]
     assert vms.tell(unreachable=many) == []
     assert vms.network.sizes == []
-    assert meters.control_messages.get("report-too-large") == 1
+    assert vms.meters.control_messages.get("report-too-large") == 1
 
 
 @pytest.mark.parametrize("data", [b"", b"\xc1", b"\x90" * 5])
 def test_what_is_no_report_is_counted(monkeypatch, data):
     vms = _Vms(monkeypatch)
-    vms.sender.meters = meters = metrics.Meters()
     vms.sender._tick_at = 100.0
     vms.sender._receive(b"rh" + data, ("127.0.0.1", 7001))
-    assert meters.control_messages.get("report-dropped") == 1
+    assert vms.meters.control_messages.get("report-dropped") == 1
