A test that fails: a message beyond 4 MB resets its connection

Cause (by reading, then shown): the reader's limit is known to the sender, who sends the whole nevertheless.

--- a/tests/integration/test_links.py
+++ b/tests/integration/test_links.py
@@ -143,3 +143,30 @@
             asking.result()
 
     asyncio.run(scenario())
+
+
+def test_a_message_that_no_peer_would_take_is_refused_where_it_is_made():
+    """Beyond 4 MB a message is dropped by the side that reads it.
+
+    What users would see: a question that is never answered, and others beside
+    it that are lost; each new try sends it all again. Cause: the library resets
+    the connection and says nothing of why. Evidence: this test without the
+    mend (`ConnectionReset`). No message of a gateway comes near that, as rows
+    go in pieces of 8 kB; the product's own interface hands whole documents
+    over.
+    """
+
+    async def scenario():
+        async with _answered(5 << 20) as (answerer, link, narrow):
+            with pytest.raises(errors.ControlMessageError, match="bytes"):
+                await _ask_rows(link, 5)
+            [row] = answerer.rows.rows
+            question = messages.Refused(row.value.hex())
+            passed = narrow.passed
+            with pytest.raises(errors.ControlMessageError, match="bytes"):
+                await link.call(question, messages.Pong, 5)
+            assert narrow.passed == passed
+            # The connection still serves others.
+            await _ping(link, 1)
+
+    asyncio.run(scenario())
