A message beyond 4 MB is refused where it is made

Cause: the side that reads drops a message beyond its limit and resets the connection, under all questions that run on it; nothing said why, and the whole had been sent. Change: a question beyond the limit isn't sent (ControlMessageError with its size), an answer beyond it becomes a refusal that says so; both have a counter, the answer a line. Ruled out: a larger limit (some document exceeds any); a gateway can't reach it, as its rows go in pieces of 8 kB.

--- a/src/swiftstile/peers/links.py
+++ b/src/swiftstile/peers/links.py
@@ -53,11 +53,18 @@
             PeerTimeoutError: No answer in time. No other call begins on that
                 connection, as something between may have lost track of it;
                 those that run on it go on.
-            ControlMessageError: An answer of another kind.
+            ControlMessageError: An answer of another kind, or a message that no
+                peer would take.
         """
         step = f"call {type(message).__name__}"
+        question = messages.CODEC.encode(message)
+        if len(question) > _MAX_MESSAGE_BYTES:
+            self._meters.control_messages.add("too-large")
+            raise errors.ControlMessageError(
+                _too_large(question), step=step, peer=self._address
+            )
         try:
-            data = await self._ask(messages.CODEC.encode(message), timeout_s)
+            data = await self._ask(question, timeout_s)
         except (TimeoutError, pynng.NNGException) as error:
             raise errors.PeerTimeoutError(
                 repr(error), step=step, peer=self._address
@@ -206,13 +213,24 @@
             while True:
                 data = await context.arecv()
                 self._meters.control_bytes.add("peer-received", len(data))
-                answer = messages.CODEC.encode(await self._answer(data))
+                answer = self._encode(await self._answer(data))
                 self._meters.control_bytes.add("peer-sent", len(answer))
                 self._meters.control_messages.add("peer")
                 await self._send(context, answer)
         finally:
             _close_quietly(context)
 
+    def _encode(self, answer: messages.Message) -> bytes:
+        data = messages.CODEC.encode(answer)
+        if len(data) <= _MAX_MESSAGE_BYTES:
+            return data
+        # The asker would reset the connection, under other questions as well,
+        # and ask again.
+        problem = _too_large(data)
+        self._meters.control_messages.add("too-large")
+        logs.logger.error("answer not sent", error=problem)
+        return messages.CODEC.encode(messages.Refused(problem))
+
     async def _send(self, context, answer: bytes) -> None:
         try:
             await context.asend(answer)
@@ -229,6 +247,10 @@
             return messages.Refused(str(error))
 
 
+def _too_large(data: bytes) -> str:
+    return f"{len(data)} bytes, at most {_MAX_MESSAGE_BYTES}"
+
+
 def _close_quietly(closable) -> None:
     try:
         closable.close()
