A port that is taken is told of as bad settings are

Cause: errors of listening were passed on as three libraries raise them; a gateway ended with a traceback, for links between VMs without the address.

--- a/src/swiftstile/errors.py
+++ b/src/swiftstile/errors.py
@@ -35,7 +35,7 @@
 
 
 class SettingsError(SwiftstileError):
-    """A settings file can't be used."""
+    """Settings can't be used: a bad file, or an address that is taken."""
 
 
 class BundleError(SwiftstileError):
--- a/src/swiftstile/gateway/front.py
+++ b/src/swiftstile/gateway/front.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftstile import clocks
+from swiftstile import errors
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile import settings as settings_lib
@@ -59,15 +60,16 @@
         return sum(connection.active for connection in self._connections)
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts to listen.
+
+        Raises:
+            SettingsError: It can't, as when the port is taken.
+        """
         loop = asyncio.get_running_loop()
-        host, port = settings_lib.split_address(self._listen)
-        self._listener = await loop.create_server(
+        self._listener = await _listen(
             lambda: callers.CallerConnection(loop, self, self._connections),
-            host,
-            port,
-            backlog=_BACKLOG,
-            reuse_address=True,
+            self._listen,
+            "listen for callers",
         )
 
     def stop_listening(self) -> None:
@@ -127,6 +129,18 @@
         return response
 
 
+async def _listen(make_protocol, address: str, step: str) -> asyncio.Server:
+    host, port = settings_lib.split_address(address)
+    try:
+        return await asyncio.get_running_loop().create_server(
+            make_protocol, host, port, backlog=_BACKLOG, reuse_address=True
+        )
+    except OSError as error:
+        raise errors.SettingsError(
+            repr(error), step=step, peer=address
+        ) from error
+
+
 def _failure(error: outcomes.GatewayError) -> web.Response:
     body = _ErrorBody(error.reason, error.step, error.peer, str(error))
     response = web.Response(
@@ -151,12 +165,13 @@
         self._is_ready = is_ready
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts to listen.
+
+        Raises:
+            SettingsError: It can't, as when the port is taken.
+        """
         server = web.Server(self._handle, access_log=None)
-        host, port = settings_lib.split_address(self._listen)
-        await asyncio.get_running_loop().create_server(
-            server, host, port, reuse_address=True
-        )
+        await _listen(server, self._listen, "serve the ready page")
 
     async def _handle(self, _request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self._is_ready() else 503)
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -207,12 +207,11 @@
 
         Args:
             make_report: Returns this VM's report; takes its sequence number.
+
+        Raises:
+            SettingsError: It can't receive at its address.
         """
-        host, _, port = self.me.address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Socket(self._receive), local_addr=(host, int(port))
-        )
+        await self._open()
         try:
             self._tick_at = clocks.monotonic()
             while True:
@@ -222,6 +221,18 @@
         finally:
             self._transport.close()
 
+    async def _open(self) -> None:
+        host, _, port = self.me.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            self._transport, _ = await loop.create_datagram_endpoint(
+                lambda: _Socket(self._receive), local_addr=(host, int(port))
+            )
+        except OSError as error:
+            raise errors.SettingsError(
+                repr(error), step="listen for reports", peer=self.me.address
+            ) from error
+
     def _tick_s(self) -> float:
         """Returns the time to the next look; a report may then be due."""
         return min(max(NEAR_INTERVAL_S, self._near_s() / 2), URGENT_INTERVAL_S)
--- a/src/swiftstile/peers/links.py
+++ b/src/swiftstile/peers/links.py
@@ -199,10 +199,19 @@
         self._parallel = parallel
 
     async def run(self) -> None:
-        """Serves until cancelled."""
+        """Serves until cancelled.
+
+        Raises:
+            SettingsError: It can't listen at its address.
+        """
         with pynng.Rep0() as socket:
             socket.recv_max_size = _MAX_MESSAGE_BYTES
-            socket.listen(f"tcp://{self._address}")
+            try:
+                socket.listen(f"tcp://{self._address}")
+            except pynng.NNGException as error:
+                raise errors.SettingsError(
+                    repr(error), step="listen for peers", peer=self._address
+                ) from error
             async with asyncio.TaskGroup() as group:
                 for _ in range(self._parallel):
                     group.create_task(self._serve(socket))
