A second peer is asked for a table while a piece of the first one is late

Cause: one question at a time for each table; a peer that died in the middle of an answer was given up after 3.5 s, and a VM that the store refuses stood still. Change: once a piece is late (0.5 s) one other peer may be asked; the first goes on with what it has, and whichever is whole first ends the other. Never more than two, and none while pieces come. Ruled out: giving up at the first late piece, or as soon as the peer isn't heard (over a full link what came would be thrown away, again and again); a shorter limit for a piece (the same).

--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -32,11 +32,32 @@
 # it is waited for twice as long: where many fetch from a peer at the same time,
 # it isn't lost but on its way behind others, and asking again adds to those.
 PIECE_TRIES = 3
+# Peers asked for a table at the same time: a second one only while the first
+# one's next piece is late, as both share this VM's link.
+MOST_ASKED = 2
 # Questions answered at the same time: those of a failure domain may come all
 # at once, and each is short.
 PARALLEL = 8
 
 
+class _Question:
+    """One question to a peer for a table.
+
+    Attributes:
+        table: Name of the table.
+        address: The peer.
+        is_late: A piece of its answer didn't come in time, and is asked for
+            again.
+        task: Asks.
+    """
+
+    def __init__(self, table: str, address: str):
+        self.table = table
+        self.address = address
+        self.is_late = False
+        self.task: asyncio.Task | None = None
+
+
 class RowRelay(links.ControlHandler):
     """Asks peers for rows, and answers theirs.
 
@@ -63,7 +84,7 @@
         self._meters = meters
         self._outgoing = transfers.OutgoingRows()
         self._turn = 0
-        self._asking: dict[str, asyncio.Task] = {}
+        self._asking: list[_Question] = []
 
     async def handle(self, message: messages.Message) -> messages.Message:
         """See base class."""
@@ -92,13 +113,25 @@
     def _begin_asking(
         self, address: str, follower: follow.TableFollower
     ) -> None:
-        """Asks a peer for a table, unless one is being asked."""
-        name = follower.name
-        if name in self._asking:
+        """Asks a peer for a table, unless one is being asked that answers."""
+        asked = self._asked(follower.name)
+        if len(asked) >= MOST_ASKED or not all(q.is_late for q in asked):
             return
-        task = asyncio.create_task(self._ask(address, follower))
-        self._asking[name] = task
-        task.add_done_callback(lambda _: self._asking.pop(name))
+        if address in {question.address for question in asked}:
+            return
+        question = _Question(follower.name, address)
+        question.task = asyncio.create_task(self._ask(question, follower))
+        self._asking.append(question)
+        question.task.add_done_callback(lambda _: self._asking.remove(question))
+
+    def _asked(self, table: str) -> list[_Question]:
+        return [q for q in self._asking if q.table == table]
+
+    def _end_others(self, question: _Question) -> None:
+        """Ends questions that another one's answer made needless."""
+        for other in self._asked(question.table):
+            if other is not question:
+                other.task.cancel()
 
     async def run(self) -> None:
         """Asks whenever the store is silent, until cancelled."""
@@ -115,10 +148,11 @@
 
     def _choose(self, follower: follow.TableFollower, now: float) -> str | None:
         """Returns the address of a peer to ask, each in its turn."""
+        asked = {question.address for question in self._asked(follower.name)}
         served = [
             peer
             for peer in self._peers.heard(now)
-            if peer.report.store_silent_s == 0
+            if peer.report.store_silent_s == 0 and peer.row.address not in asked
         ]
         near = [p for p in served if p.row.domain == self._peers.me.domain]
         # Others may rely on them as well, and know no more than this VM.
@@ -131,10 +165,13 @@
         self._turn += 1
         return pool[self._turn % len(pool)]
 
-    async def _ask(self, address: str, follower: follow.TableFollower) -> None:
+    async def _ask(
+        self, question: _Question, follower: follow.TableFollower
+    ) -> None:
         began = clocks.monotonic()
+        address = question.address
         try:
-            told = await self._fetch(self._calls.to(address), follower)
+            told = await self._fetch(question, follower)
             if told.version <= follower.version:
                 self._meters.rows.add(f"{follower.name}-nothing-newer")
                 return
@@ -144,6 +181,7 @@
             ]
             snapshot = interfaces.Snapshot(changes, told.version)
             follower.accept(snapshot, told.is_whole)
+            self._end_others(question)
         except errors.SwiftstileError as error:
             self._meters.rows.add(f"{follower.name}-failed")
             logs.logger.info(
@@ -166,32 +204,37 @@
         )
 
     async def _fetch(
-        self, link: links.Link, follower: follow.TableFollower
+        self, question: _Question, follower: follow.TableFollower
     ) -> messages.Rows:
-        question = messages.AskRows(follower.name, follower.version)
+        link = self._calls.to(question.address)
+        message = messages.AskRows(follower.name, follower.version)
         # Tried once: another peer may be quicker than one that is silent.
-        first = await link.call(question, messages.Piece, TIMEOUT_S)
+        first = await link.call(message, messages.Piece, TIMEOUT_S)
         incoming = transfers.IncomingRows(first)
         while not incoming.is_whole:
             # The store would not be quicker than what is already coming.
             follower.note_progress(clocks.monotonic())
-            incoming.add(await self._next_piece(link, incoming))
+            incoming.add(await self._next_piece(link, question, incoming))
+            question.is_late = False
         return incoming.rows()
 
     @staticmethod
     async def _next_piece(
-        link: links.Link, incoming: transfers.IncomingRows
+        link: links.Link,
+        question: _Question,
+        incoming: transfers.IncomingRows,
     ) -> messages.Piece:
-        question = messages.AskPiece(incoming.number, incoming.received)
+        message = messages.AskPiece(incoming.number, incoming.received)
         timeout_s = TIMEOUT_S
         for _ in range(PIECE_TRIES - 1):
             try:
-                return await link.call(question, messages.Piece, timeout_s)
+                return await link.call(message, messages.Piece, timeout_s)
             except errors.PeerTimeoutError as error:
                 # What came before it is kept.
                 logs.logger.info("piece not relayed", error=str(error))
+                question.is_late = True
                 timeout_s *= 2
-        return await link.call(question, messages.Piece, timeout_s)
+        return await link.call(message, messages.Piece, timeout_s)
 
 
 def _may_be_quicker(follower: follow.TableFollower, now: float) -> bool:
--- a/tests/unit/test_gateway_rows_dying.py
+++ b/tests/unit/test_gateway_rows_dying.py
@@ -34,7 +34,8 @@
         most: Most questions that were under way at the same time.
     """
 
-    def __init__(self, server: relay.RowRelay, dying: int):
+    def __init__(self, peers, server: relay.RowRelay, dying: int):
+        self._peers = peers
         self._server = server
         self._dying = dying
         self._dead: list[str] = []
@@ -54,11 +55,18 @@
                 await asyncio.sleep(timeout_s)
                 raise errors.PeerTimeoutError("dead", step="call")
             if len(self._dead) < self._dying:
-                self._dead.append(address)
+                self._die(address)
             return await self._server.handle(message)
         finally:
             self._under_way -= 1
 
+    def _die(self, address: str) -> None:
+        self._dead.append(address)
+        for peer in self._peers.by_node.values():
+            if peer.row.address == address:
+                # Nothing is heard of it after a while.
+                peer.heard_at = 0.0
+
 
 class _Link:
 
@@ -93,7 +101,7 @@
     ahead = _follower()
     row = interfaces.Change("config", os.urandom(30_000), 7)
     ahead.accept(interfaces.Snapshot([row], 7), True)
-    links = _Peers(_relay(ahead, peers, None), dying)
+    links = _Peers(peers, _relay(ahead, peers, None), dying)
     behind = _follower()
     behind.accept(interfaces.Snapshot([], 1), True)
     behind.failing_since = -1000.0
