A test that fails: an answer that comes by single bytes is read on

Cause (by reading, then shown): each byte begins the time of silence anew, so that only the limit of 30 s for a whole call of the store ends it.

--- a/tests/unit/test_progress.py
+++ b/tests/unit/test_progress.py
@@ -87,3 +87,49 @@
                 await reading
 
     asyncio.run(scenario())
+
+
+def test_a_body_that_only_trickles_is_given_up():
+    """Some bytes now and then are no progress.
+
+    What callers would see: a VM that stays on its rows for half a minute, until
+    the limit for the whole call ends the store's answer. Cause: each byte began
+    the time of silence anew. Evidence: this test without the mend; no play has
+    shown it.
+    """
+
+    async def scenario():
+        content = _content()
+
+        async def trickle():
+            while True:
+                content.feed_data(b"x")
+                await asyncio.sleep(_SILENT_S / 20)
+
+        feeding = asyncio.create_task(trickle())
+        try:
+            async with asyncio.timeout(20 * _SILENT_S):
+                with pytest.raises(TimeoutError, match="bytes"):
+                    await progress.read_body(content, _SILENT_S)
+        finally:
+            feeding.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_a_short_rest_of_a_body_is_waited_for():
+    async def scenario():
+        content = _content()
+
+        async def feed():
+            content.feed_data(_PIECE)
+            await asyncio.sleep(_SILENT_S / 2)
+            content.feed_data(b"rest")
+            content.feed_eof()
+
+        feeding = asyncio.create_task(feed())
+        body = await progress.read_body(content, _SILENT_S)
+        await feeding
+        assert body == _PIECE + b"rest"
+
+    asyncio.run(scenario())
