Single bytes now and then count as silence

Cause: each byte of an answer began the time of silence anew, so that a trickle was read for up to 30 s (60 s in the product's own interface), and the table stood still meanwhile. Change: 512 bytes or the end of the body have to come in each time of silence. Ruled out: a least rate of the whole (a limit for the whole work again, by its bandwidth); a shorter limit for a whole call (the same). Left: an answer of some 730 bytes/s or more is read for up to 30 s; a VM that a peer tells of newer rows asks that peer meanwhile.

--- a/src/swiftstile/progress.py
+++ b/src/swiftstile/progress.py
@@ -2,7 +2,8 @@
 
 A limit for a whole transfer is also a limit of its size: what is too large for
 the link never comes, however often it is asked for, and fills the link each
-time. A limit of silence holds for every size.
+time. A limit of silence holds for every size. Single bytes now and then count
+as silence: with them a transfer would never end.
 """
 
 import asyncio
@@ -14,6 +15,9 @@
 # Silence is waited for in so many parts. A process that stands still finds the
 # time of one part over, and may find bytes in its socket in the next.
 _WAITS = 4
+# Fewer bytes than this count as silence, unless they are the last: less than
+# any packet holds of a body that has more to come.
+LEAST_BYTES = 512
 
 
 async def read_body(content: aiohttp.StreamReader, silent_s: float) -> bytes:
@@ -21,31 +25,35 @@
 
     Args:
         content: The body.
-        silent_s: Longest wait for the next bytes, in seconds.
+        silent_s: Longest wait for the next `LEAST_BYTES`, in seconds.
 
     Raises:
-        TimeoutError: Nothing came for that long; says how much had come.
+        TimeoutError: Less came for that long; says how much had come.
         aiohttp.ClientError: The connection broke.
     """
     pieces: list[bytes] = []
     while not content.at_eof():
-        piece = await _next(content, silent_s / _WAITS)
-        if piece is None:
+        if not await _read_more(content, pieces, silent_s / _WAITS):
             received = sum(map(len, pieces))
             raise TimeoutError(
                 f"silent for {silent_s:g} s after {received} bytes"
             )
-        pieces.append(piece)
     return b"".join(pieces)
 
 
-async def _next(content: aiohttp.StreamReader, wait_s: float) -> bytes | None:
-    """Returns the next bytes, or None if none came within all waits."""
+async def _read_more(
+    content: aiohttp.StreamReader, pieces: list[bytes], wait_s: float
+) -> bool:
+    """Returns whether enough bytes came within all waits."""
+    size = 0
     for _ in range(_WAITS):
         try:
             async with asyncio.timeout(wait_s):
-                return await content.readany()
+                while size < LEAST_BYTES and not content.at_eof():
+                    pieces.append(await content.readany())
+                    size += len(pieces[-1])
+                return True
         except TimeoutError:
             # The next wait finds what came while the process stood still.
             continue
-    return None
+    return False
