--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -11,6 +11,7 @@
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import logs
+from swiftstile.gateway import freshness
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outage as outage_lib
 from swiftstile.gateway import readers
@@ -22,6 +23,10 @@
 # after this: calm VMs have 5 s from the end of an outage to follow.
 WATCH_S = 4.0
 
+# Peers are told of news for so long: whoever's call fell silent before they
+# came knows that it did by then.
+NEWS_S = WATCH_S + freshness.ANSWER_S
+
 # Pauses after failures: the first short, since single answers get lost; the
 # last so that a store that comes back isn't flooded by all VMs.
 FIRST_PAUSE_S = 0.05
@@ -34,14 +39,6 @@
 # late by as much again. With the age that their word may have (readers.py) that
 # is below the 2 s in which a configuration has to be in force.
 LED_TRUST_S = 2 * LED_PAUSE_S
-# An answer of the store that is later than this after its call's wait isn't
-# "nothing is new": a slow store needs a quarter of a second, and what takes
-# longer are rows on a slow link, or silence.
-ANSWER_S = 0.5
-# A peer tells of newer rows and hands over nothing of them for so long: then
-# the store is asked. Two reports and a question, and well within the time in
-# which a configuration has to be in force.
-BEHIND_S = 0.5
 # In the first seconds many VMs and upstreams register; one call for each change
 # would be thousands.
 START_S = 3.0
@@ -110,14 +107,7 @@
         # When the newest row of this table came.
         self._row_at = float("-inf")
         self._started = clocks.monotonic()
-        # Until when the last word, the store's or that of peers, stands for
-        # "nothing is new".
-        self._trusted_until = float("-inf")
-        # Newest version that a peer told of, and since when it is missing here.
-        self._told_version = 0
-        self._behind_since: float | None = None
-        # When a part of them last came.
-        self._progress_at = 0.0
+        self._freshness = freshness.Freshness(name)
         # Ends the step that is under way.
         self._limit: asyncio.Timeout | None = None
         # Versions at which rows were removed, by key, oldest first.
@@ -237,55 +227,31 @@
 
     def is_left_behind(self, now: float) -> bool:
         """Whether a row that a peer told of doesn't come, for a while now."""
-        since = self._behind_since
-        if since is None:
-            return False
-        return now - max(since, self._progress_at) > BEHIND_S
+        return self._freshness.is_left_behind(now)
 
     def is_current(self, now: float) -> bool:
         """Whether "there is no such row" may be said, as far as can be known.
 
         It may not while calls fail, while a row is missing that a peer told of,
-        and after the last word has grown old. A call that waits is answered at
-        once if there is news, so its silence stands for "nothing is new" during
-        its wait and `ANSWER_S`, but only after a call that was answered: the
-        first one after a failure, or after peers' word ended, proves nothing
-        yet. `contact_at` is no measure of this: a call that succeeded was sent
-        up to a whole wait before its answer, and the next one waits as long.
+        and after the last word has grown old. The silence of a call counts only
+        after one that was answered: the first one after a failure, or after
+        peers' word ended, proves nothing yet. `contact_at` is no measure of
+        this: a call that succeeded was sent up to a whole wait before its
+        answer, and the next one waits as long.
         """
-        if self.failing_since is not None or self._is_behind():
-            return False
-        return now <= self._trusted_until
-
-    def _is_behind(self) -> bool:
-        """Whether a peer told of a row that isn't here."""
-        return self._told_version > self.version
+        return self.failing_since is None and self._freshness.is_current(now)
 
     def note_told(self, version: int, now: float) -> None:
         """A peer told that there is a row of a version."""
-        self._told_version = max(self._told_version, version)
-        if self._is_behind() and self._behind_since is None:
-            self._behind_since = now
+        self._freshness.note_told(version, now)
 
     def note_progress(self, now: float) -> None:
         """A part of the rows that a peer told of came from it."""
-        self._progress_at = now
+        self._freshness.note_progress(now)
 
     def _note_version(self, version: int) -> None:
-        if version > self.version and self._behind_since is not None:
-            # Newer rows came, though more may be missing: where versions follow
-            # each other closely a VM lags by a moment, and isn't left behind.
-            self.note_progress(clocks.monotonic())
         self.version = max(self.version, version)
-        since = self._behind_since
-        if since is None or self._is_behind():
-            return
-        self._behind_since = None
-        behind_s = clocks.monotonic() - since
-        if behind_s > BEHIND_S:
-            logs.logger.info(
-                "rows came late", table=self.name, behind_s=round(behind_s, 3)
-            )
+        self._freshness.note_version(version, clocks.monotonic())
 
     def word(self, now: float) -> reports.TableWord | None:
         """Returns what others may rely on; None if there is nothing."""
@@ -300,14 +266,14 @@
         """Whether peers rely on this VM's word, or may lack what is new."""
         if self._readers is not None and self._readers.is_many(now):
             return True
-        return self._tells_news and now - self._row_at <= WATCH_S + ANSWER_S
+        return self._tells_news and now - self._row_at <= NEWS_S
 
     def _note_led(self, now: float) -> None:
-        if not self._is_behind():
+        if not self._freshness.is_behind():
             # A reader's word is no older than this.
             age_s = self._reader_watch_s + readers.WORD_MARGIN_S
             self.contact_at = max(self.contact_at, now - age_s)
-            self._trusted_until = now + LED_TRUST_S
+            self._freshness.note_word(until=now + LED_TRUST_S)
         self._note_recovery(now)
 
     def accept(self, snapshot: interfaces.Snapshot, is_whole: bool) -> None:
@@ -400,8 +366,7 @@
         self.contact_at = sent
         self.answered_at = clocks.monotonic()
         self._note_recovery(self.answered_at)
-        # The next call is sent now.
-        self._trusted_until = self.answered_at + self._watch_s() + ANSWER_S
+        self._freshness.note_answer(self.answered_at, self._watch_s())
 
     def _note_recovery(self, now: float) -> None:
         self._outage.note_answer(self.name)
--- a/tests/unit/test_gateway_readers.py
+++ b/tests/unit/test_gateway_readers.py
@@ -8,6 +8,7 @@
 from swiftstile import errors
 from swiftstile import metrics
 from swiftstile.gateway import follow
+from swiftstile.gateway import freshness
 from swiftstile.gateway import gossip
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import readers
@@ -181,7 +182,7 @@
         assert led.is_led(100.3)
         client.note(peer, 100.4)
         await asyncio.sleep(0.01)
-        assert not led.is_led(100.0 + follow.BEHIND_S + 0.01)
+        assert not led.is_led(100.0 + freshness.BEHIND_S + 0.01)
         # Once it has the rows it relies on peers again.
         led.accept(_snapshot(9, ("x", b"2", 8)), False)
         assert led.is_led(101.0)
@@ -312,8 +313,8 @@
     led.is_loaded = True
     led.note_told(8, 100.0)
     led.note_progress(100.4)
-    assert led.is_led(100.4 + follow.BEHIND_S)
-    assert not led.is_led(100.41 + follow.BEHIND_S)
+    assert led.is_led(100.4 + freshness.BEHIND_S)
+    assert not led.is_led(100.41 + freshness.BEHIND_S)
 
 
 def test_each_piece_that_comes_keeps_the_store_unasked(monkeypatch):
--- a/tests/unit/test_gateway_stale.py
+++ b/tests/unit/test_gateway_stale.py
@@ -15,6 +15,7 @@
 from swiftstile.gateway import arrivals
 from swiftstile.gateway import decisions
 from swiftstile.gateway import follow
+from swiftstile.gateway import freshness
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
@@ -107,7 +108,7 @@
     # The call that succeeded was sent a whole wait before.
     made._note_contact(clock.now - wait_s)
     assert made.is_current(clock.now + wait_s + 0.3)
-    assert not made.is_current(clock.now + wait_s + follow.ANSWER_S + 0.01)
+    assert not made.is_current(clock.now + wait_s + freshness.ANSWER_S + 0.01)
 
 
 def test_rows_are_not_current_while_one_is_missing_that_a_peer_told_of():
@@ -151,7 +152,7 @@
     made.accept(interfaces.Snapshot([row], 9), True)
     assert made.word(clock.now).version == 7
     # Whoever's call fell silent before that knows by now.
-    assert made.word(clock.now + follow.WATCH_S + follow.ANSWER_S + 0.1) is None
+    assert made.word(clock.now + follow.NEWS_S + 0.1) is None
 
 
 class _Dialect:
