A new leader isn't its own predecessor

Cause: a leader's own row comes twice, as the answer to its write and with the table's changes. The second time it noted the VM that the row named before, itself, as the one that led before. What a new leader concludes of moves that it takes over (succession.py) then treated the real predecessor as a VM that gives no orders for marked slots: it wasn't asked whether it knows its successor, and what it may have kept at owners in an outage of the store, 2 s at a time, counted only as far as it had told by then.

Change: a row of a version that is known changes nothing.

Ruled out: a newer row of the same version (versions only grow).

Measured: the test that failed passes; the 55 tests of succession, store, wiring, restart and leaving pass.

--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -94,9 +94,13 @@
         self.led_since = 0.0
 
     def apply(self, change: interfaces.Change) -> None:
-        """Takes in the leader's row."""
+        """Takes in the leader's row, unless it is known.
+
+        A row that this VM wrote comes again with the table's changes. It is no
+        change of the leader: this VM isn't its own predecessor.
+        """
         was = self.is_leader
-        if change.version < self.version:
+        if change.version <= self.version:
             return
         if self.row is not None and self.row.node:
             self.former_leader = model.NodeId(self.row.node)
