An answer with all rows is as new as the last whole read

Cause: an encoded answer is shared by what it holds: all rows, up to the newest one. A whole read that changed no row left that as it was, so the answer of before served peers that it is too old for: one that had seen a row come, which went before the read, was told nothing newer and kept the row until any other row changed or the store answered it. How long an answer had been kept doesn't matter: those that are old are dropped only when another one is encoded.

Change: the span names the newest change, a whole read included.

Ruled out: the same for changes since a version (who asks for them knows the last whole read, and what was encoded is as new as its newest row), and for empty answers (they name their version).

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -313,6 +313,15 @@
             self._merge(snapshot.rows)
             self._note_version(snapshot.version)
 
+    @property
+    def newest_change(self) -> int:
+        """Version after which rows neither changed nor may have, unseen.
+
+        Rows may have come and gone before a whole read that changed none here.
+        Who saw them come needs an answer that is as new as that read.
+        """
+        return max(self.row_version, self._remembers_since)
+
     def since(self, version: int) -> list[interfaces.Change] | None:
         """Returns what changed after a version; None if that isn't known."""
         if version < self._remembers_since:
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -76,7 +76,7 @@
         if follower is None or not follower.is_loaded:
             return messages.Refused(f"table {message.table} isn't known")
         rows = _rows_since(follower, message.version)
-        span = transfers.Span.of(message.table, rows, follower.row_version)
+        span = transfers.Span.of(message.table, rows, follower.newest_change)
         return self._outgoing.begin(span, lambda: rows, now)
 
     def note(self, peer: reports.Peer, now: float) -> None:
--- a/src/swiftstile/gateway/transfers.py
+++ b/src/swiftstile/gateway/transfers.py
@@ -52,7 +52,8 @@
         table: Name of the table.
         first: Version of the first row that is missing; `ALL_ROWS` if all rows
             are told, and `NO_ROWS` if none is.
-        newest: Version of the newest row of the table.
+        newest: Version of the newest change of the table, or of the last time
+            at which rows may have changed unseen.
     """
 
     table: str
@@ -66,7 +67,7 @@
         Args:
             table: Name of the table.
             rows: The answer; changes are ordered by version.
-            newest: Version of the newest row of the table.
+            newest: As above.
         """
         if rows.is_whole:
             return cls(table, ALL_ROWS, newest)
