A leader that was replaced while it waited writes no map

Cause: a write of a map names the version of the leader's row as this VM knows it at that moment. A tick waits for the store between its look at who leads and that; a VM that learned of its successor meanwhile named the successor's row, and the condition held. Only the condition on the map's own row was left, which says nothing until the successor writes the first time.

Change: who leads is looked at right before the write's conditions are made.

Ruled out: the lead lost and had again within one tick (only the loop that runs the ticks takes over).

--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -440,6 +440,10 @@
         return target is not None and target.is_replaced
 
     async def _write(self, changed: keymap.KeyMap, reason: str) -> bool:
+        if not self._leads.is_leader:
+            # Replaced while this tick waited: the condition would name the row
+            # of whoever leads now, and hold.
+            return False
         key = MAP_PREFIX + self._service
         value = changed.encode(ids.new_attempt_id())
         if len(value) > self._row_bytes:
