After a conflict a leader gives no orders by the map of before

Cause: a write whose answer was lost may be done, and another leader may write over it before it is sent again. The answer is a conflict then, as for a write that wasn't done, and the row shows neither. The leader took a gift for not done and let the release of the same slots go on: a fencing grant for 0.5 s to the former owner of slots that another one had been given. It needs a lost answer, a change of leader within about a second, and a release under way.

Change: after a conflict all sources are dropped and their releases cancelled. The next order comes after a write on condition of the map as it is known, so it only comes if that is in force.

Ruled out: refusals and time-outs (the same write is sent until it is settled, and nothing is granted meanwhile).

--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -463,6 +463,11 @@
             logs.logger.info(
                 "key map not written", service=self._service, error=str(error)
             )
+            if isinstance(error, errors.ConflictError):
+                # Another VM leads or led. It may have written over this write
+                # after that was done, so no order may rest on the map of
+                # before: moves begin anew once a write shows what is in force.
+                self.forget()
             return False
         changed.version = version
         self._maps.put(self._service, changed, clocks.monotonic())
--- a/src/swiftstile/gateway/settle.py
+++ b/src/swiftstile/gateway/settle.py
@@ -28,8 +28,9 @@
         write: The row; its value must be unlike that of any other write.
 
     Raises:
-        ConflictError: It wasn't done and will not be.
-        PlatformUnavailableError: The same.
+        ConflictError: Another write was done; if this one was, too, it is
+            overwritten. It will not be done any more.
+        PlatformUnavailableError: It wasn't done and will not be.
     """
     may_be_done = False
     while True:
