A leader that leads again begins anew with moves

Cause: what a leader knows of slots that are leaving is dropped where the loop sees that another one leads. A tick may wait for the store for as long as its outage lasts; another VM may lead meanwhile, take the moves over, let owners go on with their slots, and be gone. The loop's next look for a vacant lead may end in taking it over, before it looks whether to drop anything: slots whose tokens were in were given away at once, whatever they had been granted since, and others by marks of an older version.

Change: sources belong to a version of the leader's row; a tick under another one drops them.

Ruled out: the same within a tick (only the loop takes over).

--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -124,6 +124,8 @@
         self._store_answered_at = 0.0
         self._store_failed_at = 0.0
         self._unknown_since: dict[model.UpstreamId, float] = {}
+        # Version of the leader's row under which `_sources` were made.
+        self._led_version = interfaces.NEW_ROW
 
     def forget(self) -> None:
         """Drops what only a leader needs."""
@@ -133,6 +135,11 @@
 
     async def tick(self) -> None:
         """Looks at what is to be done and does the next step of it."""
+        if self._led_version != self._leads.version:
+            # Another VM may have led since the last tick, which waits as long
+            # as a write does, and may have let owners go on with their slots.
+            self.forget()
+            self._led_version = self._leads.version
         now = clocks.monotonic()
         if self._follower.failing_since is not None:
             await self._keep_leaving()
