One release at a time gives an owner orders

Cause: when more slots of an owner are marked while its first ones are taken back (another slot turns hot, slots are evened out, the owner is lost), a new source took the place of the first one, whose release went on. What forbids orders while the next owner is written was set at the new source only, and what looks whether a release is under way saw only that of the new one: the fencing grants of the first could come after the look at the holds, during the write of the next owner, and also after the new one had fenced the slot off and released it, as both had the same fence.

Change: the first release is cancelled as the new source takes its place, and the mark raises the fence, so that what is late of the first is refused.

Ruled out: leaving it to the flag on all sources (the late grants remain).

--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -226,12 +226,25 @@
             reason = "evening out"
         if not moving:
             return
+        owners = {current.slots[index].owner for index in moving}
         marked = current.mark_leaving(moving)
+        if owners & set(self._sources):
+            # Orders of the release that this replaces may still arrive: they
+            # must be older than those of the next one.
+            marked = marked.raise_fence()
         if await self._write(marked, reason):
             done = self._marked_at = clocks.monotonic()
             version = self._maps.by_service[self._service].version
-            for owner in {current.slots[index].owner for index in moving}:
-                self._sources[owner] = takeback.Source(version, done)
+            for owner in owners:
+                self._replace_source(owner, takeback.Source(version, done))
+
+    def _replace_source(
+        self, owner: model.UpstreamId, source: takeback.Source
+    ) -> None:
+        """Begins anew with an owner; one release at a time gives orders."""
+        if owner in self._sources:
+            self._sources[owner].cancel()
+        self._sources[owner] = source
 
     def _pause_s(self, per_vm_s: float) -> float:
         """Returns the time between two writes of a map, by how many read it."""
