A refresh of a lease's row writes what the row is by then

Cause: the refresh took the lease as it was and waited for the table's lock. A replacement of candidates that had the lock wrote its row, and the refresh wrote the former candidates over it, with the version that the replacement had made. One that had been replaced, as the holder didn't reach it, could take over at once; the holder counted on the promises of the new ones.

Change: what is written is looked at under the lock.

Ruled out: the release of a lease (its tasks are ended before), assignments (they name the lease's version under the lock).

No integration test was run.

--- a/src/swiftstile/ownership/holder.py
+++ b/src/swiftstile/ownership/holder.py
@@ -198,9 +198,17 @@
             candidates=[c.vm for c in candidates],
         )
 
-    async def _write_lease(self, lease, settle_s: float) -> None:
+    async def _write_lease(
+        self, changed: leases.CoordinatorLease | None, settle_s: float
+    ) -> None:
+        """Writes the row; as it is if there is no changed one.
+
+        What the row is can only be said under the lock: it may be changed while
+        this waits for it.
+        """
         sent_at = clocks.monotonic()
         async with self.table_lock:
+            lease = changed or self.lease
             write = base.Write(
                 leases.lease_key(self.service),
                 self.row_version,
@@ -226,7 +234,7 @@
                 self._settings.outage_tolerance_s * _REFRESH_SHARE
             )
             try:
-                await self._write_lease(self.lease, _REPLACE_SETTLE_S)
+                await self._write_lease(None, _REPLACE_SETTLE_S)
             except errors.ConflictError:
                 await self._confirm()
             except errors.PlatformError:
