A holder waits for a candidate's promise from before it is in the row

Cause: the holder requires the promise of a new candidate before the row names it. A read of the row that was under way then, one each 5 s, set what is required back to those that the row still named. If the answer to the write that followed was lost, the new candidate was in the row, nobody asked it for its promise, and the holder's lease didn't lapse with that.

Change: a read keeps the candidates that are about to be written.

Ruled out, and left as it is: a replacement whose outcome stays unknown (30 s), after which a read that shows the row unchanged drops the new candidates; the write may still be done. Suspected only.

--- a/src/swiftstile/ownership/holder.py
+++ b/src/swiftstile/ownership/holder.py
@@ -65,6 +65,8 @@
         self._scout = scout
         self._settings = settings
         self._last_replacement = 0.0
+        # Candidates that are about to be written into the row.
+        self._joining: tuple[leases.Candidate, ...] = ()
 
     def check_write(self) -> base.Write:
         """Returns the condition that a write of this holder depends on."""
@@ -176,8 +178,17 @@
         # Asked before they are written, so that the lease doesn't lapse
         # between the write and their first promise.
         new = [c for c in candidates if c not in self.lease.candidates]
+        self._joining = tuple(new)
         self.validity.require((*self.lease.candidates, *new))
         await asyncio.gather(*(self._ask(c) for c in new))
+        try:
+            await self._write_candidates(candidates)
+        finally:
+            self._joining = ()
+
+    async def _write_candidates(
+        self, candidates: tuple[leases.Candidate, ...]
+    ) -> None:
         changed = msgspec.structs.replace(self.lease, candidates=candidates)
         try:
             await self._write_lease(changed, _REPLACE_SETTLE_S)
@@ -251,7 +262,8 @@
                 raise self._lost(found.epoch)
             self.lease = found
             self.row_version = row.version
-            self.validity.require(found.candidates)
+            # The row may name those that join as soon as this ends.
+            self.validity.require((*found.candidates, *self._joining))
 
     def _lost(self, epoch: ids.Epoch) -> LeaseLostError:
         return LeaseLostError(
