--- a/tests/unit/test_gateway_exclusivity.py
+++ b/tests/unit/test_gateway_exclusivity.py
@@ -4,7 +4,8 @@
 renews the slot at server 1. That VM may be cut off, stand still, be killed and
 started again; its grants may stay without an answer and be carried out late;
 the server's clock may run slow. Each safeguard is taken away once, and the
-overlap it prevents is found.
+overlap it prevents is found. What happens while the leader waits for a call is
+played in test_gateway_exclusivity_orders.py.
 """
 
 import random
