--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -124,6 +124,8 @@
         self._store_answered_at = 0.0
         self._store_failed_at = 0.0
         self._unknown_since: dict[model.UpstreamId, float] = {}
+        # Version of the leader's row under which `_sources` were made.
+        self._led_version = interfaces.NEW_ROW
 
     def forget(self) -> None:
         """Drops what only a leader needs."""
@@ -133,6 +135,11 @@
 
     async def tick(self) -> None:
         """Looks at what is to be done and does the next step of it."""
+        if self._led_version != self._leads.version:
+            # Another VM may have led since the last tick, which waits as long
+            # as a write does, and may have let owners go on with their slots.
+            self.forget()
+            self._led_version = self._leads.version
         now = clocks.monotonic()
         if self._follower.failing_since is not None:
             await self._keep_leaving()
@@ -219,12 +226,25 @@
             reason = "evening out"
         if not moving:
             return
+        owners = {current.slots[index].owner for index in moving}
         marked = current.mark_leaving(moving)
+        if owners & set(self._sources):
+            # Orders of the release that this replaces may still arrive: they
+            # must be older than those of the next one.
+            marked = marked.raise_fence()
         if await self._write(marked, reason):
             done = self._marked_at = clocks.monotonic()
             version = self._maps.by_service[self._service].version
-            for owner in {current.slots[index].owner for index in moving}:
-                self._sources[owner] = takeback.Source(version, done)
+            for owner in owners:
+                self._replace_source(owner, takeback.Source(version, done))
+
+    def _replace_source(
+        self, owner: model.UpstreamId, source: takeback.Source
+    ) -> None:
+        """Begins anew with an owner; one release at a time gives orders."""
+        if owner in self._sources:
+            self._sources[owner].cancel()
+        self._sources[owner] = source
 
     def _pause_s(self, per_vm_s: float) -> float:
         """Returns the time between two writes of a map, by how many read it."""
@@ -396,8 +416,8 @@
             return _Move.CLEAR
         is_certain = known.all_stopped and known.open_s <= 0
         if set(slots) <= set(source.tokens):
-            is_clear = source.is_fenced or is_certain
-            return _Move.CLEAR if is_clear else _Move.WAITING
+            is_shut = source.is_fenced and now >= source.open_until
+            return _Move.CLEAR if is_shut or is_certain else _Move.WAITING
         if is_certain:
             return _Move.RELEASE
         if now - source.marked_at > STOP_WAIT_S:
@@ -440,6 +460,10 @@
         return target is not None and target.is_replaced
 
     async def _write(self, changed: keymap.KeyMap, reason: str) -> bool:
+        if not self._leads.is_leader:
+            # Replaced while this tick waited: the condition would name the row
+            # of whoever leads now, and hold.
+            return False
         key = MAP_PREFIX + self._service
         value = changed.encode(ids.new_attempt_id())
         if len(value) > self._row_bytes:
@@ -459,6 +483,11 @@
             logs.logger.info(
                 "key map not written", service=self._service, error=str(error)
             )
+            if isinstance(error, errors.ConflictError):
+                # Another VM leads or led. It may have written over this write
+                # after that was done, so no order may rest on the map of
+                # before: moves begin anew once a write shows what is in force.
+                self.forget()
             return False
         changed.version = version
         self._maps.put(self._service, changed, clocks.monotonic())
