Which upstreams a VM renews is worked out when what decides it changed

Cause: seven times a second and at each change of a map, each VM worked out for each owner of keys whether to look after it. For owners of other domains it went through all VMs twice, to learn whether that domain lives: VMs times upstreams.

Change: all that decides is taken into one `Look`; the answer is kept until that differs (sharing.py, decisions apart from tasks). Which domains live is asked once a look. The decisions themselves are moved as they were.

Tests: who renews is asked of the same sites by a map in force, instead of by private steps that are gone.

--- a/src/swiftstile/gateway/circulation.py
+++ b/src/swiftstile/gateway/circulation.py
@@ -82,8 +82,8 @@
         """Returns VMs heard, of this domain and by other domain, to report."""
 
     @abc.abstractmethod
-    def hears_of(self, domain: ids.FailureDomain, now: float) -> bool:
-        """Whether VMs of another domain live, though they aren't heard."""
+    def heard_of(self, now: float) -> set[ids.FailureDomain]:
+        """Returns other domains whose VMs live, though they aren't heard."""
 
     def leaders(self) -> list[reports.Peer]:
         """Returns the far peers that believe to lead."""
@@ -122,9 +122,9 @@
         # Whom each VM hears itself is all that counts here.
         return 0, {}
 
-    def hears_of(self, domain: ids.FailureDomain, now: float) -> bool:
+    def heard_of(self, now: float) -> set[ids.FailureDomain]:
         """See base class."""
-        return False
+        return set()
 
     def heard(self, now: float) -> int:
         """See base class."""
@@ -162,9 +162,9 @@
         """See base class."""
         return self.near_heard(now), self._told_by_far(now)
 
-    def hears_of(self, domain: ids.FailureDomain, now: float) -> bool:
+    def heard_of(self, now: float) -> set[ids.FailureDomain]:
         """See base class."""
-        return self._far_heard(now).get(domain, 0) > 0
+        return {d for d, count in self._far_heard(now).items() if count > 0}
 
     def heard(self, now: float) -> int:
         """See base class."""
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -177,7 +177,7 @@
 
     def is_silent(self, domain: ids.FailureDomain, now: float) -> bool:
         """Whether VMs are registered in another domain and none is heard of."""
-        if domain == self.me.domain or self.circulation.hears_of(domain, now):
+        if domain == self.me.domain or domain in self.circulation.heard_of(now):
             return False
         known = [
             peer
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -29,8 +29,8 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import permit_messages
-from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
+from swiftstile.gateway import sharing
 from swiftstile.gateway import targets
 
 __all__ = ["Permits"]
@@ -182,11 +182,11 @@
         least_mbps = LEAST_BANDWIDTH * most_mbps
         best, best_affinity = None, -1
         if is_near and me.link_mbps >= least_mbps:
-            best_affinity = renewals.affinity(me.node, target.id)
+            best_affinity = sharing.affinity(me.node, target.id)
         for peer in peers:
             if peer.row.link_mbps < least_mbps or self._is_avoided(peer, now):
                 continue
-            affinity = renewals.affinity(peer.row.node, target.id)
+            affinity = sharing.affinity(peer.row.node, target.id)
             if affinity > best_affinity:
                 best, best_affinity = peer, affinity
         return best
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -10,8 +10,6 @@
 import abc
 import asyncio
 import collections.abc
-import functools
-import zlib
 
 import msgspec
 
@@ -28,9 +26,10 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import parallel
 from swiftstile.gateway import reports
+from swiftstile.gateway import sharing
 from swiftstile.gateway import targets
 
-__all__ = ["HOLD_S", "Authority", "KeyMaps", "Renewals", "affinity"]
+__all__ = ["HOLD_S", "Authority", "KeyMaps", "Renewals"]
 
 # Hold of each grant. A lost owner's keys wait so long for another; longer
 # holds would need fewer renewals.
@@ -46,20 +45,10 @@
 _PARALLEL = 4
 # The same to an upstream that leaves orders without an answer.
 _PARALLEL_LOSING = 24
-# Pairs of VM and upstream that are remembered: those of one domain are asked
-# for several times a second, 25 VMs and 200 upstreams on the largest site.
-_AFFINITIES = 16384
-# With so many VMs in a domain an upstream that none of them reaches is tried by
-# one of them; with less, VMs of other domains try, too.
-CROWD = 6
 # Without an answer to so many, the upstream counts as out of reach.
 _GIVE_UP_AFTER = 4
 
 
-# Peers that may renew grants, by failure domain.
-AbleByDomain = dict[ids.FailureDomain, list[reports.Peer]]
-
-
 class Mark(msgspec.Struct, frozen=True):
     """A slot that is leaving its owner, as this VM knows it.
 
@@ -180,6 +169,7 @@
         self._maps = maps
         self._book = book
         self._peers = peers
+        self._sharing = sharing.Sharing(peers.me)
         self._control = control
         self._authority = authority
         self._meters = meters
@@ -210,7 +200,7 @@
         Told to the others, it saves a successor the wait for what this run may
         have granted until its end.
         """
-        if any(self._able_peers(now).values()):
+        if sharing.able_by_domain(self._peers, now):
             self._is_stopped = True
             for task in self._tasks.values():
                 task.cancel()
@@ -227,13 +217,7 @@
     def _share_out(self, now: float) -> None:
         if self._is_stopped:
             return
-        able = self._able_peers(now)
-        wanted = {
-            owner
-            for key_map in self._maps.by_service.values()
-            for owner in key_map.slots_by_owner
-            if owner in self._book.by_id and self._is_mine(owner, able, now)
-        }
+        wanted = self._sharing.mine(self._look(now))
         for owner in [name for name in self._tasks if name not in wanted]:
             self._tasks.pop(owner).cancel()
             self.unreachable.discard(owner)
@@ -242,54 +226,20 @@
             if task is None or task.done():
                 self._tasks[owner] = asyncio.create_task(self._renew(owner))
 
-    def _able_peers(self, now: float) -> AbleByDomain:
-        able: AbleByDomain = {}
-        for peer in self._peers.heard(now):
-            if peer.report.is_able and not peer.report.is_leaving:
-                able.setdefault(peer.row.domain, []).append(peer)
-        return able
-
-    def _is_mine(
-        self,
-        owner: model.UpstreamId,
-        able: AbleByDomain,
-        now: float,
-    ) -> bool:
-        """Whether this VM looks after an upstream, by what it sees now."""
-        me = self._peers.me
-        domain = self._book.by_id[owner].upstream.failure_domain
-        near = _reaching(able.get(domain, ()), owner)
-        if domain != me.domain and near:
-            # One of those looks after it.
-            return False
-        reaches_it = owner not in self.unreachable
-        if domain == me.domain and reaches_it:
-            return _is_first(me, near, owner)
-        if near:
-            return False
-        return self._is_mine_in_need(owner, domain, able, reaches_it, now)
-
-    def _is_mine_in_need(
-        self,
-        owner: model.UpstreamId,
-        domain: ids.FailureDomain,
-        able: AbleByDomain,
-        reaches_it: bool,
-        now: float,
-    ) -> bool:
-        """The same where no VM that is known to reach it is in its domain."""
-        me = self._peers.me
-        if self._peers.circulation.hears_of(domain, now):
-            # Its own domain looks after it, and says nothing of it here.
-            return False
-        near = able.get(domain, [])
-        if domain == me.domain and len(near) >= CROWD:
-            # Nobody near reaches it. One goes on trying, not all of them.
-            return _is_first(me, [peer.row for peer in near], owner)
-        reaching = [
-            row for peers in able.values() for row in _reaching(peers, owner)
-        ]
-        return not reaching or (reaches_it and _is_first(me, reaching, owner))
+    def _look(self, now: float) -> sharing.Look:
+        """Returns all that decides which upstreams this VM looks after."""
+        by_id = self._book.by_id
+        return sharing.Look(
+            sharing.able_by_domain(self._peers, now),
+            self._peers.circulation.heard_of(now),
+            frozenset(self.unreachable),
+            {
+                owner: by_id[owner].upstream.failure_domain
+                for key_map in self._maps.by_service.values()
+                for owner in key_map.slots_by_owner
+                if owner in by_id
+            },
+        )
 
     async def _renew(self, owner: model.UpstreamId) -> None:
         service = self._book.by_id[owner].upstream.service
@@ -509,21 +459,3 @@
                 if hold.held_s > 0 or hold.open_s > 0:
                     found.setdefault(service, {})[owner] = hold
         return found
-
-
-def _is_first(
-    me: reports.NodeRow, others: list[reports.NodeRow], owner: model.UpstreamId
-) -> bool:
-    """Whether of some VMs this one is chosen for an upstream."""
-    own = affinity(me.node, owner)
-    return all(affinity(row.node, owner) <= own for row in others)
-
-
-def _reaching(peers, owner: model.UpstreamId) -> list[reports.NodeRow]:
-    return [p.row for p in peers if owner not in p.report.unreachable]
-
-
-@functools.lru_cache(maxsize=_AFFINITIES)
-def affinity(node: model.NodeId, owner: model.UpstreamId) -> int:
-    """Returns how much a VM is preferred for an upstream, alike on all VMs."""
-    return zlib.crc32(f"{node}/{owner}".encode())
--- a/tests/unit/test_gateway_circulation.py
+++ b/tests/unit/test_gateway_circulation.py
@@ -76,7 +76,7 @@
     reader = peers.by_node["vm-00"]
     reader.report.far_heard = {"z1": 26, "z2": 20}
     assert peers.circulation.heard(_NOW) == 72
-    assert peers.circulation.hears_of("z1", _NOW)
+    assert peers.circulation.heard_of(_NOW) == {"z1", "z2"}
     # Word of a reader that fell silent doesn't count.
     reader.heard_at = _NOW - 2.0
     assert peers.circulation.heard(_NOW) == 25
@@ -106,15 +106,17 @@
     @staticmethod
     def _renewals(peers):
         book = builders.book(builders.upstream("u-1", failure_domain="z1"))
+        maps = renewals.KeyMaps()
+        owned = keymap.KeyMap.empty(1).give({}, {0: "u-1"})
+        maps.put(builders.LOOKUPS, owned, _NOW)
         return renewals.Renewals(
-            renewals.KeyMaps(), book, peers, None, None, metrics.Meters()
+            maps, book, peers, None, None, metrics.Meters()
         )
 
     def renewers(self) -> list[str]:
         found = []
         for view in self.views:
-            able = view._able_peers(_NOW)
-            if view._is_mine("u-1", able, _NOW):
+            if view._sharing.mine(view._look(_NOW)):
                 found.append(view._peers.me.domain)
         return found
 
