Speeds that VMs told are summed up when they are told, not at each look

Cause: the leader added up what each VM had told of up to 60 upstreams, twice at each tick for each keyed service; every other VM did so twice a second for its own domain.

Change: answers grow old alike, so sums are kept as of one reference time and brought to the present as a whole. What a VM told before, or too long ago, is taken off; an upstream that nobody tells of any more is dropped, as what is left is rounding. `compared` looks at the sums once.

Ruled out: remembering the last result, as something new is told 33 times a second. Results differ from before by rounding alone (a property test compares them with adding all up, to a part in 10**9).

--- a/src/swiftstile/gateway/speeds.py
+++ b/src/swiftstile/gateway/speeds.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import statistics
+import typing
 
 from swiftstile.gateway import model
 
@@ -22,6 +23,9 @@
 LEAST_RATIO, GREATEST_RATIO = 0.2, 12.0
 # What a peer told longer ago than this is forgotten.
 PEER_LIFE_S = 4.0
+# Sums are kept as of a time no longer ago than this. Rounding grows with it,
+# and is a part in 10**12 then.
+LONGEST_REFERENCE_S = 40.0
 _LEAST_COUNT = 0.1
 # Upstreams that are told at a time, those with most answers: 60 of them fill
 # one datagram that the network doesn't cut into pieces.
@@ -47,12 +51,86 @@
         self.at = now
 
 
+class _Told(typing.NamedTuple):
+    """What a peer told, and what it counted for at the reference time."""
+
+    samples: Samples
+    heard: float
+    weight_by_upstream: dict[model.UpstreamId, tuple[float, float]]
+
+
+class _PeerSums:
+    """Sums of what all peers told, by upstream.
+
+    All answers grow old alike, so sums are kept as of one reference time and
+    brought to the present as a whole: what a peer tells is added once, and not
+    at each of the leader's 20 looks a second, for 195 VMs.
+    """
+
+    def __init__(self):
+        # In the order in which they were heard.
+        self._told_by_node: dict[model.NodeId, _Told] = {}
+        self._reference = 0.0
+        # Sum of ratios, count, and peers that told of it, by upstream.
+        self._sums: dict[model.UpstreamId, tuple[float, float, int]] = {}
+
+    def hear(self, node: model.NodeId, samples: Samples, now: float) -> None:
+        """Takes in what a peer tells."""
+        known = self._told_by_node.pop(node, None)
+        if known is not None:
+            self._take_off(known)
+        if not self._sums or now - self._reference > LONGEST_REFERENCE_S:
+            self._begin_anew(now)
+        self._told_by_node[node] = self._add(samples, now)
+
+    def at(self, now: float) -> dict[model.UpstreamId, tuple[float, float]]:
+        """Returns the sum of ratios and the count, by upstream."""
+        while self._told_by_node:
+            node, told = next(iter(self._told_by_node.items()))
+            if now - told.heard <= PEER_LIFE_S:
+                break
+            del self._told_by_node[node]
+            self._take_off(told)
+        factor = 0.5 ** ((now - self._reference) / HALF_LIFE_S)
+        return {
+            upstream: (total * factor, count * factor)
+            for upstream, (total, count, _) in self._sums.items()
+        }
+
+    def _begin_anew(self, now: float) -> None:
+        """Takes another reference time, so that weights stay small."""
+        self._reference = now
+        self._sums.clear()
+        for node, told in self._told_by_node.items():
+            self._told_by_node[node] = self._add(told.samples, told.heard)
+
+    def _add(self, samples: Samples, heard: float) -> _Told:
+        unit = _COUNT_UNIT * 2.0 ** ((heard - self._reference) / HALF_LIFE_S)
+        weights = {}
+        for upstream, (told_count, told_ratio) in samples.items():
+            count = told_count * unit
+            total = count * told_ratio * _RATIO_UNIT
+            weights[upstream] = total, count
+            sums = self._sums.get(upstream, (0.0, 0.0, 0))
+            self._sums[upstream] = sums[0] + total, sums[1] + count, sums[2] + 1
+        return _Told(samples, heard, weights)
+
+    def _take_off(self, told: _Told) -> None:
+        for upstream, (total, count) in told.weight_by_upstream.items():
+            sums = self._sums[upstream]
+            if sums[2] == 1:
+                # Nobody else told of it: what is left is rounding.
+                del self._sums[upstream]
+                continue
+            self._sums[upstream] = sums[0] - total, sums[1] - count, sums[2] - 1
+
+
 class SpeedBook:
     """Ratios of measured to expected work time, by upstream."""
 
     def __init__(self):
         self._own: dict[model.UpstreamId, _Decayed] = {}
-        self._peers: dict[model.NodeId, tuple[Samples, float]] = {}
+        self._peers = _PeerSums()
 
     def note(
         self, upstream: model.UpstreamId, ratio: float, now: float
@@ -65,7 +143,7 @@
 
     def hear(self, node: model.NodeId, samples: Samples, now: float) -> None:
         """Takes in what a peer tells."""
-        self._peers[node] = (samples, now)
+        self._peers.hear(node, samples, now)
 
     def tell(self, now: float) -> Samples:
         """Returns this VM's own sums, for its peers."""
@@ -95,43 +173,30 @@
         is expected, each that was asked would otherwise seem five times as fast
         as it, and keys would move for no reason.
         """
-        ratios = self.ratios(now)
-        known = {name: ratios[name] for name in members if name in ratios}
+        sums = self._sums(now)
+        known = {name: _ratio(*sums[name]) for name in members if name in sums}
         least = PRIOR_COUNT * len(members)
-        if not known or self._count(known.keys(), now) < least:
+        if not known or sum(sums[name][1] for name in known) < least:
             return dict.fromkeys(members, UNKNOWN_RATIO)
         mean = statistics.fmean(known.values())
         return {name: known.get(name, mean) for name in members}
 
-    def _count(
-        self, names: abc.Collection[model.UpstreamId], now: float
-    ) -> float:
-        """Returns the answers of these upstreams that are known of."""
-        sums = self._sums(now)
-        return sum(sums[name][1] for name in names)
-
     def ratios(self, now: float) -> dict[model.UpstreamId, float]:
         """Returns the ratios of upstreams; others count as `UNKNOWN_RATIO`."""
         return {
-            upstream: (PRIOR_COUNT + total) / (PRIOR_COUNT + count)
+            upstream: _ratio(total, count)
             for upstream, (total, count) in self._sums(now).items()
         }
 
     def _sums(self, now: float) -> dict[model.UpstreamId, tuple[float, float]]:
         """Returns the sum of ratios and the count, of all VMs' answers."""
-        sums: dict[model.UpstreamId, tuple[float, float]] = {}
+        sums = self._peers.at(now)
         for upstream, entry in self._own.items():
             entry.decay(now)
-            sums[upstream] = (entry.total, entry.count)
-        for samples, heard in self._peers.values():
-            if now - heard > PEER_LIFE_S:
-                continue
-            unit = _COUNT_UNIT * 0.5 ** ((now - heard) / HALF_LIFE_S)
-            for upstream, (told_count, told_ratio) in samples.items():
-                total, count = sums.get(upstream, (0.0, 0.0))
-                weight = told_count * unit
-                sums[upstream] = (
-                    total + weight * told_ratio * _RATIO_UNIT,
-                    count + weight,
-                )
+            total, count = sums.get(upstream, (0.0, 0.0))
+            sums[upstream] = (total + entry.total, count + entry.count)
         return sums
+
+
+def _ratio(total: float, count: float) -> float:
+    return (PRIOR_COUNT + total) / (PRIOR_COUNT + count)
--- a/tests/unit/test_gateway_growth.py
+++ b/tests/unit/test_gateway_growth.py
@@ -9,6 +9,7 @@
 import pytest
 
 from swiftstile.gateway import admission
+from swiftstile.gateway import speeds
 from tests import gateway_builders as builders
 from tests import many_vms
 from tests import work_meter
@@ -157,3 +158,22 @@
     together = work_meter.steps(lambda: one.pump(site.now))
     assert len(one) == 20
     assert together < 3 * alone
+
+
+@pytest.mark.parametrize("is_compared", [True, False])
+def test_speeds_are_not_added_up_anew_for_each_vm_that_told(is_compared):
+    # The leader added up what 195 VMs told of 60 upstreams each, twice for each
+    # keyed service and 20 times a second.
+    names = [f"u-{number}" for number in range(60)]
+    counts = []
+    for size in many_vms.SIZES:
+        book = speeds.SpeedBook()
+        for number in range(size.vms):
+            book.hear(f"vm-{number}", dict.fromkeys(names, (9, 90)), 50.0)
+
+        def ask(now: float, of=book):
+            return of.compared(names, now) if is_compared else of.ratios(now)
+
+        ask(50.0)
+        counts.append(work_meter.steps(lambda again=ask: again(50.1)))
+    assert max(counts) <= _LEEWAY * min(counts), counts
--- /dev/null
+++ b/tests/unit/test_gateway_speeds.py
@@ -0,0 +1,66 @@
+"""Sums of what all VMs measured, against adding it all up each time."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from swiftstile.gateway import speeds
+
+_NAMES = ["u-1", "u-2", "u-3"]
+_SAMPLES = strategies.dictionaries(
+    strategies.sampled_from(_NAMES),
+    strategies.tuples(strategies.integers(1, 90), strategies.integers(20, 900)),
+)
+# Who tells, what, and how long after what was told before.
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["vm-1", "vm-2", "vm-3"]),
+        _SAMPLES,
+        strategies.floats(0.0, 6.0),
+    ),
+    max_size=40,
+)
+
+
+def _added_up(last_by_node, now: float) -> dict[str, float]:
+    """Returns the ratios by what each VM told last, if that isn't too old."""
+    sums: dict[str, tuple[float, float]] = {}
+    for samples, heard in last_by_node.values():
+        if now - heard > speeds.PEER_LIFE_S:
+            continue
+        part = 0.5 ** ((now - heard) / speeds.HALF_LIFE_S)
+        for name, (count, ratio) in samples.items():
+            total, weight = sums.get(name, (0.0, 0.0))
+            more = 0.1 * count * part
+            sums[name] = total + more * 0.01 * ratio, weight + more
+    prior = speeds.PRIOR_COUNT
+    return {
+        name: (prior + total) / (prior + weight)
+        for name, (total, weight) in sums.items()
+    }
+
+
+@hypothesis.given(_STEPS)
+def test_sums_that_are_kept_are_those_of_what_was_told(steps):
+    book, last_by_node, now = speeds.SpeedBook(), {}, 1000.0
+    for node, samples, after_s in steps:
+        now += after_s
+        book.hear(node, samples, now)
+        last_by_node[node] = (samples, now)
+        expected = _added_up(last_by_node, now)
+        found = book.ratios(now)
+        assert found.keys() == expected.keys()
+        for name, ratio in expected.items():
+            assert found[name] == pytest.approx(ratio, rel=1e-9)
+
+
+def test_an_upstream_that_nobody_tells_of_any_more_counts_as_unknown():
+    # What is left of a sum after taking its parts off is rounding, not an
+    # answer: it would make the upstream seem one of mean speed.
+    book = speeds.SpeedBook()
+    book.hear("vm-1", {"u-1": (33, 217)}, 100.0)
+    book.hear("vm-2", {"u-1": (7, 333), "u-2": (70, 120)}, 100.7)
+    book.hear("vm-1", {}, 101.1)
+    book.hear("vm-2", {"u-2": (70, 120)}, 101.3)
+    assert book.ratios(101.3).keys() == {"u-2"}
+    assert book.ratios(101.3 + speeds.PEER_LIFE_S + 0.1) == {}
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -154,8 +154,8 @@
     _off(
         "speeds from all VMs' answers",
         "speeds",
-        "        self._peers[node] = (samples, now)",
-        "        self._peers.pop(node, None)",
+        "        self._peers.hear(node, samples, now)",
+        "        del node, samples, now",
     ),
     _off(
         "counts from other VMs",
