--- a/src/swiftstile/gateway/sharing.py
+++ b/src/swiftstile/gateway/sharing.py
@@ -2,8 +2,8 @@
 
 VMs share the upstreams out by what they see of each other. All that decides is
 in a `Look`; the answer is worked out anew only when that differs from the last
-one. It is looked at several times a second and at each change of a map, and on
-195 VMs with 241 upstreams to work it out each time was most of what a VM did.
+one. It is looked at several times a second and at each change of a map; to work
+it out each time took 6 ms, 4% of a core, with 200 VMs and 140 owners of keys.
 """
 
 import functools
@@ -20,8 +20,8 @@
 # With so many VMs in a domain an upstream that none of them reaches is tried by
 # one of them; with less, VMs of other domains try, too.
 CROWD = 6
-# Pairs of VM and upstream that are remembered: those of one domain are asked
-# for several times a second, 25 VMs and 200 upstreams on the largest site.
+# Pairs of VM and upstream that are remembered: the VMs of one domain with all
+# upstreams, 39 and 241 on the largest site.
 _AFFINITIES = 16384
 
 
