--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -27,6 +27,8 @@
 NEAR_INTERVAL_S = 0.025
 # The same to other domains, whose bytes are dear.
 FAR_INTERVAL_S = 0.35
+# Timers are a little early or late; half a tick is close enough.
+_SLACK_S = NEAR_INTERVAL_S / 2
 # Between two reports when nothing changed: three may be lost before a peer
 # counts as silent.
 HEARTBEAT_S = 0.25
@@ -89,6 +91,7 @@
 
     Attributes:
         by_node: All that are registered, this one excluded.
+        places: The same by failure domain.
     """
 
     def __init__(
@@ -112,11 +115,9 @@
         self._encoder = report_encoding.ReportEncoder(self._meters)
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
-        self._to_every_vm = circulation_lib.ToEveryVm(me, self.by_node)
-        self._through_readers = circulation_lib.ThroughReaders(me, self.by_node)
-        # Near peers, and of how many peers in all they were counted; asked for
-        # many times a second.
-        self._near, self._counted = 0, 0
+        self.places = circulation_lib.Places(me, self.by_node)
+        self._to_every_vm = circulation_lib.ToEveryVm(me, self.places)
+        self._through_readers = circulation_lib.ThroughReaders(me, self.places)
         self._tick_at = 0.0
         self._deaf_until = 0.0
         self._near_at = self._far_at = self._urgent_at = 0.0
@@ -129,7 +130,7 @@
         """Takes in a registration; None when it was removed."""
         if node == self.me.node:
             return
-        self._counted = -1
+        self.places.forget()
         known = self.by_node.get(node)
         if known is not None:
             self._by_run.pop(reports.short_run(known.row.incarnation), None)
@@ -149,14 +150,7 @@
         self, now: float, within_s: float = reports.SILENT_AFTER_S
     ) -> list[reports.Peer]:
         """Returns the peers that told something lately."""
-        # Asked for many times a second, over 80 VMs at times: without a call
-        # of `is_heard` for each.
-        since = now - within_s
-        return [
-            peer
-            for peer in self.by_node.values()
-            if peer.heard_at > since and peer.report is not None
-        ]
+        return reports.heard(self.by_node.values(), now, within_s)
 
     def of_run(self, run: str) -> reports.Peer | None:
         """Returns the VM whose present run has a short name, if any."""
@@ -171,21 +165,20 @@
         )
         return [
             peer
-            for peer in self.by_node.values()
-            if peer.row.domain == domain
-            and not peer.row.is_retired
+            for peer in self.places.all_in(domain)
+            if not peer.row.is_retired
             and (is_unheard or peer.is_heard(now))
             and not (peer.report is not None and peer.report.is_leaving)
         ]
 
     def is_silent(self, domain: ids.FailureDomain, now: float) -> bool:
         """Whether VMs are registered in another domain and none is heard of."""
-        if domain == self.me.domain or self.circulation.hears_of(domain, now):
+        if domain == self.me.domain or domain in self.circulation.heard_of(now):
             return False
         known = [
             peer
-            for peer in self.by_node.values()
-            if peer.row.domain == domain and not peer.row.is_retired
+            for peer in self.places.all_in(domain)
+            if not peer.row.is_retired
         ]
         return bool(known) and not any(peer.is_heard(now) for peer in known)
 
@@ -206,7 +199,8 @@
         """Sends and receives until cancelled.
 
         Args:
-            make_report: Returns this VM's report; takes its sequence number.
+            make_report: Returns this VM's report; takes its sequence number,
+                and whether it has to hold what only its own domain is told.
 
         Raises:
             SettingsError: It can't receive at its address.
@@ -215,8 +209,12 @@
         try:
             self._tick_at = clocks.monotonic()
             while True:
-                self.note_tick(clocks.monotonic())
-                self._send(make_report(self.next_sequence()))
+                now = clocks.monotonic()
+                self.note_tick(now)
+                is_whole = self._needs_whole(now)
+                self._send(
+                    make_report(self.next_sequence(), is_whole), is_whole
+                )
                 await asyncio.sleep(self._tick_s())
         finally:
             self._transport.close()
@@ -238,7 +236,7 @@
         return min(max(NEAR_INTERVAL_S, self._near_s() / 2), URGENT_INTERVAL_S)
 
     def _near_s(self) -> float:
-        return max(NEAR_INTERVAL_S, self._near_count() / NEAR_PER_S)
+        return max(NEAR_INTERVAL_S, len(self.places.near) / NEAR_PER_S)
 
     def note_tick(self, now: float) -> None:
         """Notices when this process stood still since the last tick."""
@@ -257,23 +255,39 @@
         self._near_at = self._far_at = self._urgent_at = 0.0
         self._send(report)
 
-    def _send(self, report: reports.Report) -> None:
+    def _needs_whole(self, now: float) -> bool:
+        """Whether a report made now may go to the own domain.
+
+        Where VMs are many it may at less than half of the looks; the others are
+        for what all should know at once.
+        """
+        if not self.circulation.tells_through_readers:
+            return True
+        earliest_s = min(self._near_s(), HEARTBEAT_S)
+        return now - self._near_at >= earliest_s - _SLACK_S
+
+    def _send(self, report: reports.Report, is_whole: bool = True) -> None:
         now = clocks.monotonic()
+        if is_whole:
+            self._send_near_if_due(report, now)
+        self._send_far_if_due(report, now)
+
+    def _send_near_if_due(self, report: reports.Report, now: float) -> None:
         versions = [word.version for word in report.tables.values()]
         content = (report.shared, report.local, versions, *_state(report))
         near_s = HEARTBEAT_S
         if content != self._near_sent:
             near_s = self._near_s()
-        # Timers are a little early or late; half a tick is close enough.
-        slack_s = NEAR_INTERVAL_S / 2
-        if now - self._near_at >= near_s - slack_s:
+        if now - self._near_at >= near_s - _SLACK_S:
             self._near_at, self._near_sent = now, content
             self._send_near(report, now)
+
+    def _send_far_if_due(self, report: reports.Report, now: float) -> None:
         state = _state(report)
-        if now - self._urgent_at < URGENT_INTERVAL_S - slack_s:
+        if now - self._urgent_at < URGENT_INTERVAL_S - _SLACK_S:
             return
         circulation = self.circulation
-        if now - self._far_at >= FAR_INTERVAL_S - slack_s:
+        if now - self._far_at >= FAR_INTERVAL_S - _SLACK_S:
             self._far_at = now
             to = circulation.regular(report)
         elif state != self._far_sent:
@@ -289,26 +303,15 @@
     @property
     def circulation(self) -> circulation_lib.Circulation:
         """Whom of other domains this VM tells."""
-        far = len(self.by_node) - self._near_count()
-        is_few = far <= circulation_lib.FEW_FAR_VMS
+        is_few = len(self.places.far) <= circulation_lib.FEW_FAR_VMS
         return self._to_every_vm if is_few else self._through_readers
 
-    def _near_count(self) -> int:
-        if len(self.by_node) != self._counted:
-            self._counted = len(self.by_node)
-            domain = self.me.domain
-            self._near = sum(
-                peer.row.domain == domain for peer in self.by_node.values()
-            )
-        return self._near
-
     def _send_near(self, report: reports.Report, now: float) -> None:
         self._sequence = report.sequence
         measured = self._with_measures(report, self._near_pace, now)
         data = self._encoder.encode(measured)
-        for peer in self.by_node.values():
-            if peer.row.domain == self.me.domain:
-                self._send_to(peer, data, now)
+        for peer in self.places.near:
+            self._send_to(peer, data, now)
 
     def _send_far(self, report: reports.Report, now: float, to) -> None:
         self._sequence = report.sequence
