--- a/tests/integration/test_ports_taken.py
+++ b/tests/integration/test_ports_taken.py
@@ -1,9 +1,9 @@
 """A gateway whose port is taken says which, and ends as for bad settings.
 
 What operators saw: a traceback of a library, with nothing of what the port was
-for, and for links between VMs not even which it was. Cause: errors of listening were
-passed on as they came. Evidence: the log of a site of a test whose gateway had
-drawn a port twice, and these tests without the mend.
+for, and for links between VMs not even which it was. Cause: errors of listening
+were passed on as they came. Evidence: the log of a site of a test whose gateway
+had drawn a port twice, and these tests without the mend.
 """
 
 import asyncio
