A last test names the exit statuses by their module

Cause: the move of the commands changed where exit statuses stand; one unit test that names them was missed and failed.

--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -6,6 +6,7 @@
 from swiftstile import errors
 from swiftstile import settings
 from swiftstile.bundles import model
+from swiftstile.commandline import shared
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 MINIMAL = """[vm]
@@ -80,7 +81,7 @@
 @pytest.mark.parametrize("text", ["no section", "[vm]\nid=1\n[vm]\n", "\x00"])
 def test_check_settings_says_one_line_and_exits_2(tmp_path, text, capsys):
     path = write(tmp_path, text)
-    assert cli.main(["check-settings", str(path)]) == cli.EXIT_USAGE
+    assert cli.main(["check-settings", str(path)]) == shared.EXIT_USAGE
     captured = capsys.readouterr()
     assert len(captured.err.splitlines()) == 1
     assert str(path) in captured.err
@@ -88,7 +89,7 @@
 
 def test_check_settings_accepts_minimal(tmp_path, capsys):
     path = write(tmp_path, MINIMAL)
-    assert cli.main(["check-settings", str(path)]) == cli.EXIT_OK
+    assert cli.main(["check-settings", str(path)]) == shared.EXIT_OK
     assert "ok" in capsys.readouterr().out
 
 
