An evacuated failure domain gets no requests and owns no keys

Cause: VMs took the configuration alone from the operator's table and passed over the rows beside it.

Change: the adapter names the failure domain that a row evacuates; the registry has its upstreams leave by the mechanism for upstreams that drain (placing, admission, second sends, key ownership), and takes them back when the row goes. Owners there are asked for 2 s more, then the VM that sends asks them no more, whoever hands out their slots. With all upstreams evacuated requests are refused at once, also those that have a key.

Ruled out: a flag of its own beside leaving_since (each place that asks for leaving upstreams would need a second question); the drain bound for owners (it belongs to another rule, and may be longer than the evacuation's).

Where no row evacuates anything, nothing is decided otherwise.

--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -19,6 +19,9 @@
 REGRANT_S = 0.15
 # An owner that is lost keeps its keys for about one hold.
 LOST_OWNER_S = renewals.HOLD_S
+# With all upstreams of a service evacuated, its keys get no owner until the
+# operator takes a failure domain back.
+NO_UPSTREAM_S = float("inf")
 # How long the word of an owner that it doesn't hold a key counts.
 MISDIRECTED_LIFE_S = 0.5
 
@@ -70,12 +73,12 @@
         """Returns the owner, or None and when there is likely to be one."""
         key_map = self._maps.by_service.get(service)
         if key_map is None:
-            return None, HAND_OVER_S
+            return None, self._next_owner_s(service)
         index = key_map.index_of(key)
         slot = key_map.slots[index]
         target = self._book.by_id.get(slot.owner)
-        if target is None or target.is_replaced:
-            return None, HAND_OVER_S
+        if target is None or target.is_replaced or target.is_evacuated(now):
+            return None, self._next_owner_s(service)
         if target.upstream.is_life_after(key_map.started_ms.get(slot.owner, 0)):
             # It holds nothing until the leader gave it its slots once more.
             return None, HAND_OVER_S
@@ -98,6 +101,12 @@
             return None, target.penalty_left_s(now)
         return target, 0.0
 
+    def _next_owner_s(self, service: ids.ServiceName) -> float:
+        """Returns when a key is likely to have an owner that can be asked."""
+        if self._book.evacuated_at and not self._book.has_staying(service):
+            return NO_UPSTREAM_S
+        return HAND_OVER_S
+
     def _is_cut_off(self, target: targets.Target, now: float) -> bool:
         """Whether nothing is heard of a target's failure domain.
 
--- a/src/swiftstile/gateway/registry.py
+++ b/src/swiftstile/gateway/registry.py
@@ -78,6 +78,20 @@
             self._put(upstream_id, value, now)
         self._on_change()
 
+    def set_evacuated(
+        self, domain: ids.FailureDomain, is_evacuated: bool
+    ) -> None:
+        """Takes in whether the operator has a failure domain evacuated."""
+        if is_evacuated == (domain in self._book.evacuated_at):
+            return
+        if is_evacuated:
+            self._book.evacuate(domain, clocks.monotonic())
+            logs.logger.info("failure domain evacuated", domain=domain)
+        else:
+            self._book.take_back(domain)
+            logs.logger.info("failure domain taken back", domain=domain)
+        self._on_change()
+
     def _put(self, upstream_id, value: bytes, now: float) -> None:
         try:
             upstream = self._decode(upstream_id, value)
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -27,6 +27,10 @@
 # Sends stop this long before the platform's bound for leaving targets, which
 # is counted from when the platform knew and not from when we did.
 LEAVING_MARGIN_S = 0.5
+# Owners in an evacuated failure domain go on being asked for so long, while
+# their keys move to others. The platform allows 5 s from its acknowledgement,
+# of which VMs may need 2.5 s to hear of it.
+EVACUATED_SENDS_S = 2.0
 # Counts of peers older than this say nothing.
 PEER_COUNT_LIFE_S = 1.5
 
@@ -40,7 +44,10 @@
         waiting: Requests that wait at this VM for it alone.
         peers: Requests of other VMs, by VM: (count, waiting, when heard).
         slowness: Its service time over the mean of all, 1.0 when as fast.
-        leaving_since: When it was first seen to leave; None while it stays.
+        left_at: When it was first seen to leave by its own word, or by the lack
+            of it; None while it is registered and ready.
+        evacuated_at: Since when its failure domain is evacuated; None if not.
+        leaving_since: The earlier of both; None while it stays.
         is_gone: Its registration is no more.
         is_replaced: Another server runs at its address, so it has ended.
     """
@@ -52,6 +59,8 @@
         self.waiting = 0
         self.peers: dict[model.NodeId, tuple[int, int, float]] = {}
         self.slowness = 1.0
+        self.left_at: float | None = None
+        self.evacuated_at: float | None = None
         self.leaving_since: float | None = None
         self.is_gone = False
         self.is_replaced = False
@@ -85,11 +94,39 @@
 
     def takes_requests(self, now: float, drain_s: float) -> bool:
         """Whether anything may be sent there at all."""
-        if self.is_replaced:
+        if self.is_replaced or self.is_evacuated(now):
             return False
-        if self.leaving_since is None:
+        if self.left_at is None:
             return True
-        return now - self.leaving_since < max(0.0, drain_s - LEAVING_MARGIN_S)
+        return now - self.left_at < max(0.0, drain_s - LEAVING_MARGIN_S)
+
+    def is_evacuated(self, now: float) -> bool:
+        """Whether nothing more may be sent to its failure domain."""
+        if self.evacuated_at is None:
+            return False
+        return now - self.evacuated_at >= EVACUATED_SENDS_S
+
+    def note_leaving(self, now: float) -> None:
+        """It leaves by its own word, or was found to have left."""
+        if self.left_at is None:
+            self.left_at = now
+        self._note_departures()
+
+    def note_staying(self) -> None:
+        """It is registered and ready."""
+        self.left_at = None
+        self._note_departures()
+
+    def set_evacuated(self, since: float | None) -> None:
+        """Its failure domain is evacuated since then, or isn't if None."""
+        self.evacuated_at = since
+        self._note_departures()
+
+    def _note_departures(self) -> None:
+        known = [
+            at for at in (self.left_at, self.evacuated_at) if at is not None
+        ]
+        self.leaving_since = min(known, default=None)
 
     def is_penalised(self, now: float) -> bool:
         """Whether it failed just now."""
@@ -165,9 +202,11 @@
     Attributes:
         by_id: Targets by upstream id.
         by_service: The same, by service and id.
+        evacuated_at: Since when failure domains are evacuated, by domain.
     """
 
     def __init__(self):
+        self.evacuated_at: dict[ids.FailureDomain, float] = {}
         self.by_id: dict[model.UpstreamId, Target] = {}
         self.by_service: dict[
             ids.ServiceName, dict[model.UpstreamId, Target]
@@ -190,20 +229,44 @@
             group[upstream.id] = target
         target.upstream = upstream
         target.is_gone = False
+        target.set_evacuated(self.evacuated_at.get(upstream.failure_domain))
         self._replace_at(upstream, now)
         if target.is_replaced:
             return target
         if upstream.state is model.UpstreamState.READY:
-            target.leaving_since = None
-        elif target.leaving_since is None:
-            target.leaving_since = now
+            target.note_staying()
+        else:
+            target.note_leaving(now)
         return target
 
+    def evacuate(self, domain: ids.FailureDomain, now: float) -> None:
+        """Nothing more is to be sent to the upstreams of a failure domain.
+
+        Those that register later count as evacuated just as long.
+        """
+        self._set_evacuated(domain, self.evacuated_at.setdefault(domain, now))
+
+    def take_back(self, domain: ids.FailureDomain) -> None:
+        """The upstreams of a failure domain may be used again."""
+        self.evacuated_at.pop(domain, None)
+        self._set_evacuated(domain, None)
+
+    def _set_evacuated(
+        self, domain: ids.FailureDomain, since: float | None
+    ) -> None:
+        for target in self.by_id.values():
+            if target.upstream.failure_domain == domain:
+                target.set_evacuated(since)
+
+    def has_staying(self, service: ids.ServiceName) -> bool:
+        """Whether a service has an upstream that doesn't leave."""
+        group = self.by_service.get(service, {})
+        return any(target.leaving_since is None for target in group.values())
+
     def mark_replaced(self, target: Target, now: float) -> None:
         """Another server was seen at a target's address."""
         target.is_replaced = True
-        if target.leaving_since is None:
-            target.leaving_since = now
+        target.note_leaving(now)
 
     def _replace_at(self, upstream: model.Upstream, now: float) -> None:
         for other in self.by_id.values():
@@ -216,8 +279,7 @@
         target = self.by_id.get(upstream)
         if target is not None:
             target.is_gone = True
-            if target.leaving_since is None:
-                target.leaving_since = now
+            target.note_leaving(now)
 
     def sweep(self, now: float, keep_s: float) -> list[Target]:
         """Drops targets that left more than `keep_s` ago; returns them."""
@@ -226,7 +288,7 @@
             for target in self.by_id.values()
             if target.is_gone
             and target.own == 0
-            and now - target.leaving_since > keep_s
+            and now - target.left_at > keep_s
         ]
         for target in dropped:
             del self.by_id[target.id]
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -65,6 +65,9 @@
         config_key: Key of the configuration in the operator's table.
         decode_config: Returns a configuration from a row's value.
         decode_upstream: Returns an upstream from its id and a row's value.
+        evacuated_domain: Returns the failure domain that is evacuated while
+            there is a row of this key in the operator's table; None for rows
+            of another meaning.
     """
 
     state: interfaces.StateTable
@@ -77,6 +80,7 @@
     decode_upstream: collections.abc.Callable[
         [model.UpstreamId, bytes], model.Upstream
     ]
+    evacuated_domain: collections.abc.Callable[[str], ids.FailureDomain | None]
 
 
 def gateway(
@@ -165,6 +169,7 @@
             lambda: self._member.is_registered,
             lambda: self._state.contact_at,
         )
+        self._registry: registry_lib.Registry | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
 
     def build(self) -> daemon_lib.GatewayDaemon:
@@ -178,7 +183,7 @@
         gate = gate_lib.Gate(
             admission.Admission(self._book, self._node.domain, self._drain_s)
         )
-        registry = registry_lib.Registry(
+        self._registry = registry = registry_lib.Registry(
             self._book, adapters.decode_upstream, gate.pump, self._meters
         )
         registrations = follow.TableFollower(
@@ -334,11 +339,18 @@
 
     def _apply_operations(self, changes: list[interfaces.Change]) -> None:
         for change in changes:
-            if change.key != self._adapters.config_key or change.value is None:
-                continue
-            try:
-                config = self._adapters.decode_config(change.value)
-            except errors.SwiftstileError as error:
-                self._daemon.note_bad_config(error)
-                continue
-            self._daemon.apply_config(config)
+            domain = self._adapters.evacuated_domain(change.key)
+            if domain is not None:
+                self._registry.set_evacuated(domain, change.value is not None)
+            elif change.key == self._adapters.config_key:
+                self._apply_config(change)
+
+    def _apply_config(self, change: interfaces.Change) -> None:
+        if change.value is None:
+            return
+        try:
+            config = self._adapters.decode_config(change.value)
+        except errors.SwiftstileError as error:
+            self._daemon.note_bad_config(error)
+            return
+        self._daemon.apply_config(config)
--- a/tests/unit/test_gateway_wiring.py
+++ b/tests/unit/test_gateway_wiring.py
@@ -6,6 +6,7 @@
 
 from swiftstile import clocks
 from swiftstile import gateway_wiring
+from swiftstile.gateway import interfaces
 from swiftstile.gateway import reports
 from swiftstile.gateway import settings
 from tests import gateway_builders as builders
@@ -13,6 +14,10 @@
 _NEAR_VMS = 20
 
 
+def _evacuated_domain(key: str):
+    return builders.AWAY if key == "away is evacuated" else None
+
+
 def _daemon():
     """Returns the daemon of the VM with the least bandwidth of a domain."""
     made = settings.GatewaySettings(
@@ -23,7 +28,7 @@
     )
     table = builders.MemoryTable()
     adapters = gateway_wiring.Adapters(
-        table, table, table, None, None, "config", None, None
+        table, table, table, None, None, "config", None, None, _evacuated_domain
     )
     lines = types.SimpleNamespace(vm="")
     return gateway_wiring.gateway(made, adapters, lines)
@@ -59,3 +64,24 @@
     assert daemon._leads.is_leader
     follower = daemon._followers[table]
     assert follower.is_led(clocks.monotonic()) is is_led
+
+
+def _operate(daemon, version: int, value: bytes | None) -> None:
+    """The operator writes or removes the row that evacuates a domain."""
+    row = interfaces.Change("away is evacuated", value, version)
+    follower = daemon._followers["operations"]
+    follower.accept(interfaces.Snapshot([row], version), is_whole=False)
+
+
+def test_an_evacuation_reaches_the_targets_and_is_taken_back():
+    # VMs took the configuration alone from the operator's table and passed
+    # over the rows beside it: an evacuated domain went on getting requests.
+    daemon = _daemon()
+    daemon._book.put(builders.upstream("u-1"), 0.0)
+    away = builders.upstream("u-2", failure_domain=builders.AWAY)
+    daemon._book.put(away, 0.0)
+    _operate(daemon, 1, b"{}")
+    assert daemon._book.by_id["u-1"].leaving_since is None
+    assert daemon._book.by_id["u-2"].leaving_since is not None
+    _operate(daemon, 2, None)
+    assert daemon._book.by_id["u-2"].leaving_since is None
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -287,3 +287,18 @@
     assert judge(200, signed).is_sound
     signed["Content-Encoding"] = "gzip"
     assert not judge(200, signed).is_sound
+
+
+@pytest.mark.parametrize(
+    ("key", "domain"),
+    [
+        ("evacuate/z-1", "z-1"),
+        ("evacuate/a/b", "a/b"),
+        ("evacuate/", None),
+        ("evacuate", None),
+        ("config", None),
+        ("x/evacuate/z-1", None),
+    ],
+)
+def test_rows_that_evacuate_a_failure_domain_name_it(key, domain):
+    assert documents.evacuated_domain(key) == domain
