--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -13,6 +13,7 @@
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
+from swiftstile.gateway import coldstart
 from swiftstile.gateway import connections
 from swiftstile.gateway import daemon as daemon_lib
 from swiftstile.gateway import decisions
@@ -65,6 +66,9 @@
         config_key: Key of the configuration in the operator's table.
         decode_config: Returns a configuration from a row's value.
         decode_upstream: Returns an upstream from its id and a row's value.
+        evacuated_domain: Returns the failure domain that is evacuated while
+            there is a row of this key in the operator's table; None for rows
+            of another meaning.
     """
 
     state: interfaces.StateTable
@@ -77,6 +81,7 @@
     decode_upstream: collections.abc.Callable[
         [model.UpstreamId, bytes], model.Upstream
     ]
+    evacuated_domain: collections.abc.Callable[[str], ids.FailureDomain | None]
 
 
 def gateway(
@@ -159,6 +164,9 @@
         self._member = membership.Membership(
             self._peers, adapters.state, self._state
         )
+        self._cold_limits = coldstart.ColdLimits(
+            self._book, self._peers, lambda: self._member.is_registered
+        )
         self._authority = authority.PeerAuthority(
             self._peers,
             self._leads,
@@ -166,6 +174,7 @@
             lambda: self._member.is_registered,
             lambda: self._state.contact_at,
         )
+        self._registry: registry_lib.Registry | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
 
     def build(self) -> daemon_lib.GatewayDaemon:
@@ -177,9 +186,11 @@
             settings_lib.seconds(bounds.retry_window),
         )
         gate = gate_lib.Gate(
-            admission.Admission(self._book, self._node.domain, self._drain_s)
+            admission.Admission(
+                self._book, self._node.domain, self._drain_s, self._cold_limits
+            )
         )
-        registry = registry_lib.Registry(
+        self._registry = registry = registry_lib.Registry(
             self._book, adapters.decode_upstream, gate.pump, self._meters
         )
         registrations = follow.TableFollower(
@@ -215,7 +226,9 @@
             self._meters,
         )
         self._handler = handler = handler_lib.Handler(
-            permits.Permits(self._peers, gate, arbiter, self._meters),
+            permits.Permits(
+                self._peers, gate, arbiter, self._meters, self._cold_limits
+            ),
             exchange.Exchange(connections.ConnectionPool(), adapters.dialect),
             adapters.dialect,
             self._book,
@@ -270,6 +283,7 @@
             retry_budget,
             self._speeds,
             self._heat,
+            self._cold_limits,
             self._lines,
             self._make_keeper,
             settings_lib.seconds(bounds.grace),
@@ -289,6 +303,7 @@
                 self._heat,
                 self._handler.work_s,
                 self._now(),
+                self._cold_limits,
             ),
             self._peers,
             self._renewing,
@@ -337,11 +352,18 @@
 
     def _apply_operations(self, changes: list[interfaces.Change]) -> None:
         for change in changes:
-            if change.key != self._adapters.config_key or change.value is None:
-                continue
-            try:
-                config = self._adapters.decode_config(change.value)
-            except errors.SwiftstileError as error:
-                self._daemon.note_bad_config(error)
-                continue
-            self._daemon.apply_config(config)
+            domain = self._adapters.evacuated_domain(change.key)
+            if domain is not None:
+                self._registry.set_evacuated(domain, change.value is not None)
+            elif change.key == self._adapters.config_key:
+                self._apply_config(change)
+
+    def _apply_config(self, change: interfaces.Change) -> None:
+        if change.value is None:
+            return
+        try:
+            config = self._adapters.decode_config(change.value)
+        except errors.SwiftstileError as error:
+            self._daemon.note_bad_config(error)
+            return
+        self._daemon.apply_config(config)
