--- a/src/swiftstile/gateway/coldstart.py
+++ b/src/swiftstile/gateway/coldstart.py
@@ -52,8 +52,13 @@
         """This VM sends a request there, or lets another VM send one."""
 
     @abc.abstractmethod
-    def sender(self, target: targets.Target, now: float) -> reports.NodeRow:
-        """Returns the one VM that sends there while sends are limited."""
+    def sender(
+        self, target: targets.Target, now: float
+    ) -> reports.NodeRow | None:
+        """Returns the one VM that sends there while sends are limited.
+
+        None where they never are.
+        """
 
 
 class _Unlimited(SendLimits):
@@ -78,9 +83,11 @@
     def note_sent(self, target: targets.Target, now: float) -> None:
         """See base class."""
 
-    def sender(self, target: targets.Target, now: float) -> reports.NodeRow:
+    def sender(
+        self, target: targets.Target, now: float
+    ) -> reports.NodeRow | None:
         """See base class."""
-        raise NotImplementedError("nothing is limited")
+        return None
 
 
 UNLIMITED = _Unlimited()
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -204,7 +204,8 @@
 
         None if it is this one, or is out of reach: then this VM sends nothing.
         """
-        peer = self._peers.by_node.get(self._limits.sender(target, now).node)
+        row = self._limits.sender(target, now)
+        peer = None if row is None else self._peers.by_node.get(row.node)
         if peer is None or self._is_avoided(peer, now):
             return None
         return peer
--- a/tests/many_vms.py
+++ b/tests/many_vms.py
@@ -78,7 +78,15 @@
         )
         table = builders.MemoryTable()
         adapters = gateway_wiring.Adapters(
-            table, table, table, None, None, "config", None, None
+            table,
+            table,
+            table,
+            None,
+            None,
+            "config",
+            None,
+            None,
+            lambda _: None,
         )
         lines = types.SimpleNamespace(vm="")
         daemon = gateway_wiring.gateway(made, adapters, lines)
