An owner that leaves gets nothing after its time, whoever permits it

Cause (by reading): whether an owner still takes requests was looked at only by the VM that hands out its slots, its arbiter. That is another VM, with its own time at which it heard that the upstream leaves; one that doesn't know the upstream at all permits everything. The VM that sends asked nobody else.

Change: a lookup of an owner ends with the time that this VM knows for it, so that nothing is asked for, and nothing sent that was permitted meanwhile. A key whose owner may take nothing more counts as on the move.

--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -24,7 +24,15 @@
 
 
 class KeyOwners:
-    """Owners of keys by the maps in force."""
+    """Owners of keys by the maps in force.
+
+    Args:
+        maps: The maps.
+        book: The upstreams.
+        heat_book: Counts how often slots are asked for.
+        peers: The other VMs.
+        drain_s: How long a leaving owner takes requests, in seconds.
+    """
 
     def __init__(
         self,
@@ -32,11 +40,13 @@
         book: targets.TargetBook,
         heat_book: heat.HeatBook,
         peers: gossip.Peers,
+        drain_s: float,
     ):
         self._maps = maps
         self._book = book
         self._heat = heat_book
         self._peers = peers
+        self._drain_s = drain_s
         self._misdirected: dict[
             tuple[ids.ServiceName, int], tuple[int, float]
         ] = {}
@@ -74,7 +84,9 @@
         index = key_map.index_of(key)
         slot = key_map.slots[index]
         target = self._book.by_id.get(slot.owner)
-        if target is None or target.is_replaced:
+        if target is None or not target.takes_requests(now, self._drain_s):
+            # Not left to who permits its slots: another VM may have heard later
+            # that it leaves.
             return None, HAND_OVER_S
         if target.upstream.is_life_after(key_map.started_ms.get(slot.owner, 0)):
             # It holds nothing until the leader gave it its slots once more.
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -202,7 +202,11 @@
             outage=self._outage,
         )
         key_owners = owners.KeyOwners(
-            self._maps, self._book, self._heat, self._peers
+            self._maps,
+            self._book,
+            self._heat,
+            self._peers,
+            self._drain_s,
         )
         arbiter = arbiter_lib.Arbiter(
             self._peers,
--- a/tests/unit/test_gateway_drain.py
+++ b/tests/unit/test_gateway_drain.py
@@ -60,7 +60,7 @@
         self.gate = gate
         self.permits = permits.Permits(self._peers, gate, arbiter, meters)
         self._owners = owners.KeyOwners(
-            parts.maps, self.book, heat.HeatBook(), self._peers
+            parts.maps, self.book, heat.HeatBook(), self._peers, _DRAIN_S
         )
 
     def _put(self, state: model.UpstreamState, at: float) -> None:
--- a/tests/unit/test_gateway_owners.py
+++ b/tests/unit/test_gateway_owners.py
@@ -26,7 +26,7 @@
         )
         self.target = parts.book.by_id["u-1"]
         self.owners = owners.KeyOwners(
-            parts.maps, parts.book, heat.HeatBook(), parts.peers
+            parts.maps, parts.book, heat.HeatBook(), parts.peers, drain_s=2.0
         )
 
     def find(self):
--- a/tests/unit/test_gateway_restart.py
+++ b/tests/unit/test_gateway_restart.py
@@ -110,7 +110,7 @@
 def test_requests_wait_until_a_new_life_holds_its_keys():
     parts, _ = _parts()
     found = owners.KeyOwners(
-        parts.maps, parts.book, heat.HeatBook(), parts.peers
+        parts.maps, parts.book, heat.HeatBook(), parts.peers, drain_s=2.0
     )
     key = 100
 
