Sends to a leaving upstream end by when the platform may have known of it

Requests could reach a leaving upstream later than the platform allows, which is 2.5 s after it said so.

Cause: each VM ended its sends 2 s after it had taken the row in, which left 0.5 s for all that lies before. A reader that pauses (0.3 s), its next report (up to 0.25 s), the question for the row (0.5 s when it is lost) and failed calls add up to more. Class: a bound that others count from an event, counted here from when the event was heard of.

Change: a follower says since when the store may have had the rows that it hands on: since the answer before it, or since a peer's word and the pause before that; a call that had been waiting brings what is new. Sends end by that. On a first read, and for services that were named later, nothing is sent to a leaving one.

Ruled out: a longer margin for all (it would end sends sooner where nothing was late), and no pause of readers (more calls to the store).

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -42,6 +42,9 @@
 # the store is asked. Two reports and a question, and well within the time in
 # which a configuration has to be in force.
 BEHIND_S = 0.5
+# A peer tells of a row so long after the store has it: the pause between its
+# calls, and the time to its next report.
+TOLD_AFTER_S = 0.5
 # In the first seconds many VMs and upstreams register; one call for each change
 # would be thousands.
 START_S = 3.0
@@ -76,6 +79,8 @@
         failing_since: When calls began to fail; None while they succeed.
         recovered_at: Since when calls succeed, the first one included.
         is_loaded: Whether the table was read since the start.
+        news_since: Since when the store may have had the rows that are being
+            applied, or were last.
     """
 
     def __init__(
@@ -97,6 +102,9 @@
         self.failing_since: float | None = None
         self.recovered_at = 0.0
         self.is_loaded = False
+        self.news_since = float("-inf")
+        # Until when there was nothing that wasn't known here.
+        self._complete_at = float("-inf")
         self._table = table
         self._apply = apply
         self._batch_s = batch_s
@@ -171,6 +179,7 @@
         if not self.is_loaded:
             await self._read_all()
             return
+        asked_at = clocks.monotonic()
         changes = await self._table.wait_for_changes(
             self.version, self._watch_s()
         )
@@ -182,6 +191,7 @@
             # A peer's rows were quicker. They include these, and the removal
             # of some of them.
             return
+        self._note_answer(asked_at)
         self._merge(changes.rows)
         self._note_version(changes.version)
         if changes.rows:
@@ -194,7 +204,20 @@
         if self.is_loaded and asked_at <= snapshot.version < self.version:
             # A peer's rows were quicker, and the store's answer wasn't stale.
             return
+        self.news_since = self._complete_at
         self._replace(snapshot)
+        self._complete_at = clocks.monotonic()
+
+    def _note_answer(self, asked_at: float) -> None:
+        """The store told of all that is new.
+
+        A call that waits is answered as soon as there is news. What it brings
+        sooner may have been there since the answer before it.
+        """
+        now = clocks.monotonic()
+        was_waiting = self.failing_since is None and now - asked_at > ANSWER_S
+        self.news_since = now if was_waiting else self._complete_at
+        self._complete_at = now
 
     def _longest_pause_s(self) -> float:
         chosen = self._readers
@@ -294,6 +317,7 @@
             # A reader's word is no older than this.
             age_s = self._reader_watch_s + readers.WORD_MARGIN_S
             self.contact_at = max(self.contact_at, now - age_s)
+            self._complete_at = max(self._complete_at, now - age_s)
             self._trusted_until = now + LED_TRUST_S
         self._note_recovery(now)
 
@@ -307,12 +331,21 @@
         if snapshot.version <= self.version:
             return
         self._give_up_step()
+        self._note_handed_over(clocks.monotonic())
         if is_whole:
             self._replace(snapshot)
         else:
             self._merge(snapshot.rows)
             self._note_version(snapshot.version)
 
+    def _note_handed_over(self, now: float) -> None:
+        """Rows come from a peer."""
+        if not self.is_loaded:
+            self.news_since = float("-inf")
+            return
+        told_at = now if self._behind_since is None else self._behind_since
+        self.news_since = told_at - TOLD_AFTER_S
+
     def since(self, version: int) -> list[interfaces.Change] | None:
         """Returns what changed after a version; None if that isn't known."""
         if version < self._remembers_since:
--- a/src/swiftstile/gateway/registry.py
+++ b/src/swiftstile/gateway/registry.py
@@ -58,13 +58,14 @@
     def apply(self, changes: list[interfaces.Change]) -> None:
         """Takes in changed rows."""
         now = clocks.monotonic()
+        news_since = self.follower.news_since
         for change in changes:
             upstream_id = model.UpstreamId(change.key)
             self._unnamed.pop(upstream_id, None)
             if change.value is None:
-                self._note_missing(upstream_id, now)
+                self._note_missing(upstream_id, now, news_since)
             else:
-                self._put(upstream_id, change.value, now)
+                self._put(upstream_id, change.value, now, news_since)
         self._on_change()
 
     def name_services(self, services: frozenset[ids.ServiceName]) -> None:
@@ -75,26 +76,31 @@
         now = clocks.monotonic()
         waiting, self._unnamed = self._unnamed, {}
         for upstream_id, value in waiting.items():
-            self._put(upstream_id, value, now)
+            # How long it has been leaving, if it is, wasn't noted.
+            self._put(upstream_id, value, now, float("-inf"))
         self._on_change()
 
-    def _put(self, upstream_id, value: bytes, now: float) -> None:
+    def _put(
+        self, upstream_id, value: bytes, now: float, news_since: float
+    ) -> None:
         try:
             upstream = self._decode(upstream_id, value)
         except errors.SwiftstileError as error:
-            self._pass_over(upstream_id, "malformed", str(error), now)
+            self._pass_over(upstream_id, "malformed", str(error))
+            self._note_missing(upstream_id, now, news_since)
             return
         if self._services is None or upstream.service not in self._services:
             self._unnamed[upstream_id] = value
             if self._services is not None:
                 self._pass_over(
-                    upstream_id, "unknown-service", upstream.service, now
+                    upstream_id, "unknown-service", upstream.service
                 )
+                self._note_missing(upstream_id, now, news_since)
             return
         self._missing.pop(upstream_id, None)
         known = self._book.by_id.get(upstream_id)
         before = None if known is None else known.leaving_since
-        target = self._book.put(upstream, now)
+        target = self._book.put(upstream, now, news_since)
         if known is None or (before is None) != (target.leaving_since is None):
             logs.logger.info(
                 "upstream registered",
@@ -104,7 +110,7 @@
                 address=upstream.address,
             )
 
-    def _pass_over(self, upstream_id, reason: str, detail: str, now: float):
+    def _pass_over(self, upstream_id, reason: str, detail: str) -> None:
         """An entry names no upstream that could be used."""
         self._meters.refusals.add(f"registration-{reason}")
         logs.logger.warning(
@@ -113,10 +119,12 @@
             reason=reason,
             detail=detail,
         )
-        self._note_missing(upstream_id, now)
 
-    def _note_missing(self, upstream_id: model.UpstreamId, now: float) -> None:
-        if upstream_id not in self._book.by_id:
+    def _note_missing(
+        self, upstream_id: model.UpstreamId, now: float, news_since: float
+    ) -> None:
+        target = self._book.by_id.get(upstream_id)
+        if target is None:
             return
         until = self.follower.recovered_at + RETURN_S
         if self.follower.failing_since is not None:
@@ -125,19 +133,21 @@
         if now < until:
             self._missing[upstream_id] = until
             # Others first, as long as it may be gone.
-            self._book.by_id[upstream_id].note_shed(now, until - now)
+            target.note_shed(now, until - now)
             return
-        self._drop(upstream_id, now)
+        self._drop(upstream_id, now, news_since)
 
-    def _drop(self, upstream_id: model.UpstreamId, now: float) -> None:
+    def _drop(
+        self, upstream_id: model.UpstreamId, now: float, news_since: float
+    ) -> None:
         self._missing.pop(upstream_id, None)
-        self._book.mark_gone(upstream_id, now)
+        self._book.mark_gone(upstream_id, now, news_since)
         logs.logger.info("upstream gone", upstream=upstream_id)
 
     def tick(self, now: float) -> None:
         """Gives up those that didn't come back; forgets those long gone."""
         overdue = [name for name, until in self._missing.items() if now > until]
         for upstream_id in overdue:
-            self._drop(upstream_id, now)
+            self._drop(upstream_id, now, now)
         if self._book.sweep(now, REMEMBER_S) or overdue:
             self._on_change()
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -24,8 +24,8 @@
 # failure in a row.
 FIRST_PENALTY_S = 0.25
 LONGEST_PENALTY_S = 2.0
-# Sends stop this long before the platform's bound for leaving targets, which
-# is counted from when the platform knew and not from when we did.
+# Sends stop this long before the platform's bound for leaving targets: an
+# answer of the store takes a part of it, and a request on its way the rest.
 LEAVING_MARGIN_S = 0.5
 # Counts of peers older than this say nothing.
 PEER_COUNT_LIFE_S = 1.5
@@ -41,6 +41,8 @@
         peers: Requests of other VMs, by VM: (count, waiting, when heard).
         slowness: Its service time over the mean of all, 1.0 when as fast.
         leaving_since: When it was first seen to leave; None while it stays.
+        sends_count_from: When the platform may first have known that it leaves;
+            sends end a fixed time after that. None while it stays.
         is_gone: Its registration is no more.
         is_replaced: Another server runs at its address, so it has ended.
     """
@@ -53,6 +55,7 @@
         self.peers: dict[model.NodeId, tuple[int, int, float]] = {}
         self.slowness = 1.0
         self.leaving_since: float | None = None
+        self.sends_count_from: float | None = None
         self.is_gone = False
         self.is_replaced = False
         self._cold_until = now + upstream.cold_s
@@ -87,9 +90,19 @@
         """Whether anything may be sent there at all."""
         if self.is_replaced:
             return False
-        if self.leaving_since is None:
+        if self.sends_count_from is None:
             return True
-        return now - self.leaving_since < max(0.0, drain_s - LEAVING_MARGIN_S)
+        sends_s = max(0.0, drain_s - LEAVING_MARGIN_S)
+        return now - self.sends_count_from < sends_s
+
+    def note_leaving(self, now: float, news_since: float) -> None:
+        """It leaves, which the platform may have known for some time."""
+        if self.leaving_since is None:
+            self.leaving_since, self.sends_count_from = now, news_since
+
+    def note_staying(self) -> None:
+        """It is registered as one that stays."""
+        self.leaving_since = self.sends_count_from = None
 
     def is_penalised(self, now: float) -> bool:
         """Whether it failed just now."""
@@ -173,8 +186,20 @@
             ids.ServiceName, dict[model.UpstreamId, Target]
         ] = {}
 
-    def put(self, upstream: model.Upstream, now: float) -> Target:
-        """Adds an upstream, or takes over what it registered anew."""
+    def put(
+        self,
+        upstream: model.Upstream,
+        now: float,
+        news_since: float | None = None,
+    ) -> Target:
+        """Adds an upstream, or takes over what it registered anew.
+
+        Args:
+            upstream: The upstream.
+            now: The time.
+            news_since: Since when the platform may have known it; `now` if
+                left out.
+        """
         target = self.by_id.get(upstream.id)
         if target is not None and upstream.is_life_after(
             target.upstream.started_ms
@@ -194,16 +219,15 @@
         if target.is_replaced:
             return target
         if upstream.state is model.UpstreamState.READY:
-            target.leaving_since = None
-        elif target.leaving_since is None:
-            target.leaving_since = now
+            target.note_staying()
+        else:
+            target.note_leaving(now, now if news_since is None else news_since)
         return target
 
     def mark_replaced(self, target: Target, now: float) -> None:
         """Another server was seen at a target's address."""
         target.is_replaced = True
-        if target.leaving_since is None:
-            target.leaving_since = now
+        target.note_leaving(now, now)
 
     def _replace_at(self, upstream: model.Upstream, now: float) -> None:
         for other in self.by_id.values():
@@ -211,13 +235,17 @@
             if is_same and other.id != upstream.id and other.is_gone:
                 self.mark_replaced(other, now)
 
-    def mark_gone(self, upstream: model.UpstreamId, now: float) -> None:
-        """Its registration is no more."""
+    def mark_gone(
+        self,
+        upstream: model.UpstreamId,
+        now: float,
+        news_since: float | None = None,
+    ) -> None:
+        """Its registration is no more; see `put` for the arguments."""
         target = self.by_id.get(upstream)
         if target is not None:
             target.is_gone = True
-            if target.leaving_since is None:
-                target.leaving_since = now
+            target.note_leaving(now, now if news_since is None else news_since)
 
     def sweep(self, now: float, keep_s: float) -> list[Target]:
         """Drops targets that left more than `keep_s` ago; returns them."""
--- a/tests/unit/test_gateway_drain.py
+++ b/tests/unit/test_gateway_drain.py
@@ -297,6 +297,16 @@
     vm.assert_sends_end_in_time(said_at)
 
 
+def test_one_that_may_register_anew_after_an_outage_is_sent_to_meanwhile(
+    monkeypatch,
+):
+    vm = _Following(monkeypatch)
+    for _ in range(12):
+        vm.step(0.7, None)
+    vm.step(0.01, _rows(2, None))
+    assert vm.is_sent_to(vm.clock.now + registry.RETURN_S)
+
+
 def test_one_that_registers_anew_after_an_outage_is_sent_to(monkeypatch):
     vm = _Following(monkeypatch)
     vm.step(0.7, None)
