The time of an upstream that left runs while its registration may come back

Requests for keys could go to upstreams that were gone for up to 4.2 s after their entry was removed, where 2 to 2.5 s are allowed, from a VM of which a call to the store had failed shortly before.

Cause: after a failure a removed entry is kept for 2.2 s, since upstreams register anew after an outage, and the 2 s of further sends were counted from the end of that. Change: they count from when the entry was missing first. Until it is given up the upstream is used as before: after an outage all may be missing, and alive.

Left: where the bound is 2.0 s and only this VM's call failed, an upstream that never says that it leaves may be sent to for 0.2 s and a request's way too long.

--- a/src/swiftstile/gateway/registry.py
+++ b/src/swiftstile/gateway/registry.py
@@ -4,6 +4,8 @@
 service that the configuration doesn't, is no upstream; all others stay.
 """
 
+import msgspec
+
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import ids
@@ -24,6 +26,18 @@
 REMEMBER_S = 20.0
 
 
+class _Missing(msgspec.Struct):
+    """A registration that lapsed and may come back.
+
+    Attributes:
+        until: Until when it may.
+        news_since: Since when it may be gone.
+    """
+
+    until: float
+    news_since: float
+
+
 class Registry:
     """Applies the table of registrations to the targets.
 
@@ -52,7 +66,7 @@
         self._services: frozenset[ids.ServiceName] | None = None
         # Registrations of services that it doesn't name, by id.
         self._unnamed: dict[model.UpstreamId, bytes] = {}
-        self._missing: dict[model.UpstreamId, float] = {}
+        self._missing: dict[model.UpstreamId, _Missing] = {}
         self.follower: follow.TableFollower | None = None
 
     def apply(self, changes: list[interfaces.Change]) -> None:
@@ -131,7 +145,7 @@
             # The call that tells of it is the first to succeed.
             until = now + RETURN_S
         if now < until:
-            self._missing[upstream_id] = until
+            self._missing[upstream_id] = _Missing(until, news_since)
             # Others first, as long as it may be gone.
             target.note_shed(now, until - now)
             return
@@ -146,8 +160,13 @@
 
     def tick(self, now: float) -> None:
         """Gives up those that didn't come back; forgets those long gone."""
-        overdue = [name for name, until in self._missing.items() if now > until]
-        for upstream_id in overdue:
-            self._drop(upstream_id, now, now)
+        overdue = {
+            name: missing
+            for name, missing in self._missing.items()
+            if now > missing.until
+        }
+        for upstream_id, missing in overdue.items():
+            # The platform's bound for one that left didn't wait meanwhile.
+            self._drop(upstream_id, now, missing.news_since)
         if self._book.sweep(now, REMEMBER_S) or overdue:
             self._on_change()
