--- a/src/swiftstile/gateway/freshness.py
+++ b/src/swiftstile/gateway/freshness.py
@@ -23,6 +23,10 @@
 
     Args:
         table: Its name, for logs.
+
+    Attributes:
+        behind_since: Since when a row is missing that a peer told of; None
+            while nothing is.
     """
 
     def __init__(self, table: str):
@@ -32,9 +36,9 @@
         # Until when the last word, the store's or that of peers, stands for
         # "nothing is new".
         self._trusted_until = float("-inf")
-        # Newest version that a peer told of, and since when it is missing here.
+        # Newest version that a peer told of.
         self._told_version = 0
-        self._behind_since: float | None = None
+        self.behind_since: float | None = None
         # When a part of them last came.
         self._progress_at = 0.0
 
@@ -44,7 +48,7 @@
 
     def is_left_behind(self, now: float) -> bool:
         """Whether a row that a peer told of doesn't come, for a while now."""
-        since = self._behind_since
+        since = self.behind_since
         if since is None:
             return False
         return now - max(since, self._progress_at) > BEHIND_S
@@ -72,8 +76,8 @@
     def note_told(self, version: int, now: float) -> None:
         """A peer told that there is a row of a version."""
         self._told_version = max(self._told_version, version)
-        if self.is_behind() and self._behind_since is None:
-            self._behind_since = now
+        if self.is_behind() and self.behind_since is None:
+            self.behind_since = now
 
     def note_progress(self, now: float) -> None:
         """A part of the rows that a peer told of came."""
@@ -81,15 +85,15 @@
 
     def note_version(self, version: int, now: float) -> None:
         """The rows are here as of a version, or a newer one."""
-        if version > self._version and self._behind_since is not None:
+        if version > self._version and self.behind_since is not None:
             # Newer rows came, though more may be missing: where versions follow
             # each other closely a VM lags by a moment, and isn't left behind.
             self.note_progress(now)
         self._version = max(self._version, version)
-        since = self._behind_since
+        since = self.behind_since
         if since is None or self.is_behind():
             return
-        self._behind_since = None
+        self.behind_since = None
         behind_s = now - since
         if behind_s > BEHIND_S:
             logs.logger.info(
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -24,8 +24,8 @@
 # failure in a row.
 FIRST_PENALTY_S = 0.25
 LONGEST_PENALTY_S = 2.0
-# Sends stop this long before the platform's bound for leaving targets, which
-# is counted from when the platform knew and not from when we did.
+# Sends stop this long before the platform's bound for leaving targets: an
+# answer of the store takes a part of it, and a request on its way the rest.
 LEAVING_MARGIN_S = 0.5
 # Owners in an evacuated failure domain go on being asked for so long, while
 # their keys move to others. The platform allows 5 s from its acknowledgement,
@@ -46,8 +46,11 @@
         slowness: Its service time over the mean of all, 1.0 when as fast.
         left_at: When it was first seen to leave by its own word, or by the lack
             of it; None while it is registered and ready.
+        sends_count_from: When the platform may first have known that it left;
+            sends end a fixed time after that. None while `left_at` is.
         evacuated_at: Since when its failure domain is evacuated; None if not.
-        leaving_since: The earlier of both; None while it stays.
+        leaving_since: The earlier of `left_at` and `evacuated_at`; None while
+            it stays.
         is_gone: Its registration is no more.
         is_replaced: Another server runs at its address, so it has ended.
         cold_until: Until when it is cold, by its own word or since it was
@@ -65,6 +68,7 @@
         self.left_at: float | None = None
         self.evacuated_at: float | None = None
         self.leaving_since: float | None = None
+        self.sends_count_from: float | None = None
         self.is_gone = False
         self.is_replaced = False
         self.cold_until = now + upstream.cold_s
@@ -101,9 +105,10 @@
         """Whether anything may be sent there at all."""
         if self.is_replaced or self.is_evacuated(now):
             return False
-        if self.left_at is None:
+        if self.sends_count_from is None:
             return True
-        return now - self.left_at < max(0.0, drain_s - LEAVING_MARGIN_S)
+        sends_s = max(0.0, drain_s - LEAVING_MARGIN_S)
+        return now - self.sends_count_from < sends_s
 
     def is_evacuated(self, now: float) -> bool:
         """Whether nothing more may be sent to its failure domain."""
@@ -111,15 +116,15 @@
             return False
         return now - self.evacuated_at >= EVACUATED_SENDS_S
 
-    def note_leaving(self, now: float) -> None:
-        """It leaves by its own word, or was found to have left."""
+    def note_leaving(self, now: float, news_since: float) -> None:
+        """It left, which the platform may have known for some time."""
         if self.left_at is None:
-            self.left_at = now
+            self.left_at, self.sends_count_from = now, news_since
         self._note_departures()
 
     def note_staying(self) -> None:
         """It is registered and ready."""
-        self.left_at = None
+        self.left_at = self.sends_count_from = None
         self._note_departures()
 
     def set_evacuated(self, since: float | None) -> None:
@@ -224,8 +229,20 @@
             ids.ServiceName, dict[model.UpstreamId, Target]
         ] = {}
 
-    def put(self, upstream: model.Upstream, now: float) -> Target:
-        """Adds an upstream, or takes over what it registered anew."""
+    def put(
+        self,
+        upstream: model.Upstream,
+        now: float,
+        news_since: float | None = None,
+    ) -> Target:
+        """Adds an upstream, or takes over what it registered anew.
+
+        Args:
+            upstream: The upstream.
+            now: The time.
+            news_since: Since when the platform may have known it; `now` if
+                left out.
+        """
         target = self.by_id.get(upstream.id)
         if target is not None and upstream.is_life_after(
             target.upstream.started_ms
@@ -249,7 +266,7 @@
         if upstream.state is model.UpstreamState.READY:
             target.note_staying()
         else:
-            target.note_leaving(now)
+            target.note_leaving(now, now if news_since is None else news_since)
         return target
 
     def evacuate(self, domain: ids.FailureDomain, now: float) -> None:
@@ -288,7 +305,7 @@
     def mark_replaced(self, target: Target, now: float) -> None:
         """Another server was seen at a target's address."""
         target.is_replaced = True
-        target.note_leaving(now)
+        target.note_leaving(now, now)
 
     def _replace_at(self, upstream: model.Upstream, now: float) -> None:
         for other in self.by_id.values():
@@ -296,12 +313,17 @@
             if is_same and other.id != upstream.id and other.is_gone:
                 self.mark_replaced(other, now)
 
-    def mark_gone(self, upstream: model.UpstreamId, now: float) -> None:
-        """Its registration is no more."""
+    def mark_gone(
+        self,
+        upstream: model.UpstreamId,
+        now: float,
+        news_since: float | None = None,
+    ) -> None:
+        """Its registration is no more; see `put` for the arguments."""
         target = self.by_id.get(upstream)
         if target is not None:
             target.is_gone = True
-            target.note_leaving(now)
+            target.note_leaving(now, now if news_since is None else news_since)
 
     def sweep(self, now: float, keep_s: float) -> list[Target]:
         """Drops targets that left more than `keep_s` ago; returns them."""
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -216,7 +216,11 @@
             tells_news=True,
         )
         key_owners = owners.KeyOwners(
-            self._maps, self._book, self._heat, self._peers
+            self._maps,
+            self._book,
+            self._heat,
+            self._peers,
+            self._drain_s,
         )
         arbiter = arbiter_lib.Arbiter(
             self._peers,
--- a/tests/unit/test_gateway_evacuation.py
+++ b/tests/unit/test_gateway_evacuation.py
@@ -142,7 +142,11 @@
             self.book.put(builders.upstream(name, failure_domain=domain), 0.0)
         self.parts.start(leaving=())
         self.owners = owners.KeyOwners(
-            self.parts.maps, self.book, heat.HeatBook(), self.parts.peers
+            self.parts.maps,
+            self.book,
+            heat.HeatBook(),
+            self.parts.peers,
+            _DRAIN_S,
         )
         self.decisions = admission.Admission(self.book, builders.HOME, _DRAIN_S)
 
