--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -483,8 +483,8 @@
     def _group(self, waiter: Waiter, now: float, groups: _Groups) -> _Group:
         """Returns the targets of a request, in groups.
 
-        Requests that wait for the same service share them: to go through all
-        targets for each of 20 took a quarter of a core, with 72 targets.
+        Requests that wait for the same service share them: a queue looks often,
+        and would go through all targets for each request.
         """
         is_shared = waiter.owner is None and not waiter.excluded
         if is_shared and waiter.service in groups:
--- a/src/swiftstile/gateway/sharing.py
+++ b/src/swiftstile/gateway/sharing.py
@@ -2,8 +2,9 @@
 
 VMs share the upstreams out by what they see of each other. All that decides is
 in a `Look`; the answer is worked out anew only when that differs from the last
-one. It is looked at several times a second and at each change of a map; to work
-it out each time took 6 ms, 4% of a core, with 200 VMs and 140 owners of keys.
+one. It is looked at several times a second and at each change of a map, and its
+cost grows with VMs times upstreams: worked out each time it would be most of
+what a VM of a large deployment does for itself.
 """
 
 import functools
@@ -20,8 +21,8 @@
 # With so many VMs in a domain an upstream that none of them reaches is tried by
 # one of them; with less, VMs of other domains try, too.
 CROWD = 6
-# Pairs of VM and upstream that are remembered: the VMs of one domain with all
-# upstreams, 39 and 241 on the largest site.
+# Pairs of VM and upstream that are remembered: enough for 60 VMs of one domain
+# with all of 270 upstreams.
 _AFFINITIES = 16384
 
 
