Keys are assigned in blocks of slots; one grant renews a block, hot slots leave it

Change: an owner of mean capacity gets 16 blocks of neighbouring slots (keyplan.py). What came to an owner together is released, fenced off, kept and granted as one range (takeback.py); a hot slot leaves its block alone. Evening out moves whole blocks, from the owners that have most too much, and no more than is missing elsewhere.

Ruled out: fewer slots alone (a hot neighbourhood couldn't be spread then); cutting blocks to even things out exactly (200 rounds of changing speeds made ever more ranges).

--- a/src/swiftstile/gateway/keeper.py
+++ b/src/swiftstile/gateway/keeper.py
@@ -282,7 +282,7 @@
                 current,
                 owner,
                 self._sources[owner],
-                slots_by_source[owner],
+                self._plan.pieces(current, slots_by_source[owner]),
                 fences,
             )
         if steps.cleared:
@@ -390,7 +390,10 @@
         await asyncio.gather(
             *(
                 self._take_back.keep(
-                    current, owner, source, slots_by_source[owner]
+                    current,
+                    owner,
+                    source,
+                    self._plan.pieces(current, slots_by_source[owner]),
                 )
                 for owner, source in list(self._sources.items())
                 if owner in slots_by_source
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -1,8 +1,8 @@
 """Which upstream owns which keys of a service.
 
-Keys are divided into slots of equal width; neighbouring slots belong to
-different upstreams, so that a busy neighbourhood of keys is spread out before
-it becomes busy. The map is one document in the platform's table.
+Keys are divided into slots of equal width. Neighbouring slots that came to one
+owner together are a range: one grant renews them all. The map is one document
+in the platform's table.
 """
 
 import array
@@ -158,15 +158,20 @@
             if slot.is_leaving:
                 continue
             last = runs[-1] if runs else None
-            if last and last.stop == index and self._is_alike(index - 1, index):
+            if last and last.stop == index and self.is_alike(index - 1, index):
                 runs[-1] = range(last.start, index + 1)
             else:
                 runs.append(range(index, index + 1))
         return runs
 
-    def _is_alike(self, left: int, right: int) -> bool:
+    def is_alike(self, left: int, right: int) -> bool:
+        """Whether two slots came to one owner by the same move."""
         one, other = self.slots[left], self.slots[right]
-        return (one.fence, one.token) == (other.fence, other.token)
+        return (one.owner, one.fence, one.token) == (
+            other.owner,
+            other.fence,
+            other.token,
+        )
 
     def keys_of_run(self, run: range) -> interfaces.KeyRange:
         """Returns the keys of neighbouring slots."""
--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -1,11 +1,21 @@
-"""Where slots of keys should be: decisions without a network."""
+"""Where ranges of keys should be: decisions without a network.
+
+Keys are assigned in blocks of neighbouring slots, so that one grant renews a
+whole block. A block is cut where part of it is hot or an owner has too much.
+"""
 
 import collections
+import collections.abc
 
 from swiftstile.gateway import keymap
 from swiftstile.gateway import model
 
-__all__ = ["deal", "destinations", "surplus"]
+__all__ = ["block_width", "deal", "destinations", "pieces", "surplus"]
+
+# Blocks that an owner of mean capacity gets: the more, the more evenly its
+# share fits and the smaller what one hotspot takes from it, but each one is a
+# grant to renew.
+BLOCKS_PER_OWNER = 16
 
 # A target may own this part more than its share before slots are moved away:
 # moving costs its callers more than so small an imbalance.
@@ -18,22 +28,33 @@
 NEIGHBOUR_COST = 0.25
 
 
+def block_width(count: int, owners: int) -> int:
+    """Returns the width of a block, in slots.
+
+    Args:
+        count: Slots of the service.
+        owners: Upstreams that share them.
+    """
+    return max(1, round(count / (BLOCKS_PER_OWNER * max(1, owners))))
+
+
 def deal(
-    count: int, weight_by_id: dict[model.UpstreamId, float]
+    count: int, weight_by_id: dict[model.UpstreamId, float], width: int = 1
 ) -> list[model.UpstreamId]:
-    """Deals slots out, each owner's as far apart as possible.
+    """Assigns blocks of slots, each owner's as far apart as possible.
 
     Args:
         count: Number of slots.
         weight_by_id: Share of each owner, in any unit.
+        width: Slots of a block; the last one may be narrower.
 
     Returns:
         The owner of each slot.
     """
     total = sum(weight_by_id.values())
     credit = dict.fromkeys(sorted(weight_by_id), 0.0)
-    dealt = []
-    for _ in range(count):
+    dealt: list[model.UpstreamId] = []
+    while len(dealt) < count:
         for owner in credit:
             credit[owner] += weight_by_id[owner] / total
         last = dealt[-1] if dealt else None
@@ -42,10 +63,44 @@
             key=lambda owner: credit[owner] - NEIGHBOUR_COST * (owner == last),
         )
         credit[best] -= 1.0
-        dealt.append(best)
+        dealt += [best] * min(width, count - len(dealt))
     return dealt
 
 
+def pieces(
+    current: keymap.KeyMap,
+    slots: collections.abc.Iterable[int],
+    width: int = 1,
+    apart: collections.abc.Container[int] = (),
+) -> list[range]:
+    """Returns slots as ranges that are moved as one, in order.
+
+    Neighbours that one owner got at the same time are one piece.
+
+    Args:
+        current: The map as it is.
+        slots: The slots.
+        width: Widest piece, in slots.
+        apart: Slots that are pieces of their own.
+    """
+    found: list[range] = []
+    for index in sorted(slots):
+        last = found[-1] if found else None
+        is_next = (
+            last is not None
+            and last.stop == index
+            and len(last) < width
+            and index not in apart
+            and last[-1] not in apart
+            and current.is_alike(last[-1], index)
+        )
+        if is_next:
+            found[-1] = range(last.start, index + 1)
+        else:
+            found.append(range(index, index + 1))
+    return found
+
+
 def _shares(count, weight_by_id) -> dict[model.UpstreamId, float]:
     total = sum(weight_by_id.values())
     return {
@@ -58,6 +113,7 @@
     weight_by_id: dict[model.UpstreamId, float],
     most: int,
     pinned: frozenset[int] = frozenset(),
+    width: int = 1,
 ) -> list[int]:
     """Returns slots that should leave owners that have too many.
 
@@ -68,6 +124,7 @@
         weight_by_id: Share of each owner that stays.
         most: Most slots to return.
         pinned: Slots that stay where they are.
+        width: Slots of a block.
     """
     shares = _shares(len(current.slots), weight_by_id)
     owned = {
@@ -84,30 +141,53 @@
     if missing < 1 and beyond < 1:
         return []
     busy = set(current.leaving_by_owner())
+    pieces_by_id = {
+        owner: _spread(pieces(current, set(slots) - pinned, width))
+        for owner, slots in current.slots_by_owner.items()
+        if owner in shares and owner not in busy
+    }
+    left = sum(max(0.0, shares[owner] - owned[owner]) for owner in shares)
+    left = min(left, most)
     chosen: list[int] = []
-    for owner in sorted(shares, key=lambda name: shares[name] - owned[name]):
-        extra = int(owned[owner] - shares[owner])
-        extra = min(extra, most - len(chosen))
-        if extra <= 0:
+    while pieces_by_id:
+        owner = max(pieces_by_id, key=lambda name: owned[name] - shares[name])
+        extra = owned[owner] - shares[owner]
+        piece = pieces_by_id[owner].pop() if pieces_by_id[owner] else range(0)
+        if extra <= 0 or left < len(piece) / 2:
             break
-        if owner in busy:
+        if not piece:
+            # All else it has is pinned.
+            del pieces_by_id[owner]
             continue
-        slots = current.slots_by_owner[owner]
-        step = len(slots) / extra
-        spread = [slots[int(i * step)] for i in range(extra)]
-        chosen += [index for index in spread if index not in pinned]
+        chosen += piece
+        owned[owner] -= len(piece)
+        left -= len(piece)
     return chosen
 
 
+def _spread(in_order: list[range]) -> list[range]:
+    """Returns ranges so that any number of the last ones lie far apart."""
+    golden = 0.618034
+    by_place = {(i * golden) % 1.0: one for i, one in enumerate(in_order)}
+    return [by_place[place] for place in sorted(by_place, reverse=True)]
+
+
 def destinations(
     current: keymap.KeyMap,
     moving: list[int],
     weight_by_id: dict[model.UpstreamId, float],
+    width: int = 1,
 ) -> dict[int, model.UpstreamId]:
-    """Returns a new owner for each slot that moves.
+    """Returns a new owner for each slot that moves; pieces stay together.
 
-    Of the owners below their share, those that own no neighbouring slot come
-    first, and of these the one that is furthest below.
+    The owner that is furthest below its share comes first. One that owns a
+    neighbouring slot counts as if it had one such piece more.
+
+    Args:
+        current: The map as it is.
+        moving: Slots that move.
+        weight_by_id: Share of each owner that stays.
+        width: Slots of a block.
     """
     shares = _shares(len(current.slots), weight_by_id)
     owned = collections.Counter(
@@ -121,16 +201,19 @@
         if owner in owned:
             owned[owner] -= 1
     placed: dict[int, model.UpstreamId] = {}
-    for index in moving:
+    for piece in pieces(current, moving, width):
         near = {
             placed.get(i, current.slots[i].owner)
-            for i in (index - 1, index + 1)
+            for i in (piece.start - 1, piece.stop)
             if 0 <= i < len(current.slots)
         }
-        below = [name for name in shares if owned[name] < shares[name] - 0.5]
-        pool = [name for name in below if name not in near]
-        pool = pool or below or list(shares)
-        best = min(pool, key=lambda owner: owned[owner] - shares[owner])
-        placed[index] = best
-        owned[best] += 1
+        half = len(piece) / 2
+        below = [name for name in shares if owned[name] < shares[name] - half]
+        excess = {
+            name: owned[name] - shares[name] + len(piece) * (name in near)
+            for name in below or shares
+        }
+        best = min(excess, key=excess.get)
+        placed |= dict.fromkeys(piece, best)
+        owned[best] += len(piece)
     return placed
--- a/src/swiftstile/gateway/slotplan.py
+++ b/src/swiftstile/gateway/slotplan.py
@@ -18,8 +18,8 @@
 
 __all__ = ["SLOT_COUNT", "SlotPlan"]
 
-# Slots of a service. The users' busiest neighbourhoods are 60 keys wide; at 16
-# keys a slot they are spread over four or five upstreams.
+# Slots of a service: the finest division of its keys. They are assigned in
+# blocks, which are cut where a neighbourhood of keys is hot.
 SLOT_COUNT = 4096
 # Before the first deal, no upstream joined for this long.
 SETTLED_S = 1.0
@@ -119,7 +119,8 @@
         """Returns the first owner of each slot; none until all have joined."""
         if not weights or now - self._members_at < SETTLED_S:
             return []
-        return keyplan.deal(SLOT_COUNT, weights)
+        width = keyplan.block_width(SLOT_COUNT, len(weights))
+        return keyplan.deal(SLOT_COUNT, weights, width)
 
     def hot_to_move(
         self, current: keymap.KeyMap, weights: Weights, now: float
@@ -156,7 +157,8 @@
         if not weights or not (is_due or hot - self._evened_for):
             return []
         self._evened_at, self._evened_for = now, hot
-        return keyplan.surplus(current, left, MOVE_BATCH, hot)
+        width = keyplan.block_width(len(current.slots), len(weights))
+        return keyplan.surplus(current, left, MOVE_BATCH, hot, width)
 
     def destinations(
         self,
@@ -167,13 +169,24 @@
     ) -> dict[int, model.UpstreamId]:
         """Returns a new owner for each slot that moves."""
         left, _ = self._left_beside_hot(current, weights, now)
-        placed = keyplan.destinations(current, moving, left)
+        width = keyplan.block_width(len(current.slots), len(weights))
+        placed = keyplan.destinations(current, moving, left, width)
         for index in moving:
             wanted = self._wanted.pop(index, None)
             if wanted in weights:
                 placed[index] = wanted
         return placed
 
+    def pieces(
+        self, current: keymap.KeyMap, slots: collections.abc.Iterable[int]
+    ) -> list[range]:
+        """Returns slots of one owner as ranges that it releases as one.
+
+        Hot slots are released one by one, as each gets an owner of its own.
+        """
+        width = keyplan.block_width(len(current.slots), len(self._members))
+        return keyplan.pieces(current, slots, width, self._wanted)
+
     def _left_beside_hot(
         self, current: keymap.KeyMap, weights: Weights, now: float
     ) -> tuple[Weights, frozenset[int]]:
--- a/src/swiftstile/gateway/takeback.py
+++ b/src/swiftstile/gateway/takeback.py
@@ -176,7 +176,7 @@
         current: keymap.KeyMap,
         owner: model.UpstreamId,
         source: Source,
-        slots: list[int],
+        pieces: list[range],
         fences: bool,
     ) -> None:
         """Begins to take slots back, unless that is under way.
@@ -185,7 +185,7 @@
             current: The map in which they are marked as leaving.
             owner: Whose slots they are.
             source: What is known of that owner.
-            slots: Its slots that are leaving.
+            pieces: Its slots that are leaving, as ranges that it got as one.
             fences: Whether older grants may still arrive there.
         """
         target = self._book.by_id.get(owner)
@@ -194,7 +194,9 @@
         if fences and not source.is_fenced:
             source.is_fenced = True
             source.tokens.clear()
-        left = [index for index in slots if index not in source.tokens]
+        left = [
+            piece for piece in pieces if not source.tokens.keys() >= set(piece)
+        ]
         left.reverse()
         run = self.release(current, target, source, left)
         source.note_release(asyncio.create_task(run))
@@ -204,9 +206,9 @@
         current: keymap.KeyMap,
         target: targets.Target,
         source: Source,
-        left: list[int],
+        left: list[range],
     ) -> None:
-        """Takes the slots in `left` back, the last one first."""
+        """Takes the ranges of slots in `left` back, the last one first."""
         failed: list[errors.PeerUnavailableError] = []
 
         def goes_on() -> bool:
@@ -217,15 +219,15 @@
             )
             return is_reached and len(failed) < _MOST_FAILURES
 
-        async def take(index: int) -> None:
-            if not self._may_order(current, source, index):
+        async def take(piece: range) -> None:
+            if not self._may_order(current, source, piece):
                 return
             try:
-                source.tokens[index] = await self._take(
-                    current, target, source, index
-                )
+                token = await self._take(current, target, source, piece)
             except errors.PeerUnavailableError as error:
                 failed.append(error)
+                return
+            source.tokens |= dict.fromkeys(piece, token)
 
         await parallel.work_off(left, _PARALLEL, take, goes_on)
         if failed:
@@ -238,42 +240,40 @@
                 error=str(failed[0]),
             )
 
-    def _may_order(self, current, source: Source, index: int) -> bool:
-        """Whether the owner that a slot leaves may get orders for it.
+    def _may_order(self, current, source: Source, piece: range) -> bool:
+        """Whether the owner that slots leave may get orders for them.
 
-        It may while the slot is still leaving it, we lead, and no write is
-        under way by which another one owns it.
+        It may while they are still leaving it, we lead, and no write is under
+        way by which another one owns them.
         """
         now_map = self._maps.by_service[self._service]
-        slot, before = now_map.slots[index], current.slots[index]
         return (
             not source.is_given
-            and slot.is_leaving
-            and (slot.owner, slot.fence) == (before.owner, before.fence)
+            and all(_is_leaving_still(now_map, current, i) for i in piece)
             and self._leads.is_leader
             and self._authority.is_able(clocks.monotonic())
         )
 
-    async def _take(self, current, target, source: Source, index: int) -> str:
-        """Makes an owner release a slot; returns the hand-over token.
+    async def _take(self, current, target, source: Source, piece: range) -> str:
+        """Makes an owner release slots; returns the hand-over token.
 
         Where grants under the old fence may still arrive, from a VM that tells
         nothing or on their way, a grant under a newer fence comes first: the
         owner refuses older ones from then on.
         """
-        address, keys = target.upstream.address, current.keys_of(index)
-        fence = current.slots[index].fence
+        address, keys = target.upstream.address, current.keys_of_run(piece)
+        fence = current.slots[piece.start].fence
         if source.is_fenced:
             fence = current.next_fence
-            await self._fence_off(current, target, source, index, fence)
+            await self._fence_off(current, target, source, piece, fence)
         return await self._control.release(address, target.id, keys, fence)
 
     async def _fence_off(
-        self, current, target, source: Source, index: int, fence: int
+        self, current, target, source: Source, piece: range, fence: int
     ) -> None:
-        """Grants a slot for a moment, so that older grants are refused."""
+        """Grants slots for a moment, so that older grants are refused."""
         result = await self._grant(
-            current, target, source, index, fence, FENCING_HOLD_S, ""
+            current, target, source, piece, fence, FENCING_HOLD_S, ""
         )
         if result is not interfaces.GrantResult.HELD:
             raise errors.PeerUnavailableError(
@@ -287,22 +287,22 @@
         current,
         target,
         source: Source,
-        index: int,
+        piece: range,
         fence: int,
         hold_s: float,
         token: str,
     ) -> interfaces.GrantResult:
-        """Grants a slot to the owner that it leaves, as long as that may be."""
+        """Grants slots to the owner that they leave, as long as that may be."""
         try:
             return await self._renewing.grant_counted(
                 self._service,
                 target,
-                range(index, index + 1),
-                current.keys_of(index),
+                piece,
+                current.keys_of_run(piece),
                 fence,
                 hold_s,
                 token,
-                lambda: self._may_order(current, source, index),
+                lambda: self._may_order(current, source, piece),
             )
         except (errors.PeerTimeoutError, asyncio.CancelledError):
             source.note_unanswered(clocks.monotonic(), hold_s)
@@ -313,7 +313,7 @@
         current: keymap.KeyMap,
         owner: model.UpstreamId,
         source: Source,
-        slots: list[int],
+        pieces: list[range],
     ) -> None:
         """Lets an owner go on with slots while the store is away.
 
@@ -330,29 +330,42 @@
             return
         source.note_kept(now)
         left = [
-            index for index in slots if self._may_order(current, source, index)
+            piece for piece in pieces if self._may_order(current, source, piece)
         ]
         left.reverse()
 
-        async def keep_one(index: int) -> None:
-            await self._keep_one(current, target, source, index)
+        async def keep_one(piece: range) -> None:
+            await self._keep_one(current, target, source, piece)
 
         await parallel.work_off(
             left, _PARALLEL, keep_one, lambda: not target.is_failing
         )
 
-    async def _keep_one(self, current, target, source, index: int) -> None:
-        slot = current.slots[index]
+    async def _keep_one(self, current, target, source, piece: range) -> None:
+        first = current.slots[piece.start]
+        tokens = {source.tokens.pop(i, current.slots[i].token) for i in piece}
         try:
             await self._grant(
                 current,
                 target,
                 source,
-                index,
-                current.next_fence if source.is_fenced else slot.fence,
+                piece,
+                current.next_fence if source.is_fenced else first.fence,
                 KEEP_HOLD_S,
-                source.tokens.pop(index, slot.token),
+                # Released in parts, it has no one token.
+                tokens.pop() if len(tokens) == 1 else "",
             )
         except errors.PeerUnavailableError as error:
             self._meters.ownership.add("keep-unanswered")
             logs.logger.debug("slot not kept", error=str(error))
+
+
+def _is_leaving_still(
+    now_map: keymap.KeyMap, before: keymap.KeyMap, index: int
+) -> bool:
+    """Whether a slot is leaving the owner and the fence it had before."""
+    slot, earlier = now_map.slots[index], before.slots[index]
+    return slot.is_leaving and (slot.owner, slot.fence) == (
+        earlier.owner,
+        earlier.fence,
+    )
--- a/tests/unit/test_gateway_keys.py
+++ b/tests/unit/test_gateway_keys.py
@@ -124,6 +124,58 @@
     assert abs(counts["u-1"] - counts["u-2"]) <= 2
 
 
+def _ranges(key_map: keymap.KeyMap) -> int:
+    return sum(len(key_map.runs_of(name)) for name in key_map.slots_by_owner)
+
+
+_TWENTY = {f"u-{i:02}": 3.0 for i in range(20)}
+_WIDTH = keyplan.block_width(4096, len(_TWENTY))
+
+
+def _in_blocks() -> keymap.KeyMap:
+    owners = keyplan.deal(4096, _TWENTY, _WIDTH)
+    return keymap.KeyMap.empty(4096).give({}, dict(enumerate(owners)))
+
+
+def test_one_grant_renews_a_whole_block():
+    key_map = _in_blocks()
+    assert _ranges(key_map) <= 1.1 * keyplan.BLOCKS_PER_OWNER * len(_TWENTY)
+    counts = [len(slots) for slots in key_map.slots_by_owner.values()]
+    assert max(counts) - min(counts) <= 2 * _WIDTH
+
+
+def test_what_an_owner_has_too_much_leaves_in_ranges():
+    key_map = _in_blocks()
+    weights = _TWENTY | {"u-07": 1.0}
+    moving = keyplan.surplus(key_map, weights, most=4096, width=_WIDTH)
+    placed = keyplan.destinations(key_map, moving, weights, _WIDTH)
+    assert {key_map.slots[index].owner for index in moving} == {"u-07"}
+    moved = keyplan.pieces(key_map, moving, _WIDTH)
+    assert len(moved) <= keyplan.BLOCKS_PER_OWNER
+    for piece in moved:
+        assert len({placed[index] for index in piece}) == 1
+
+
+def test_ranges_stay_few_while_speeds_vary():
+    # Each round another owner is slow for a while, and a slot is hot.
+    key_map = _in_blocks()
+    names = sorted(_TWENTY)
+    for number in range(200):
+        weights = _TWENTY | {names[number * 7 % 20]: 1.0}
+        moving = keyplan.surplus(key_map, weights, most=400, width=_WIDTH)
+        placed = keyplan.destinations(key_map, moving, weights, _WIDTH)
+        key_map = key_map.give({}, placed)
+    assert _ranges(key_map) <= 4 * keyplan.BLOCKS_PER_OWNER * len(_TWENTY)
+
+
+def test_hot_slots_leave_one_by_one():
+    key_map = _in_blocks()
+    slots = key_map.slots_by_owner["u-03"][:5]
+    first = slots[0]
+    found = keyplan.pieces(key_map, slots, _WIDTH, apart={first + 1, first + 2})
+    assert [len(piece) for piece in found] == [1, 1, 1, 2]
+
+
 def test_fences_only_grow():
     key_map = _dealt()
     before = key_map.slots[4].fence
