Demand for keys counts at the VM that decides on a request

Cause: VMs report slots that they see asked for 1.5 times a second and more. Each of many VMs sees a fraction of that even where a neighbourhood of keys draws a third of all requests: at 66 VMs 30 requests/s for a slot are 0.45/s at each, at 8 VMs 8/s are 1/s. So hot slots weren't split off but for single keys.

Change: the VM that decides when a request for an owner is sent counts it (gate.py). That is one VM for all requests of an owner. A test plays nine VMs: none of them saw the demand before, the arbiter does now.

--- a/src/swiftstile/gateway/gate.py
+++ b/src/swiftstile/gateway/gate.py
@@ -1,6 +1,7 @@
 """Waits for slots: the asynchronous side of admission."""
 
 import asyncio
+import collections.abc
 
 from swiftstile import clocks
 from swiftstile.gateway import admission
@@ -14,10 +15,21 @@
 
 
 class Gate:
-    """Hands slots to waiting requests as targets get room."""
-
-    def __init__(self, decisions: admission.Admission):
+    """Hands slots to waiting requests as targets get room.
+
+    Args:
+        decisions: Decides who gets which slot.
+        note_demand: Called once with each request for the owner of a key that
+            is decided on here.
+    """
+
+    def __init__(
+        self,
+        decisions: admission.Admission,
+        note_demand: collections.abc.Callable[[admission.Waiter], None],
+    ):
         self.decisions = decisions
+        self._note_demand = note_demand
         self._waiting: dict[int, asyncio.Future[targets.Target]] = {}
         self._has_waiting = asyncio.Event()
 
@@ -48,6 +60,8 @@
             wait for that any more calls `give_up`.
         """
         now = clocks.monotonic()
+        if waiter.owner is not None:
+            self._note_demand(waiter)
         decided = self.decisions.offer(waiter, now)
         if decided is None:
             future = asyncio.get_running_loop().create_future()
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -204,7 +204,7 @@
         spec = config.services_by_name.get(service)
         lookup = None
         if spec is not None and spec.is_keyed and inbound.key is not None:
-            lookup = self._owners.lookup(service, inbound.key, arrived)
+            lookup = self._owners.lookup(service, inbound.key)
         waiter = admission.Waiter(
             route,
             service,
--- a/src/swiftstile/gateway/heat.py
+++ b/src/swiftstile/gateway/heat.py
@@ -1,7 +1,8 @@
-"""How often the slots of keyed services are asked for, at all VMs.
+"""How often the slots of keyed services are asked for, over all VMs.
 
-Only slots that one VM alone sees asked for several times a second are told
-to others: a key that draws much of a service's load is busy at every VM.
+A request counts at the VM that decides when it is sent, which is one for all
+requests of an owner. Only slots that are asked for several times a second are
+reported.
 """
 
 from swiftstile import ids
--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -1,5 +1,6 @@
 """Finds the upstream that owns a key, as the request path sees it."""
 
+from swiftstile import clocks
 from swiftstile import ids
 from swiftstile.gateway import admission
 from swiftstile.gateway import gossip
@@ -54,15 +55,21 @@
             tuple[ids.ServiceName, int], tuple[int, float]
         ] = {}
 
-    def lookup(
-        self, service: ids.ServiceName, key: int, now: float
-    ) -> "OwnerOfKey":
-        """Returns a lookup for one request, which is counted."""
-        key_map = self._maps.by_service.get(service)
-        if key_map is not None:
-            self._heat.note(service, key_map.index_of(key), now)
+    def lookup(self, service: ids.ServiceName, key: int) -> "OwnerOfKey":
+        """Returns a lookup for one request."""
         return OwnerOfKey(self, service, key)
 
+    def note_demand(self, waiter: admission.Waiter) -> None:
+        """Counts a request for a slot of keys.
+
+        Whoever decides on it counts it: one VM sees all requests for an owner,
+        while each of many callers' VMs sees too few of them to tell a hotspot.
+        """
+        key_map = self._maps.by_service.get(waiter.service)
+        if key_map is not None and waiter.key is not None:
+            slot = key_map.index_of(waiter.key)
+            self._heat.note(waiter.service, slot, clocks.monotonic())
+
     def version(self, service: ids.ServiceName) -> int:
         """Returns the version of a service's map; 0 if there is none."""
         key_map = self._maps.by_service.get(service)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -188,10 +188,18 @@
             bounds.retry_allowance,
             settings_lib.seconds(bounds.retry_window),
         )
+        key_owners = owners.KeyOwners(
+            self._maps,
+            self._book,
+            self._heat,
+            self._peers,
+            self._drain_s,
+        )
         gate = gate_lib.Gate(
             admission.Admission(
                 self._book, self._node.domain, self._drain_s, self._cold_limits
-            )
+            ),
+            key_owners.note_demand,
         )
         self._registry = registry = registry_lib.Registry(
             self._book, adapters.decode_upstream, gate.pump, self._meters
@@ -218,13 +226,6 @@
             # Has to be in force everywhere within a time.
             tells_news=True,
         )
-        key_owners = owners.KeyOwners(
-            self._maps,
-            self._book,
-            self._heat,
-            self._peers,
-            self._drain_s,
-        )
         arbiter = arbiter_lib.Arbiter(
             self._peers,
             gate,
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -527,7 +527,7 @@
         now = gate.clocks.monotonic()
         builders.occupy(book.by_id["u-1"], 4, now)
         decisions = _Looks(book, vms)
-        made = gate.Gate(decisions)
+        made = gate.Gate(decisions, lambda waiter: None)
         waiting = asyncio.create_task(made.acquire(builders.waiter(now)))
         while not len(decisions):
             await asyncio.sleep(0)
--- a/tests/unit/test_gateway_drain.py
+++ b/tests/unit/test_gateway_drain.py
@@ -59,7 +59,8 @@
         self._peers = parts.peers
         self._peers.send_permit = self._permit
         gate = gate_lib.Gate(
-            admission.Admission(self.book, builders.HOME, _DRAIN_S)
+            admission.Admission(self.book, builders.HOME, _DRAIN_S),
+            lambda waiter: None,
         )
         arbiter = arbiter_lib.Arbiter(
             self._peers, gate, self.book, lambda: False, meters
@@ -84,7 +85,7 @@
     def waiter(self) -> admission.Waiter:
         """Returns a request for one of its keys."""
         now = clocks.monotonic()
-        owner = self._owners.lookup(builders.LOOKUPS, _KEY, now)
+        owner = self._owners.lookup(builders.LOOKUPS, _KEY)
         made = builders.waiter(now, owner, timeout_s=0.4)
         made.key = _KEY
         return made
--- a/tests/unit/test_gateway_evacuation.py
+++ b/tests/unit/test_gateway_evacuation.py
@@ -151,7 +151,7 @@
         self.decisions = admission.Admission(self.book, builders.HOME, _DRAIN_S)
 
     def offer(self, now: float):
-        lookup = self.owners.lookup(builders.LOOKUPS, _KEY, now)
+        lookup = self.owners.lookup(builders.LOOKUPS, _KEY)
         waiter = builders.waiter(now, lookup)
         return waiter, self.decisions.offer(waiter, now)
 
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -75,10 +75,13 @@
         self.peers._transport = _Transport(network)
         self.peers._tick_at = float("inf")
         self.is_leaving = False
+        # Requests that were decided on here.
+        self.demand: list[admission.Waiter] = []
         self.meters = metrics.Meters()
         self.limits = coldstart.ColdLimits(self.book, self.peers, lambda: True)
         self.gate = gate_lib.Gate(
-            admission.Admission(self.book, domain, 2.0, self.limits)
+            admission.Admission(self.book, domain, 2.0, self.limits),
+            self.demand.append,
         )
         self.arbiter = arbiter_lib.Arbiter(
             self.peers,
@@ -202,6 +205,20 @@
     _run(scenario, far=2)
 
 
+def test_requests_of_all_vms_count_as_demand_at_the_arbiter():
+    # Each of many VMs sees too few requests for a slot to tell that it is hot.
+    async def scenario(_network, arbiter, *others):
+        for vm in others:
+            waiter = vm.waiter()
+            await vm.permits.acquire(waiter)
+            vm.permits.release(waiter, vm.book.by_id["u-1"])
+        assert len(arbiter.demand) == len(others)
+        assert {waiter.key for waiter in arbiter.demand} == {7}
+        assert not any(vm.demand for vm in others)
+
+    _run(scenario, far=8)
+
+
 def test_a_refusal_tells_when_to_come_back():
     async def scenario(_network, arbiter, far):
         builders.occupy(arbiter.book.by_id["u-1"], 60, clocks.monotonic())
