--- /dev/null
+++ b/tests/unit/test_gateway_crash_check.py
@@ -0,0 +1,99 @@
+"""Requests that crash upstreams are stopped also after they waited for a slot.
+
+What operators saw: a request that crashes its upstreams reached four of them
+later than the bound after its third crash; three are the most.
+Order of events: few upstreams are left after the crashes, so the request waits
+for a slot; meanwhile this VM hears of its last crashes; then it gets the slot.
+Cause: whether a request is a cause of crashes was asked when it arrived, and
+not when it was about to be sent.
+Evidence: the first test here without the mend.
+"""
+
+import asyncio
+import types
+
+import pytest
+
+from swiftstile import clocks
+from swiftstile.gateway import admission
+from swiftstile.gateway import handler as handler_lib
+from swiftstile.gateway import outcomes
+from tests import gateway_builders as builders
+
+
+class _Permits:
+    """Grants a slot, while other VMs' reports are heard."""
+
+    def __init__(self, during_wait):
+        self._during_wait = during_wait
+        self._target = builders.book(builders.upstream("u-1")).by_id["u-1"]
+        self.released = 0
+
+    async def acquire(self, waiter: admission.Waiter):
+        self._during_wait()
+        return self._target
+
+    def release(self, waiter, target) -> None:
+        self.released += 1
+
+
+class _Crashes:
+    """Knows of one request that is refused."""
+
+    def __init__(self):
+        self.has_suspects = False
+
+    def check(self, digest, now) -> bool:
+        raise outcomes.CrashingRequestError("a cause", step="look for suspects")
+
+
+class _Sender:
+
+    def __init__(self):
+        self.sent = 0
+
+    async def send(self, call, target):
+        self.sent += 1
+        raise outcomes.UnknownOutcomeError("cut", step="send")
+
+
+def _play(crashes: _Crashes, permits: _Permits, is_trial: bool) -> _Sender:
+    sender = _Sender()
+    made = types.SimpleNamespace(
+        _permits=permits,
+        _sender=sender,
+        _crashes=crashes,
+        _note_sent=lambda *_: None,
+        _learn=lambda *_: None,
+        _may_repeat=lambda *_: False,
+        _final=lambda error, *_: error,
+    )
+
+    async def is_ordinary(*_) -> bool:
+        return True
+
+    made._look_for_crash = is_ordinary
+    call = types.SimpleNamespace(digest=lambda: b"d" * 16, is_trial=is_trial)
+    waiter = builders.waiter(clocks.monotonic(), None)
+    run = handler_lib.Handler._attempts(made, call, waiter, None)
+    with pytest.raises(outcomes.GatewayError):
+        asyncio.run(run)
+    return sender
+
+
+def test_a_request_found_to_crash_upstreams_while_it_waits_is_not_sent():
+    crashes = _Crashes()
+
+    def hear() -> None:
+        crashes.has_suspects = True
+
+    permits = _Permits(hear)
+    assert _play(crashes, permits, is_trial=False).sent == 0
+    assert permits.released == 1
+
+
+def test_a_request_that_is_tried_again_is_sent():
+    crashes = _Crashes()
+    crashes.has_suspects = True
+    permits = _Permits(lambda: None)
+    assert _play(crashes, permits, is_trial=True).sent == 1
