A request is checked for crashes once more when it has its slot

A request that waits seconds for a slot was judged by what was known when it came. Change: it is judged again right before it is sent; one that is tried on purpose isn't, as its trial was counted already.

--- a/src/swiftstile/gateway/crash_watch.py
+++ b/src/swiftstile/gateway/crash_watch.py
@@ -59,9 +59,12 @@
         """
         return self.has_suspects or body_bytes <= MOST_LOOKED_AT_BYTES
 
-    def check(self, digest: fingerprint.Digest, now: float) -> None:
+    def check(self, digest: fingerprint.Digest, now: float) -> bool:
         """Lets a request pass or refuses it.
 
+        Returns:
+            Whether it is sent to find out if it still crashes upstreams.
+
         Raises:
             CrashingRequestError: It isn't sent to any upstream.
         """
@@ -72,6 +75,8 @@
         if verdict is suspects_lib.Verdict.TRY:
             self._meters.crashes.add("tried")
             logs.logger.info("crashing request tried", request=digest.hex())
+            return True
+        return False
 
     def _refusal(
         self, digest: fingerprint.Digest, now: float
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -40,6 +40,7 @@
         is_repeatable: Whether it may run more than once.
         first_part: What was read of a streamed body before it is sent.
         caller: Who sent it.
+        is_trial: Whether it is sent to find out if it still crashes upstreams.
     """
 
     method: str
@@ -53,6 +54,7 @@
     is_repeatable: bool = False
     first_part: bytes = b""
     caller: str = ""
+    is_trial: bool = False
 
     def digest(self) -> fingerprint.Digest:
         """Returns what tells it from other requests, when it comes again."""
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -200,7 +200,7 @@
             request, inbound, route, config, arrived + wait_s
         )
         if self._crashes.has_suspects:
-            self._crashes.check(call.digest(), arrived)
+            call.is_trial = self._crashes.check(call.digest(), arrived)
         spec = config.services_by_name.get(service)
         lookup = None
         if spec is not None and spec.is_keyed and inbound.key is not None:
@@ -283,6 +283,13 @@
                 target = await self._permits.acquire(waiter)
             except outcomes.RefusedError as error:
                 raise self._final(error, waiter, progress) from error
+            if self._crashes.has_suspects and not call.is_trial:
+                # It may have been found to crash upstreams while it waited.
+                try:
+                    self._crashes.check(call.digest(), clocks.monotonic())
+                except outcomes.CrashingRequestError as error:
+                    self._permits.release(waiter, target)
+                    raise self._final(error, waiter, progress) from error
             progress.sends += 1
             self._note_sent(call, waiter, target, progress, story)
             sent = clocks.monotonic()
