--- a/tests/unit/test_gateway_gifts.py
+++ b/tests/unit/test_gateway_gifts.py
@@ -16,6 +16,7 @@
 
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keeper
+from swiftstile.gateway import keymap
 from swiftstile.gateway import slotplan
 from swiftstile.gateway import takeback
 from tests import gateway_builders as builders
@@ -24,7 +25,7 @@
 _SLOTS = [0, 1]
 # They came to their owner together, so they are taken back as one.
 _PIECES = [range(2)]
-_KEYS = interfaces.KeyRange(0, 31)
+_KEYS = keymap.KeyMap.empty(slotplan.SLOT_COUNT).keys_of_run(_PIECES[0])
 # Longer than any grant of an earlier run of the leader may last.
 _LONG_AGO_S = 60.0
 
--- a/tests/unit/test_gateway_keeper.py
+++ b/tests/unit/test_gateway_keeper.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from swiftstile.gateway import interfaces
 from swiftstile.gateway import keeper
 from swiftstile.gateway import renewals
 from swiftstile.gateway import slotplan
@@ -139,7 +138,8 @@
         current = parts.maps.by_service
         await _tick_until(parts, lambda: not current[builders.LOOKUPS].leaving)
         releases = [call[1] for call in parts.control.released]
-        assert releases == [interfaces.KeyRange(0, 31)] * 2
+        keys = current[builders.LOOKUPS].keys_of_run(range(2))
+        assert releases == [keys] * 2
 
     asyncio.run(scenario())
 
