Upstreams' word on how long work takes at this moment is read and used

Cause: where the load header has a fourth figure, it wasn't read at all, so that answers that had waited in an upstream's queue counted as its work, and its speed was measured too low. The figure itself says that work takes three times as long there, for some 400 ms.

Change: the adapter reads the first three whatever follows, and the fourth as a slowdown. It counts for 0.2 s where requests are placed, is reported to a service's arbiter with the request's end, and is taken out of measured speeds, which decide on shares of keys. Each has a test that failed before.

--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -156,21 +156,23 @@
             )
         self._tell_state(peer, ask.number, permit)
 
-    def end(
-        self, peer: reports.Peer, number: int, pause_s: float = 0.0
+    def note_outcome(
+        self, peer: reports.Peer, message: permit_messages.Ended
     ) -> None:
-        """A request ended, or doesn't want a slot any more.
-
-        Args:
-            peer: Whose request.
-            number: Names it among those of that VM.
-            pause_s: For how long its upstream is best passed over.
-        """
-        name = (reports.short_run(peer.row.incarnation), number)
-        permit = self._permits.get(name)
-        if pause_s and permit is not None and permit.target is not None:
-            permit.target.note_shed(clocks.monotonic(), pause_s)
-        self._drop(name)
+        """Takes in what the last request that ended says of its upstream."""
+        run = reports.short_run(peer.row.incarnation)
+        permit = self._permits.get((run, message.ended[-1]))
+        if permit is None or permit.target is None:
+            return
+        now = clocks.monotonic()
+        if message.pause_ms:
+            permit.target.note_shed(now, message.pause_ms / 1000)
+        if message.work_percent is not None:
+            permit.target.note_slowdown(message.work_percent / 100, now)
+
+    def end(self, peer: reports.Peer, number: int) -> None:
+        """A request ended, or doesn't want a slot any more."""
+        self._drop((reports.short_run(peer.row.incarnation), number))
 
     def _drop(self, name: tuple[str, int]) -> None:
         permit = self._permits.pop(name, None)
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -202,7 +202,7 @@
                 "answer without id", step="check answer", peer=target.id
             )
         if verdict.load is not None:
-            target.note_load(verdict.load)
+            target.note_load(verdict.load, clocks.monotonic())
         if verdict.kind is not interfaces.AnswerKind.RAN:
             await self._refusal(head, verdict, connection, target)
         if not verdict.is_sound:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -401,7 +401,8 @@
             self._crashes.note_answer(call.digest(), now)
         if answer.status < 300 and _did_not_wait(waiter, target, answer):
             prior_s = admission.prior_s(waiter.route)
-            self._speeds.note(target.id, took_s / prior_s, now)
+            slowdown = _slowdown(answer)
+            self._speeds.note(target.id, took_s / prior_s / slowdown, now)
             self._times.note(
                 waiter.route, waiter.service, took_s / target.slowness
             )
@@ -495,6 +496,17 @@
     return waiter.occupied < target.upstream.slots
 
 
+def _slowdown(answer) -> float:
+    """Returns how long work took at an upstream for the moment, over the usual.
+
+    Its lasting speed decides on its share of the keys, not a moment's.
+    """
+    load = answer.verdict.load
+    if load is None or not load.slowdown:
+        return 1.0
+    return load.slowdown
+
+
 async def _rest(pieces: list[bytes], content, limit: int):
     size = 0
     for piece in pieces:
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -211,11 +211,20 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """An upstream's own word on how busy it was when it answered."""
+    """What an upstream says of its load when it answers.
+
+    Attributes:
+        running: Requests that it works on.
+        waiting: Requests that it has queued.
+        slots: Requests that it can work on.
+        slowdown: How long work takes there at this moment, over the usual; None
+            if it doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class Verdict(msgspec.Struct, frozen=True):
--- a/src/swiftstile/gateway/permit_messages.py
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -88,11 +88,14 @@
         ended: The requests.
         pause_ms: For how long the upstream of the last one is best passed
             over, by what became of the request.
+        work_percent: How long work takes there at this moment, in percent of
+            the usual, by its answer; None if it didn't say.
     """
 
     run: str
     ended: list[int]
     pause_ms: int = 0
+    work_percent: int | None = None
 
 
 # Any of them, as a datagram of permits holds it.
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -211,11 +211,14 @@
             self._gate.release(waiter, target)
             return
         target.note_permit_ended(waiter.sequence)
-        pause_s = 0.0
-        if waiter.owner is None:
-            # What this VM learned of the upstream, its arbiter should know.
-            pause_s = target.penalty_left_s(clocks.monotonic())
-        self._end(number, pause_s)
+        if waiter.owner is not None:
+            self._end(number)
+            return
+        # What this VM learned of the upstream, its arbiter should know.
+        now = clocks.monotonic()
+        self._end(
+            number, target.penalty_left_s(now), target.reported_slowdown(now)
+        )
 
     @property
     def queued(self) -> int:
@@ -395,12 +398,18 @@
         self._peers.send_permit(arbiter, self._encoder.encode(ask))
         self._meters.permits.add("asked")
 
-    def _end(self, number: int, pause_s: float = 0.0) -> None:
+    def _end(
+        self,
+        number: int,
+        pause_s: float = 0.0,
+        slowdown: float | None = None,
+    ) -> None:
         """Reports that a request ended, or gave up waiting.
 
         Args:
             number: The request.
             pause_s: For how long its upstream is best passed over.
+            slowdown: How long work takes there over the usual, if known.
         """
         arbiter = self._arbiter_by_number.pop(number)
         ended = self._ended_by_node.setdefault(
@@ -409,7 +418,10 @@
         ended.append(number)
         run = reports.short_run(self._peers.me.incarnation)
         message = permit_messages.Ended(
-            run, list(ended), clocks.milliseconds(pause_s)
+            run,
+            list(ended),
+            clocks.milliseconds(pause_s),
+            None if slowdown is None else round(100 * slowdown),
         )
         self._peers.send_permit(arbiter, self._encoder.encode(message))
 
@@ -431,13 +443,10 @@
         if peer is None:
             # Its registration will follow, or this is of an earlier run.
             return
-        pause_s = 0.0
-        if isinstance(message, permit_messages.Ended):
-            pause_s = message.pause_ms / 1000
-        for number in reversed(message.ended):
-            # The pause is for the upstream of the last one.
-            self._arbiter.end(peer, number, pause_s)
-            pause_s = 0.0
+        if isinstance(message, permit_messages.Ended) and message.ended:
+            self._arbiter.note_outcome(peer, message)
+        for number in message.ended:
+            self._arbiter.end(peer, number)
         if isinstance(message, permit_messages.Ask):
             self._arbiter.decide(peer, message)
 
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -17,6 +17,8 @@
 # What part of its time without an answer a request is taken to be over; the
 # rest may have been a wait.
 ANSWER_PART = 0.7
+# A reported slowdown counts for so long; it changes several times a second.
+SLOWDOWN_LIFE_S = 0.2
 # Bound of the estimated slowness, so that no target is barred for ever.
 SLOWEST = 20.0
 # A target that can't be reached is passed over this long, doubled with each
@@ -73,6 +75,8 @@
         self.cold_until = now + upstream.cold_s
         self.paused_until = 0.0
         self._slow_until = now + upstream.cold_s
+        self._slowdown = 1.0
+        self._slowdown_until = 0.0
         self._penalty_until = 0.0
         self._failures = 0
         self._started: collections.OrderedDict[int, tuple[float, float]] = (
@@ -156,7 +160,7 @@
 
     def slow_factor(self, now: float) -> float:
         """Returns the expected service time over the mean of all targets."""
-        factor = self.slowness
+        factor = self.slowness * (self.reported_slowdown(now) or 1.0)
         if now < self._slow_until:
             factor = max(factor, COLD_FACTOR)
         for started, expected_s in self._started.values():
@@ -202,8 +206,19 @@
         """It refused for lack of room."""
         self._penalty_until = max(self._penalty_until, now + wait_s)
 
-    def note_load(self, load: interfaces.Load) -> None:
+    def reported_slowdown(self, now: float) -> float | None:
+        """Returns how long work takes there over the usual, if it just said."""
+        return self._slowdown if now < self._slowdown_until else None
+
+    def note_slowdown(self, slowdown: float, now: float) -> None:
+        """Work takes that much longer there than usual at this moment."""
+        self._slowdown = max(slowdown, 0.1)
+        self._slowdown_until = now + SLOWDOWN_LIFE_S
+
+    def note_load(self, load: interfaces.Load, now: float) -> None:
         """It said how busy it is; an upper bound for counts of peers."""
+        if load.slowdown is not None:
+            self.note_slowdown(load.slowdown, now)
         total = load.running + load.waiting
         if total == 0 and self.own == 0:
             self.peers.clear()
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -15,6 +15,7 @@
 from swiftstile.gateway import gossip
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import permits
+from swiftstile.gateway import targets
 from tests import gateway_builders as builders
 
 _SLOTS = 2
@@ -259,6 +260,23 @@
     _run(scenario)
 
 
+def test_the_arbiter_of_a_service_hears_that_work_takes_longer_somewhere():
+    async def scenario(_network, arbiter, far):
+        waiter = _any_waiter(far)
+        target = await far.permits.acquire(waiter)
+        target.note_slowdown(3.0, clocks.monotonic())
+        far.permits.release(waiter, target)
+        counted = arbiter.book.by_id[target.id]
+        await _until(lambda: counted.slow_factor(clocks.monotonic()) == 3.0)
+        other = await far.permits.acquire(_any_waiter(far))
+        assert other is not target
+        # It changes several times a second.
+        later = clocks.monotonic() + targets.SLOWDOWN_LIFE_S
+        assert counted.slow_factor(later) == 1.0
+
+    _run(scenario)
+
+
 def test_an_upstream_that_turned_a_request_away_is_not_chosen_for_it_again():
     async def scenario(_network, _arbiter, far):
         waiter = _any_waiter(far)
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -274,6 +274,18 @@
         dialect.UsersDialect().read_request(headers)
 
 
+def test_the_load_of_an_upstream_may_tell_how_long_work_takes():
+    def load(text: str):
+        headers = _headers(X_Instance_Load=text)
+        return dialect.UsersDialect().judge(200, headers).load
+
+    assert load("3,0,2").slowdown is None
+    assert load("3,1,2,300") == interfaces.Load(3, 1, 2, 3.0)
+    # What newer upstreams add is passed over.
+    assert load("3,1,2,100,7").slowdown == 1.0
+    assert load("3,1") is None and load("3,1,x,100") is None
+
+
 def test_what_an_answer_says():
     judge = dialect.UsersDialect().judge
     kind = interfaces.AnswerKind
