An arbiter of a service lets no request wait at an upstream

Cause: a request beyond an upstream's slots hides how old counts are. An arbiter's counts are a round trip old, and a request that waits behind a slow one can't go elsewhere.

Change: where one VM decides for a domain's upstreams, they get as many requests as they have slots.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -431,9 +431,14 @@
     def _room_beyond_slots(waiter: Waiter, now: float) -> int:
         """Returns how many requests a target may have beyond its slots.
 
-        One that is late anyway goes to an owner only when a slot is idle: what
-        it would gain by queueing there, the next one that can be in time loses.
+        None where this VM decides for all of a domain: whichever upstream has
+        a free slot first gets the next request, and none waits behind a slow
+        one. One that is late anyway goes to an owner only when a slot is idle:
+        what it would gain by queueing there, the next one that can be in time
+        loses.
         """
+        if waiter.domain is not None:
+            return 0
         if waiter.owner is not None and waiter.is_late(now):
             return 0
         return QUEUE_AHEAD
@@ -507,12 +512,13 @@
         if is_shared and name in groups:
             return groups[name]
         group = _Group([], [], [])
+        room = self._room_beyond_slots(waiter, now)
         for target in self._open_candidates(waiter, now):
             ahead = target.occupied(now) - target.upstream.slots
             if target.upstream.failure_domain != self._domain:
-                if ahead < QUEUE_AHEAD:
+                if ahead < room:
                     group.far_open.append(target)
-            elif ahead < QUEUE_AHEAD:
+            elif ahead < room:
                 group.home_open.append(target)
             else:
                 group.home_full.append(target)
