Ranges of keys are as narrow as the fleet's links bear

Change: renewals may take 0.5% of the narrowest link of the fleet (renewal_budget.py); that says how many ranges there are, eight an owner at least. By arithmetic: single slots on 8 VMs with 1,000 Mbit/s, 20 slots a block on 18 and 5 on 66 with 10 Mbit/s.

--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -12,10 +12,9 @@
 
 __all__ = ["block_width", "deal", "destinations", "pieces", "surplus"]
 
-# Blocks that an owner of mean capacity gets: the more, the more evenly its
-# share fits and the smaller what one hotspot takes from it, but each one is a
-# grant to renew.
-BLOCKS_PER_OWNER = 16
+# Blocks that an owner of mean capacity gets at least: with fewer its share
+# can't be met, and one hotspot takes too much of it.
+LEAST_PER_OWNER = 8
 
 # A target may own this part more than its share before slots are moved away:
 # moving costs its callers more than so small an imbalance.
@@ -28,14 +27,16 @@
 NEIGHBOUR_COST = 0.25
 
 
-def block_width(count: int, owners: int) -> int:
+def block_width(count: int, owners: int, most_ranges: int) -> int:
     """Returns the width of a block, in slots.
 
     Args:
         count: Slots of the service.
         owners: Upstreams that share them.
+        most_ranges: Ranges that the fleet can afford to renew.
     """
-    return max(1, round(count / (BLOCKS_PER_OWNER * max(1, owners))))
+    ranges = max(LEAST_PER_OWNER * max(1, owners), most_ranges)
+    return max(1, round(count / ranges))
 
 
 def deal(
--- a/src/swiftstile/gateway/slotplan.py
+++ b/src/swiftstile/gateway/slotplan.py
@@ -53,6 +53,7 @@
         work_s: Returns the mean work of a service's requests, once measured.
         now: On the steady clock.
         limits: Which upstreams are cold, so that little may be sent there.
+        most_ranges: Returns how many ranges the fleet can afford to renew.
     """
 
     def __init__(
@@ -64,8 +65,10 @@
         work_s,
         now: float,
         limits: coldstart.SendLimits = coldstart.UNLIMITED,
+        most_ranges: collections.abc.Callable[[], int] = lambda: SLOT_COUNT,
     ):
         self._limits = limits
+        self._most_ranges = most_ranges
         self._service = service
         self._book = book
         self._speeds = speed_book
@@ -119,7 +122,7 @@
         """Returns the first owner of each slot; none until all have joined."""
         if not weights or now - self._members_at < SETTLED_S:
             return []
-        width = keyplan.block_width(SLOT_COUNT, len(weights))
+        width = self._block_width(SLOT_COUNT, weights)
         return keyplan.deal(SLOT_COUNT, weights, width)
 
     def hot_to_move(
@@ -161,7 +164,7 @@
             for slot in self._heat.rates(self._service, now)
             if current.slots[slot].owner in hot
         )
-        width = keyplan.block_width(len(current.slots), len(weights))
+        width = self._block_width(len(current.slots), weights)
         return keyplan.surplus(current, left, MOVE_BATCH, pinned, width)
 
     def destinations(
@@ -173,7 +176,7 @@
     ) -> dict[int, model.UpstreamId]:
         """Returns a new owner for each slot that moves."""
         left, _ = self._left_beside_hot(current, weights, now)
-        width = keyplan.block_width(len(current.slots), len(weights))
+        width = self._block_width(len(current.slots), weights)
         placed = keyplan.destinations(current, moving, left, width)
         for index in moving:
             wanted = self._wanted.pop(index, None)
@@ -188,9 +191,12 @@
 
         Hot slots are released one by one, as each gets an owner of its own.
         """
-        width = keyplan.block_width(len(current.slots), len(self._members))
+        width = self._block_width(len(current.slots), self._members)
         return keyplan.pieces(current, slots, width, self._wanted)
 
+    def _block_width(self, count: int, owners: collections.abc.Sized) -> int:
+        return keyplan.block_width(count, len(owners), self._most_ranges())
+
     def _left_beside_hot(
         self, current: keymap.KeyMap, weights: Weights, now: float
     ) -> tuple[Weights, frozenset[model.UpstreamId]]:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -38,6 +38,7 @@
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import relay
+from swiftstile.gateway import renewal_budget
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
 from swiftstile.gateway import settings as settings_lib
@@ -322,6 +323,7 @@
                 self._handler.work_s,
                 self._now(),
                 self._cold_limits,
+                self._most_ranges,
             ),
             self._peers,
             self._renewing,
@@ -336,6 +338,11 @@
             self._meters,
         )
 
+    def _most_ranges(self) -> int:
+        peers = self._peers.by_node.values()
+        rows = [peer.row for peer in peers if not peer.row.is_retired]
+        return renewal_budget.most_ranges([self._node, *rows])
+
     def _on_report(self, peer: reports.Peer, now: float) -> None:
         self._succession.note_report(peer, now)
         self._daemon.on_report(peer, now)
--- a/tests/unit/test_gateway_keys.py
+++ b/tests/unit/test_gateway_keys.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import keyplan
 from swiftstile.gateway import moves
+from swiftstile.gateway import renewal_budget
 from swiftstile.gateway import reports
 from tests import gateway_builders as builders
 
@@ -129,7 +130,8 @@
 
 
 _TWENTY = {f"u-{i:02}": 3.0 for i in range(20)}
-_WIDTH = keyplan.block_width(4096, len(_TWENTY))
+_RANGES = 320
+_WIDTH = keyplan.block_width(4096, len(_TWENTY), _RANGES)
 
 
 def _in_blocks() -> keymap.KeyMap:
@@ -139,11 +141,32 @@
 
 def test_one_grant_renews_a_whole_block():
     key_map = _in_blocks()
-    assert _ranges(key_map) <= 1.1 * keyplan.BLOCKS_PER_OWNER * len(_TWENTY)
+    assert _ranges(key_map) <= 1.1 * _RANGES
     counts = [len(slots) for slots in key_map.slots_by_owner.values()]
     assert max(counts) - min(counts) <= 2 * _WIDTH
 
 
+@pytest.mark.parametrize(
+    ("vms", "link_mbps", "owners", "width"),
+    [
+        # Wide links bear the finest division.
+        (8, 1000.0, 14, 1),
+        (18, 10.0, 20, 20),
+        (66, 10.0, 100, 5),
+        (195, 10.0, 140, 2),
+        # However narrow, an owner's share has to fit.
+        (64, 1.0, 100, 5),
+    ],
+)
+def test_blocks_are_as_narrow_as_links_bear(vms, link_mbps, owners, width):
+    rows = [
+        builders.node_row(f"vm-{number}", link_mbps=link_mbps)
+        for number in range(vms)
+    ]
+    most = renewal_budget.most_ranges(rows)
+    assert keyplan.block_width(4096, owners, most) == width
+
+
 def test_what_an_owner_has_too_much_leaves_in_ranges():
     key_map = _in_blocks()
     weights = _TWENTY | {"u-07": 1.0}
@@ -151,7 +174,7 @@
     placed = keyplan.destinations(key_map, moving, weights, _WIDTH)
     assert {key_map.slots[index].owner for index in moving} == {"u-07"}
     moved = keyplan.pieces(key_map, moving, _WIDTH)
-    assert len(moved) <= keyplan.BLOCKS_PER_OWNER
+    assert len(moved) <= _RANGES / len(_TWENTY)
     for piece in moved:
         assert len({placed[index] for index in piece}) == 1
 
@@ -165,7 +188,7 @@
         moving = keyplan.surplus(key_map, weights, most=400, width=_WIDTH)
         placed = keyplan.destinations(key_map, moving, weights, _WIDTH)
         key_map = key_map.give({}, placed)
-    assert _ranges(key_map) <= 4 * keyplan.BLOCKS_PER_OWNER * len(_TWENTY)
+    assert _ranges(key_map) <= 4 * _RANGES
 
 
 def test_hot_slots_leave_one_by_one():
--- a/tests/unit/test_gateway_slotplan.py
+++ b/tests/unit/test_gateway_slotplan.py
@@ -10,17 +10,18 @@
 
 _NAMES = tuple(f"u-{i}" for i in range(1, 21))
 _NOW = 100.0
+_RANGES = 320
 
 
 class _Case:
     """Twenty upstreams of 30 requests/s each, and a map that suits them."""
 
     def __init__(self):
-        self.parts = keeper_parts.Parts()
+        self.parts = keeper_parts.Parts(most_ranges=_RANGES)
         self.parts.work_s = 0.1
         self.plan = self.parts.plan
         self.weights = dict.fromkeys(_NAMES, 3.0)
-        width = keyplan.block_width(slotplan.SLOT_COUNT, len(_NAMES))
+        width = keyplan.block_width(slotplan.SLOT_COUNT, len(_NAMES), _RANGES)
         dealt = keyplan.deal(slotplan.SLOT_COUNT, self.weights, width)
         empty = keymap.KeyMap.empty(slotplan.SLOT_COUNT)
         self.map = empty.give({}, dict(enumerate(dealt)))
