--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -22,7 +22,6 @@
     "Contest",
     "Overload",
     "OwnerLookup",
-    "ServiceTimes",
     "Waiter",
     "crossing_s",
 ]
@@ -30,11 +29,6 @@
 # Requests sent to a target beyond its slots: hides the time that our view of
 # it lags behind (a round trip and a message of a peer, about 30 ms).
 QUEUE_AHEAD = 1
-# Part of its objective that the work of a request takes, until it is measured.
-# Both organisations' objectives are about three times the work.
-WORK_PER_OBJECTIVE = 0.35
-# Weight of the newest answer in the mean time of a route.
-TIME_WEIGHT = 0.05
 # A wait that uses more than this part of the slack before the objective is
 # refused instead: estimates are off by a third or so.
 SLACK_USED = 0.8
@@ -113,11 +107,6 @@
     target: targets.Target
 
 
-def prior_s(route: model.Route) -> float:
-    """Returns the work time that is assumed for a route, in seconds."""
-    return WORK_PER_OBJECTIVE * route.objective_s
-
-
 def crossing_s(route: model.Route) -> float:
     """Returns what an answer of another failure domain counts for longer."""
     if route.repeatability is model.Repeatability.ONCE_LARGE:
@@ -125,33 +114,6 @@
     return OTHER_DOMAIN * route.objective_s
 
 
-class ServiceTimes:
-    """Mean time that upstreams take for the requests of a route."""
-
-    def __init__(self):
-        self._mean_by_route: dict[str, float] = {}
-        self._mean_by_service: dict[ids.ServiceName, float] = {}
-
-    def expected_s(self, route: model.Route) -> float:
-        """Returns the time of a target of mean speed, in seconds."""
-        return self._mean_by_route.get(route.name) or prior_s(route)
-
-    def of_service(self, service: ids.ServiceName) -> float | None:
-        """Returns the mean time of a service's requests, once measured."""
-        return self._mean_by_service.get(service)
-
-    def note(
-        self, route: model.Route, service: ids.ServiceName, normal_s: float
-    ) -> None:
-        """Takes in a measured time, divided by the target's slowness."""
-        known = self._mean_by_service.get(service, normal_s)
-        self._mean_by_service[service] = known + TIME_WEIGHT * (
-            normal_s - known
-        )
-        mean = self.expected_s(route)
-        self._mean_by_route[route.name] = mean + TIME_WEIGHT * (normal_s - mean)
-
-
 class OwnerLookup(abc.ABC):
     """Finds the owner of one key."""
 
--- /dev/null
+++ b/src/swiftstile/gateway/arbiters.py
@@ -0,0 +1,105 @@
+"""Which VM assigns the slots of an upstream, or of a service in a domain.
+
+A rendezvous hash chooses among the VMs of the domain that have wide links, so
+that all VMs that see the same peers choose the same one.
+"""
+
+import collections.abc
+
+from swiftstile import ids
+from swiftstile.gateway import circulation
+from swiftstile.gateway import coldstart
+from swiftstile.gateway import gossip
+from swiftstile.gateway import model
+from swiftstile.gateway import reports
+from swiftstile.gateway import sharing
+from swiftstile.gateway import targets
+
+__all__ = ["Arbiters"]
+
+# An arbiter that didn't answer isn't asked for so long: about the time in which
+# a silent peer is noticed.
+AVOID_S = 1.0
+
+
+class Arbiters:
+    """Chooses arbiters, as one VM sees the others.
+
+    Args:
+        peers: The other VMs.
+        is_leaving: Returns whether this VM shuts down.
+        limits: Names the one VM that assigns the slots of a cold upstream.
+    """
+
+    def __init__(
+        self,
+        peers: gossip.Peers,
+        is_leaving: collections.abc.Callable[[], bool],
+        limits: coldstart.SendLimits,
+    ):
+        self._peers = peers
+        self._is_leaving = is_leaving
+        self._limits = limits
+        self._avoided_until: dict[model.NodeId, float] = {}
+
+    def of(self, target: targets.Target, now: float) -> reports.Peer | None:
+        """Returns the arbiter of an upstream; None if this VM decides."""
+        if self._limits.is_limited(target, now):
+            return self._only_sender(target, now)
+        domain = target.upstream.failure_domain
+        peer, is_me = self.in_domain(domain, target.id, now)
+        return None if is_me else peer
+
+    def in_domain(
+        self, domain: ids.FailureDomain, subject: str, now: float
+    ) -> tuple[reports.Peer | None, bool]:
+        """Returns who of a domain decides on an upstream or a service.
+
+        Args:
+            domain: The domain.
+            subject: Name of the upstream or service.
+            now: The time.
+
+        Returns:
+            That peer, if there is one that can be asked, and whether it is this
+            VM instead.
+        """
+        me = self._peers.me
+        peers = self._peers.reachable(domain, now)
+        is_near = domain == me.domain and not self._is_leaving()
+        most_mbps = max(
+            [peer.row.link_mbps for peer in peers] + [me.link_mbps] * is_near,
+            default=0.0,
+        )
+        least_mbps = circulation.LEAST_BANDWIDTH * most_mbps
+        best, best_affinity, is_me = None, -1, False
+        if is_near and me.link_mbps >= least_mbps:
+            best_affinity, is_me = sharing.affinity(me.node, subject), True
+        for peer in peers:
+            if peer.row.link_mbps < least_mbps or self.is_avoided(peer, now):
+                continue
+            affinity = sharing.affinity(peer.row.node, subject)
+            if affinity > best_affinity:
+                best, best_affinity, is_me = peer, affinity, False
+        return best, is_me
+
+    def is_avoided(self, peer: reports.Peer, now: float) -> bool:
+        """Whether a peer left a question without an answer just now."""
+        return self._avoided_until.get(peer.row.node, 0.0) > now
+
+    def avoid(self, peer: reports.Peer, now: float) -> None:
+        """A peer left a question without an answer."""
+        self._avoided_until[peer.row.node] = now + AVOID_S
+
+    def _only_sender(
+        self, target: targets.Target, now: float
+    ) -> reports.Peer | None:
+        """Returns the only VM that sends to a cold upstream.
+
+        None if it is this one, or is out of reach: then this VM sends nothing.
+        """
+        row = self._limits.sender(target, now)
+        peer = None if row is None else self._peers.by_node.get(row.node)
+        if peer is None or self.is_avoided(peer, now):
+            return None
+        return peer
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -25,6 +25,7 @@
 from swiftstile.gateway import shares
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
+from swiftstile.gateway import work_times
 
 __all__ = ["Handler"]
 
@@ -98,7 +99,7 @@
         self._operations = operations
         self._crashes = crashes
         self._meters = meters
-        self._times = admission.ServiceTimes()
+        self._times = work_times.ServiceTimes()
         self._shares = shares.ShareDealer()
 
     def may_overlap(self, request: web_request.BaseRequest) -> bool:
@@ -400,7 +401,7 @@
         if self._crashes.remembers(call.length or 0):
             self._crashes.note_answer(call.digest(), now)
         if answer.status < 300 and _did_not_wait(waiter, target, answer):
-            prior_s = admission.prior_s(waiter.route)
+            prior_s = work_times.prior_s(waiter.route)
             slowdown = _slowdown(answer)
             self._speeds.note(target.id, took_s / prior_s / slowdown, now)
             self._times.note(
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -30,7 +30,7 @@
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
-from swiftstile.gateway import circulation
+from swiftstile.gateway import arbiters
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import detours
 from swiftstile.gateway import gate as gate_lib
@@ -39,7 +39,6 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import permit_messages
 from swiftstile.gateway import reports
-from swiftstile.gateway import sharing
 from swiftstile.gateway import targets
 
 __all__ = ["Permits"]
@@ -56,9 +55,6 @@
 # long each time, up to the latter. Asked each 0.1 s, lookups that wait for
 # seconds doubled what goes between domains.
 WAITING_AGAIN_S, LONGEST_AGAIN_S = 0.1, 0.8
-# An arbiter that didn't answer isn't asked for so long, as long as it takes to
-# notice that a peer is silent.
-AVOID_S = 1.0
 # Ends of requests are told again with the next messages to the same arbiter,
 # in case a datagram was lost.
 MOST_ENDED = 4
@@ -121,7 +117,7 @@
         meters: metrics.Meters,
         limits: coldstart.SendLimits = coldstart.UNLIMITED,
     ):
-        self._limits = limits
+        self._arbiters = arbiters.Arbiters(peers, arbiter.is_leaving, limits)
         self._peers = peers
         self._gate = gate
         self._arbiter = arbiter
@@ -132,7 +128,6 @@
         self._asked: dict[int, _Asked] = {}
         self._arbiter_by_number: dict[int, reports.Peer] = {}
         self._ended_by_node: dict[model.NodeId, collections.deque[int]] = {}
-        self._avoided_until: dict[model.NodeId, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(permit_messages.Message)
         # The permit of each request that has one from another VM.
@@ -155,13 +150,13 @@
         while True:
             now = clocks.monotonic()
             target = waiter.owner.target(now)
-            arbiter = None if target is None else self._choose(target, now)
+            arbiter = None if target is None else self._arbiters.of(target, now)
             if arbiter is None:
                 return await self._gate.acquire(waiter)
             granted = await self._ask(waiter, target, arbiter)
             if granted is not None:
                 return granted
-            if self._is_avoided(arbiter, clocks.monotonic()):
+            if self._arbiters.is_avoided(arbiter, clocks.monotonic()):
                 # It waited long enough for one that doesn't answer.
                 return await self._gate.acquire(waiter)
             # The key has another owner by now.
@@ -195,7 +190,7 @@
     ) -> targets.Target | None:
         """Returns a target of a domain; None if nobody there answers."""
         is_near = domain == self._peers.me.domain
-        arbiter, is_me = self._best_arbiter(
+        arbiter, is_me = self._arbiters.in_domain(
             domain, waiter.service, clocks.monotonic()
         )
         if is_near and is_me:
@@ -225,57 +220,6 @@
         """Requests that wait at this VM for a slot that it hands out."""
         return len(self._gate.decisions)
 
-    def _choose(
-        self, target: targets.Target, now: float
-    ) -> reports.Peer | None:
-        """Returns the arbiter of an upstream; None if this VM decides."""
-        if self._limits.is_limited(target, now):
-            return self._only_sender(target, now)
-        domain = target.upstream.failure_domain
-        arbiter, is_me = self._best_arbiter(domain, target.id, now)
-        return None if is_me else arbiter
-
-    def _best_arbiter(
-        self, domain: ids.FailureDomain, subject: str, now: float
-    ) -> tuple[reports.Peer | None, bool]:
-        """Returns who of a domain decides on an upstream or a service.
-
-        Returns:
-            That peer, if there is one that can be asked, and whether it is this
-            VM instead.
-        """
-        me = self._peers.me
-        peers = self._peers.reachable(domain, now)
-        is_near = domain == me.domain and not self._arbiter.is_leaving()
-        most_mbps = max(
-            [peer.row.link_mbps for peer in peers] + [me.link_mbps] * is_near,
-            default=0.0,
-        )
-        least_mbps = circulation.LEAST_BANDWIDTH * most_mbps
-        best, best_affinity, is_me = None, -1, False
-        if is_near and me.link_mbps >= least_mbps:
-            best_affinity, is_me = sharing.affinity(me.node, subject), True
-        for peer in peers:
-            if peer.row.link_mbps < least_mbps or self._is_avoided(peer, now):
-                continue
-            affinity = sharing.affinity(peer.row.node, subject)
-            if affinity > best_affinity:
-                best, best_affinity, is_me = peer, affinity, False
-        return best, is_me
-
-    def _only_sender(
-        self, target: targets.Target, now: float
-    ) -> reports.Peer | None:
-        """Returns the only VM that sends to a cold upstream.
-
-        None if it is this one, or is out of reach: then this VM sends nothing.
-        """
-        row = self._limits.sender(target, now)
-        peer = None if row is None else self._peers.by_node.get(row.node)
-        if peer is None or self._is_avoided(peer, now):
-            return None
-        return peer
-
     async def _ask(
         self,
         waiter: admission.Waiter,
@@ -342,7 +286,9 @@
         pause_s = WAITING_AGAIN_S
         while True:
             if not await self._hear(number, asked, waiter, target, arbiter):
-                self._avoid(arbiter, clocks.monotonic())
+                self._arbiters.avoid(arbiter, clocks.monotonic())
+                self._meters.permits.add("arbiter-silent")
+                logs.logger.info("arbiter silent", peer_node=arbiter.row.node)
                 return None
             end = clocks.monotonic() + pause_s
             while not asked.is_settled and clocks.monotonic() < end:
@@ -364,14 +310,6 @@
                 return True
         return False
 
-    def _is_avoided(self, arbiter: reports.Peer, now: float) -> bool:
-        return self._avoided_until.get(arbiter.row.node, 0.0) > now
-
-    def _avoid(self, arbiter: reports.Peer, now: float) -> None:
-        self._avoided_until[arbiter.row.node] = now + AVOID_S
-        self._meters.permits.add("arbiter-silent")
-        logs.logger.info("arbiter silent", peer_node=arbiter.row.node)
-
     def _send_ask(self, number, waiter, target, arbiter) -> None:
         now = clocks.monotonic()
         gives_up_at = waiter.gives_up_at
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -436,7 +436,7 @@
         now = clocks.monotonic()
 
         def chosen(vm):
-            peer = vm.permits._choose(vm.book.by_id["u-1"], now)
+            peer = vm.permits._arbiters.of(vm.book.by_id["u-1"], now)
             return vm.name if peer is None else peer.row.node
 
         names = {chosen(vm) for vm in vms}
@@ -468,7 +468,7 @@
         now = clocks.monotonic()
         for name in ("u-1", "u-2"):
             for vm in vms:
-                peer = vm.permits._choose(vm.book.by_id[name], now)
+                peer = vm.permits._arbiters.of(vm.book.by_id[name], now)
                 chosen = vm.name if peer is None else peer.row.node
                 assert chosen in ("vm-1", "vm-3")
 
