--- a/src/swiftstile/gateway/slotplan.py
+++ b/src/swiftstile/gateway/slotplan.py
@@ -23,9 +23,9 @@
 SLOT_COUNT = 4096
 # Before the first deal, no upstream joined for this long.
 SETTLED_S = 1.0
-# Most slots that are moved at a time only to even things out: a part of them,
+# Most slots that are moved at a time only to even things out: about a tenth,
 # so that no owner's keys are on the move all at once.
-MOVE_BATCH = SLOT_COUNT // 10
+MOVE_BATCH = 400
 # Between two rounds of evening out: about what the effect of one takes to show.
 EVEN_OUT_EVERY_S = 1.5
 # A hot slot stays this long where it was put, so that it doesn't go back and
@@ -78,8 +78,8 @@
         self._wanted: dict[int, model.UpstreamId] = {}
         self._relocated_at: dict[int, float] = {}
         self._evened_at = 0.0
-        # Owners that were hot when things were evened out last.
-        self._hot_owners: frozenset[model.UpstreamId] = frozenset()
+        # Hot slots beside which things were evened out last.
+        self._evened_for: frozenset[int] = frozenset()
         self._members: set[model.UpstreamId] = set()
         self._members_at = now
 
@@ -129,19 +129,20 @@
         self, current: keymap.KeyMap, weights: Weights, now: float
     ) -> list[int]:
         """Returns hot slots that should leave, and notes where they go."""
-        rates = self._heat.rates(self._service, now)
-        movable = {
-            slot
-            for slot in rates
-            if slot not in current.leaving
+        capacity = self._capacities(weights)
+        busy = self._busy(current, capacity, now)
+        hot = {
+            slot: share
+            for slot, share in busy.items()
+            if share >= hotplan.HOT_SHARE
+            and slot not in current.leaving
             and now - self._relocated_at.get(slot, 0.0) > RELOCATE_EVERY_S
         }
-        found = hotplan.relocations(
-            rates,
-            self._owners(current, rates),
-            self._capacities(weights),
-            movable,
-        )
+        taken = {
+            self._wanted.get(slot, current.slots[slot].owner)
+            for slot in busy.keys() - hot.keys()
+        }
+        found = hotplan.relocations(current, hot, capacity, taken)
         self._wanted |= found
         self._relocated_at |= dict.fromkeys(found, now)
         return list(found)
@@ -156,16 +157,11 @@
         """
         left, hot = self._left_beside_hot(current, weights, now)
         is_due = now - self._evened_at >= EVEN_OUT_EVERY_S
-        if not weights or not (is_due or hot - self._hot_owners):
+        if not weights or not (is_due or hot - self._evened_for):
             return []
-        self._evened_at, self._hot_owners = now, hot
-        pinned = frozenset(
-            slot
-            for slot in self._heat.rates(self._service, now)
-            if current.slots[slot].owner in hot
-        )
+        self._evened_at, self._evened_for = now, hot
         width = self._block_width(len(current.slots), weights)
-        return keyplan.surplus(current, left, MOVE_BATCH, pinned, width)
+        return keyplan.surplus(current, left, MOVE_BATCH, hot, width)
 
     def destinations(
         self,
@@ -199,36 +195,31 @@
 
     def _left_beside_hot(
         self, current: keymap.KeyMap, weights: Weights, now: float
-    ) -> tuple[Weights, frozenset[model.UpstreamId]]:
-        """Returns what owners can do beside their busy slots, and hot owners.
+    ) -> tuple[Weights, frozenset[int]]:
+        """Returns what owners can do beside their hot slots, and these slots.
 
-        Keys that draw more than their owner can do leave nothing for the rest
-        of that owner's keys: these are better off elsewhere meanwhile.
+        A key that draws more than its owner can do leaves nothing for the rest
+        of that owner's keys: they are better off elsewhere meanwhile.
         """
-        rates = self._heat.rates(self._service, now)
-        rates = {s: r for s, r in rates.items() if s not in current.leaving}
-        load_by_id = hotplan.loads(
-            rates, self._owners(current, rates), self._capacities(weights)
-        )
         left, hot = dict(weights), set()
-        for owner, load in load_by_id.items():
-            # Not back and forth with noise.
-            is_known = owner in self._hot_owners
-            least = hotplan.BUSY_SHARE if is_known else hotplan.HOT_SHARE
-            if load >= least:
-                hot.add(owner)
+        busy = self._busy(current, self._capacities(weights), now)
+        for slot, share in busy.items():
+            least = hotplan.HOT_SHARE
+            if slot in self._evened_for:
+                # Not back and forth with noise.
+                least = hotplan.BUSY_SHARE
+            owner = current.slots[slot].owner
+            if share >= least and slot not in current.leaving:
+                hot.add(slot)
                 kept = LEAST_BESIDE_HOT * weights[owner]
-                left[owner] = max(kept, weights[owner] * (1 - load))
+                left[owner] = max(kept, left[owner] - share * weights[owner])
         return left, frozenset(hot)
 
-    def _owners(
-        self, current: keymap.KeyMap, slots: collections.abc.Iterable[int]
-    ) -> dict[int, model.UpstreamId]:
-        """Returns who owns slots, or is to own them."""
-        return {
-            slot: self._wanted.get(slot, current.slots[slot].owner)
-            for slot in slots
-        }
+    def _busy(
+        self, current: keymap.KeyMap, capacity: Weights, now: float
+    ) -> dict[int, float]:
+        rates = self._heat.rates(self._service, now)
+        return hotplan.shares(current, rates, capacity)
 
     def _capacities(self, weights: Weights) -> dict[model.UpstreamId, float]:
         """Returns the requests/s that upstreams can do, once known."""
