--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -68,9 +68,27 @@
         "permits from one VM an owner",
         "permits",
         "            arbiter = None if target is None else"
-        " self._choose(target, now)",
+        " self._arbiters.of(target, now)",
         "            arbiter = None",
     ),
+    _off(
+        "one VM of a domain assigns slots without owners",
+        "permits",
+        "        if self._gate.decisions.vms > admission.FEW_VMS:",
+        "        if False:",
+    ),
+    _off(
+        "slowdowns that upstreams report",
+        "targets",
+        "SLOWDOWN_LIFE_S = 0.2",
+        "SLOWDOWN_LIFE_S = 0.0",
+    ),
+    _off(
+        "ranges as wide as links ask for",
+        "renewal_budget",
+        "RENEWAL_SHARE = 0.005",
+        "RENEWAL_SHARE = 1.0",
+    ),
     _off(
         "returning callers are known",
         "returns",
@@ -80,7 +98,7 @@
     _off(
         "lookups wait beyond their objective",
         "admission",
-        "if waiter.owner is not None and not self._is_crowded(waiter, now):",
+        "if waiter.is_decided_for_all and not self._is_crowded(waiter, now):",
         "if False:",
     ),
     _off(
