--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -393,14 +393,9 @@
     def _room_beyond_slots(waiter: Waiter, now: float) -> int:
         """Returns how many requests a target may have beyond its slots.
 
-        None where this VM decides for all of a domain: whichever upstream has
-        a free slot first gets the next request, and none waits behind a slow
-        one. One that is late anyway goes to an owner only when a slot is idle:
-        what it would gain by queueing there, the next one that can be in time
-        loses.
+        One that is late anyway goes to an owner only when a slot is idle: what
+        it would gain by queueing there, the next one that can be in time loses.
         """
-        if waiter.domain is not None:
-            return 0
         if waiter.owner is not None and waiter.is_late(now):
             return 0
         return QUEUE_AHEAD
@@ -474,13 +469,12 @@
         if is_shared and name in groups:
             return groups[name]
         group = _Group([], [], [])
-        room = self._room_beyond_slots(waiter, now)
         for target in self._open_candidates(waiter, now):
             ahead = target.occupied(now) - target.upstream.slots
             if target.upstream.failure_domain != self._domain:
-                if ahead < room:
+                if ahead < QUEUE_AHEAD:
                     group.far_open.append(target)
-            elif ahead < room:
+            elif ahead < QUEUE_AHEAD:
                 group.home_open.append(target)
             else:
                 group.home_full.append(target)
