A stand-in that ignores fences goes on with what it held

After it is thawed, the stand-in may take the next grant, without the key's slice, before the test asks it: then it answered 421 though it was to accept any request.

Change: such a stand-in goes on with all that it ever held, so the check no longer depends on which comes first. The test is as it was.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -30,8 +30,8 @@
     """What a server owns, under fenced grants.
 
     Attributes:
-        ignores_fence: Accepts any grant and any request; for proving that a
-            broken server is found out.
+        ignores_fence: Accepts any grant, and any request for what it ever
+            held; for proving that a broken server is found out.
     """
 
     def __init__(self, journal: journal_lib.Journal, ignores_fence: bool):
@@ -43,6 +43,8 @@
         self._digest = ""
         self._expires = 0.0
         self._slices: tuple[grants.GrantedSlice, ...] = ()
+        # What it held before, if it ignores that it is held no more.
+        self._former: tuple[grants.GrantedSlice, ...] = ()
         self._draining: dict[grants.GrantedSlice, float] = {}
         self._in_flight: dict[grants.GrantedSlice, int] = {}
 
@@ -70,7 +72,7 @@
         """Returns the slice that allows a new request, or None."""
         if now >= self._expires and not self.ignores_fence:
             return None
-        for piece in self._slices:
+        for piece in self._slices + self._former:
             if piece.start <= position < piece.end:
                 is_allowed = piece.fence == fence or self.ignores_fence
                 return piece if is_allowed else None
@@ -111,6 +113,8 @@
         released = set(self._slices) - set(grant.slices)
         for piece in released & set(self._in_flight):
             self._draining[piece] = self._expires
+        if self.ignores_fence:
+            self._former = self._slices + self._former
         self._slices = tuple(grant.slices)
         self._digest = grant.digest
         self._expires = grant.expires
