Sixteen ranges an owner at least

Cause: with eight an owner's share fits to an eighth only.

One condition less in permits.py: only a VM of the domain can be its arbiter.

--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -14,7 +14,7 @@
 
 # Blocks that an owner of mean capacity gets at least: with fewer its share
 # can't be met, and one hotspot takes too much of it.
-LEAST_PER_OWNER = 8
+LEAST_PER_OWNER = 16
 
 # A target may own this part more than its share before slots are moved away:
 # moving costs its callers more than so small an imbalance.
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -189,11 +189,10 @@
         self, waiter: admission.Waiter, domain: ids.FailureDomain
     ) -> targets.Target | None:
         """Returns a target of a domain; None if nobody there answers."""
-        is_near = domain == self._peers.me.domain
         arbiter, is_me = self._arbiters.in_domain(
             domain, waiter.service, clocks.monotonic()
         )
-        if is_near and is_me:
+        if is_me:
             return await self._gate.acquire(waiter)
         if arbiter is None:
             return None
