--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -96,7 +96,7 @@
     far_open: list[targets.Target]
 
 
-# Groups that were found at one look at the queue, by service and domain.
+# Groups that were found at one scan of the queue, by service and domain.
 _Groups = dict[tuple[ids.ServiceName, ids.FailureDomain | None], _Group]
 
 
@@ -438,7 +438,7 @@
         all would choose the same one, so each compares a few drawn at random.
         """
         if waiter.domain is not None:
-            # This VM knows what all have there.
+            # This VM knows the requests of all VMs there.
             return self._group(waiter, now, groups).home_open
         if self.vms <= FEW_VMS:
             return self._open_candidates(waiter, now)
@@ -516,7 +516,7 @@
     def is_usable(
         self, target: targets.Target, waiter: Waiter, now: float
     ) -> bool:
-        """Whether a request may be sent to a target by whom it permits."""
+        """Whether a target may get a request, as far as this VM knows."""
         return target.id not in waiter.excluded and target.takes_requests(
             now, self._drain_s
         )
--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -167,7 +167,10 @@
 
 
 def _spread(in_order: list[range]) -> list[range]:
-    """Returns ranges so that any number of the last ones lie far apart."""
+    """Returns ranges in an order in which any last few lie far apart.
+
+    Multiples of the golden ratio, modulo 1, are evenly spread at any count.
+    """
     golden = 0.618034
     by_place = {(i * golden) % 1.0: one for i, one in enumerate(in_order)}
     return [by_place[place] for place in sorted(by_place, reverse=True)]
--- a/src/swiftstile/gateway/permit_messages.py
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -81,7 +81,7 @@
 
 
 class Ended(msgspec.Struct, array_like=True, tag=3):
-    """Tells that requests have ended, or don't want a slot any more.
+    """Reports that requests have ended, or don't want a slot any more.
 
     Attributes:
         run: Short name of the run that asked.
--- a/src/swiftstile/gateway/takeback.py
+++ b/src/swiftstile/gateway/takeback.py
@@ -352,7 +352,7 @@
                 piece,
                 current.next_fence if source.is_fenced else first.fence,
                 KEEP_HOLD_S,
-                # Released in parts, it has no one token.
+                # Slots that were released apart have several tokens.
                 tokens.pop() if len(tokens) == 1 else "",
             )
         except errors.PeerUnavailableError as error:
