--- a/src/swiftstile/gateway/detours.py
+++ b/src/swiftstile/gateway/detours.py
@@ -16,8 +16,8 @@
 
 __all__ = ["Detours", "Stop"]
 
-# A domain that had no free slot isn't asked for another one for so long: about
-# a tenth of the time in which one of its upstreams serves a request.
+# A domain that had no free slot isn't asked for another one for so long, which
+# is less than an upstream takes for a request.
 FULL_LIFE_S = 0.05
 
 
--- a/src/swiftstile/gateway/keyplan.py
+++ b/src/swiftstile/gateway/keyplan.py
@@ -1,7 +1,7 @@
 """Where ranges of keys should be: decisions without a network.
 
 Keys are assigned in blocks of neighbouring slots, so that one grant renews a
-whole block. A block is cut where part of it is hot or an owner has too much.
+whole block. A hot slot leaves its block alone; whole blocks even shares out.
 """
 
 import collections
