Read the rate limits that upstreams state, count and log them

Cause: nothing in lines or counters tells whether a VM took notice of an upstream's rate limit, so the hypotheses of the incident can't be told apart.

Change: the adapter reads the header into interfaces.Advisory; the exchange passes it to an AdvisoryRecorder, which counts it, keeps the limit and the time of its evidence with the target, and logs changes. Lines of sends carry the limit and its age; explain lists it among the state in force. Malformed, negative, zero, huge or repeated values are counted, logged once for each upstream, and ignored. Nothing obeys the limit yet.

--- a/src/swiftstile/explain.py
+++ b/src/swiftstile/explain.py
@@ -26,6 +26,7 @@
     "key map written": "service",
     "upstream registered": "upstream",
     "upstream gone": "upstream",
+    "upstream rate limit": "upstream",
     "gateway started": "",
     "gateway drains": "",
     "process stood still": "",
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -52,6 +52,9 @@
         store_age_ms: Time since the last contact with the store.
         occupied: Requests at the upstream, as far as known.
         queued: Requests that wait at this VM.
+        limit_per_s: Rate limit that the upstream states, in requests/s; 0 if
+            none is known.
+        limit_age_ms: Time since that was last stated.
     """
 
     id: str
@@ -73,6 +76,8 @@
     store_age_ms: int = 0
     occupied: int = 0
     queued: int = 0
+    limit_per_s: float = 0.0
+    limit_age_ms: int = 0
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -9,6 +9,7 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile.gateway import advisories
 from swiftstile.gateway import connections
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import interfaces
@@ -96,15 +97,23 @@
 
 
 class UpstreamClient:
-    """Sends requests over pooled connections."""
+    """Sends requests over pooled connections.
+
+    Args:
+        pool: Connections to upstreams.
+        dialect: Reads and writes headers.
+        advisory_recorder: Records what upstreams state about themselves.
+    """
 
     def __init__(
         self,
         pool: connections.ConnectionPool,
         dialect: interfaces.RequestDialect,
+        advisory_recorder: advisories.AdvisoryRecorder,
     ):
         self._pool = pool
         self._dialect = dialect
+        self._advisories = advisory_recorder
 
     async def send(
         self, call: Call, target: targets.Target
@@ -160,6 +169,7 @@
         self, call, target, connection, left_s
     ) -> UpstreamResponse:
         data = self._encode(call, target, left_s)
+        sent_at = clocks.monotonic()
         try:
             connection.send_request(call.method, data)
         except errors.PeerUnavailableError as error:
@@ -167,10 +177,10 @@
                 str(error), step="send", peer=target.id
             ) from error
         if call.body is not None:
-            return await self._receive(call, target, connection)
+            return await self._receive(call, target, connection, sent_at)
         sender = asyncio.create_task(_send_stream(call, connection))
         try:
-            response = await self._receive(call, target, connection)
+            response = await self._receive(call, target, connection, sent_at)
             if not sender.done():
                 # Not reusable before the rest of the body was sent.
                 connection.is_usable = False
@@ -197,7 +207,9 @@
         head = "\r\n".join(lines) + "\r\n\r\n"
         return head.encode("utf-8", "surrogateescape") + body
 
-    async def _receive(self, call, target, connection) -> UpstreamResponse:
+    async def _receive(
+        self, call, target, connection, sent_at: float
+    ) -> UpstreamResponse:
         while True:
             head = await connection.next_head()
             metadata = self._dialect.parse_answer(head.status, head.headers)
@@ -212,6 +224,9 @@
             )
         if metadata.load is not None:
             target.note_load(metadata.load, clocks.monotonic())
+        self._advisories.record_answer(
+            target, metadata, sent_at, clocks.monotonic()
+        )
         if metadata.kind is not interfaces.AnswerKind.RAN:
             await self._raise_not_run(head, metadata, connection, target)
         if not metadata.is_relayable:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -463,6 +463,8 @@
                 store_age_ms=clocks.milliseconds(now - self._store.contact_at),
                 occupied=target.occupied(now),
                 queued=self._permits.queued,
+                limit_per_s=target.rate_limit.per_s or 0.0,
+                limit_age_ms=clocks.milliseconds(target.rate_limit.age_s(now)),
             )
         )
 
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     "NEW_ROW",
+    "NO_ADVISORY",
+    "Advisory",
     "AnswerKind",
     "AnswerMetadata",
     "Change",
@@ -231,6 +233,23 @@
     slowdown: float | None = None
 
 
+class Advisory(msgspec.Struct, frozen=True):
+    """What an upstream states about itself with an answer.
+
+    Attributes:
+        limit_per_s: Requests/s that it takes from all VMs together; None if it
+            states no limit.
+        malformed: Names of the statements that were ignored because their
+            values are malformed.
+    """
+
+    limit_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
+NO_ADVISORY = Advisory()
+
+
 class AnswerMetadata(msgspec.Struct, frozen=True):
     """Metadata from the head of an upstream's answer.
 
@@ -241,6 +260,7 @@
             the caller.
         load: Load of the server, if reported.
         answered_by: Id of the server that answered; empty if not given.
+        advisory: What the server states about itself.
     """
 
     kind: AnswerKind
@@ -248,6 +268,7 @@
     is_relayable: bool
     load: Load | None
     answered_by: str
+    advisory: Advisory = NO_ADVISORY
 
 
 class RequestDialect(abc.ABC):
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -5,6 +5,7 @@
 from swiftstile import ids
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
+from swiftstile.gateway import stated_limits
 
 __all__ = ["Target", "TargetTable"]
 
@@ -61,6 +62,7 @@
             evacuation.
         next_cold_send_at: Earliest time of this VM's next send while it is
             cold.
+        rate_limit: The rate limit that it states.
     """
 
     def __init__(self, upstream: model.Upstream, now: float):
@@ -78,6 +80,7 @@
         self.is_replaced = False
         self.cold_until = now + upstream.cold_s
         self.next_cold_send_at = 0.0
+        self.rate_limit = stated_limits.StatedLimit()
         self._slow_until = now + upstream.cold_s
         self._slowdown = 1.0
         self._slowdown_until = 0.0
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -10,6 +10,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import admission
+from swiftstile.gateway import advisories
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
@@ -140,6 +141,7 @@
         self._speed_table = speeds.SpeedTable()
         self._key_load_table = key_load.KeyLoadTable()
         self._suspect_table = suspects.SuspectTable()
+        self._advisories = advisories.AdvisoryRecorder(self._meters)
         self._peers = gossip.Peers(
             self._node,
             self._on_report,
@@ -255,7 +257,7 @@
                 self._meters,
                 self._cold_limits,
             ),
-            exchange.UpstreamClient(pool, adapters.dialect),
+            exchange.UpstreamClient(pool, adapters.dialect, self._advisories),
             adapters.dialect,
             self._target_table,
             key_owners,
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -79,6 +79,7 @@
         self.permits = LabelledCounter()
         self.crashes = LabelledCounter()
         self.rows = LabelledCounter()
+        self.advisories = LabelledCounter()
 
     def count_http(
         self, kind: str, response: aiohttp.ClientResponse, sent: int
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -26,6 +26,7 @@
     "ownership": ("swiftstile.ownership.changes", "{change}", "kind"),
     "permits": ("swiftstile.permits", "{permit}", "kind"),
     "rows": ("swiftstile.rows.asked", "{question}", "result"),
+    "advisories": ("swiftstile.upstream.advisories", "{answer}", "kind"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
 }
 
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -10,6 +10,8 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile import metrics
+from swiftstile.gateway import advisories
 from swiftstile.gateway import connections
 from swiftstile.gateway import exchange
 from swiftstile.gateway import interfaces
@@ -68,6 +70,14 @@
     )
 
 
+def _client(pool: connections.ConnectionPool) -> exchange.UpstreamClient:
+    return exchange.UpstreamClient(
+        pool,
+        dialect.UsersDialect(),
+        advisories.AdvisoryRecorder(metrics.Meters()),
+    )
+
+
 @contextlib.asynccontextmanager
 async def _running(script):
     server = _Server(script)
@@ -75,9 +85,7 @@
     port = listener.sockets[0].getsockname()[1]
     upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
     target = targets.Target(upstream, 0.0)
-    sender = exchange.UpstreamClient(
-        connections.ConnectionPool(), dialect.UsersDialect()
-    )
+    sender = _client(connections.ConnectionPool())
     try:
         yield server, sender, target
     finally:
@@ -270,9 +278,7 @@
 def test_refused_connection_is_unreachable():
     async def scenario():
         target = targets.Target(builders.upstream(address="127.0.0.1:1"), 0.0)
-        sender = exchange.UpstreamClient(
-            connections.ConnectionPool(), dialect.UsersDialect()
-        )
+        sender = _client(connections.ConnectionPool())
         with pytest.raises(outcomes.UpstreamUnreachableError):
             await sender.send(_call("a1"), target)
 
@@ -317,7 +323,7 @@
         port = listener.sockets[0].getsockname()[1]
         upstream = builders.upstream(address=f"127.0.0.1:{port}")
         pool = connections.ConnectionPool()
-        sender = exchange.UpstreamClient(pool, dialect.UsersDialect())
+        sender = _client(pool)
         call = _call("a1", "POST", b"x" * (16 << 20))
         answer = await sender.send(call, targets.Target(upstream, 0.0))
         assert answer.body == b"early"
--- /dev/null
+++ b/tests/unit/test_gateway_advisories.py
@@ -0,0 +1,110 @@
+"""What upstreams state about themselves: reading, order and effect."""
+
+import multidict
+import pytest
+from users_platform import dialect
+
+from swiftstile import metrics
+from swiftstile.gateway import advisories
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import targets
+from tests import gateway_builders as builders
+
+_SENT, _ARRIVED = 10.0, 10.1
+
+
+def _metadata(status: int = 200, *headers: tuple[str, str]):
+    signed = [("X-Attempt-Id", "a1"), ("X-Server-Signature", "s")]
+    return dialect.UsersDialect().parse_answer(
+        status, multidict.CIMultiDict([*signed, *headers])
+    )
+
+
+def _limit(text: str) -> tuple[str, str]:
+    return ("Server-Limit", text)
+
+
+class _Vm:
+    """One VM's view of one upstream."""
+
+    def __init__(self):
+        self.meters = metrics.Meters()
+        self.target = targets.Target(builders.upstream(), 0.0)
+        self._recorder = advisories.AdvisoryRecorder(self.meters)
+
+    def answer(
+        self, *headers, status=200, sent=_SENT, now=_ARRIVED
+    ) -> interfaces.AnswerMetadata:
+        metadata = _metadata(status, *headers)
+        self._recorder.record_answer(self.target, metadata, sent, now)
+        return metadata
+
+    @property
+    def limit(self) -> float | None:
+        return self.target.rate_limit.per_s
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"), [("5.5", 5.5), ("7", 7.0), (" 0.25 ", 0.25)]
+)
+def test_a_stated_limit_is_read(text, limit):
+    vm = _Vm()
+    vm.answer(_limit(text))
+    assert vm.limit == limit
+    assert vm.meters.advisories.get("limit") == 1
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "0", "0.0", "-3", "+3", "1e3", "nan", "inf", "5,5", "many", "9" * 12],
+)
+def test_a_malformed_limit_is_counted_and_ignored(text):
+    vm = _Vm()
+    vm.answer(_limit("5"))
+    vm.answer(_limit(text), now=_ARRIVED + 1, sent=_SENT + 1)
+    assert vm.limit == 5
+    assert vm.meters.advisories.get("malformed") == 1
+
+
+def test_a_repeated_limit_is_counted_and_ignored():
+    vm = _Vm()
+    vm.answer(_limit("5"), _limit("9"))
+    assert vm.limit is None
+    assert vm.meters.advisories.get("malformed") == 1
+
+
+@pytest.mark.parametrize("status", [200, 404, 421, 500, 503])
+def test_answers_of_any_status_state_a_limit(status):
+    vm = _Vm()
+    not_run = [("X-Not-Executed", "1")] if status in (421, 503) else []
+    vm.answer(_limit("5"), *not_run, status=status)
+    assert vm.limit == 5
+
+
+def test_an_answer_of_another_upstream_at_the_address_states_nothing():
+    vm = _Vm()
+    vm.answer(_limit("5"), ("X-Instance-Id", "other"), status=421)
+    assert vm.limit is None
+
+
+def test_an_answer_to_a_later_request_ends_a_limit():
+    vm = _Vm()
+    vm.answer(_limit("5"))
+    vm.answer(sent=_ARRIVED + 0.1, now=_ARRIVED + 0.2)
+    assert vm.limit is None
+
+
+def test_an_answer_that_was_under_way_does_not_end_a_limit():
+    vm = _Vm()
+    vm.answer(_limit("5"))
+    vm.answer(sent=_ARRIVED - 0.05, now=_ARRIVED + 0.2)
+    assert vm.limit == 5
+
+
+def test_a_rejection_does_not_end_a_limit():
+    vm = _Vm()
+    vm.answer(_limit("5"))
+    vm.answer(
+        ("X-Not-Executed", "1"), status=503, sent=_ARRIVED + 1, now=_ARRIVED + 2
+    )
+    assert vm.limit == 5
