--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -254,7 +254,12 @@
 
 
 class Server:
-    """One server that owns keys."""
+    """One server that owns keys.
+
+    Attributes:
+        limit_per_s: Rate limit that it states in its answers, if any.
+        arrivals: Times of all requests that reached it, run or not.
+    """
 
     def __init__(
         self,
@@ -276,6 +281,8 @@
         self.is_up = False
         self.is_leaving = False
         self.delayed_grant_share = 0.0
+        self.limit_per_s: float | None = None
+        self.arrivals: list[float] = []
         # Number of starts; no state is kept across restarts.
         self.incarnation = 1
         self.held_until = [0.0] * KEYS
@@ -396,8 +403,16 @@
             )
         return web.Response(headers={"X-Handover": "0123456789abcdef"})
 
+    def _statements(self) -> dict[str, str]:
+        """Returns the headers in which it states its condition."""
+        if self.limit_per_s is None:
+            return {}
+        return {"Server-Limit": str(self.limit_per_s)}
+
     async def _request(self, request: web.Request) -> web.Response:
+        self.arrivals.append(_now())
         headers = {"X-Attempt-Id": request.headers.get("X-Attempt-Id", "")}
+        headers |= self._statements()
         expected = request.headers.get("X-Expect-Instance", self.name)
         text = request.headers.get("X-Shard-Key")
         key = int(text) if text and self.service == "keyed" else None
@@ -449,6 +464,7 @@
         return web.Response(
             body=f"{attempt}:{len(body)}".encode(),
             headers=headers
+            | self._statements()
             | {"X-Server-Signature": "s", "X-Instance-Load": load},
         )
 
