Keep the rate limits that upstreams state, summed over all VMs

What callers saw: nothing yet; upstreams that had named a limit got three times as much (LIMIT: 115 requests in 4 s where 60 are allowed, 73 where 36).

Cause: an upstream's statement about itself wasn't read by anything that decides on sends, so every VM went on as before.

Change: one VM of the upstream's domain, chosen by liveness, issues the tokens for all (ratelimits.py). For owners of keys it is the arbiter that all permits come from anyway; where services have no owners, a VM that selects a limited upstream asks for a permit without waiting. A VM without a reply of the limiter never asks another one in its place: such VMs share half of the limit. Statements are spread in reports with their age, so that a limiter knows them whoever got the answer (advisories.py). Waiting requests are rejected at once by the limit's rate, and order and Retry-After are those of any scarce slot.

Why it works: permits already pass one VM, so counting there needs no agreement; what overlaps while VMs disagree on the limiter is at most the limit of one more VM for about a second, and 1.5 times the limit in sum while the limiter doesn't reply.

It now states limits at the busiest upstream of each service, and plain ones work 0.3 s: the last plain upstream got no requests at all at that load, so that nothing could be used of its limit.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -15,6 +15,7 @@
 from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import model
+from swiftstile.gateway import ratelimits
 from swiftstile.gateway import targets
 
 __all__ = [
@@ -237,8 +238,10 @@
         domain: ids.FailureDomain,
         drain_s: float,
         limits: coldstart.SendLimits = coldstart.UNLIMITED,
+        rate_limits: ratelimits.RateLimits = ratelimits.UNLIMITED,
     ):
         self._target_table = target_table
+        self._rate_limits = rate_limits
         self._domain = domain
         self._drain_s = drain_s
         self._limits = limits
@@ -267,7 +270,7 @@
         if not self._is_preceded(waiter, now):
             target = self.select_target(waiter, now)
             if target is not None:
-                self._limits.note_sent(target, now)
+                self._note_sent(target, now)
                 return target
         wait_s = self.expected_wait_s(waiter, now)
         limit_s = self._max_wait_s(waiter, now)
@@ -321,7 +324,7 @@
                 # Counted temporarily, so that later requests of this scan see
                 # the slot as taken.
                 target.in_flight += 1
-                self._limits.note_sent(target, now)
+                self._note_sent(target, now)
                 groups.pop((waiter.service, waiter.domain), None)
                 assigned.append(Assignment(waiter, target))
                 continue
@@ -422,6 +425,7 @@
             rate += min(
                 slots / (waiter.expected_s * target.slow_factor(now)),
                 self._limits.rate_per_s(target, now),
+                self._rate_limits.rate_per_s(target, now),
             )
             elsewhere += target.waiting_elsewhere(now)
             excess += max(0, target.occupied(now) - slots)
@@ -470,9 +474,14 @@
         return [
             target
             for target in self._candidates(waiter, now)
-            if now >= target.cold_until or self._limits.may_send(target, now)
+            if (now >= target.cold_until or self._limits.may_send(target, now))
+            and self._rate_limits.may_send(target, now)
         ]
 
+    def _note_sent(self, target: targets.Target, now: float) -> None:
+        self._limits.note_sent(target, now)
+        self._rate_limits.note_sent(target, now)
+
     def _group(self, waiter: Waiter, now: float, groups: _Groups) -> _Group:
         """Returns the targets of a request, grouped.
 
--- a/src/swiftstile/gateway/advisories.py
+++ b/src/swiftstile/gateway/advisories.py
@@ -1,26 +1,64 @@
-"""Records what upstreams state about themselves in their answers."""
+"""What upstreams state about themselves in their answers.
 
+Each VM applies the statements that it received to its targets, and includes
+them in its reports, so that VMs which sent nothing to an upstream know them,
+too. A report carries the age of the evidence; the newest evidence counts.
+"""
+
+import msgspec
+
+from swiftstile import clocks
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
 from swiftstile.gateway import targets
 
-__all__ = ["AdvisoryRecorder"]
+__all__ = ["AdvisoryReport", "AdvisoryTable"]
 
 # Malformed statements that are remembered as logged, by upstream and name.
 MAX_LOGGED_MALFORMED = 1000
+# Evidence in reports has to be newer by this much, the most that its age is off
+# by the time of transmission. Otherwise a statement that several VMs repeat
+# would seem newer with each repetition.
+REPORT_TIME_TOLERANCE_S = 0.2
+# How long the end of a statement is included in reports.
+END_REPORT_PERIOD_S = 3.0
+# Upstreams in one report, those whose statements changed last.
+MAX_REPORTED = 16
+
+
+class AdvisoryReport(msgspec.Struct, array_like=True):
+    """What one VM knows of an upstream's statements.
+
+    Attributes:
+        upstream: The upstream.
+        started_ms: Its start, which identifies the run that stated it.
+        age_ms: Age of the evidence.
+        limit_per_s: The rate limit; None if it ended.
+    """
+
+    upstream: model.UpstreamId
+    started_ms: int
+    age_ms: int
+    limit_per_s: float | None
 
 
-class AdvisoryRecorder:
-    """Applies the advisories of answers to targets.
+class AdvisoryTable:
+    """Applies advisories of answers and of other VMs to targets.
 
     Args:
+        target_table: The upstreams.
         meters: Counts advisories.
     """
 
-    def __init__(self, meters: metrics.Meters):
+    def __init__(
+        self, target_table: targets.TargetTable, meters: metrics.Meters
+    ):
+        self._target_table = target_table
         self._meters = meters
+        # When the statements of an upstream last changed.
+        self._changed_at_by_target: dict[targets.Target, float] = {}
         self._logged_malformed: set[tuple[model.UpstreamId, str]] = set()
 
     def record_answer(
@@ -46,9 +84,60 @@
         limit_per_s = advisory.limit_per_s
         if limit_per_s is not None:
             self._meters.advisories.add("limit")
-            self._update_limit(target, limit_per_s, now)
+            self._update_limit(target, limit_per_s, now, now)
         elif not advisory.malformed and _is_complete(metadata):
-            self._update_limit(target, None, sent_at)
+            self._update_limit(target, None, sent_at, now)
+
+    def report(self, now: float) -> list[AdvisoryReport]:
+        """Returns the statements to report to other VMs now."""
+        if not self._changed_at_by_target:
+            return []
+        self._expire(now)
+        latest = sorted(
+            self._changed_at_by_target,
+            key=self._changed_at_by_target.get,
+            reverse=True,
+        )
+        return [
+            AdvisoryReport(
+                target.id,
+                target.upstream.started_ms,
+                clocks.milliseconds(now - target.rate_limit.as_of),
+                target.rate_limit.per_s,
+            )
+            for target in latest[:MAX_REPORTED]
+        ]
+
+    def receive(self, reported: list[AdvisoryReport], now: float) -> None:
+        """Applies the report of another VM.
+
+        Args:
+            reported: The statements that it knows.
+            now: When it sent the report, at the earliest.
+        """
+        for entry in reported:
+            target = self._target_table.by_id.get(entry.upstream)
+            if target is None or target.upstream.has_restarted_since(
+                entry.started_ms
+            ):
+                continue
+            as_of = now - entry.age_ms / 1000
+            if as_of > target.rate_limit.as_of + REPORT_TIME_TOLERANCE_S:
+                self._update_limit(target, entry.limit_per_s, as_of, now)
+
+    def _expire(self, now: float) -> None:
+        """Drops upstreams that ended, or whose statements ended."""
+        expired = [
+            target
+            for target, changed_at in self._changed_at_by_target.items()
+            if self._target_table.by_id.get(target.id) is not target
+            or (
+                target.rate_limit.per_s is None
+                and now - changed_at > END_REPORT_PERIOD_S
+            )
+        ]
+        for target in expired:
+            del self._changed_at_by_target[target]
 
     def _record_malformed(self, target: targets.Target, name: str) -> None:
         """Counts a malformed statement; logs the first of each upstream."""
@@ -62,9 +151,14 @@
             )
 
     def _update_limit(
-        self, target: targets.Target, per_s: float | None, as_of: float
+        self,
+        target: targets.Target,
+        per_s: float | None,
+        as_of: float,
+        now: float,
     ) -> None:
         if target.rate_limit.update(per_s, as_of):
+            self._changed_at_by_target[target] = now
             logs.logger.info(
                 "upstream rate limit",
                 upstream=target.id,
--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -129,9 +129,8 @@
             return
         owner = _RequestedOwner(target)
         service = target.upstream.service
-        self._start(
-            peer, request, _waiter(request, service, owner, clocks.monotonic())
-        )
+        waiter = _waiter(request, service, owner, clocks.monotonic())
+        self._start(peer, request, waiter)
 
     def _waiter_in_domain(
         self, request: permit_messages.PermitRequest
@@ -140,8 +139,6 @@
         waiter = _waiter(request, request.service, None, clocks.monotonic())
         waiter.domain = self._peers.me.domain
         waiter.excluded = set(request.excluded)
-        if request.max_wait_ms is not None:
-            waiter.max_wait_s = request.max_wait_ms / 1000
         return waiter
 
     def _start(
@@ -257,7 +254,7 @@
         shares=(),
         max_attempts=1,
     )
-    return admission.Waiter(
+    waiter = admission.Waiter(
         route,
         service,
         owner,
@@ -269,3 +266,6 @@
         if request.caller_timeout_ms is None
         else now + request.caller_timeout_ms / 1000,
     )
+    if request.max_wait_ms is not None:
+        waiter.max_wait_s = request.max_wait_ms / 1000
+    return waiter
--- a/src/swiftstile/gateway/arbiter_selection.py
+++ b/src/swiftstile/gateway/arbiter_selection.py
@@ -48,10 +48,41 @@
         """Returns the arbiter of an upstream; None if this VM decides."""
         if self._limits.is_limited(target, now):
             return self._cold_sender(target, now)
+        if target.rate_limit.per_s is not None:
+            # Only the limiter issues tokens, so no other VM is asked instead.
+            peer, is_me = self.limiter_of(target, target.id, now)
+            is_unusable = is_me or (peer and self.is_avoided(peer, now))
+            return None if is_unusable else peer
         domain = target.upstream.failure_domain
         peer, is_me = self.arbiter_in_domain(domain, target.id, now)
         return None if is_me else peer
 
+    def limiter_of(
+        self, target: targets.Target, subject: str, now: float
+    ) -> tuple[reports.Peer | None, bool]:
+        """Returns the VM that issues the tokens of a rate-limited upstream.
+
+        Unlike an arbiter, it isn't replaced while it leaves permit requests
+        without a reply: two VMs would each issue the whole limit.
+
+        Args:
+            target: The upstream.
+            subject: Name of the upstream or service that is hashed.
+            now: The time.
+
+        Returns:
+            The VM, or None if no peer of the domain is live; and whether this
+            VM is the limiter instead.
+        """
+        if self._limits.is_limited(target, now):
+            row = self._limits.designated_sender(target, now)
+            if row is None or row is self._peers.me:
+                return None, row is not None
+            return self._peers.by_node.get(row.node), False
+        return self._select(
+            target.upstream.failure_domain, subject, now, lambda peer: True
+        )
+
     def arbiter_in_domain(
         self, domain: ids.FailureDomain, subject: str, now: float
     ) -> tuple[reports.Peer | None, bool]:
@@ -66,6 +97,18 @@
             The arbiter, or None if no peer of the domain can be asked; and
             whether this VM is the arbiter instead.
         """
+        return self._select(
+            domain, subject, now, lambda peer: not self.is_avoided(peer, now)
+        )
+
+    def _select(
+        self,
+        domain: ids.FailureDomain,
+        subject: str,
+        now: float,
+        is_eligible: collections.abc.Callable[[reports.Peer], bool],
+    ) -> tuple[reports.Peer | None, bool]:
+        """Returns the eligible VM of highest affinity, or whether it is me."""
         me = self._peers.me
         peers = self._peers.reachable(domain, now)
         is_near = domain == me.domain and not self._is_leaving()
@@ -78,7 +121,7 @@
         if is_near and me.link_mbps >= least_mbps:
             best_affinity, is_me = sharing.affinity(me.node, subject), True
         for peer in peers:
-            if peer.row.link_mbps < least_mbps or self.is_avoided(peer, now):
+            if peer.row.link_mbps < least_mbps or not is_eligible(peer):
                 continue
             affinity = sharing.affinity(peer.row.node, subject)
             if affinity > best_affinity:
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -9,6 +9,7 @@
 from swiftstile import metrics
 from swiftstile import pacing
 from swiftstile.daemons import inspection
+from swiftstile.gateway import advisories
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
@@ -23,6 +24,7 @@
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
+from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import relay
@@ -77,7 +79,9 @@
         speed_table: speeds.SpeedTable,
         key_load_table: key_load.KeyLoadTable,
         cold_limits: coldstart.ColdLimits,
+        rate_limiter: ratelimits.RateLimiter,
         suspect_table: suspects.SuspectTable,
+        advisory_table: advisories.AdvisoryTable,
         log: decision_log.BoundedLog,
         make_key_assigner,
         grace_s: float,
@@ -106,7 +110,9 @@
         self._slowness_updated_at = 0.0
         self._key_load_table = key_load_table
         self._cold_limits = cold_limits
+        self._rate_limiter = rate_limiter
         self._suspect_table = suspect_table
+        self._advisories = advisory_table
         self._log = log
         self._make_key_assigner = make_key_assigner
         self._grace_s = grace_s
@@ -214,6 +220,7 @@
             uptime_s=round(now - self._started, 3),
             grants_end_s=self._renewer.grants_end_s(now),
             suspicions=self._suspect_table.report(now),
+            advisories=self._advisories.report(now),
         )
 
     def _statuses_to_publish(
@@ -255,6 +262,8 @@
             self._suspect_table.receive(
                 peer.report.suspicions, peer.received_at
             )
+        if peer.report.advisories:
+            self._advisories.receive(peer.report.advisories, peer.received_at)
         self._gate.on_peer_report()
 
     def _apply_counts(
@@ -320,6 +329,7 @@
             return
         self._handler.config = config
         self._cold_limits.set_services(config.services_by_name)
+        self._rate_limiter.set_services(config.services_by_name)
         self._registry.set_services(frozenset(config.services_by_name))
         logs.logger.info(
             "configuration in force",
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -102,18 +102,18 @@
     Args:
         pool: Connections to upstreams.
         dialect: Reads and writes headers.
-        advisory_recorder: Records what upstreams state about themselves.
+        advisory_table: Records what upstreams state about themselves.
     """
 
     def __init__(
         self,
         pool: connections.ConnectionPool,
         dialect: interfaces.RequestDialect,
-        advisory_recorder: advisories.AdvisoryRecorder,
+        advisory_table: advisories.AdvisoryTable,
     ):
         self._pool = pool
         self._dialect = dialect
-        self._advisories = advisory_recorder
+        self._advisories = advisory_table
 
     async def send(
         self, call: Call, target: targets.Target
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -32,13 +32,13 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import arbiter_selection
-from swiftstile.gateway import coldstart
 from swiftstile.gateway import domain_search
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import permit_messages
+from swiftstile.gateway import ratelimits
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
 
@@ -106,7 +106,9 @@
         arbiter: Handles the permit requests of other VMs.
         target_table: The upstreams.
         meters: Counts permits.
-        limits: Names the one VM that assigns the slots of a cold upstream.
+        selector: Chooses arbiters.
+        rate_limits: Names the VM that issues the tokens of a rate-limited
+            upstream.
     """
 
     def __init__(
@@ -116,11 +118,11 @@
         arbiter: arbiter_lib.Arbiter,
         target_table: targets.TargetTable,
         meters: metrics.Meters,
-        limits: coldstart.SendLimits = coldstart.UNLIMITED,
+        selector: arbiter_selection.ArbiterSelector,
+        rate_limits: ratelimits.RateLimits = ratelimits.UNLIMITED,
     ):
-        self._selector = arbiter_selection.ArbiterSelector(
-            peers, arbiter.is_leaving, limits
-        )
+        self._selector = selector
+        self._rate_limits = rate_limits
         self._peers = peers
         self._gate = gate
         self._arbiter = arbiter
@@ -145,10 +147,51 @@
         """
         if waiter.owner is not None:
             return await self._acquire_from_owner(waiter)
+        while True:
+            target = await self._acquire_without_owner(waiter)
+            limiter = self._rate_limits.limiter_to_ask(
+                target, clocks.monotonic()
+            )
+            if limiter is None or limiter is self._granting_vm(waiter):
+                return target
+            self.release(waiter, target)
+            target = await self._acquire_from_limiter(waiter, target, limiter)
+            if target is not None:
+                return target
+
+    async def _acquire_without_owner(
+        self, waiter: admission.Waiter
+    ) -> targets.Target:
         if self._gate.admission.vm_count > admission.MAX_VMS_WITHOUT_SAMPLING:
             return await self._acquire_from_any(waiter)
         return await self._gate.acquire(waiter)
 
+    def _granting_vm(self, waiter: admission.Waiter) -> reports.Peer | None:
+        """Returns the other VM that granted a request's slot, if any did."""
+        number = self._number_by_waiter.get(waiter.sequence)
+        return None if number is None else self._arbiter_by_number[number]
+
+    async def _acquire_from_limiter(
+        self,
+        waiter: admission.Waiter,
+        target: targets.Target,
+        limiter: reports.Peer,
+    ) -> targets.Target | None:
+        """Acquires a slot of a rate-limited upstream without waiting for it.
+
+        Returns None if there is no token now; the upstream isn't selected again
+        before the limiter may have one.
+        """
+        max_wait_s, waiter.max_wait_s = waiter.max_wait_s, 0.0
+        try:
+            return await self._request_permit(waiter, target, limiter)
+        except outcomes.RejectedError as error:
+            retry_at = clocks.monotonic() + error.retry_after_s
+            self._rate_limits.note_rejected(target, retry_at)
+            return None
+        finally:
+            waiter.max_wait_s = max_wait_s
+
     async def _acquire_from_owner(
         self, waiter: admission.Waiter
     ) -> targets.Target:
@@ -254,6 +297,8 @@
             )
             if reply is None:
                 return None
+            if target is not None:
+                self._rate_limits.note_reply(target)
             if reply.status is permit_messages.PermitStatus.REFUSED:
                 raise _rejected_error(reply, target)
             granted = self._granted_target(waiter, target, reply)
@@ -277,15 +322,15 @@
     ) -> targets.Target | None:
         """Returns the target of a permit, if it can still take the request."""
         now = clocks.monotonic()
-        if target is not None:
+        if waiter.owner is not None:
             return target if waiter.owner.target(now) is target else None
-        granted = self._target_table.by_id.get(reply.upstream)
+        granted = target or self._target_table.by_id.get(reply.upstream)
         if granted is None or not self._gate.admission.is_usable(
             granted, waiter, now
         ):
             # This VM already knows that the upstream is leaving or unusable,
             # and the arbiter doesn't yet.
-            waiter.excluded.add(reply.upstream)
+            waiter.excluded.add(reply.upstream if target is None else target.id)
             return None
         return granted
 
@@ -304,7 +349,7 @@
             end = clocks.monotonic() + interval_s
             while not pending.is_final and clocks.monotonic() < end:
                 await pending.wait_for_reply(WAITING_RETRY_S)
-                if target is None:
+                if waiter.owner is None:
                     continue
                 if waiter.owner.target(clocks.monotonic()) is not target:
                     return None
@@ -347,8 +392,8 @@
         if target is None:
             request.service = waiter.service
             request.excluded = sorted(waiter.excluded)
-            if waiter.max_wait_s is not None:
-                request.max_wait_ms = clocks.milliseconds(waiter.max_wait_s)
+        if waiter.max_wait_s is not None:
+            request.max_wait_ms = clocks.milliseconds(waiter.max_wait_s)
         self._peers.send_permit(arbiter, self._encoder.encode(request))
         self._meters.permits.add("asked")
 
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from swiftstile import ids
+from swiftstile.gateway import advisories as advisories_lib
 from swiftstile.gateway import key_load
 from swiftstile.gateway import model
 from swiftstile.gateway import speeds
@@ -114,6 +115,7 @@
         grants_end_s: Seconds until all grants of this run have expired, once it
             makes no more; None before.
         suspicions: Requests that may crash upstreams.
+        advisories: What upstreams state about themselves.
     """
 
     run: str
@@ -137,6 +139,7 @@
     uptime_s: float = 0.0
     grants_end_s: float | None = None
     suspicions: list[suspects.SuspectReport] = []
+    advisories: list[advisories_lib.AdvisoryReport] = []
 
 
 class Peer:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import advisories
 from swiftstile.gateway import arbiter as arbiter_lib
+from swiftstile.gateway import arbiter_selection
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
 from swiftstile.gateway import coldstart
@@ -36,6 +37,7 @@
 from swiftstile.gateway import outage
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits
+from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import relay
@@ -141,7 +143,9 @@
         self._speed_table = speeds.SpeedTable()
         self._key_load_table = key_load.KeyLoadTable()
         self._suspect_table = suspects.SuspectTable()
-        self._advisories = advisories.AdvisoryRecorder(self._meters)
+        self._advisories = advisories.AdvisoryTable(
+            self._target_table, self._meters
+        )
         self._peers = gossip.Peers(
             self._node,
             self._on_report,
@@ -177,6 +181,12 @@
             self._peers,
             lambda: self._vm_membership.is_registered,
         )
+        self._arbiter_selector = arbiter_selection.ArbiterSelector(
+            self._peers, self._is_leaving, self._cold_limits
+        )
+        self._rate_limiter = ratelimits.RateLimiter(
+            self._peers, self._arbiter_selector
+        )
         self._authority = authority.PeerAuthority(
             self._peers,
             self._leadership,
@@ -208,6 +218,7 @@
                 self._node.domain,
                 self._drain_s,
                 self._cold_limits,
+                self._rate_limiter,
             ),
             key_owners.count_request,
         )
@@ -244,7 +255,7 @@
             self._peers,
             gate,
             self._target_table,
-            lambda: self._daemon.is_leaving,
+            self._is_leaving,
             self._meters,
         )
         pool = connections.ConnectionPool()
@@ -255,7 +266,8 @@
                 arbiter,
                 self._target_table,
                 self._meters,
-                self._cold_limits,
+                self._arbiter_selector,
+                self._rate_limiter,
             ),
             exchange.UpstreamClient(pool, adapters.dialect, self._advisories),
             adapters.dialect,
@@ -318,7 +330,9 @@
             self._speed_table,
             self._key_load_table,
             self._cold_limits,
+            self._rate_limiter,
             self._suspect_table,
+            self._advisories,
             self._request_log,
             self._make_key_assigner,
             settings_lib.parse_seconds(bounds.grace),
@@ -356,6 +370,9 @@
             self._meters,
         )
 
+    def _is_leaving(self) -> bool:
+        return self._daemon is not None and self._daemon.is_leaving
+
     def _max_ranges(self) -> int:
         peers = self._peers.by_node.values()
         rows = [peer.row for peer in peers if not peer.row.is_retired]
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -74,7 +74,7 @@
     return exchange.UpstreamClient(
         pool,
         dialect.UsersDialect(),
-        advisories.AdvisoryRecorder(metrics.Meters()),
+        advisories.AdvisoryTable(targets.TargetTable(), metrics.Meters()),
     )
 
 
--- a/tests/integration/test_upstream_limits.py
+++ b/tests/integration/test_upstream_limits.py
@@ -14,6 +14,8 @@
 _MIN_USED = 0.7
 _LOAD_PER_S = 100
 _STATED_S = 9.0
+# Service time at which requests without an owner need all upstreams.
+_LONG_WORK_S = 0.3
 
 
 def _run(tmp_path, scenario, count: int = 4) -> None:
@@ -24,8 +26,12 @@
     return asyncio.get_running_loop().time()
 
 
-def _one_of_each_service(site) -> list:
-    by_service = {s.service: s for s in site.cluster.by_id.values()}
+def _busiest_of_each_service(site) -> list:
+    by_service = {}
+    for server in site.cluster.by_id.values():
+        known = by_service.setdefault(server.service, server)
+        if len(server.arrivals) > len(known.arrivals):
+            by_service[server.service] = server
     return list(by_service.values())
 
 
@@ -60,10 +66,13 @@
 
 def test_all_vms_together_keep_the_limit_that_an_upstream_states(tmp_path):
     async def scenario(site):
-        servers = _one_of_each_service(site)
+        for server in site.cluster.by_id.values():
+            if server.service == "plain":
+                server.work_s = _LONG_WORK_S
 
         async def state_limits():
             await asyncio.sleep(1.0)
+            servers = _busiest_of_each_service(site)
             for server in servers:
                 server.limit_per_s = _LIMIT_PER_S
             since = _now() + _GRACE_S
--- a/tests/unit/test_gateway_advisories.py
+++ b/tests/unit/test_gateway_advisories.py
@@ -7,7 +7,6 @@
 from swiftstile import metrics
 from swiftstile.gateway import advisories
 from swiftstile.gateway import interfaces
-from swiftstile.gateway import targets
 from tests import gateway_builders as builders
 
 _SENT, _ARRIVED = 10.0, 10.1
@@ -27,16 +26,17 @@
 class _Vm:
     """One VM's view of one upstream."""
 
-    def __init__(self):
+    def __init__(self, **changes):
         self.meters = metrics.Meters()
-        self.target = targets.Target(builders.upstream(), 0.0)
-        self._recorder = advisories.AdvisoryRecorder(self.meters)
+        table = builders.target_table(builders.upstream(**changes))
+        self.target = table.by_id["u-1"]
+        self.table = advisories.AdvisoryTable(table, self.meters)
 
     def answer(
         self, *headers, status=200, sent=_SENT, now=_ARRIVED
     ) -> interfaces.AnswerMetadata:
         metadata = _metadata(status, *headers)
-        self._recorder.record_answer(self.target, metadata, sent, now)
+        self.table.record_answer(self.target, metadata, sent, now)
         return metadata
 
     @property
@@ -108,3 +108,59 @@
         ("X-Not-Executed", "1"), status=503, sent=_ARRIVED + 1, now=_ARRIVED + 2
     )
     assert vm.limit == 5
+
+
+def test_other_vms_learn_a_limit_and_its_end():
+    one, other = _Vm(), _Vm()
+    one.answer(_limit("5"))
+    other.table.receive(one.table.report(_ARRIVED + 0.3), _ARRIVED + 0.31)
+    assert other.limit == 5
+    one.answer(sent=_ARRIVED + 1, now=_ARRIVED + 1.1)
+    other.table.receive(one.table.report(_ARRIVED + 1.2), _ARRIVED + 1.2)
+    assert other.limit is None
+
+
+def test_a_repeated_report_does_not_make_a_limit_seem_newer():
+    one, other = _Vm(), _Vm()
+    one.answer(_limit("5"))
+    now = _ARRIVED
+    for _ in range(20):
+        now += 0.05
+        other.table.receive(one.table.report(now - 0.005), now)
+        one.table.receive(other.table.report(now - 0.005), now)
+    assert one.target.rate_limit.as_of == _ARRIVED
+
+
+def test_a_report_about_an_earlier_run_of_an_upstream_is_ignored():
+    one, other = _Vm(started_ms=1000), _Vm(started_ms=2000)
+    one.answer(_limit("5"))
+    other.table.receive(one.table.report(_ARRIVED), _ARRIVED)
+    assert other.limit is None
+
+
+def test_an_ended_limit_is_reported_for_a_while_only():
+    vm = _Vm()
+    vm.answer(_limit("5"))
+    vm.answer(sent=_ARRIVED + 1, now=_ARRIVED + 1.1)
+    assert vm.table.report(_ARRIVED + 2) != []
+    assert vm.table.report(_ARRIVED + 10) == []
+
+
+def test_a_vm_reports_the_upstreams_whose_statements_changed_last():
+    count = advisories.MAX_REPORTED + 3
+    table = builders.target_table(
+        *(
+            builders.upstream(f"u-{i}", address=f"127.0.0.1:{9000 + i}")
+            for i in range(count)
+        )
+    )
+    advisory_table = advisories.AdvisoryTable(table, metrics.Meters())
+    for number, target in enumerate(table.by_id.values()):
+        now = _ARRIVED + number
+        advisory_table.record_answer(
+            target, _metadata(200, _limit("5")), now, now
+        )
+    reported = {entry.upstream for entry in advisory_table.report(now)}
+    assert len(reported) == advisories.MAX_REPORTED
+    assert "u-0" not in reported
+    assert f"u-{count - 1}" in reported
--- a/tests/unit/test_gateway_drain.py
+++ b/tests/unit/test_gateway_drain.py
@@ -17,6 +17,8 @@
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
+from swiftstile.gateway import arbiter_selection
+from swiftstile.gateway import coldstart
 from swiftstile.gateway import follow
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import interfaces
@@ -70,7 +72,14 @@
         )
         self.gate = gate
         self.permits = permits.PermitClient(
-            self._peers, gate, arbiter, self.target_table, meters
+            self._peers,
+            gate,
+            arbiter,
+            self.target_table,
+            meters,
+            arbiter_selection.ArbiterSelector(
+                self._peers, lambda: False, coldstart.UNLIMITED
+            ),
         )
         self._owners = owners.KeyOwners(
             parts.maps,
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -10,11 +10,13 @@
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
+from swiftstile.gateway import arbiter_selection
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import permits
+from swiftstile.gateway import ratelimits
 from swiftstile.gateway import targets
 from tests import gateway_builders as builders
 
@@ -82,9 +84,13 @@
         self.limits = coldstart.ColdLimits(
             self.targets, self.peers, lambda: True
         )
+        selector = arbiter_selection.ArbiterSelector(
+            self.peers, lambda: self.is_leaving, self.limits
+        )
+        self.rate_limiter = ratelimits.RateLimiter(self.peers, selector)
         self.gate = gate_lib.Gate(
             admission.AdmissionController(
-                self.targets, domain, 2.0, self.limits
+                self.targets, domain, 2.0, self.limits, self.rate_limiter
             ),
             self.demand.append,
         )
@@ -101,7 +107,8 @@
             self.arbiter,
             self.targets,
             self.meters,
-            self.limits,
+            selector,
+            self.rate_limiter,
         )
 
     def make_cold(self, cold_s: float, per_s: float) -> None:
@@ -535,3 +542,61 @@
                 await vm.permits.acquire(vm.waiter())
 
     _run(scenario, near=2, far=2)
+
+
+def _limit_rate(per_s: float, *vms: _Vm, upstream: str = "u-1") -> None:
+    for vm in vms:
+        target = vm.targets.by_id[upstream]
+        target.rate_limit.update(per_s, clocks.monotonic())
+        # Tokens accrue from when a VM first decides on the upstream.
+        vm.rate_limiter.may_send(target, clocks.monotonic())
+
+
+def test_a_limited_upstream_without_owner_gets_what_its_limiter_allows():
+    async def scenario(_network, limiter, far, farther):
+        vms = (limiter, far, farther)
+        _limit_rate(20.0, *vms)
+        await asyncio.sleep(0.3)
+        chosen = []
+        for vm in vms * 5:
+            waiter = builders.waiter(clocks.monotonic(), None)
+            target = await vm.permits.acquire(waiter)
+            chosen.append(target.id)
+            vm.permits.release(waiter, target)
+        # The limiter's reserve is half a second's tokens.
+        assert 1 <= chosen.count("u-1") <= 11
+        assert chosen.count("u-2") >= 4
+        counted = limiter.targets.by_id["u-1"]
+        await _until(lambda: counted.in_flight == 0)
+        assert far.targets.by_id["u-1"].in_flight == 0
+
+    _run(scenario, far=2)
+
+
+def test_without_a_reply_of_the_limiter_another_upstream_is_chosen():
+    async def scenario(network, _limiter, far):
+        _limit_rate(1.0, far)
+        network.lose = _is_kind(_REPLY)
+        for _ in range(3):
+            waiter = builders.waiter(clocks.monotonic(), None)
+            target = await far.permits.acquire(waiter)
+            assert target.id == "u-2"
+            far.permits.release(waiter, target)
+
+    _run(scenario)
+
+
+def test_without_a_reply_of_the_limiter_owners_requests_are_refused_at_once():
+    async def scenario(network, _limiter, far):
+        _limit_rate(1.0, far)
+        network.lose = _is_kind(_REPLY)
+        for _ in range(2):
+            with pytest.raises(outcomes.RejectedError) as caught:
+                await far.permits.acquire(far.waiter())
+            assert caught.value.retry_after_s > 0.5
+        began = clocks.monotonic()
+        with pytest.raises(outcomes.RejectedError):
+            await far.permits.acquire(far.waiter())
+        assert clocks.monotonic() - began < permits.MIN_REQUEST_RETRY_S
+
+    _run(scenario)
