Read announced exits and requested pauses of upstreams, count and log them

Change: both arrive as fields of interfaces.Advisory, like the rate limit, are counted, kept with the target and logged when they begin; explain lists them among the state in force. A pause counts with status 503 only, in seconds; dates, zero and more than an hour are ignored as malformed. Nothing obeys them yet.

--- a/src/swiftstile/explain.py
+++ b/src/swiftstile/explain.py
@@ -27,6 +27,8 @@
     "upstream registered": "upstream",
     "upstream gone": "upstream",
     "upstream rate limit": "upstream",
+    "upstream announces exit": "upstream",
+    "upstream backoff": "upstream",
     "gateway started": "",
     "gateway drains": "",
     "process stood still": "",
--- a/src/swiftstile/gateway/advisories.py
+++ b/src/swiftstile/gateway/advisories.py
@@ -81,6 +81,12 @@
         advisory = metadata.advisory
         for name in advisory.malformed:
             self._record_malformed(target, name)
+        if advisory.is_leaving:
+            self._meters.advisories.add("leaving")
+            self._announce_leaving(target, now)
+        if advisory.backoff_s:
+            self._meters.advisories.add("backoff")
+            self._back_off(target, advisory.backoff_s, now)
         limit_per_s = advisory.limit_per_s
         if limit_per_s is not None:
             self._meters.advisories.add("limit")
@@ -150,6 +156,21 @@
                 "upstream advisory ignored", upstream=target.id, field=name
             )
 
+    def _announce_leaving(self, target: targets.Target, at: float) -> None:
+        known_at = target.announced_leaving_at
+        if known_at is None:
+            logs.logger.info("upstream announces exit", upstream=target.id)
+        if known_at is None or at < known_at:
+            target.announced_leaving_at = at
+
+    @staticmethod
+    def _back_off(target: targets.Target, backoff_s: float, now: float) -> None:
+        if now >= target.backoff_until:
+            logs.logger.info(
+                "upstream backoff", upstream=target.id, for_s=backoff_s
+            )
+        target.backoff_until = max(target.backoff_until, now + backoff_s)
+
     def _update_limit(
         self,
         target: targets.Target,
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -239,11 +239,16 @@
     Attributes:
         limit_per_s: Requests/s that it takes from all VMs together; None if it
             states no limit.
+        is_leaving: Whether it is shutting down.
+        backoff_s: Time in which it wants no requests of this VM, in seconds; 0
+            if it states none.
         malformed: Names of the statements that were ignored because their
             values are malformed.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    backoff_s: float = 0.0
     malformed: tuple[str, ...] = ()
 
 
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -63,6 +63,9 @@
         next_cold_send_at: Earliest time of this VM's next send while it is
             cold.
         rate_limit: The rate limit that it states.
+        announced_leaving_at: When an answer first said that it is leaving; None
+            if none did. Holds for as long as it runs.
+        backoff_until: Until when it wants no requests of this VM.
     """
 
     def __init__(self, upstream: model.Upstream, now: float):
@@ -81,6 +84,8 @@
         self.cold_until = now + upstream.cold_s
         self.next_cold_send_at = 0.0
         self.rate_limit = stated_limits.StatedLimit()
+        self.announced_leaving_at: float | None = None
+        self.backoff_until = 0.0
         self._slow_until = now + upstream.cold_s
         self._slowdown = 1.0
         self._slowdown_until = 0.0
--- a/tests/unit/test_gateway_advisories.py
+++ b/tests/unit/test_gateway_advisories.py
@@ -164,3 +164,51 @@
     assert len(reported) == advisories.MAX_REPORTED
     assert "u-0" not in reported
     assert f"u-{count - 1}" in reported
+
+
+def test_an_announced_exit_is_kept_whatever_arrives_after():
+    vm = _Vm()
+    vm.answer(("Server-Leaving", "1"))
+    vm.answer(sent=_ARRIVED + 1, now=_ARRIVED + 2)
+    assert vm.target.announced_leaving_at == _ARRIVED
+    assert vm.meters.advisories.get("leaving") == 1
+
+
+@pytest.mark.parametrize("text", ["", "0", "true", "2", "1, 1"])
+def test_a_malformed_exit_is_counted_and_ignored(text):
+    vm = _Vm()
+    vm.answer(("Server-Leaving", text))
+    assert vm.target.announced_leaving_at is None
+    assert vm.meters.advisories.get("malformed") == 1
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("3", 3.0), ("0.75", 0.75)])
+def test_a_rejection_asks_for_a_pause(text, seconds):
+    vm = _Vm()
+    vm.answer(("X-Not-Executed", "1"), ("Retry-After", text), status=503)
+    assert vm.target.backoff_until == _ARRIVED + seconds
+    assert vm.meters.advisories.get("backoff") == 1
+
+
+@pytest.mark.parametrize(
+    "text", ["-1", "0", "soon", "99999", "Thu, 03 Dec 2026 16:00:00 GMT"]
+)
+def test_a_malformed_pause_is_counted_and_ignored(text):
+    vm = _Vm()
+    vm.answer(("X-Not-Executed", "1"), ("Retry-After", text), status=503)
+    assert vm.target.backoff_until == 0.0
+    assert vm.meters.advisories.get("malformed") == 1
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_503_asks_for_a_pause(status):
+    vm = _Vm()
+    vm.answer(("Retry-After", "3"), status=status)
+    assert vm.target.backoff_until == 0.0
+
+
+def test_a_shorter_pause_does_not_end_a_longer_one():
+    vm = _Vm()
+    for text in ("3", "1"):
+        vm.answer(("X-Not-Executed", "1"), ("Retry-After", text), status=503)
+    assert vm.target.backoff_until == _ARRIVED + 3
