--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -119,6 +119,8 @@
         self._gateways = gateways
         self._random = random.Random(seed)
         self.outcomes: list[Outcome] = []
+        # VM and time of each attempt.
+        self.sends: dict[str, tuple[int, float]] = {}
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> "Callers":
@@ -145,6 +147,7 @@
             "X-Shard-Key": str(key),
         }
         outcome = Outcome(attempt, method, 0, b"", attempt)
+        self._note_send(attempt, gateway)
         try:
             async with self._session.request(
                 method,
@@ -161,6 +164,10 @@
         self.outcomes.append(outcome)
         return outcome
 
+    def _note_send(self, attempt: str, gateway: Gateway) -> None:
+        now = asyncio.get_running_loop().time()
+        self.sends[attempt] = (gateway.number, now)
+
     async def pipeline(self, gateway: Gateway, count: int) -> None:
         """Pipelines reads on one connection; responses arrive in order."""
         attempts = [uuid.uuid4().hex[:16] for _ in range(count)]
@@ -172,6 +179,8 @@
             for attempt in attempts
         ]
         host, _, port = gateway.front.rpartition(":")
+        for attempt in attempts:
+            self._note_send(attempt, gateway)
         try:
             async with asyncio.timeout(8):
                 reader, writer = await asyncio.open_connection(host, int(port))
--- /dev/null
+++ b/tests/integration/test_upstream_backoff.py
@@ -0,0 +1,37 @@
+"""Upstreams that reject and ask for a pause get none from that VM in it."""
+
+import asyncio
+
+from tests.integration import gateways
+from tests.integration import statement_checks
+
+_LOAD_PER_S = 100
+_PAUSE_S = 3.0
+_REJECTING_S = 6.0
+
+
+def _run(tmp_path, scenario, count: int = 4) -> None:
+    asyncio.run(gateways.Site(tmp_path, count, seed=13).run_scenario(scenario))
+
+
+def test_a_vm_sends_nothing_in_the_pause_that_an_upstream_asks_for(tmp_path):
+    async def scenario(site):
+        by_service = {s.service: s for s in site.cluster.by_id.values()}
+        has_ended = asyncio.Event()
+        load = asyncio.create_task(site.callers.load(_LOAD_PER_S, has_ended))
+        await asyncio.sleep(1.0)
+        for server in by_service.values():
+            server.backoff_s = _PAUSE_S
+        await asyncio.sleep(_REJECTING_S)
+        for server in by_service.values():
+            server.backoff_s = None
+        await asyncio.sleep(_PAUSE_S)
+        has_ended.set()
+        await load
+        assert (
+            statement_checks.violations(site, lambda vm, start, end: False)
+            == []
+        )
+        await site.until(site.is_serving, 5)
+
+    _run(tmp_path, scenario)
--- a/tests/integration/test_upstream_limits.py
+++ b/tests/integration/test_upstream_limits.py
@@ -58,7 +58,11 @@
 
 def _check_limits(servers, since: float, until: float) -> None:
     for server in servers:
-        arrivals = [at for at in server.arrivals if since <= at < until]
+        arrivals = [
+            arrival.at
+            for arrival in server.arrivals
+            if since <= arrival.at < until
+        ]
         assert _most_in_window(arrivals) <= _MAX_IN_WINDOW, server.service
         used = len(arrivals) / (until - since) / _LIMIT_PER_S
         assert used >= _MIN_USED, server.service
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -189,6 +189,27 @@
     started: float
 
 
+# Headers in which servers state something about themselves.
+STATEMENTS = ("Server-Limit", "Server-Leaving", "Retry-After")
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request that reached a server.
+
+    Attributes:
+        at: When.
+        attempt: The caller's id of the attempt.
+        answered_at: When the server answered; infinite if it didn't.
+        stated: What the answer states about the server, by header.
+    """
+
+    at: float
+    attempt: str
+    answered_at: float = float("inf")
+    stated: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
 class Cluster:
     """Servers, their runs of requests, and checks of exclusive ownership.
 
@@ -258,7 +279,10 @@
 
     Attributes:
         limit_per_s: Rate limit that it states in its answers, if any.
-        arrivals: Times of all requests that reached it, run or not.
+        announces_exit: Whether it says in its answers that it is leaving.
+        backoff_s: If set, it rejects all requests and wants none of the same VM
+            for so long.
+        arrivals: All requests that reached it, run or not.
     """
 
     def __init__(
@@ -282,7 +306,9 @@
         self.is_leaving = False
         self.delayed_grant_share = 0.0
         self.limit_per_s: float | None = None
-        self.arrivals: list[float] = []
+        self.announces_exit = False
+        self.backoff_s: float | None = None
+        self.arrivals: list[Arrival] = []
         # Number of starts; no state is kept across restarts.
         self.incarnation = 1
         self.held_until = [0.0] * KEYS
@@ -405,14 +431,36 @@
 
     def _statements(self) -> dict[str, str]:
         """Returns the headers in which it states its condition."""
-        if self.limit_per_s is None:
-            return {}
-        return {"Server-Limit": str(self.limit_per_s)}
+        headers = {}
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = str(self.limit_per_s)
+        if self.announces_exit:
+            headers["Server-Leaving"] = "1"
+        return headers
+
+    def _reject(self, headers: dict[str, str]) -> web.Response:
+        """Rejects a request and states the pause that it wants."""
+        headers |= {
+            "X-Not-Executed": "1",
+            "Retry-After": str(self.backoff_s),
+            "X-Instance-Load": f"0,0,{self.slots}",
+        }
+        return web.Response(status=503, headers=headers)
 
     async def _request(self, request: web.Request) -> web.Response:
-        self.arrivals.append(_now())
-        headers = {"X-Attempt-Id": request.headers.get("X-Attempt-Id", "")}
-        headers |= self._statements()
+        arrival = Arrival(_now(), request.headers.get("X-Attempt-Id", ""))
+        self.arrivals.append(arrival)
+        headers = {"X-Attempt-Id": arrival.attempt} | self._statements()
+        answer = await self._respond(request, headers)
+        arrival.answered_at = _now()
+        arrival.stated = {
+            name: value
+            for name, value in answer.headers.items()
+            if name in STATEMENTS
+        }
+        return answer
+
+    async def _respond(self, request, headers) -> web.Response:
         expected = request.headers.get("X-Expect-Instance", self.name)
         text = request.headers.get("X-Shard-Key")
         key = int(text) if text and self.service == "keyed" else None
@@ -420,6 +468,8 @@
         if expected != self.name or not_held:
             headers |= {"X-Not-Executed": "1", "X-Instance-Id": self.name}
             return web.Response(status=421, headers=headers)
+        if self.backoff_s is not None:
+            return self._reject(headers)
         if self.waiting >= _QUEUE_LIMIT:
             await asyncio.sleep(3600)
         incarnation = self.incarnation
