Leave upstreams that announce their exit in answers

What callers saw: nothing until the server was gone; requests still reached an upstream 2.54 and 2.08 s after it had told the VM that it leaves (DRAIN).

Cause: a VM knew of leaving upstreams by the store's table alone, and that may confirm ten seconds later. Class: what an upstream says of itself wasn't read.

Change: the earliest of announcement, registration and evacuation counts, so unkeyed upstreams get nothing more at once, owners until half a second before the drain bound, and the leader moves their keys. Reports spread it with its age, at once like other urgent state, so VMs and a leader that sent nothing there know it. It holds for the rest of the run, whatever answer or registration arrives after; another run is another target. It is checked once more when the connection is there; WithdrawnError counts neither as a send nor as a retry. While the leader doesn't reach the store no owner can be assigned, and requests for keys without one are refused at once.

Beside it: a connection that was opened after the deadline is now closed and not forgotten.

--- a/src/swiftstile/gateway/advisories.py
+++ b/src/swiftstile/gateway/advisories.py
@@ -34,14 +34,17 @@
     Attributes:
         upstream: The upstream.
         started_ms: Its start, which identifies the run that stated it.
-        age_ms: Age of the evidence.
+        limit_age_ms: Age of the evidence of its rate limit; None if it never
+            stated one.
         limit_per_s: The rate limit; None if it ended.
+        leaving_ms: Time since it announced its exit; None if it didn't.
     """
 
     upstream: model.UpstreamId
     started_ms: int
-    age_ms: int
+    limit_age_ms: int | None
     limit_per_s: float | None
+    leaving_ms: int | None
 
 
 class AdvisoryTable:
@@ -104,15 +107,7 @@
             key=self._changed_at_by_target.get,
             reverse=True,
         )
-        return [
-            AdvisoryReport(
-                target.id,
-                target.upstream.started_ms,
-                clocks.milliseconds(now - target.rate_limit.as_of),
-                target.rate_limit.per_s,
-            )
-            for target in latest[:MAX_REPORTED]
-        ]
+        return [_make_report(target, now) for target in latest[:MAX_REPORTED]]
 
     def receive(self, reported: list[AdvisoryReport], now: float) -> None:
         """Applies the report of another VM.
@@ -127,7 +122,11 @@
                 entry.started_ms
             ):
                 continue
-            as_of = now - entry.age_ms / 1000
+            if entry.leaving_ms is not None:
+                self._announce_leaving(target, now - entry.leaving_ms / 1000)
+            if entry.limit_age_ms is None:
+                continue
+            as_of = now - entry.limit_age_ms / 1000
             if as_of > target.rate_limit.as_of + REPORT_TIME_TOLERANCE_S:
                 self._update_limit(target, entry.limit_per_s, as_of, now)
 
@@ -139,6 +138,7 @@
             if self._target_table.by_id.get(target.id) is not target
             or (
                 target.rate_limit.per_s is None
+                and target.announced_leaving_at is None
                 and now - changed_at > END_REPORT_PERIOD_S
             )
         ]
@@ -157,11 +157,10 @@
             )
 
     def _announce_leaving(self, target: targets.Target, at: float) -> None:
-        known_at = target.announced_leaving_at
-        if known_at is None:
+        if target.announced_leaving_at is None:
             logs.logger.info("upstream announces exit", upstream=target.id)
-        if known_at is None or at < known_at:
-            target.announced_leaving_at = at
+            self._changed_at_by_target[target] = at
+        target.announce_leaving(at)
 
     @staticmethod
     def _back_off(target: targets.Target, backoff_s: float, now: float) -> None:
@@ -187,6 +186,18 @@
             )
 
 
+def _make_report(target: targets.Target, now: float) -> AdvisoryReport:
+    limit, leaving_at = target.rate_limit, target.announced_leaving_at
+    has_limit = limit.as_of > float("-inf")
+    return AdvisoryReport(
+        target.id,
+        target.upstream.started_ms,
+        clocks.milliseconds(now - limit.as_of) if has_limit else None,
+        limit.per_s,
+        None if leaving_at is None else clocks.milliseconds(now - leaving_at),
+    )
+
+
 def _is_from(
     target: targets.Target, metadata: interfaces.AnswerMetadata
 ) -> bool:
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -103,6 +103,7 @@
         pool: Connections to upstreams.
         dialect: Reads and writes headers.
         advisory_table: Records what upstreams state about themselves.
+        drain_s: How long a leaving upstream accepts requests, in seconds.
     """
 
     def __init__(
@@ -110,10 +111,12 @@
         pool: connections.ConnectionPool,
         dialect: interfaces.RequestDialect,
         advisory_table: advisories.AdvisoryTable,
+        drain_s: float,
     ):
         self._pool = pool
         self._dialect = dialect
         self._advisories = advisory_table
+        self._drain_s = drain_s
 
     async def send(
         self, call: Call, target: targets.Target
@@ -121,7 +124,7 @@
         """Sends a request and returns the response.
 
         Raises:
-            UpstreamUnreachableError: Nothing was sent.
+            NotSentError: Nothing was sent.
             NotRunError: The upstream reported that it didn't run the request.
             TimedOutError: No response in time; the request may have run.
             UnknownOutcomeError: No complete and valid response; the request may
@@ -136,6 +139,7 @@
             ) from error
         keeps_connection = False
         try:
+            self._check_accepts(target)
             left_s = call.deadline - clocks.monotonic()
             if left_s <= 0:
                 raise outcomes.UpstreamUnreachableError(
@@ -151,6 +155,8 @@
             raise outcomes.TimedOutError(
                 "no answer in time", step="read answer", peer=target.id
             ) from error
+        except outcomes.NotSentError:
+            raise
         except outcomes.NotRunError:
             keeps_connection = True
             raise
@@ -165,6 +171,13 @@
             if not keeps_connection:
                 connection.abort()
 
+    def _check_accepts(self, target: targets.Target) -> None:
+        """Raises an error if the target stopped taking requests meanwhile."""
+        if not target.accepts_requests(clocks.monotonic(), self._drain_s):
+            raise outcomes.WithdrawnError(
+                "it leaves", step="send", peer=target.id
+            )
+
     async def _run_exchange(
         self, call, target, connection, left_s
     ) -> UpstreamResponse:
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -67,6 +67,11 @@
         report.versions,
         report.unreachable,
         report.is_leaving,
+        [
+            entry.upstream
+            for entry in report.advisories
+            if entry.leaving_ms is not None
+        ],
     )
 
 
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -357,6 +357,9 @@
             waiter.excluded.add(target.id)
         elif isinstance(error, outcomes.UpstreamUnreachableError):
             target.note_failure(now)
+        elif isinstance(error, outcomes.WithdrawnError):
+            if waiter.owner is None:
+                waiter.excluded.add(target.id)
         elif isinstance(error, outcomes.NotRunError):
             if not error.had_free_slot:
                 target.note_rejected(now, OVERLOADED_TARGET_PAUSE_S)
@@ -371,7 +374,7 @@
     def _may_retry(self, error, call, waiter, state, now) -> bool:
         if not call.can_resend or now + waiter.expected_s > call.deadline:
             return False
-        if isinstance(error, outcomes.UpstreamUnreachableError):
+        if isinstance(error, outcomes.NotSentError):
             # Nothing was sent, so this counts neither as a send nor as a retry.
             state.sends -= 1
             state.unreachable += 1
--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -136,6 +136,18 @@
         row = self.row
         return row is not None and row.incarnation == self._peers.me.incarnation
 
+    def can_write(self, now: float) -> bool:
+        """Whether the leader reaches the store, as far as this VM knows.
+
+        Without a known leader, this VM's own access to the store counts, as a
+        new leader needs the store, too.
+        """
+        if not self.is_leader:
+            for peer in self._peers.by_node.values():
+                if peer.claims_leadership and peer.is_live(now):
+                    return peer.report.store_unresponsive_s == 0
+        return self._follower.failing_s(now) == 0
+
     def condition(self) -> interfaces.Condition:
         """Returns a condition that fails once this VM has been replaced."""
         return interfaces.Condition(LEADER_KEY, self.version)
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -14,12 +14,14 @@
     "NoRouteError",
     "NotReadyError",
     "NotRunError",
+    "NotSentError",
     "RejectedError",
     "ReplacedError",
     "StaleConfigError",
     "TimedOutError",
     "UnknownOutcomeError",
     "UpstreamUnreachableError",
+    "WithdrawnError",
 ]
 
 
@@ -149,7 +151,20 @@
     reason = "replaced"
 
 
-class UpstreamUnreachableError(NotRunError):
-    """No connection could be opened; nothing was sent."""
+class NotSentError(NotRunError):
+    """Nothing was sent to the upstream."""
+
+
+class UpstreamUnreachableError(NotSentError):
+    """No connection could be opened."""
 
     reason = "unreachable"
+
+
+class WithdrawnError(NotSentError):
+    """The upstream stopped taking requests while this one was being prepared.
+
+    It was selected, and stated its exit while a connection was opened.
+    """
+
+    reason = "withdrawn"
--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -1,5 +1,7 @@
 """Looks up the upstream that owns a key, for the request path."""
 
+import collections.abc
+
 from swiftstile import clocks
 from swiftstile import ids
 from swiftstile.gateway import admission
@@ -20,9 +22,9 @@
 REGRANT_S = 0.15
 # A crashed or unreachable owner keeps its keys for about one hold.
 FAILED_OWNER_S = renewals.HOLD_S
-# If all upstreams of a service are evacuated, its keys get no owner until the
-# operator ends the evacuation of a failure domain.
-NO_UPSTREAM_S = float("inf")
+# Wait for an owner while none can be assigned: all upstreams of the service are
+# evacuated, or no key map can be written.
+UNKNOWN_WAIT_S = float("inf")
 # How long the report of an owner that it doesn't hold a key is valid.
 MISDIRECTED_TTL_S = 0.5
 
@@ -36,6 +38,7 @@
         key_load_table: Counts the requests for each slot.
         peers: The other VMs.
         drain_s: How long a leaving owner accepts requests, in seconds.
+        can_assign: Returns whether new owners can be assigned, given the time.
     """
 
     def __init__(
@@ -45,7 +48,9 @@
         key_load_table: key_load.KeyLoadTable,
         peers: gossip.Peers,
         drain_s: float,
+        can_assign: collections.abc.Callable[[float], bool] = lambda now: True,
     ):
+        self._can_assign = can_assign
         self._maps = maps
         self._target_table = target_table
         self._key_load_table = key_load_table
@@ -93,14 +98,14 @@
         """Returns the owner, or None and the expected wait for one in s."""
         key_map = self._maps.by_service.get(service)
         if key_map is None:
-            return None, self._next_owner_s(service)
+            return None, self._next_owner_s(service, now)
         index = key_map.index_of(key)
         slot = key_map.slots[index]
         target = self._target_table.by_id.get(slot.owner)
         if target is None or not target.accepts_requests(now, self._drain_s):
             # Checked here rather than by the arbiter, which may learn later
             # that the owner is leaving.
-            return None, self._next_owner_s(service)
+            return None, self._next_owner_s(service, now)
         if target.upstream.has_restarted_since(
             key_map.started_ms.get(slot.owner, 0)
         ):
@@ -126,14 +131,14 @@
             return None, target.penalty_left_s(now)
         return target, 0.0
 
-    def _next_owner_s(self, service: ids.ServiceName) -> float:
+    def _next_owner_s(self, service: ids.ServiceName, now: float) -> float:
         """Returns the expected wait for an owner that accepts requests."""
         if (
             self._target_table.evacuated_at
             and not self._target_table.has_active(service)
         ):
-            return NO_UPSTREAM_S
-        return HANDOVER_S
+            return UNKNOWN_WAIT_S
+        return HANDOVER_S if self._can_assign(now) else UNKNOWN_WAIT_S
 
     def _is_partitioned(self, target: targets.Target, now: float) -> bool:
         """Whether no reports arrive from a target's failure domain.
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -53,8 +53,8 @@
             that it is leaving; sends end a fixed time later. None while
             `left_at` is None.
         evacuated_at: When its failure domain was evacuated; None if it isn't.
-        leaving_since: The earlier of `left_at` and `evacuated_at`; None while
-            it is in service.
+        leaving_since: The earliest of `left_at`, `evacuated_at` and
+            `announced_leaving_at`; None while it is in service.
         is_unregistered: Whether its registration has been removed.
         is_replaced: Whether another server runs at its address, so that it has
             ended.
@@ -120,10 +120,11 @@
         """Whether requests may still be sent there."""
         if self.is_replaced or self.is_evacuated(now):
             return False
-        if self.drain_started_at is None:
-            return True
         sends_s = max(0.0, drain_s - DRAIN_MARGIN_S)
-        return now - self.drain_started_at < sends_s
+        return not any(
+            at is not None and now - at >= sends_s
+            for at in (self.drain_started_at, self.announced_leaving_at)
+        )
 
     def is_evacuated(self, now: float) -> bool:
         """Whether the evacuation of its failure domain has ended all sends."""
@@ -147,14 +148,23 @@
         self.evacuated_at = since
         self._update_leaving_since()
 
+    def announce_leaving(self, at: float) -> None:
+        """Records that an answer said that it is leaving.
+
+        Unlike its registration, this is never revoked: it holds for the rest of
+        the run, and the next run is another target.
+        """
+        if self.announced_leaving_at is None or at < self.announced_leaving_at:
+            self.announced_leaving_at = at
+        self._update_leaving_since()
+
     def extend_cold(self, until: float) -> None:
         """Extends its cold time; never shortens it."""
         self.cold_until = max(self.cold_until, until)
 
     def _update_leaving_since(self) -> None:
-        known = [
-            at for at in (self.left_at, self.evacuated_at) if at is not None
-        ]
+        stated = (self.left_at, self.evacuated_at, self.announced_leaving_at)
+        known = [at for at in stated if at is not None]
         self.leaving_since = min(known, default=None)
 
     def is_penalised(self, now: float) -> bool:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -211,6 +211,7 @@
             self._key_load_table,
             self._peers,
             self._drain_s,
+            self._leadership.can_write,
         )
         gate = gate_lib.Gate(
             admission.AdmissionController(
@@ -269,7 +270,9 @@
                 self._arbiter_selector,
                 self._rate_limiter,
             ),
-            exchange.UpstreamClient(pool, adapters.dialect, self._advisories),
+            exchange.UpstreamClient(
+                pool, adapters.dialect, self._advisories, self._drain_s
+            ),
             adapters.dialect,
             self._target_table,
             key_owners,
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -75,6 +75,7 @@
         pool,
         dialect.UsersDialect(),
         advisories.AdvisoryTable(targets.TargetTable(), metrics.Meters()),
+        2.0,
     )
 
 
@@ -285,6 +286,19 @@
     asyncio.run(scenario())
 
 
+def test_an_upstream_that_left_while_a_connection_was_opened_gets_nothing():
+    async def script(number, writer):
+        writer.write(_answer(f"a{number}"))
+
+    async def scenario(server, sender, target):
+        target.announce_leaving(clocks.monotonic() - 2.0)
+        with pytest.raises(outcomes.WithdrawnError):
+            await sender.send(_call("a1"), target)
+        assert server.requests == []
+
+    _run(script, scenario)
+
+
 def test_no_unsafe_request_on_idle_connections_after_one_broke(
     monkeypatch,
 ):
--- a/tests/integration/test_leaving_upstreams.py
+++ b/tests/integration/test_leaving_upstreams.py
@@ -4,12 +4,15 @@
 
 from tests.integration import gateways
 from tests.integration import statement_checks
+from tests.integration import users_standins
 
 _LOAD_PER_S = 100
 # Time after the announcement until requests for keys of a leaving owner, whose
 # map can't be written, are refused at once.
 _DRAINED_S = 2.0
 _AT_ONCE_S = 0.5
+# Time in which all VMs notice that the store doesn't answer.
+_OUTAGE_KNOWN_S = 7.0
 
 
 def _now() -> float:
@@ -34,9 +37,8 @@
     return statement_checks.violations(site, lambda vm, start, end: False)
 
 
-def _one_of_each_service(site) -> list:
-    by_service = {s.service: s for s in site.cluster.by_id.values()}
-    return list(by_service.values())
+def _one_of_each_service(site) -> dict[str, users_standins.Server]:
+    return {s.service: s for s in site.cluster.by_id.values()}
 
 
 def _set_store_mode(site, mode: str) -> None:
@@ -51,7 +53,7 @@
         async def leave():
             _set_store_mode(site, "unresponsive")
             await asyncio.sleep(1.0)
-            for server in _one_of_each_service(site):
+            for server in _one_of_each_service(site).values():
                 server.announces_exit = True
             await asyncio.sleep(_DRAINED_S + 4.0)
 
@@ -59,3 +61,39 @@
         assert _violations(site) == []
 
     _run(tmp_path, scenario)
+
+
+def test_while_no_key_map_can_be_written_keys_of_a_left_owner_are_refused(
+    tmp_path,
+):
+    async def scenario(site):
+        owner = _one_of_each_service(site)["keyed"]
+        key = next(k for k, at in enumerate(owner.held_until) if at > _now())
+        _set_store_mode(site, "unresponsive")
+        await asyncio.sleep(_OUTAGE_KNOWN_S)
+        owner.announces_exit = True
+        await site.callers.call("/read/x", key)
+        await asyncio.sleep(_DRAINED_S)
+        for gateway in site.gateways:
+            asked_at = _now()
+            outcome = await site.callers.call("/read/x", key, gateway)
+            assert outcome.status == 503
+            assert _now() - asked_at < _AT_ONCE_S
+
+    _run(tmp_path, scenario)
+
+
+def test_keys_of_an_upstream_that_announces_its_exit_move_at_once(tmp_path):
+    async def scenario(site):
+        owner = _one_of_each_service(site)["keyed"]
+        key = next(k for k, at in enumerate(owner.held_until) if at > _now())
+        owner.announces_exit = True
+        await site.callers.call("/read/x", key)
+        await asyncio.sleep(_DRAINED_S)
+        # Its registration still says that it is ready.
+        owner.register("ready")
+        reached = len(owner.arrivals)
+        await site.until(site.is_serving, 5)
+        assert len(owner.arrivals) == reached
+
+    _run(tmp_path, scenario)
--- a/tests/unit/test_gateway_advisories.py
+++ b/tests/unit/test_gateway_advisories.py
@@ -28,9 +28,9 @@
 
     def __init__(self, **changes):
         self.meters = metrics.Meters()
-        table = builders.target_table(builders.upstream(**changes))
-        self.target = table.by_id["u-1"]
-        self.table = advisories.AdvisoryTable(table, self.meters)
+        self.targets = builders.target_table(builders.upstream(**changes))
+        self.target = self.targets.by_id["u-1"]
+        self.table = advisories.AdvisoryTable(self.targets, self.meters)
 
     def answer(
         self, *headers, status=200, sent=_SENT, now=_ARRIVED
@@ -212,3 +212,30 @@
     for text in ("3", "1"):
         vm.answer(("X-Not-Executed", "1"), ("Retry-After", text), status=503)
     assert vm.target.backoff_until == _ARRIVED + 3
+
+
+def test_other_vms_learn_of_an_announced_exit_with_its_age():
+    one, other = _Vm(), _Vm()
+    one.answer(("Server-Leaving", "1"))
+    other.table.receive(one.table.report(_ARRIVED + 0.3), _ARRIVED + 0.31)
+    left_at = other.target.announced_leaving_at
+    assert left_at == pytest.approx(_ARRIVED, abs=0.02)
+    assert other.target.leaving_since == left_at
+
+
+def test_a_registration_does_not_revoke_an_announced_exit():
+    vm = _Vm()
+    vm.answer(("Server-Leaving", "1"))
+    vm.targets.put(builders.upstream(), _ARRIVED + 1)
+    assert vm.target.leaving_since == _ARRIVED
+    assert not vm.target.accepts_requests(_ARRIVED + 2, 2.0)
+
+
+def test_the_next_run_of_an_upstream_is_not_leaving():
+    vm = _Vm(started_ms=1000)
+    vm.answer(("Server-Leaving", "1"))
+    vm.targets.put(builders.upstream(started_ms=2000), _ARRIVED + 1)
+    target = vm.targets.by_id["u-1"]
+    assert target.leaving_since is None
+    vm.table.receive(_Vm(started_ms=1000).table.report(_ARRIVED), _ARRIVED)
+    assert target.leaving_since is None
