Send nothing to upstreams in the pause that they ask for

Cause: a rejection with a pause was treated like one for lack of slots, and where the upstream had free slots the second attempt went there at once. Class: what an upstream says of itself wasn't read. Evidence: in the red test every VM has the line of the pause and goes on sending, up to 14 requests.

Change: until its end a VM doesn't select that upstream; the owner of a key counts as unavailable for so long, so requests that can't wait are refused at once with the time that is left, and those that can wait do. Where all upstreams of a service want a pause, Retry-After is the earliest end. It is checked again for requests that wait, hold a permit or stand before their first byte, and no second attempt goes there. A pause is between one upstream and one VM: an arbiter goes by its own for its own requests only, and is told which upstreams the asking VM leaves out.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -151,6 +151,8 @@
             all. One VM decides for all requests with a domain.
         max_wait_s: Maximum wait for a slot, in seconds; None for no limit
             besides the deadline.
+        is_for_peer: Whether another VM will send it, so that upstreams that
+            want no requests of this VM may be used.
     """
 
     _sequence = itertools.count()
@@ -179,6 +181,7 @@
         self.gives_up_at = gives_up_at
         self.domain: ids.FailureDomain | None = None
         self.max_wait_s: float | None = None
+        self.is_for_peer = False
         self.sequence = next(self._sequence)
 
     @property
@@ -277,7 +280,11 @@
         if waiter.max_wait_s is not None:
             limit_s = min(limit_s, waiter.max_wait_s)
         if wait_s > limit_s:
-            return self._rejection(waiter, wait_s - limit_s, wait_s, now)
+            excess_s = wait_s - limit_s
+            if not self._candidates(waiter, now):
+                # Nothing frees a slot before then.
+                excess_s = wait_s
+            return self._rejection(waiter, excess_s, wait_s, now)
         self._waiters[waiter.sequence] = waiter
         if waiter.awaited is not None:
             waiter.awaited.waiting += 1
@@ -437,7 +444,14 @@
     def _candidate_ready_in_s(self, waiter: Waiter, now: float) -> float:
         """Returns the expected time until a target exists, in seconds."""
         if waiter.owner is None:
-            return _INFINITY
+            return min(
+                (
+                    target.backoff_left_s(now)
+                    for target in self.usable_targets(waiter, now)
+                    if self._is_backing_off(target, waiter, now)
+                ),
+                default=_INFINITY,
+            )
         owner = waiter.owner.target(now)
         if owner is not None and self._limits.is_blocked(owner, now):
             return owner.cold_until - now
@@ -523,6 +537,7 @@
             for target in found
             if self.is_usable(target, waiter, now)
             and not self._is_blocked(target, now)
+            and not self._is_backing_off(target, waiter, now)
         ]
         unpenalised = [entry for entry in usable if not entry.is_penalised(now)]
         return unpenalised or usable
@@ -547,6 +562,12 @@
             now, self._drain_s
         )
 
+    @staticmethod
+    def _is_backing_off(
+        target: targets.Target, waiter: Waiter, now: float
+    ) -> bool:
+        return not waiter.is_for_peer and target.is_backing_off(now)
+
     def _is_blocked(self, target: targets.Target, now: float) -> bool:
         return now < target.cold_until and self._limits.is_blocked(target, now)
 
--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -266,6 +266,7 @@
         if request.caller_timeout_ms is None
         else now + request.caller_timeout_ms / 1000,
     )
+    waiter.is_for_peer = True
     if request.max_wait_ms is not None:
         waiter.max_wait_s = request.max_wait_ms / 1000
     return waiter
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -173,10 +173,15 @@
 
     def _check_accepts(self, target: targets.Target) -> None:
         """Raises an error if the target stopped taking requests meanwhile."""
-        if not target.accepts_requests(clocks.monotonic(), self._drain_s):
+        now = clocks.monotonic()
+        if not target.accepts_requests(now, self._drain_s):
             raise outcomes.WithdrawnError(
                 "it leaves", step="send", peer=target.id
             )
+        if target.is_backing_off(now):
+            raise outcomes.WithdrawnError(
+                "it wants no requests now", step="send", peer=target.id
+            )
 
     async def _run_exchange(
         self, call, target, connection, left_s
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -374,6 +374,9 @@
     def _may_retry(self, error, call, waiter, state, now) -> bool:
         if not call.can_resend or now + waiter.expected_s > call.deadline:
             return False
+        pause_s = self._owner_backoff_s(error, waiter, now)
+        if now + pause_s + waiter.expected_s > call.deadline:
+            return False
         if isinstance(error, outcomes.NotSentError):
             # Nothing was sent, so this counts neither as a send nor as a retry.
             state.sends -= 1
@@ -409,12 +412,31 @@
                 peer=error.peer,
             )
         if isinstance(error, outcomes.NotRunError):
-            error.retry_after_s = NO_SLOT_RETRY_AFTER_S
-            if error.had_free_slot:
-                fraction = random.uniform(*FREE_SLOT_RETRY_AFTER)
-                error.retry_after_s = fraction * waiter.route.objective_s
+            error.retry_after_s = self._retry_after_s(error, waiter)
         return error
 
+    def _retry_after_s(
+        self, error: outcomes.NotRunError, waiter: admission.Waiter
+    ) -> float:
+        """Returns when a request that no upstream ran should be retried."""
+        pause_s = self._owner_backoff_s(error, waiter, clocks.monotonic())
+        if pause_s > 0:
+            return pause_s
+        if error.had_free_slot:
+            fraction = random.uniform(*FREE_SLOT_RETRY_AFTER)
+            return fraction * waiter.route.objective_s
+        return NO_SLOT_RETRY_AFTER_S
+
+    def _owner_backoff_s(self, error, waiter, now: float) -> float:
+        """Returns how long the owner that failed a request wants no requests.
+
+        0 for a request without an owner, which others can serve.
+        """
+        target = self._target_table.by_id.get(error.peer)
+        if waiter.owner is None or target is None:
+            return 0.0
+        return target.backoff_left_s(now)
+
     def _record_response(
         self, call, waiter, target, response, sent, trace
     ) -> None:
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -164,7 +164,8 @@
 class WithdrawnError(NotSentError):
     """The upstream stopped taking requests while this one was being prepared.
 
-    It was selected, and stated its exit while a connection was opened.
+    It was selected, and stated its exit or asked for a pause while a connection
+    was opened.
     """
 
     reason = "withdrawn"
--- a/src/swiftstile/gateway/owners.py
+++ b/src/swiftstile/gateway/owners.py
@@ -127,6 +127,8 @@
             target.is_unregistered or self._is_partitioned(target, now)
         ):
             return None, FAILED_OWNER_S
+        if target.is_backing_off(now):
+            return None, target.backoff_left_s(now)
         if target.is_penalised(now):
             return None, target.penalty_left_s(now)
         return target, 0.0
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -325,8 +325,10 @@
         if waiter.owner is not None:
             return target if waiter.owner.target(now) is target else None
         granted = target or self._target_table.by_id.get(reply.upstream)
-        if granted is None or not self._gate.admission.is_usable(
-            granted, waiter, now
+        if (
+            granted is None
+            or not self._gate.admission.is_usable(granted, waiter, now)
+            or granted.is_backing_off(now)
         ):
             # This VM already knows that the upstream is leaving or unusable,
             # and the arbiter doesn't yet.
@@ -391,12 +393,26 @@
         )
         if target is None:
             request.service = waiter.service
-            request.excluded = sorted(waiter.excluded)
+            request.excluded = sorted(
+                waiter.excluded | self._backing_off(waiter.service, now)
+            )
         if waiter.max_wait_s is not None:
             request.max_wait_ms = clocks.milliseconds(waiter.max_wait_s)
         self._peers.send_permit(arbiter, self._encoder.encode(request))
         self._meters.permits.add("asked")
 
+    def _backing_off(
+        self, service: ids.ServiceName, now: float
+    ) -> set[model.UpstreamId]:
+        """Returns the upstreams of a service that want no requests of this VM.
+
+        An arbiter doesn't know them.
+        """
+        group = self._target_table.by_service.get(service, {})
+        return {
+            name for name, target in group.items() if target.is_backing_off(now)
+        }
+
     def _send_release(
         self,
         number: int,
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -158,6 +158,14 @@
             self.announced_leaving_at = at
         self._update_leaving_since()
 
+    def is_backing_off(self, now: float) -> bool:
+        """Whether it wants no requests of this VM now."""
+        return now < self.backoff_until
+
+    def backoff_left_s(self, now: float) -> float:
+        """Returns how much longer it wants no requests of this VM."""
+        return max(0.0, self.backoff_until - now)
+
     def extend_cold(self, until: float) -> None:
         """Extends its cold time; never shortens it."""
         self.cold_until = max(self.cold_until, until)
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -299,6 +299,37 @@
     _run(script, scenario)
 
 
+def test_an_upstream_that_rejected_while_a_connection_was_opened_gets_nothing():
+    async def script(number, writer):
+        writer.write(_answer(f"a{number}"))
+
+    async def scenario(server, sender, target):
+        target.backoff_until = clocks.monotonic() + 1.0
+        with pytest.raises(outcomes.WithdrawnError):
+            await sender.send(_call("a1"), target)
+        assert server.requests == []
+
+    _run(script, scenario)
+
+
+def test_a_rejection_with_a_pause_is_obeyed_by_the_next_send():
+    async def script(number, writer):
+        writer.write(
+            b"HTTP/1.1 503 Unavailable\r\nX-Attempt-Id: a1\r\n"
+            b"X-Not-Executed: 1\r\nRetry-After: 0.2\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+
+    async def scenario(server, sender, target):
+        with pytest.raises(outcomes.NotRunError):
+            await sender.send(_call("a1"), target)
+        with pytest.raises(outcomes.WithdrawnError):
+            await sender.send(_call("a1"), target)
+        assert len(server.requests) == 1
+
+    _run(script, scenario)
+
+
 def test_no_unsafe_request_on_idle_connections_after_one_broke(
     monkeypatch,
 ):
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -554,3 +554,40 @@
         assert controller.count == scans
 
     asyncio.run(scenario())
+
+
+def test_an_upstream_that_wants_a_pause_is_not_selected():
+    table = builders.target_table(builders.upstream("u-1"))
+    table.put(builders.upstream("u-2"), 0.0)
+    table.by_id["u-1"].backoff_until = 3.0
+    decisions = _admission(table)
+    assert decisions.offer(builders.waiter(1.0), 1.0).id == "u-2"
+
+
+def test_where_all_upstreams_want_a_pause_requests_are_refused_at_once():
+    table = builders.target_table(builders.upstream("u-1"))
+    table.put(builders.upstream("u-2"), 0.0)
+    table.by_id["u-1"].backoff_until = 6.0
+    table.by_id["u-2"].backoff_until = 4.5
+    rejection = _admission(table).offer(builders.waiter(1.0), 1.0)
+    assert isinstance(rejection, admission.Rejection)
+    assert 3.5 <= rejection.retry_after_s <= 3.5 * (1 + admission.RETRY_JITTER)
+
+
+def test_a_request_waits_for_a_pause_that_ends_in_time():
+    table = builders.target_table(builders.upstream("u-1"))
+    table.by_id["u-1"].backoff_until = 1.1
+    decisions = _admission(table)
+    assert decisions.offer(builders.waiter(1.0), 1.0) is None
+    assert decisions.dispatch(1.05) == ([], [])
+    assigned, rejected = decisions.dispatch(1.11)
+    assert [entry.target.id for entry in assigned] == ["u-1"]
+    assert rejected == []
+
+
+def test_requests_of_other_vms_are_not_bound_by_a_pause_of_the_arbiter():
+    table = builders.target_table(builders.upstream("u-1"))
+    table.by_id["u-1"].backoff_until = 3.0
+    waiter = builders.waiter(1.0, builders.FixedOwner(table.by_id["u-1"]))
+    waiter.is_for_peer = True
+    assert _admission(table).offer(waiter, 1.0) is table.by_id["u-1"]
--- a/tests/unit/test_gateway_owners.py
+++ b/tests/unit/test_gateway_owners.py
@@ -58,3 +58,11 @@
     peer = case.owners._peers.by_node["vm-9"]
     peer.received_at = _NOW
     assert case.find() == (case.target, 0.0)
+
+
+def test_an_owner_that_wants_a_pause_is_not_sent_requests_until_its_end():
+    case = _Case(received_at=_NOW)
+    case.target.backoff_until = _NOW + 2.5
+    assert case.find() == (None, 2.5)
+    case.target.backoff_until = _NOW
+    assert case.find() == (case.target, 0.0)
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -600,3 +600,15 @@
         assert clocks.monotonic() - began < permits.MIN_REQUEST_RETRY_S
 
     _run(scenario)
+
+
+def test_the_arbiter_of_a_service_is_told_which_upstreams_want_a_pause():
+    async def scenario(_network, _arbiter, far):
+        far.targets.by_id["u-1"].backoff_until = clocks.monotonic() + 60
+        for _ in range(3):
+            waiter = _any_waiter(far)
+            target = await far.permits.acquire(waiter)
+            assert target.id == "u-2"
+            far.permits.release(waiter, target)
+
+    _run(scenario)
