Soak: servers state limits, announce their exit and ask for pauses

Random statements overlap with the other faults, and statement_checks.py holds the three rules from what servers and callers saw, but for VMs and paths that were faulty. Servers that register as draining say so in their answers, too. Seeds without all kinds draw the same faults as before.

--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -6,8 +6,9 @@
 gracefully and restarted; a proxy delays, resets or stalls connections to
 servers, or drops one direction; the store refuses VMs, loses answers, applies
 writes late and drops its history; servers crash, leave, join, restart under the
-same id and don't answer grants; callers pipeline. The checks use only what
-callers and servers observe.
+same id and don't answer grants; servers state rate limits, announce their exit
+in answers or ask for pauses; callers pipeline. The checks use only what callers
+and servers observe.
 """
 
 import argparse
@@ -18,29 +19,48 @@
 import signal
 import sys
 import tempfile
+import typing
 
 from tests.integration import gateways
+from tests.integration import statement_checks
 
 # Time between two faults, in seconds: short enough that they overlap.
 _INTERVAL_S = (0.2, 2.0)
 # Duration of a fault, in seconds.
 _DURATION_S = (0.5, 5.0)
+# Limits are stated for longer than faults last, to be in force for a while.
+_LIMIT_FACTOR = 2.5
 # Requests per second during the faults.
 _RATE = 40
 # Time after the last fault within which all keys must be served again.
 _RECOVERY_S = 30.0
 
 
+# A VM, or a path to a server, counts as faulty for this long after a fault.
+_EXCUSED_AFTER_S = 3.0
+
+
+class _Excuse(typing.NamedTuple):
+    """A fault of a VM, or of all paths to a server if `vm` is None."""
+
+    vm: int | None
+    server: str | None
+    start: float
+    end: float
+
+
 class Proxy:
     """Forwards connections to one server, or injects a fault.
 
     Attributes:
+        server: Name of the server.
         mode: `pass`, `delay`, `reset`, `stalled` or `one-way` (data from the
             server is dropped).
     """
 
-    def __init__(self, target: str):
+    def __init__(self, target: str, server: str):
         host, _, port = target.rpartition(":")
+        self.server = server
         self._target = (host, int(port))
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -98,8 +118,8 @@
         site: The site.
         seed: Seed that the faults are drawn from.
         has_all_kinds: Whether all kinds of faults are drawn; False excludes
-            server restarts and pipelining, which were added later, so that
-            older seeds still draw the same faults.
+            server restarts, pipelining and statements of servers, which were
+            added later, so that older seeds still draw the same faults.
     """
 
     def __init__(
@@ -110,8 +130,32 @@
         self._random = random.Random(seed)
         self._tasks: set[asyncio.Task] = set()
         self._busy: set[int] = set()
+        self._excuses: list[_Excuse] = []
         self.history: list[str] = []
 
+    def is_excused(
+        self, server: str, vm: int, start: float, end: float
+    ) -> bool:
+        """Returns whether a VM, or its path to a server, was faulty."""
+        return any(
+            excuse.vm in (None, vm)
+            and excuse.server in (None, server)
+            and excuse.start <= end
+            and start <= excuse.end + _EXCUSED_AFTER_S
+            for excuse in self._excuses
+        )
+
+    @contextlib.contextmanager
+    def _excusing(self, vm: int | None = None, server: str | None = None):
+        """Excuses a VM or the paths to a server during a fault."""
+        loop = asyncio.get_running_loop()
+        start, position = loop.time(), len(self._excuses)
+        self._excuses.append(_Excuse(vm, server, start, float("inf")))
+        try:
+            yield
+        finally:
+            self._excuses[position] = _Excuse(vm, server, start, loop.time())
+
     async def run(self, seconds: float) -> None:
         """Injects faults for a time, then waits until all have ended."""
         faults = [
@@ -126,7 +170,13 @@
             self._delay_grants,
         ]
         if self._has_all_kinds:
-            faults += [self._restart_server, self._pipeline]
+            faults += [
+                self._restart_server,
+                self._pipeline,
+                self._limit_server,
+                self._announce_exit,
+                self._ask_for_pause,
+            ]
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         while loop.time() < end:
@@ -156,7 +206,8 @@
         chosen = self._random.choice(free)
         self._busy.add(chosen.number)
         try:
-            yield chosen
+            with self._excusing(vm=chosen.number):
+                yield chosen
         finally:
             self._busy.discard(chosen.number)
 
@@ -191,7 +242,8 @@
         mode = self._random.choice(("delay", "reset", "stalled", "one-way"))
         self._record(f"connections {mode} for {duration_s:.1f}")
         proxy.set_mode(mode)
-        await asyncio.sleep(duration_s)
+        with self._excusing(server=proxy.server):
+            await asyncio.sleep(duration_s)
         proxy.set_mode("pass")
 
     async def _inject_store_fault(self, duration_s: float) -> None:
@@ -234,7 +286,7 @@
         if server is None:
             return
         self._record(f"{server.name} leaves")
-        server.is_leaving = True
+        server.is_leaving = server.announces_exit = True
         server.register("draining")
         await asyncio.sleep(2.0 + duration_s)
         server.unregister()
@@ -258,6 +310,44 @@
         self._record(f"{server.name} restarts after {pause_s:.1f}")
         await server.restart(pause_s)
 
+    def _any_server(self):
+        """Returns a server of any service that states nothing yet."""
+        running = [
+            server
+            for server in self._site.cluster.by_id.values()
+            if server.is_up
+            and not server.is_leaving
+            and server.limit_per_s is None
+            and server.backoff_s is None
+        ]
+        return self._random.choice(running)
+
+    async def _limit_server(self, duration_s: float) -> None:
+        server = self._any_server()
+        limit_per_s = round(self._random.uniform(0.5, 6.0), 1)
+        self._record(f"{server.name} limits to {limit_per_s}/s")
+        server.limit_per_s = limit_per_s
+        await asyncio.sleep(_LIMIT_FACTOR * duration_s)
+        server.limit_per_s = None
+
+    async def _announce_exit(self, duration_s: float) -> None:
+        server = self._server()
+        if server is None:
+            return
+        self._record(f"{server.name} announces its exit")
+        server.is_leaving = server.announces_exit = True
+        await asyncio.sleep(2.0 + duration_s)
+        server.unregister()
+        await server.stop()
+        await self._site.add_server(server.service, server.zone)
+
+    async def _ask_for_pause(self, duration_s: float) -> None:
+        server = self._any_server()
+        server.backoff_s = round(self._random.uniform(0.6, 3.0), 2)
+        self._record(f"{server.name} asks for pauses of {server.backoff_s}")
+        await asyncio.sleep(duration_s)
+        server.backoff_s = None
+
     async def _pipeline(self, duration_s: float) -> None:
         self._record(f"callers pipeline for {duration_s:.1f}")
         loop = asyncio.get_running_loop()
@@ -276,7 +366,7 @@
 
     async def add_server(self, service: str, zone: str):
         server = await super().add_server(service, zone)
-        proxy = Proxy(server.address)
+        proxy = Proxy(server.address, server.name)
         server.address = await proxy.start()
         server.register("ready")
         self.proxies.append(proxy)
@@ -296,6 +386,7 @@
         load_ended.set()
         await load
         violations = site.violated_guarantees()
+        violations += statement_checks.violations(site, soak.is_excused)
         try:
             await site.until(site.is_serving, _RECOVERY_S)
         except TimeoutError:
--- a/tests/integration/statement_checks.py
+++ b/tests/integration/statement_checks.py
@@ -1,7 +1,8 @@
 """Checks that VMs obey what servers state about themselves.
 
-Times are those of the servers and callers. `is_excused` returns whether a VM
-had a fault between two times, in which case its requests don't count.
+Times are those of the servers and callers. `is_excused` returns whether a VM,
+or its path to a server, had a fault between two times, in which case its
+requests don't count.
 """
 
 import collections
@@ -22,11 +23,18 @@
 LIMIT_GRACE_S, LIMIT_LEARNING_S, LIMIT_WINDOW_S = 3.0, 0.5, 4.0
 LIMIT_RATIO, LIMIT_SLACK = 1.5, 5
 
-# Takes a VM and two times.
-Excuse = collections.abc.Callable[[int, float, float], bool]
+# Takes the name of a server, a VM and two times.
+Excuse = collections.abc.Callable[[str, int, float, float], bool]
 
 
-def violations(site: gateways.Site, is_excused: Excuse) -> list[str]:
+def never_excused(server: str, vm: int, start: float, end: float) -> bool:
+    """Excuses nothing."""
+    return False
+
+
+def violations(
+    site: gateways.Site, is_excused: Excuse = never_excused
+) -> list[str]:
     """Returns the violations of all servers of a site."""
     found = []
     for server in site.cluster.by_id.values():
@@ -58,7 +66,7 @@
         for arrival in arrivals:
             _, sent_at = site.callers.sends[arrival.attempt]
             is_late = sent_at > told_at + DRAIN_S
-            if is_late and not is_excused(vm, told_at, arrival.at):
+            if is_late and not is_excused(server.name, vm, told_at, arrival.at):
                 found.append(
                     f"{server.name} got {arrival.attempt} of vm-{vm}"
                     f" {sent_at - told_at:.2f} s after it announced its exit"
@@ -75,7 +83,7 @@
             end = rejected.answered_at + pause_s
             count = sum(start < arrival.at < end for arrival in arrivals)
             if count > MAX_IN_PAUSE and not is_excused(
-                vm, rejected.answered_at, end
+                server.name, vm, rejected.answered_at, end
             ):
                 found.append(
                     f"{server.name} got {count} requests of vm-{vm} in the"
@@ -106,7 +114,9 @@
             for arrival in arrivals
             if told_at + LIMIT_LEARNING_S <= arrival.at <= last
             and arrival.at >= first + LIMIT_GRACE_S
-            and not is_excused(vm, arrival.at - LIMIT_GRACE_S, arrival.at)
+            and not is_excused(
+                server.name, vm, arrival.at - LIMIT_GRACE_S, arrival.at
+            )
         ]
     counted.sort()
     bound = LIMIT_RATIO * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
--- a/tests/integration/test_leaving_upstreams.py
+++ b/tests/integration/test_leaving_upstreams.py
@@ -33,10 +33,6 @@
         await load
 
 
-def _violations(site) -> list[str]:
-    return statement_checks.violations(site, lambda vm, start, end: False)
-
-
 def _one_of_each_service(site) -> dict[str, users_standins.Server]:
     return {s.service: s for s in site.cluster.by_id.values()}
 
@@ -58,7 +54,7 @@
             await asyncio.sleep(_DRAINED_S + 4.0)
 
         await _load_while(site, leave())
-        assert _violations(site) == []
+        assert statement_checks.violations(site) == []
 
     _run(tmp_path, scenario)
 
--- a/tests/integration/test_upstream_backoff.py
+++ b/tests/integration/test_upstream_backoff.py
@@ -28,10 +28,7 @@
         await asyncio.sleep(_PAUSE_S)
         has_ended.set()
         await load
-        assert (
-            statement_checks.violations(site, lambda vm, start, end: False)
-            == []
-        )
+        assert statement_checks.violations(site) == []
         await site.until(site.is_serving, 5)
 
     _run(tmp_path, scenario)
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -282,7 +282,7 @@
         announces_exit: Whether it says in its answers that it is leaving.
         backoff_s: If set, it rejects all requests and wants none of the same VM
             for so long.
-        arrivals: All requests that reached it, run or not.
+        arrivals: All requests that reached its current run, run or not.
     """
 
     def __init__(
@@ -367,6 +367,9 @@
         self.incarnation += 1
         self.held_until = [0.0] * KEYS
         self.fences = [0] * KEYS
+        self.limit_per_s = self.backoff_s = None
+        self.announces_exit = False
+        self.arrivals = []
         self.running = self.waiting = 0
         self._working.clear()
         await self.start()
