--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import dataclasses
 import json
@@ -205,6 +206,18 @@
         if calls:
             await asyncio.wait(calls)
 
+    async def load_while(
+        self, per_s: float, during: collections.abc.Awaitable[None]
+    ) -> None:
+        """Sends requests at a constant rate while an awaitable runs."""
+        has_ended = asyncio.Event()
+        load = asyncio.create_task(self.load(per_s, has_ended))
+        try:
+            await during
+        finally:
+            has_ended.set()
+            await load
+
     def counts(self) -> collections.Counter:
         return collections.Counter(entry.status for entry in self.outcomes)
 
--- a/tests/integration/test_leaving_upstreams.py
+++ b/tests/integration/test_leaving_upstreams.py
@@ -25,16 +25,6 @@
     asyncio.run(gateways.Site(tmp_path, count, seed=12).run_scenario(scenario))
 
 
-async def _load_while(site, during) -> None:
-    has_ended = asyncio.Event()
-    load = asyncio.create_task(site.callers.load(_LOAD_PER_S, has_ended))
-    try:
-        await during
-    finally:
-        has_ended.set()
-        await load
-
-
 def _one_of_each_service(site) -> dict[str, users_standins.Server]:
     return {s.service: s for s in site.cluster.by_id.values()}
 
@@ -55,7 +45,7 @@
                 server.announces_exit = True
             await asyncio.sleep(_DRAINED_S + 4.0)
 
-        await _load_while(site, leave())
+        await site.callers.load_while(_LOAD_PER_S, leave())
         assert statement_checks.violations(site) == []
 
     _run(tmp_path, scenario)
--- a/tests/integration/test_upstream_backoff.py
+++ b/tests/integration/test_upstream_backoff.py
@@ -17,17 +17,17 @@
 def test_a_vm_sends_nothing_in_the_pause_that_an_upstream_asks_for(tmp_path):
     async def scenario(site):
         by_service = {s.service: s for s in site.cluster.by_id.values()}
-        has_ended = asyncio.Event()
-        load = asyncio.create_task(site.callers.load(_LOAD_PER_S, has_ended))
-        await asyncio.sleep(1.0)
-        for server in by_service.values():
-            server.backoff_s = _PAUSE_S
-        await asyncio.sleep(_REJECTING_S)
-        for server in by_service.values():
-            server.backoff_s = None
-        await asyncio.sleep(_PAUSE_S)
-        has_ended.set()
-        await load
+
+        async def ask_for_pauses():
+            await asyncio.sleep(1.0)
+            for server in by_service.values():
+                server.backoff_s = _PAUSE_S
+            await asyncio.sleep(_REJECTING_S)
+            for server in by_service.values():
+                server.backoff_s = None
+            await asyncio.sleep(_PAUSE_S)
+
+        await site.callers.load_while(_LOAD_PER_S, ask_for_pauses())
         assert statement_checks.violations(site) == []
         await site.until(site.is_serving, 5)
         refused = site.log_lines("refused")
--- a/tests/integration/test_upstream_limits.py
+++ b/tests/integration/test_upstream_limits.py
@@ -45,17 +45,6 @@
     )
 
 
-async def _load_while(site, during) -> None:
-    """Sends requests while a coroutine runs."""
-    has_ended = asyncio.Event()
-    load = asyncio.create_task(site.callers.load(_LOAD_PER_S, has_ended))
-    try:
-        await during
-    finally:
-        has_ended.set()
-        await load
-
-
 def _check_limits(servers, since: float, until: float) -> None:
     for server in servers:
         arrivals = [
@@ -83,7 +72,7 @@
             await asyncio.sleep(_GRACE_S + _STATED_S)
             _check_limits(servers, since, _now())
 
-        await _load_while(site, state_limits())
+        await site.callers.load_while(_LOAD_PER_S, state_limits())
         assert any(
             line.get("limit_per_s") == _LIMIT_PER_S and "limit_age_ms" in line
             for line in site.log_lines("sent")
