--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -521,17 +521,18 @@
     target: targets.Target | None, now: float
 ) -> dict[str, float]:
     """Returns the log fields of what an upstream states about itself."""
+    fields: dict[str, float] = {}
     if target is None:
-        return {}
+        return fields
     limit, leaving_at = target.rate_limit, target.announced_leaving_at
-    return {
-        "limit_per_s": limit.per_s or 0.0,
-        "limit_age_ms": clocks.milliseconds(limit.age_s(now)),
-        "leaving_ms": 0
-        if leaving_at is None
-        else clocks.milliseconds(now - leaving_at),
-        "backoff_ms": clocks.milliseconds(target.backoff_left_s(now)),
-    }
+    if limit.per_s is not None:
+        fields["limit_per_s"] = limit.per_s
+        fields["limit_age_ms"] = clocks.milliseconds(limit.age_s(now))
+    if leaving_at is not None:
+        fields["leaving_ms"] = clocks.milliseconds(now - leaving_at)
+    if target.is_backing_off(now):
+        fields["backoff_ms"] = clocks.milliseconds(target.backoff_left_s(now))
+    return fields
 
 
 def _check_head(request: web_request.BaseRequest, limit: int) -> None:
