--- a/src/swiftstile/gateway/reclaim.py
+++ b/src/swiftstile/gateway/reclaim.py
@@ -20,6 +20,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import moves
 from swiftstile.gateway import parallel
+from swiftstile.gateway import release_progress
 from swiftstile.gateway import renewals
 from swiftstile.gateway import targets
 
@@ -83,6 +84,7 @@
         self.unanswered_until = 0.0
         self.is_reassigning = False
         self._release: asyncio.Task | None = None
+        self._progress: release_progress.ReleaseProgress | None = None
         self._retry_at = 0.0
         self._failures = 0
         self._kept_at = 0.0
@@ -105,6 +107,11 @@
         """Records that a release started."""
         self._release = task
 
+    def start_progress(self, slots: int) -> release_progress.ReleaseProgress:
+        """Returns the record of the calls of the next release."""
+        self._progress = release_progress.ReleaseProgress(slots)
+        return self._progress
+
     def note_failures(self, now: float) -> None:
         """Records that some commands of a release got no answer."""
         self._failures += 1
@@ -131,6 +138,7 @@
         if now - self._logged_at < WAIT_LOG_INTERVAL_S:
             return
         self._logged_at = now
+        calls = {} if self._progress is None else self._progress.fields(now)
         logs.logger.info(
             "slots wait",
             upstream=owner,
@@ -138,7 +146,11 @@
             since_s=round(now - self.marked_at, 2),
             all_stopped=known.all_stopped,
             held_s=round(min(known.held_s, MAX_LOGGED_HELD_S), 2),
+            open_s=round(min(known.open_s, MAX_LOGGED_HELD_S), 2),
             waits_for=known.waits_for,
+            released=len(self.tokens),
+            is_releasing=self.is_releasing,
+            **calls,
         )
 
     def cancel(self) -> None:
@@ -211,6 +223,7 @@
     ) -> None:
         """Reclaims the ranges of slots in `pending`, the last one first."""
         failed: list[errors.PeerUnavailableError] = []
+        progress = slot_reclaim.start_progress(sum(map(len, pending)))
 
         def should_continue() -> bool:
             # All slots are at one address: if it is unreachable for one range,
@@ -225,7 +238,7 @@
                 return
             try:
                 token = await self._release_range(
-                    current, target, slot_reclaim, slot_range
+                    current, target, slot_reclaim, slot_range, progress
                 )
             except errors.PeerUnavailableError as error:
                 failed.append(error)
@@ -235,8 +248,15 @@
         await parallel.process_concurrently(
             pending, _PARALLEL, reclaim_range, should_continue
         )
+        now = clocks.monotonic()
+        logs.logger.info(
+            "release ended",
+            upstream=target.id,
+            is_fenced=slot_reclaim.is_fenced,
+            **progress.fields(now),
+        )
         if failed:
-            slot_reclaim.note_failures(clocks.monotonic())
+            slot_reclaim.note_failures(now)
             self._meters.ownership.add("release-unanswered", len(failed))
             logs.logger.info(
                 "release unanswered",
@@ -262,7 +282,12 @@
         )
 
     async def _release_range(
-        self, current, target, slot_reclaim: SlotReclaim, slot_range: range
+        self,
+        current,
+        target,
+        slot_reclaim: SlotReclaim,
+        slot_range: range,
+        progress: release_progress.ReleaseProgress,
     ) -> str:
         """Makes an owner release slots; returns the hand-over token.
 
@@ -275,10 +300,12 @@
         fence = current.slots[slot_range.start].fence
         if slot_reclaim.is_fenced:
             fence = current.next_fence
-            await self._fence_off(
-                current, target, slot_reclaim, slot_range, fence
-            )
-        return await self._control.release(address, target.id, keys, fence)
+            with progress.calling(release_progress.Call.FENCE):
+                await self._fence_off(
+                    current, target, slot_reclaim, slot_range, fence
+                )
+        with progress.calling(release_progress.Call.RELEASE):
+            return await self._control.release(address, target.id, keys, fence)
 
     async def _fence_off(
         self,
