--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -18,6 +18,7 @@
 
 from benchmarks import processes
 from tests.integration import narrow_link
+from tests.integration import stall_watch
 from tests.integration import users_standins
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -234,7 +235,11 @@
 
 
 class Site:
-    """A store, servers, gateways and callers."""
+    """A store, servers, gateways and callers.
+
+    Attributes:
+        stalls: When this process, which answers for the stand-ins, didn't.
+    """
 
     def __init__(
         self,
@@ -252,9 +257,11 @@
         self.gateways: list[Gateway] = []
         self.callers: Callers | None = None
         self._seed = seed
+        self.stalls = stall_watch.StallWatch()
 
     @contextlib.asynccontextmanager
     async def running(self, servers: int = 6, start_s: float = 30):
+        await self._links.enter_async_context(self.stalls)
         try:
             self.store.put("op", "config", users_standins.config(1))
             for index in range(servers):
@@ -275,6 +282,8 @@
             await self._links.aclose()
             await self.cluster.close()
             await self.store.close()
+            if self.stalls.stalls:
+                print(self.stalls.summary())
 
     async def _add(self, number: int) -> None:
         run = f"{os.getpid() % 200 + 1}.{self._seed % 200 + 1}"
--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -396,6 +396,7 @@
             proxy.close()
     (folder / "history").write_text("\n".join(soak.history))
     (folder / "counts").write_text(str(site.callers.counts()))
+    (folder / "stalls").write_text("\n".join(map(str, site.stalls.stalls)))
     return sorted(set(violations))
 
 
