--- a/src/swiftstile/gateway/holds.py
+++ b/src/swiftstile/gateway/holds.py
@@ -6,6 +6,8 @@
 will.
 """
 
+from swiftstile.gateway import reports
+
 __all__ = ["CLOCK_RATE", "HoldTable", "max_held_s"]
 
 # An upstream's clock may be slow by this factor (from the platform's
@@ -68,6 +70,26 @@
             return _UNBOUNDED
         return max(0.0, max(self._end, default=0.0) - now)
 
+    def hold(
+        self, slots, now: float, max_listed: int | None = None
+    ) -> reports.Hold:
+        """Returns how long any of these slots may still be held.
+
+        Args:
+            slots: The slots.
+            now: The time, on the monotonic clock.
+            max_listed: Maximum number of slots with unanswered grants to list;
+                None for no limit.
+        """
+        unanswered: list[int] | None = self.unanswered_slots(slots, now)
+        if max_listed is not None and len(unanswered) > max_listed:
+            unanswered = None
+        return reports.Hold(
+            self.held_for_s(slots, now),
+            self.unanswered_for_s(slots, now),
+            unanswered,
+        )
+
     def held_for_s(self, slots, now: float) -> float:
         """Returns how long any of these slots may still be held."""
         return self._max_remaining_s(self._end, slots, now)
@@ -76,6 +98,14 @@
         """Returns how long an unanswered grant of any may be in effect."""
         return self._max_remaining_s(self._unanswered_end, slots, now)
 
+    def unanswered_slots(self, slots, now: float) -> list[int]:
+        """Returns those slots that an unanswered grant may be in effect for."""
+        return [
+            index
+            for index in slots
+            if self._in_flight[index] or self._unanswered_end[index] > now
+        ]
+
     def _max_remaining_s(self, ends: list[float], slots, now: float) -> float:
         remaining_s = 0.0
         for index in slots:
--- a/src/swiftstile/gateway/key_assigner.py
+++ b/src/swiftstile/gateway/key_assigner.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import enum
 import typing
 
 from swiftstile import clocks
@@ -13,6 +12,7 @@
 from swiftstile import ids
 from swiftstile import logs
 from swiftstile import metrics
+from swiftstile.gateway import assignment_times
 from swiftstile.gateway import authority
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
@@ -21,8 +21,10 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import model
+from swiftstile.gateway import move_steps
 from swiftstile.gateway import moves
 from swiftstile.gateway import reclaim
+from swiftstile.gateway import reclaim_state
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
 from swiftstile.gateway import settle
@@ -36,9 +38,6 @@
 # An owner that hasn't registered since this VM started counts as having left
 # after this time.
 UNKNOWN_OWNER_S = 3.0
-# Time to wait for the reports of all VMs that they stopped renewing; after it
-# the owner is fenced. Long enough for a few reports between failure domains.
-STOP_WAIT_S = 0.3
 # The store must have answered within this time before slots are released and
 # before their next owner is written: an outage in between would leave them
 # without an owner.
@@ -55,28 +54,17 @@
 ASSIGN_INTERVAL_PER_VM_S = 0.003
 
 
-class _MoveState(enum.Enum):
-    """Progress of the slots that are leaving one owner."""
-
-    WAITING = "waiting"
-    RELEASE = "release"
-    # Older grants may still arrive at the owner.
-    FENCE_AND_RELEASE = "fence-and-release"
-    CLEAR = "clear"
-
-
 class _NextSteps(typing.NamedTuple):
     """The next steps for slots that are leaving.
 
     Attributes:
         cleared: Slots that may be assigned to others, by the owner that they
             leave.
-        releases: Owners that should release their slots, and whether older
-            grants may still arrive there.
+        releases: What owners should release.
     """
 
     cleared: dict[model.UpstreamId, list[int]]
-    releases: list[tuple[model.UpstreamId, bool]]
+    releases: list[tuple[model.UpstreamId, move_steps.Step]]
 
     @property
     def has_any(self) -> bool:
@@ -121,7 +109,9 @@
         self._row_bytes = row_bytes
         self._meters = meters
         self._started = started
-        self._slot_reclaims: dict[model.UpstreamId, reclaim.SlotReclaim] = {}
+        self._slot_reclaims: dict[
+            model.UpstreamId, reclaim_state.SlotReclaim
+        ] = {}
         self._reclaimer = reclaim.Reclaimer(
             service,
             maps,
@@ -132,6 +122,7 @@
             peer_authority,
             meters,
         )
+        self._assignment_times = assignment_times.AssignmentTimes()
         self._store_answered_at = 0.0
         self._store_failed_at = 0.0
         self._unknown_since: dict[model.UpstreamId, float] = {}
@@ -174,7 +165,11 @@
         empty = keymap.KeyMap.empty(len(assigned))
         started_ms = self._started_ms(set(assigned))
         first = empty.assign({}, dict(enumerate(assigned)), started_ms)
-        await self._write(first, "first deal")
+        sent_at = clocks.monotonic()
+        if await self._write(first, "first deal"):
+            self._assignment_times.note_assigned(
+                first, range(len(assigned)), sent_at
+            )
 
     async def _reassign_to_restarted(self, current) -> bool:
         """Assigns the slots of restarted owners to them again.
@@ -249,11 +244,11 @@
             version = self._maps.by_service[self._service].version
             for owner in owners:
                 self._restart_reclaim(
-                    owner, reclaim.SlotReclaim(version, written_at)
+                    owner, reclaim_state.SlotReclaim(version, written_at)
                 )
 
     def _restart_reclaim(
-        self, owner: model.UpstreamId, slot_reclaim: reclaim.SlotReclaim
+        self, owner: model.UpstreamId, slot_reclaim: reclaim_state.SlotReclaim
     ) -> None:
         """Restarts the move of an owner; only one release may send commands."""
         if owner in self._slot_reclaims:
@@ -293,20 +288,21 @@
         # holds had expired, so the holds are checked once more.
         now = clocks.monotonic()
         steps = self._next_steps(current, weights, now)
-        for owner, fences in steps.releases:
+        for owner, step in steps.releases:
             self._reclaimer.start(
                 current,
                 owner,
                 self._slot_reclaims[owner],
-                self._plan.move_ranges(current, leaving_by_owner[owner]),
-                fences,
+                self._plan.move_ranges(current, step.to_release),
+                step.to_fence,
             )
         if steps.cleared:
+            receivers = _receivers(current, weights)
             moving = [i for slots in steps.cleared.values() for i in slots]
             tokens: dict[int, str] = {}
             for owner in steps.cleared:
                 tokens |= self._slot_reclaims[owner].tokens
-            placed = self._plan.destinations(current, moving, weights, now)
+            placed = self._plan.destinations(current, moving, receivers, now)
             await self._assign(current, placed, tokens)
 
     def _next_steps(self, current, weights, now: float) -> "_NextSteps":
@@ -315,20 +311,17 @@
         is_throttled = now - self._assigned_at < self._write_interval_s(
             ASSIGN_INTERVAL_PER_VM_S
         )
+        can_assign = not is_throttled and bool(_receivers(current, weights))
         for owner, slots in current.leaving_by_owner().items():
             slot_reclaim = self._slot_reclaims.get(owner)
             if slot_reclaim is None:
                 # Reclaims were cancelled meanwhile: this VM is shutting down.
                 continue
-            state = self._state_of(current, owner, slot_reclaim, slots, now)
-            if state is _MoveState.CLEAR:
-                if weights and not is_throttled:
-                    steps.cleared[owner] = slots
-            elif state is not _MoveState.WAITING and slot_reclaim.may_release(
-                now
-            ):
-                fences = state is _MoveState.FENCE_AND_RELEASE
-                steps.releases.append((owner, fences))
+            step = self._next_step(current, owner, slot_reclaim, slots, now)
+            if can_assign and step.is_assignment_due(slots, slot_reclaim, now):
+                steps.cleared[owner] = step.cleared
+            if step.to_release and slot_reclaim.may_release(now):
+                steps.releases.append((owner, step))
         return steps
 
     async def _assign(self, current, placed, tokens) -> None:
@@ -349,15 +342,18 @@
             for name in leaves & set(self._slot_reclaims)
         ]
         for slot_reclaim in slot_reclaims:
-            slot_reclaim.is_reassigning = True
-        if await self._write(
-            current.assign(tokens, placed, started_ms), "moved"
-        ):
-            self._assigned_at = clocks.monotonic()
-            self._meters.ownership.add("moved", len(placed))
+            slot_reclaim.reassigning = frozenset(placed)
+        assigned = current.assign(tokens, placed, started_ms)
+        sent_at = clocks.monotonic()
+        if not await self._write(assigned, "moved"):
+            for slot_reclaim in slot_reclaims:
+                slot_reclaim.reassigning = frozenset()
             return
+        self._assignment_times.note_assigned(assigned, placed, sent_at)
+        self._assigned_at = clocks.monotonic()
+        self._meters.ownership.add("moved", len(placed))
         for slot_reclaim in slot_reclaims:
-            slot_reclaim.is_reassigning = False
+            slot_reclaim.note_assigned(placed)
 
     async def _adopt_moves(
         self, current, owners: set[model.UpstreamId]
@@ -384,16 +380,16 @@
 
     def _adopted_source(
         self, slots, version: int, now: float
-    ) -> reclaim.SlotReclaim:
+    ) -> reclaim_state.SlotReclaim:
         """Returns the state of a move whose slots a former leader marked."""
         marked = self._succession.marked_version(self._service, slots)
         stopped_at = None
         if marked is not None:
             stopped_at = self._succession.stopped_at(self._service, marked)
         if stopped_at is None:
-            return reclaim.SlotReclaim(version, now)
+            return reclaim_state.SlotReclaim(version, now)
         former = (self._leadership.former_leader, version)
-        return reclaim.SlotReclaim(marked, now, stopped_at, former)
+        return reclaim_state.SlotReclaim(marked, now, stopped_at, former)
 
     async def _store_answers(self) -> bool:
         """Probes the store, unless it has just answered or failed."""
@@ -435,52 +431,52 @@
             )
         )
 
-    def _state_of(
+    def _next_step(
         self, current, owner, slot_reclaim, slots, now: float
-    ) -> "_MoveState":
+    ) -> move_steps.Step:
         if owner is None or self._is_replaced(owner):
-            return _MoveState.CLEAR
+            return move_steps.Step(slots)
         hold_table = self._renewer.holds(self._service, len(current.slots))
+        assigned_at = self._assignment_times.by_slot(current, slots)
         known = moves.outstanding_grants(
             self._service,
             owner,
             slot_reclaim.version,
-            self._own_hold(hold_table, slots, now),
+            self._own_hold(hold_table, assigned_at, now),
             list(self._peers.by_node.values()),
             self._stopped_at(slot_reclaim),
             hold_table.max_held_s,
             now,
             self._former_leader(slot_reclaim),
             self._authority.quorum_since,
+            assigned_at,
         )
-        if known.all_stopped and known.held_s <= 0:
-            return _MoveState.CLEAR
-        is_certain = known.all_stopped and known.open_s <= 0
-        if set(slots) <= set(slot_reclaim.tokens):
-            is_fenced_off = (
-                slot_reclaim.is_fenced and now >= slot_reclaim.unanswered_until
-            )
-            return (
-                _MoveState.CLEAR
-                if is_fenced_off or is_certain
-                else _MoveState.WAITING
-            )
-        if is_certain:
-            return _MoveState.RELEASE
-        if now - slot_reclaim.marked_at > STOP_WAIT_S:
+        step = move_steps.next_step(slots, slot_reclaim, known, now)
+        if step.is_waiting:
             slot_reclaim.log_wait(known, owner, len(slots), now)
-            return _MoveState.FENCE_AND_RELEASE
-        return _MoveState.WAITING
-
-    def _own_hold(self, hold_table, slots, now: float) -> reports.Hold:
-        """Returns the holds from grants of this VM and its earlier runs."""
-        earlier_s = self._started + hold_table.max_held_s - now
-        return reports.Hold(
-            max(earlier_s, hold_table.held_for_s(slots, now)),
-            max(earlier_s, hold_table.unanswered_for_s(slots, now)),
+        return step
+
+    def _own_hold(
+        self,
+        hold_table: holds.HoldTable,
+        assigned_at: dict[int, float],
+        now: float,
+    ) -> reports.Hold:
+        """Returns the holds from grants of this VM and its earlier runs.
+
+        Args:
+            hold_table: The grants of this run.
+            assigned_at: Earliest time at which the slots may have been
+                assigned, by slot.
+            now: The time.
+        """
+        end = self._started + hold_table.max_held_s
+        return moves.longer_hold(
+            hold_table.hold(assigned_at, now),
+            moves.hold_of_earlier_runs(end, self._started, assigned_at, now),
         )
 
-    def _stopped_at(self, slot_reclaim: reclaim.SlotReclaim) -> float:
+    def _stopped_at(self, slot_reclaim: reclaim_state.SlotReclaim) -> float:
         """Returns when VMs that send no reports have stopped renewing."""
         if slot_reclaim.stopped_at is not None:
             return slot_reclaim.stopped_at
@@ -554,3 +550,19 @@
             fence=changed.next_fence - 1,
         )
         return True
+
+
+def _receivers(
+    current: keymap.KeyMap, weights: slotplan.Weights
+) -> slotplan.Weights:
+    """Returns the upstreams that may get slots now.
+
+    An owner that all its slots are leaving gets none: releases that are under
+    way there may cover any key.
+    """
+    emptied = {
+        owner
+        for owner in current.leaving_by_owner()
+        if current.leaving.issuperset(current.slots_by_owner[owner])
+    }
+    return {name: w for name, w in weights.items() if name not in emptied}
--- a/src/swiftstile/gateway/moves.py
+++ b/src/swiftstile/gateway/moves.py
@@ -6,6 +6,8 @@
 at its address.
 """
 
+import collections.abc
+
 import msgspec
 
 from swiftstile import ids
@@ -13,7 +15,13 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import reports
 
-__all__ = ["FormerLeader", "OutstandingGrants", "outstanding_grants"]
+__all__ = [
+    "FormerLeader",
+    "OutstandingGrants",
+    "hold_of_earlier_runs",
+    "longer_hold",
+    "outstanding_grants",
+]
 
 
 class OutstandingGrants(msgspec.Struct):
@@ -24,14 +32,34 @@
             it stopped, or must have stopped.
         held_s: Time until all grants have expired; may be infinite.
         open_s: Time until all unanswered grants have expired.
+        open_slots: Slots with unanswered grants; None if any may have some.
         waits_for: The VM whose grants last longest; empty for this VM.
     """
 
     all_stopped: bool
     held_s: float
     open_s: float
+    open_slots: set[int] | None
     waits_for: str = ""
 
+    def may_be_open(self, slot: int) -> bool:
+        """Whether a grant of a slot may still arrive at the owner."""
+        if not self.all_stopped:
+            return True
+        if self.open_s <= 0:
+            return False
+        return self.open_slots is None or slot in self.open_slots
+
+    def _add_open(self, hold: reports.Hold) -> None:
+        """Adds the unanswered grants of another VM."""
+        self.open_s = max(self.open_s, hold.unanswered_s)
+        if hold.unanswered_s <= 0 or self.open_slots is None:
+            return
+        if hold.unanswered_slots is None:
+            self.open_slots = None
+        else:
+            self.open_slots.update(hold.unanswered_slots)
+
 
 class FormerLeader(msgspec.Struct, frozen=True):
     """The previous leader, if it marked the slots.
@@ -63,6 +91,7 @@
     now: float,
     former: FormerLeader | None = None,
     quorum_since: float | None = None,
+    assigned_at: collections.abc.Mapping[int, float] | None = None,
 ) -> OutstandingGrants:
     """Combines the reports of all VMs on one owner's leaving slots.
 
@@ -80,8 +109,11 @@
         quorum_since: Since when a majority has followed this VM, the leader. A
             VM from which no report has arrived since then has no authority to
             renew.
+        assigned_at: Earliest time at which the slots may have been assigned to
+            the owner, by slot; None if it isn't known.
     """
-    result = OutstandingGrants(True, own.held_s, own.unanswered_s)
+    result = OutstandingGrants(True, own.held_s, 0.0, set())
+    result._add_open(own)
     for peer in peers:
         version, longest = marked_version, max_held_s
         stop = min(stopped_at, _latest_stop_at(peer, quorum_since))
@@ -94,17 +126,20 @@
             result.all_stopped &= now > stop
         else:
             # An earlier run of the process may have granted until it ended.
-            end = peer.earlier_grants_end_at(max_held_s)
-            hold = _longer_hold(hold, _hold_until(end, now))
+            earlier = hold_of_earlier_runs(
+                peer.earlier_grants_end_at(max_held_s),
+                peer.run_began_at,
+                assigned_at,
+                now,
+            )
+            hold = longer_hold(hold, earlier)
         if former is not None and not peer.is_live(now):
             # The peer may itself have been leader before the former one.
-            hold = _longer_hold(
-                hold, _hold_until(stop + former.max_held_s, now)
-            )
+            hold = longer_hold(hold, _hold_until(stop + former.max_held_s, now))
         if hold.held_s > result.held_s:
             result.waits_for = peer.row.node
         result.held_s = max(result.held_s, hold.held_s)
-        result.open_s = max(result.open_s, hold.unanswered_s)
+        result._add_open(hold)
     return result
 
 
@@ -128,12 +163,49 @@
     return reports.Hold(left_s, left_s)
 
 
-def _longer_hold(one: reports.Hold, other: reports.Hold) -> reports.Hold:
+def longer_hold(one: reports.Hold, other: reports.Hold) -> reports.Hold:
+    """Returns a hold that lasts as long as both."""
+    open_slots: list[int] | None = []
+    for hold in (one, other):
+        if hold.unanswered_s <= 0 or open_slots is None:
+            continue
+        listed = hold.unanswered_slots
+        open_slots = None if listed is None else open_slots + listed
     return reports.Hold(
-        max(one.held_s, other.held_s), max(one.unanswered_s, other.unanswered_s)
+        max(one.held_s, other.held_s),
+        max(one.unanswered_s, other.unanswered_s),
+        open_slots,
     )
 
 
+def hold_of_earlier_runs(
+    end: float,
+    run_began_at: float,
+    assigned_at: collections.abc.Mapping[int, float] | None,
+    now: float,
+) -> reports.Hold:
+    """Returns the hold from grants of earlier runs of a VM's process.
+
+    Runs that ended before a slot was assigned to its owner granted nothing of
+    it: they never knew the fence of that assignment. Grants under earlier ones
+    were accounted for when it was made.
+
+    Args:
+        end: When grants of earlier runs have expired.
+        run_began_at: Latest time at which the present run may have begun.
+        assigned_at: Earliest time at which slots may have been assigned, by
+            slot; None if it isn't known.
+        now: The time.
+    """
+    hold = _hold_until(end, now)
+    if assigned_at is None or hold.held_s <= 0:
+        return hold
+    exposed = [slot for slot, at in assigned_at.items() if at < run_began_at]
+    if not exposed:
+        return reports.Hold(0.0, 0.0, [])
+    return reports.Hold(hold.held_s, hold.unanswered_s, exposed)
+
+
 def _reported_hold(peer, service, owner, version, now) -> reports.Hold | None:
     """Returns the hold that a VM reported; None if it may still grant."""
     report = peer.report
@@ -149,9 +221,10 @@
         # hold, so no entry means no hold. That remains true if it has been
         # unresponsive since: a VM that knows that a slot is leaving doesn't
         # renew it.
-        return reports.Hold(0.0, 0.0)
+        return reports.Hold(0.0, 0.0, [])
     age_s = now - peer.received_at
     return reports.Hold(
         max(0.0, reported.held_s - age_s),
         max(0.0, reported.unanswered_s - age_s),
+        reported.unanswered_slots,
     )
--- a/src/swiftstile/gateway/reclaim.py
+++ b/src/swiftstile/gateway/reclaim.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import collections.abc
+import math
 
 from swiftstile import clocks
 from swiftstile import errors
@@ -13,18 +15,17 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import authority
-from swiftstile.gateway import holds
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import model
-from swiftstile.gateway import moves
 from swiftstile.gateway import parallel
+from swiftstile.gateway import reclaim_state
 from swiftstile.gateway import release_progress
 from swiftstile.gateway import renewals
 from swiftstile.gateway import targets
 
-__all__ = ["Reclaimer", "SlotReclaim"]
+__all__ = ["FENCING_HOLD_S", "KEEP_HOLD_S", "Reclaimer"]
 
 # Concurrent release calls to one upstream: calls for busy slots are answered
 # only when their work has ended.
@@ -34,129 +35,18 @@
 # Hold of slots that stay with the owner they leave during a store outage:
 # short, as it delays the move once the store is available again.
 KEEP_HOLD_S = 2.0
-# Interval between renewals of that hold: two may fail before it expires.
-KEEP_INTERVAL_S = 0.6
 # Failures after which the rest of a release waits for the next attempt. Single
 # commands may get no answer even from a healthy upstream.
 _MAX_FAILURES = 24
-# Delay after a failed release, doubled each time: each attempt may hold the
-# slots for FENCING_HOLD_S, and the slots of a crashed owner have to be freed.
-_RETRY_DELAY_S = 0.2
-# Interval between log lines on slots that wait.
-WAIT_LOG_INTERVAL_S = 1.0
-# Logged in place of an unbounded wait.
-MAX_LOGGED_HELD_S = 999.0
-
-
-class SlotReclaim:
-    """The state of reclaiming the slots that leave one owner.
-
-    Attributes:
-        version: Version of the map in which the slots were marked.
-        marked_at: When they were marked, or when this VM took the move over,
-            on the monotonic clock.
-        stopped_at: When all VMs had stopped renewing the slots, if a former
-            leader marked them and that time is known.
-        former_leader: Node of the VM that marked the slots, with the version
-            of the map that it has to know, if `stopped_at` is known.
-        tokens: Hand-over tokens of the slots that the owner released, by slot.
-        is_fenced: Whether the owner rejects older grants from any sender.
-        unanswered_until: End of the holds of grants that got no answer after
-            the owner was fenced. They have the same fence as the release and
-            may be carried out after it.
-        is_reassigning: Whether the next owner of the slots is being written.
-            While it is set nothing is granted to the old one.
-    """
+# Calls by which an owner that all slots leave releases them: each covers many,
+# but is answered only when the running work on all of these has ended.
+_SPANS = 16
+# Ranges that are fenced one after the other and then released by one call,
+# within a fraction of the hold of a fencing grant.
+_MAX_FENCED_RANGES = 8
 
-    def __init__(
-        self,
-        version: int,
-        marked_at: float,
-        stopped_at: float | None = None,
-        former_leader: tuple[model.NodeId, int] | None = None,
-    ):
-        self.version = version
-        self.marked_at = marked_at
-        self.stopped_at = stopped_at
-        self.former_leader = former_leader
-        self.tokens: dict[int, str] = {}
-        self.is_fenced = False
-        self.unanswered_until = 0.0
-        self.is_reassigning = False
-        self._release: asyncio.Task | None = None
-        self._progress: release_progress.ReleaseProgress | None = None
-        self._retry_at = 0.0
-        self._failures = 0
-        self._kept_at = 0.0
-        self._logged_at = 0.0
-
-    @property
-    def is_releasing(self) -> bool:
-        """Whether a release is in progress."""
-        return self._release is not None and not self._release.done()
-
-    def may_release(self, now: float) -> bool:
-        """Whether another release may start."""
-        return not self.is_releasing and now >= self._retry_at
-
-    def may_keep(self, now: float) -> bool:
-        """Whether the slots may be granted to their owner again."""
-        return not self.is_releasing and now - self._kept_at >= KEEP_INTERVAL_S
-
-    def note_release(self, task: asyncio.Task) -> None:
-        """Records that a release started."""
-        self._release = task
-
-    def start_progress(self, slots: int) -> release_progress.ReleaseProgress:
-        """Returns the record of the calls of the next release."""
-        self._progress = release_progress.ReleaseProgress(slots)
-        return self._progress
-
-    def note_failures(self, now: float) -> None:
-        """Records that some commands of a release got no answer."""
-        self._failures += 1
-        self._retry_at = now + _RETRY_DELAY_S * 2**self._failures
-
-    def note_unanswered(self, now: float, hold_s: float) -> None:
-        """Records that a grant got no answer and its connection was reset."""
-        if self.is_fenced:
-            end = now + holds.max_held_s(hold_s)
-            self.unanswered_until = max(self.unanswered_until, end)
-
-    def note_kept(self, now: float) -> None:
-        """Records that the slots were granted to their owner again."""
-        self._kept_at = now
-
-    def log_wait(
-        self,
-        known: moves.OutstandingGrants,
-        owner: model.UpstreamId,
-        count: int,
-        now: float,
-    ) -> None:
-        """Logs what the slots wait for, at most once per interval."""
-        if now - self._logged_at < WAIT_LOG_INTERVAL_S:
-            return
-        self._logged_at = now
-        calls = {} if self._progress is None else self._progress.fields(now)
-        logs.logger.info(
-            "slots wait",
-            upstream=owner,
-            slots=count,
-            since_s=round(now - self.marked_at, 2),
-            all_stopped=known.all_stopped,
-            held_s=round(min(known.held_s, MAX_LOGGED_HELD_S), 2),
-            open_s=round(min(known.open_s, MAX_LOGGED_HELD_S), 2),
-            waits_for=known.waits_for,
-            released=len(self.tokens),
-            is_releasing=self.is_releasing,
-            **calls,
-        )
-
-    def cancel(self) -> None:
-        """Cancels the release that is in progress, if any."""
-        if self._release is not None:
-            self._release.cancel()
+# Ranges of slots that one call releases.
+Span = list[range]
 
 
 class Reclaimer:
@@ -186,9 +76,9 @@
         self,
         current: keymap.KeyMap,
         owner: model.UpstreamId,
-        slot_reclaim: SlotReclaim,
+        slot_reclaim: reclaim_state.SlotReclaim,
         ranges: list[range],
-        must_fence: bool,
+        to_fence: collections.abc.Set[int],
     ) -> None:
         """Starts to reclaim slots, unless a release is already in progress.
 
@@ -197,33 +87,35 @@
             owner: The owner that they leave.
             slot_reclaim: The state of reclaiming these slots.
             ranges: The slots, in ranges that were assigned as a whole.
-            must_fence: Whether older grants may still arrive at the owner.
+            to_fence: Slots for which older grants may still arrive at the
+                owner.
         """
         target = self._target_table.by_id.get(owner)
         if target is None or not slot_reclaim.may_release(clocks.monotonic()):
             return
-        if must_fence and not slot_reclaim.is_fenced:
-            slot_reclaim.is_fenced = True
-            slot_reclaim.tokens.clear()
-        pending = [
-            slot_range
-            for slot_range in ranges
-            if not slot_reclaim.tokens.keys() >= set(slot_range)
-        ]
-        pending.reverse()
-        run = self.release(current, target, slot_reclaim, pending)
+        pending = []
+        for slot_range in ranges:
+            if not to_fence.isdisjoint(slot_range):
+                slot_reclaim.note_fencing(slot_range)
+            if not slot_reclaim.tokens.keys() >= set(slot_range):
+                pending.append(slot_range)
+        spans = _spans(current, owner, slot_reclaim, pending)
+        spans.reverse()
+        run = self.release(current, target, slot_reclaim, spans)
         slot_reclaim.note_release(asyncio.create_task(run))
 
     async def release(
         self,
         current: keymap.KeyMap,
         target: targets.Target,
-        slot_reclaim: SlotReclaim,
-        pending: list[range],
+        slot_reclaim: reclaim_state.SlotReclaim,
+        pending: list[Span],
     ) -> None:
-        """Reclaims the ranges of slots in `pending`, the last one first."""
+        """Reclaims the slots in `pending`, those of the last span first."""
         failed: list[errors.PeerUnavailableError] = []
-        progress = slot_reclaim.start_progress(sum(map(len, pending)))
+        progress = slot_reclaim.start_progress(
+            sum(len(slot_range) for span in pending for slot_range in span)
+        )
 
         def should_continue() -> bool:
             # All slots are at one address: if it is unreachable for one range,
@@ -233,26 +125,27 @@
             )
             return is_reached and len(failed) < _MAX_FAILURES
 
-        async def reclaim_range(slot_range: range) -> None:
-            if not self._may_send(current, slot_reclaim, slot_range):
+        async def reclaim_span(span: Span) -> None:
+            slots = [slot for slot_range in span for slot in slot_range]
+            if not self._may_send(current, slot_reclaim, slots):
                 return
             try:
-                token = await self._release_range(
-                    current, target, slot_reclaim, slot_range, progress
+                token = await self._release_span(
+                    current, target, slot_reclaim, span, progress
                 )
             except errors.PeerUnavailableError as error:
                 failed.append(error)
                 return
-            slot_reclaim.tokens |= dict.fromkeys(slot_range, token)
+            slot_reclaim.note_released(slots, token, clocks.monotonic())
 
         await parallel.process_concurrently(
-            pending, _PARALLEL, reclaim_range, should_continue
+            pending, _PARALLEL, reclaim_span, should_continue
         )
         now = clocks.monotonic()
         logs.logger.info(
             "release ended",
             upstream=target.id,
-            is_fenced=slot_reclaim.is_fenced,
+            fenced=len(slot_reclaim.fenced),
             **progress.fields(now),
         )
         if failed:
@@ -266,7 +159,10 @@
             )
 
     def _may_send(
-        self, current, slot_reclaim: SlotReclaim, slot_range: range
+        self,
+        current: keymap.KeyMap,
+        slot_reclaim: reclaim_state.SlotReclaim,
+        slots: collections.abc.Iterable[int],
     ) -> bool:
         """Whether commands for slots may be sent to the owner that they leave.
 
@@ -275,18 +171,18 @@
         """
         latest = self._maps.by_service[self._service]
         return (
-            not slot_reclaim.is_reassigning
-            and all(_is_still_leaving(latest, current, i) for i in slot_range)
+            slot_reclaim.reassigning.isdisjoint(slots)
+            and all(_is_still_leaving(latest, current, i) for i in slots)
             and self._leadership.is_leader
             and self._authority.is_authorised(clocks.monotonic())
         )
 
-    async def _release_range(
+    async def _release_span(
         self,
-        current,
-        target,
-        slot_reclaim: SlotReclaim,
-        slot_range: range,
+        current: keymap.KeyMap,
+        target: targets.Target,
+        slot_reclaim: reclaim_state.SlotReclaim,
+        span: Span,
         progress: release_progress.ReleaseProgress,
     ) -> str:
         """Makes an owner release slots; returns the hand-over token.
@@ -295,23 +191,25 @@
         reports or because they are in flight. In this case a grant under a
         newer fence is sent first, after which the owner rejects older grants.
         """
-        address = target.upstream.address
-        keys = current.keys_of_range(slot_range)
-        fence = current.slots[slot_range.start].fence
-        if slot_reclaim.is_fenced:
+        fence = max(current.slots[part.start].fence for part in span)
+        if span[0].start in slot_reclaim.fenced:
             fence = current.next_fence
-            with progress.calling(release_progress.Call.FENCE):
-                await self._fence_off(
-                    current, target, slot_reclaim, slot_range, fence
-                )
+            for part in span:
+                with progress.calling(release_progress.Call.FENCE):
+                    await self._fence_off(
+                        current, target, slot_reclaim, part, fence
+                    )
+        keys = current.keys_of_range(range(span[0].start, span[-1].stop))
         with progress.calling(release_progress.Call.RELEASE):
-            return await self._control.release(address, target.id, keys, fence)
+            return await self._control.release(
+                target.upstream.address, target.id, keys, fence
+            )
 
     async def _fence_off(
         self,
         current,
         target,
-        slot_reclaim: SlotReclaim,
+        slot_reclaim: reclaim_state.SlotReclaim,
         slot_range: range,
         fence: int,
     ) -> None:
@@ -330,7 +228,7 @@
         self,
         current,
         target,
-        slot_reclaim: SlotReclaim,
+        slot_reclaim: reclaim_state.SlotReclaim,
         slot_range: range,
         fence: int,
         hold_s: float,
@@ -349,14 +247,14 @@
                 lambda: self._may_send(current, slot_reclaim, slot_range),
             )
         except (errors.PeerTimeoutError, asyncio.CancelledError):
-            slot_reclaim.note_unanswered(clocks.monotonic(), hold_s)
+            slot_reclaim.note_unanswered(slot_range, clocks.monotonic(), hold_s)
             raise
 
     async def keep(
         self,
         current: keymap.KeyMap,
         owner: model.UpstreamId,
-        slot_reclaim: SlotReclaim,
+        slot_reclaim: reclaim_state.SlotReclaim,
         ranges: list[range],
     ) -> None:
         """Lets an owner keep using slots during an outage of the store.
@@ -391,17 +289,20 @@
         self, current, target, slot_reclaim, slot_range: range
     ) -> None:
         first = current.slots[slot_range.start]
+        is_fenced = not slot_reclaim.fenced.isdisjoint(slot_range)
         tokens = {
-            slot_reclaim.tokens.pop(i, current.slots[i].token)
+            slot_reclaim.tokens.get(i, current.slots[i].token)
             for i in slot_range
         }
+        for slot in slot_range:
+            slot_reclaim.forget_release(slot)
         try:
             await self._grant(
                 current,
                 target,
                 slot_reclaim,
                 slot_range,
-                current.next_fence if slot_reclaim.is_fenced else first.fence,
+                current.next_fence if is_fenced else first.fence,
                 KEEP_HOLD_S,
                 # Slots that were released separately have several tokens.
                 tokens.pop() if len(tokens) == 1 else "",
@@ -411,6 +312,35 @@
             logs.logger.debug("hold not extended", error=str(error))
 
 
+def _spans(
+    current: keymap.KeyMap,
+    owner: model.UpstreamId,
+    slot_reclaim: reclaim_state.SlotReclaim,
+    ranges: list[range],
+) -> list[Span]:
+    """Groups ranges that their owner can release by one call.
+
+    The keys of a call are contiguous, so it may name keys in between that
+    others own; the owner doesn't hold them. That needs an owner that keeps no
+    slots: it gets none while slots are leaving it. After a failure each range
+    has its own call, so that one that the owner works on delays no other.
+    """
+    keeps_slots = not current.leaving.issuperset(current.slots_by_owner[owner])
+    if keeps_slots or slot_reclaim.has_failed:
+        return [[part] for part in ranges]
+    fenced = [p for p in ranges if not slot_reclaim.fenced.isdisjoint(p)]
+    plain = [p for p in ranges if slot_reclaim.fenced.isdisjoint(p)]
+    length = math.ceil(len(plain) / _SPANS)
+    return _chunks(fenced, _MAX_FENCED_RANGES) + _chunks(plain, length)
+
+
+def _chunks(ranges: list[range], length: int) -> list[Span]:
+    return [
+        ranges[start : start + length]
+        for start in range(0, len(ranges), max(1, length))
+    ]
+
+
 def _is_still_leaving(
     latest: keymap.KeyMap, before: keymap.KeyMap, index: int
 ) -> bool:
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -47,6 +47,9 @@
 _PARALLEL_UNRESPONSIVE = 24
 # After this many unanswered grants, the upstream counts as unreachable.
 _GIVE_UP_AFTER = 4
+# Slots with unanswered grants that a report lists; more would make it too large
+# for a datagram that isn't fragmented.
+MAX_UNANSWERED_LISTED = 64
 
 
 class Mark(msgspec.Struct, frozen=True):
@@ -472,15 +475,14 @@
         one VM renews an upstream's grants.
         """
         found: dict[ids.ServiceName, dict] = {}
+        listable = MAX_UNANSWERED_LISTED
         for service, key_map in self._maps.by_service.items():
             if not key_map.leaving:
                 continue
             hold_table = self.holds(service, len(key_map.slots))
             for owner, indices in key_map.leaving_by_owner().items():
-                hold = reports.Hold(
-                    hold_table.held_for_s(indices, now),
-                    hold_table.unanswered_for_s(indices, now),
-                )
+                hold = hold_table.hold(indices, now, listable)
                 if hold.held_s > 0 or hold.unanswered_s > 0:
                     found.setdefault(service, {})[owner] = hold
+                    listable -= len(hold.unanswered_slots or ())
         return found
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -55,10 +55,13 @@
     Attributes:
         held_s: Seconds until all grants that may hold such slots have expired.
         unanswered_s: Seconds until those that weren't answered have expired.
+        unanswered_slots: Slots of those that weren't answered; None if they
+            aren't listed, so that it may be any.
     """
 
     held_s: float
     unanswered_s: float
+    unanswered_slots: list[int] | None = None
 
 
 class TableStatus(msgspec.Struct, array_like=True):
--- a/tests/assigner_parts.py
+++ b/tests/assigner_parts.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import key_load
 from swiftstile.gateway import keymap
 from swiftstile.gateway import reclaim
+from swiftstile.gateway import reclaim_state
 from swiftstile.gateway import renewals
 from swiftstile.gateway import slotplan
 from swiftstile.gateway import speeds
@@ -143,9 +144,17 @@
             meters,
         )
 
-    def start(self, leaving=(0, 1), started_ms=None) -> keymap.KeyMap:
-        """Writes a map in which u-1 owns all slots and some are leaving."""
-        owners = dict.fromkeys(range(slotplan.SLOT_COUNT), "u-1")
+    def start(
+        self, leaving=(0, 1), started_ms=None, owners=None
+    ) -> keymap.KeyMap:
+        """Writes a map in which u-1 owns all slots and some are leaving.
+
+        Args:
+            leaving: Slots that are leaving.
+            started_ms: Start times of the owners.
+            owners: Owners by slot, instead of u-1.
+        """
+        owners = owners or dict.fromkeys(range(slotplan.SLOT_COUNT), "u-1")
         empty = keymap.KeyMap.empty(slotplan.SLOT_COUNT)
         made = empty.assign({}, owners, started_ms)
         made = made.mark_leaving(leaving)
@@ -156,12 +165,13 @@
         return made
 
     def release(self, current: keymap.KeyMap, is_fenced: bool = True):
-        source = reclaim.SlotReclaim(current.version, 0.0)
-        source.is_fenced = is_fenced
+        source = reclaim_state.SlotReclaim(current.version, 0.0)
+        if is_fenced:
+            source.note_fencing(range(2))
         target = self.target_table.by_id["u-1"]
         asyncio.run(
             self.assigner._reclaimer.release(
-                current, target, source, [range(1, 2), range(1)]
+                current, target, source, [[range(1, 2)], [range(1)]]
             )
         )
         return source
--- a/tests/unit/test_gateway_exclusivity.py
+++ b/tests/unit/test_gateway_exclusivity.py
@@ -16,9 +16,9 @@
 from swiftstile.gateway import authority
 from swiftstile.gateway import gossip
 from swiftstile.gateway import holds
-from swiftstile.gateway import key_assigner
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
+from swiftstile.gateway import move_steps
 from swiftstile.gateway import moves
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
@@ -255,7 +255,7 @@
             if is_certain:
                 self._server.release(_OLD_FENCE)
                 self._released = "plain"
-            elif now - self._marked_at > key_assigner.STOP_WAIT_S:
+            elif now - self._marked_at > move_steps.STOP_WAIT_S:
                 self._fence_and_release()
 
     def _fence_and_release(self) -> None:
--- a/tests/unit/test_gateway_exclusivity_concurrency.py
+++ b/tests/unit/test_gateway_exclusivity_concurrency.py
@@ -11,20 +11,21 @@
 
 import asyncio
 import random
-import selectors
 
 import pytest
 
 from swiftstile import errors
+from swiftstile.gateway import holds
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import key_assigner
 from swiftstile.gateway import keymap
 from swiftstile.gateway import keyplan
-from swiftstile.gateway import reclaim
+from swiftstile.gateway import reclaim_state
 from swiftstile.gateway import renewals
 from swiftstile.gateway import slotplan
 from tests import assigner_parts
 from tests import gateway_builders as builders
+from tests import virtual_time
 
 _START_S = 100.0
 _LENGTH_S = 14.0
@@ -38,34 +39,6 @@
 _SEEDS = range(150)
 
 
-class _Clock:
-    now = _START_S
-
-
-class _Selector(selectors.SelectSelector):
-    """Advances the clock to the next timer instead of waiting for it."""
-
-    def __init__(self, clock: _Clock):
-        super().__init__()
-        self._clock = clock
-
-    def select(self, timeout=None):
-        if timeout is None:
-            raise AssertionError("nothing is left to happen")
-        self._clock.now += max(0.0, timeout)
-        return super().select(0)
-
-
-class _Loop(asyncio.SelectorEventLoop):
-
-    def __init__(self, clock: _Clock):
-        self._model_clock = clock
-        super().__init__(_Selector(clock))
-
-    def time(self) -> float:
-        return self._model_clock.now
-
-
 class _SlotState:
     """Which owners hold which slots, and which own them in the map.
 
@@ -73,7 +46,7 @@
         overlaps: Number of slots held by one owner and owned by another.
     """
 
-    def __init__(self, clock: _Clock, draw: random.Random):
+    def __init__(self, clock: virtual_time.Clock, draw: random.Random):
         self.clock = clock
         self.draw = draw
         self.overlaps = 0
@@ -216,7 +189,7 @@
 
     def __init__(self, seed: int):
         self._draw = random.Random(seed)
-        self._clock = _Clock()
+        self._clock = virtual_time.Clock(_START_S)
         self.slot_state = _SlotState(self._clock, self._draw)
         self._marks: list[tuple[float, list[int]]] = []
 
@@ -225,7 +198,9 @@
             "swiftstile.clocks.monotonic", lambda: self._clock.now
         )
         monkeypatch.setattr(slotplan, "SLOT_COUNT", _SLOTS)
-        with asyncio.Runner(loop_factory=lambda: _Loop(self._clock)) as runner:
+        with asyncio.Runner(
+            loop_factory=lambda: virtual_time.Loop(self._clock)
+        ) as runner:
             runner.run(self._play())
         return self
 
@@ -341,6 +316,50 @@
         self._marks.append((store.outage[1], [_SLOTS - 1]))
 
 
+class _SomeUnanswered(_Model):
+    """Only some grants had no answer; these may be carried out late."""
+
+    def _grant_all(self) -> None:
+        hold_table = self._parts.renewer.holds(builders.LOOKUPS, _SLOTS)
+        granted_at = self._clock.now - self._draw.uniform(0, 1.5)
+        unanswered = self._draw.sample(range(_SLOTS), self._draw.randint(1, 4))
+        for slot in range(_SLOTS):
+            one = range(slot, slot + 1)
+            hold_table.note_sent(one)
+            if slot in unanswered:
+                hold_table.note_unanswered(one, granted_at, renewals.HOLD_S)
+                self._grant_late(one, granted_at)
+            else:
+                hold_table.note_answered(one, granted_at, renewals.HOLD_S)
+                end = granted_at + renewals.HOLD_S
+                self.slot_state.until["u-1", slot] = end
+
+    def _grant_late(self, slots: range, arrived: float) -> None:
+        key_map = self._parts.maps.by_service[builders.LOOKUPS]
+        asyncio.get_running_loop().call_later(
+            self._draw.uniform(0.1, 4.0),
+            self.slot_state.grant,
+            "u-1",
+            slots,
+            key_map.slots[slots.start].fence,
+            renewals.HOLD_S,
+            arrived,
+        )
+
+
+class _Emptied(_SomeUnanswered):
+    """All slots leave an owner, which releases several by one call."""
+
+    def _plan(self, store, upstreams) -> None:
+        super()._plan(store, upstreams)
+        self._marks.clear()
+        parts = self._parts
+        parts.target_table.by_id["u-1"].mark_leaving(
+            self._clock.now, self._clock.now
+        )
+        parts.start(leaving=range(_SLOTS))
+
+
 def _play_all(monkeypatch, kind=_Model, seeds=_SEEDS) -> list[_Model]:
     return [kind(seed).play(monkeypatch) for seed in seeds]
 
@@ -354,7 +373,15 @@
 # Commands for single slots, and for up to five adjacent slots at a time.
 @pytest.mark.parametrize("max_ranges", [_SLOTS, 1])
 @pytest.mark.parametrize(
-    "kind", [_Model, _Remarked, _StoreOutage, _StoreOutageAndRemarked]
+    "kind",
+    [
+        _Model,
+        _Remarked,
+        _StoreOutage,
+        _StoreOutageAndRemarked,
+        _SomeUnanswered,
+        _Emptied,
+    ],
 )
 def test_no_two_owners_have_a_slot(monkeypatch, kind, max_ranges):
     monkeypatch.setattr(keyplan, "MIN_BLOCKS_PER_OWNER", 1)
@@ -367,9 +394,9 @@
 
 
 def test_without_the_flag_on_slots_being_reassigned_holds_overlap(monkeypatch):
-    never = property(lambda self: False, lambda self, value: None)
+    never = property(lambda self: frozenset(), lambda self, value: None)
     monkeypatch.setattr(
-        reclaim.SlotReclaim, "is_reassigning", never, raising=False
+        reclaim_state.SlotReclaim, "reassigning", never, raising=False
     )
     assert _overlaps(monkeypatch) > 0
 
@@ -392,7 +419,7 @@
 
 
 def test_without_cancelling_former_releases_holds_overlap(monkeypatch):
-    monkeypatch.setattr(reclaim.SlotReclaim, "cancel", lambda self: None)
+    monkeypatch.setattr(reclaim_state.SlotReclaim, "cancel", lambda self: None)
     assert _overlaps(monkeypatch, _Remarked) > 0
 
 
@@ -403,11 +430,18 @@
     monkeypatch.setattr(keyplan, "MIN_BLOCKS_PER_OWNER", 1)
     monkeypatch.setattr(_StoreOutage, "max_ranges", max_ranges)
     monkeypatch.setattr(
-        reclaim.SlotReclaim, "note_unanswered", lambda self, now, hold_s: None
+        reclaim_state.SlotReclaim, "note_unanswered", lambda *_: None
     )
     assert _overlaps(monkeypatch, _StoreOutage) > 0
 
 
+def test_without_the_list_of_unanswered_grants_holds_overlap(monkeypatch):
+    monkeypatch.setattr(
+        holds.HoldTable, "unanswered_slots", lambda self, slots, now: []
+    )
+    assert _overlaps(monkeypatch, _SomeUnanswered) > 0
+
+
 def test_without_a_newer_fence_for_each_mark_holds_overlap(monkeypatch):
     def same(self):
         return self.with_slots({}, self.next_fence, self.version)
--- a/tests/unit/test_gateway_key_assigner.py
+++ b/tests/unit/test_gateway_key_assigner.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from swiftstile.gateway import key_assigner
-from swiftstile.gateway import reclaim
+from swiftstile.gateway import reclaim_state
 from swiftstile.gateway import renewals
 from swiftstile.gateway import slotplan
 from tests import assigner_parts
@@ -53,8 +53,8 @@
     parts.control.is_unresponsive = True
     clock = [1000.0]
     monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: clock[0])
-    source = reclaim.SlotReclaim(current.version, clock[0])
-    source.is_fenced = True
+    source = reclaim_state.SlotReclaim(current.version, clock[0])
+    source.note_fencing(range(2))
     target = parts.target_table.by_id["u-1"]
     hold_table = parts.renewer.holds(builders.LOOKUPS, slotplan.SLOT_COUNT)
     free_at = None
@@ -62,7 +62,7 @@
         if source.may_release(clock[0]):
             asyncio.run(
                 parts.assigner._reclaimer.release(
-                    current, target, source, [range(1, 2), range(1)]
+                    current, target, source, [[range(1, 2)], [range(1)]]
                 )
             )
         clock[0] += 0.1
@@ -224,10 +224,10 @@
     parts.control.is_unreachable = True
     tries = []
     parts.control.before_send = lambda: tries.append(1)
-    source = reclaim.SlotReclaim(current.version, 0.0)
-    source.is_fenced = True
+    source = reclaim_state.SlotReclaim(current.version, 0.0)
+    source.note_fencing(range(100))
     target = parts.target_table.by_id["u-1"]
-    pieces = [range(index, index + 1) for index in range(100)]
+    pieces = [[range(index, index + 1)] for index in range(100)]
     run = parts.assigner._reclaimer.release(current, target, source, pieces)
     asyncio.run(run)
     assert 1 <= len(tries) <= 4
@@ -247,8 +247,53 @@
     later.maps.put(builders.LOOKUPS, current, 120.0)
     hold_table = parts.renewer.holds(builders.LOOKUPS, slotplan.SLOT_COUNT)
     # Created when the process started at 100; leader since 120.
-    assert parts.assigner._own_hold(hold_table, [0], 120.0).held_s == 0.0
-    assert later.assigner._own_hold(hold_table, [0], 120.0).held_s > 5.0
+    unknown = {0: float("-inf")}
+    assert parts.assigner._own_hold(hold_table, unknown, 120.0).held_s == 0.0
+    assert later.assigner._own_hold(hold_table, unknown, 120.0).held_s > 5.0
+
+
+def test_earlier_runs_granted_nothing_of_slots_that_were_assigned_since(
+    monkeypatch,
+):
+    clock = [100.0]
+    monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: clock[0])
+    parts = assigner_parts.Parts()
+    hold_table = parts.renewer.holds(builders.LOOKUPS, slotplan.SLOT_COUNT)
+    clock[0] = 102.0
+    assigned_at = {0: 101.0, 1: 99.0}
+    hold = parts.assigner._own_hold(hold_table, assigned_at, clock[0])
+    assert hold.held_s > 3.0
+    assert hold.unanswered_slots == [1]
+    del assigned_at[1]
+    hold = parts.assigner._own_hold(hold_table, assigned_at, clock[0])
+    assert (hold.held_s, hold.unanswered_s) == (0.0, 0.0)
+
+
+def test_only_assignments_to_another_owner_are_recorded():
+    # Grants of before may still arrive at an owner that restarted.
+    async def scenario():
+        parts = assigner_parts.Parts()
+        for name in ("u-1", "u-2"):
+            parts.target_table.put(builders.upstream(name, started_ms=5), 0.0)
+        current = parts.start(leaving=(0,), started_ms={"u-1": 5})
+        await _tick_until(
+            parts, lambda: not parts.maps.by_service[builders.LOOKUPS].leaving
+        )
+        times = parts.assigner._assignment_times
+        moved = parts.maps.by_service[builders.LOOKUPS]
+        assert times.by_slot(moved, [0])[0] > 0
+        assert times.by_slot(current, [0, 1]) == dict.fromkeys(
+            (0, 1), float("-inf")
+        )
+        parts.target_table.put(
+            builders.upstream(moved.slots[0].owner, started_ms=7), 1.0
+        )
+        assert await parts.assigner._reassign_to_restarted(moved)
+        again = parts.maps.by_service[builders.LOOKUPS]
+        assert again.slots[0].fence > moved.slots[0].fence
+        assert times.by_slot(again, [0])[0] == float("-inf")
+
+    asyncio.run(scenario())
 
 
 def test_slots_that_become_hot_in_turn_get_different_owners(monkeypatch):
--- a/tests/unit/test_gateway_keys.py
+++ b/tests/unit/test_gateway_keys.py
@@ -260,7 +260,9 @@
     assert table.unanswered_for_s([0], 7.0) == 0.0
 
 
-def _outstanding_grants(peers, now, own=None, stopped_at=12.5):
+def _outstanding_grants(
+    peers, now, own=None, stopped_at=12.5, assigned_at=None
+):
     return moves.outstanding_grants(
         builders.LOOKUPS,
         "u-1",
@@ -270,6 +272,7 @@
         stopped_at=stopped_at,
         max_held_s=5.25,
         now=now,
+        assigned_at=assigned_at,
     )
 
 
@@ -336,6 +339,27 @@
     assert _outstanding_grants([peer], 10.2).held_s == pytest.approx(5.05)
 
 
+def test_a_restarted_peer_did_not_grant_what_was_assigned_since():
+    peer = _reporting_peer(7, reports.Hold(0.0, 0.0), 10.1)
+    report = peer.report
+    peer.record_run(peer.row, 10.0)
+    peer.record_direct_report(report, 10.1)
+    known = _outstanding_grants([peer], 12.0, assigned_at={4: 11.0, 5: 11.0})
+    assert known.all_stopped and known.held_s == 0.0
+    known = _outstanding_grants([peer], 12.0, assigned_at={4: 11.0, 5: 9.0})
+    assert known.held_s == pytest.approx(3.25)
+    assert known.may_be_open(5) and not known.may_be_open(4)
+
+
+def test_unanswered_grants_of_several_vms_are_combined():
+    peer = _reporting_peer(7, reports.Hold(4.0, 2.0, [3]), 10.1)
+    known = _outstanding_grants([peer], 10.1, own=reports.Hold(4.0, 1.0, [5]))
+    assert [slot for slot in range(8) if known.may_be_open(slot)] == [3, 5]
+    unlisted = _reporting_peer(7, reports.Hold(4.0, 2.0), 10.1)
+    known = _outstanding_grants([peer, unlisted], 10.1)
+    assert known.may_be_open(4)
+
+
 def test_a_report_that_a_peer_sent_as_leader_says_nothing_of_its_holds():
     peer = _reporting_peer(7, reports.Hold(0.0, 0.0), 10.1)
     peer.report.holds = None
--- a/tests/unit/test_gateway_reassignment.py
+++ b/tests/unit/test_gateway_reassignment.py
@@ -79,7 +79,9 @@
     await parts.assigner.tick()
     current = parts.maps.by_service[builders.LOOKUPS]
     slot_reclaim = parts.assigner._slot_reclaims["u-1"]
-    parts.assigner._reclaimer.start(current, "u-1", slot_reclaim, _RANGES, True)
+    parts.assigner._reclaimer.start(
+        current, "u-1", slot_reclaim, _RANGES, frozenset(_SLOTS)
+    )
     await _run_pending_tasks()
     return parts
 
@@ -228,8 +230,8 @@
         parts.start(_SLOTS)
         await parts.assigner.tick()
         slot_reclaim = parts.assigner._slot_reclaims["u-1"]
-        slot_reclaim.is_fenced = True
-        slot_reclaim.tokens = dict.fromkeys(_SLOTS, "warm")
+        slot_reclaim.note_fencing(_SLOTS)
+        slot_reclaim.note_released(_SLOTS, "warm", 0.0)
         parts.leadership.version += 2
         before = parts.maps.by_service[builders.LOOKUPS]
         await parts.assigner.tick()
@@ -253,7 +255,7 @@
         await parts.assigner.tick()
         current = parts.maps.by_service[builders.LOOKUPS]
         slot_reclaim = parts.assigner._slot_reclaims["u-1"]
-        slot_reclaim.is_fenced = True
+        slot_reclaim.note_fencing(_SLOTS)
         parts.control.is_unresponsive = True
         target = parts.target_table.by_id["u-1"]
         await parts.assigner._reclaimer.keep(
@@ -263,7 +265,7 @@
         kept_until = clock[0] + reclaim.KEEP_HOLD_S
         parts.control.is_unresponsive = False
         await parts.assigner._reclaimer.release(
-            current, target, slot_reclaim, list(_RANGES)
+            current, target, slot_reclaim, [[part] for part in _RANGES]
         )
         assert set(slot_reclaim.tokens) == set(_SLOTS)
         clock[0] += 0.1
--- a/tests/unit/test_gateway_succession.py
+++ b/tests/unit/test_gateway_succession.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import moves
 from swiftstile.gateway import reclaim
+from swiftstile.gateway import reclaim_state
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
 from swiftstile.gateway import succession
@@ -279,7 +280,7 @@
                 now < self._crashed_at + self._continues_s
                 and now >= self._keep_at
             ):
-                self._keep_at = now + reclaim.KEEP_INTERVAL_S
+                self._keep_at = now + reclaim_state.KEEP_INTERVAL_S
                 self._hold(reclaim.KEEP_HOLD_S)
             return
         reported = _MARKED if self._is_marked() else _PLAIN
@@ -294,7 +295,7 @@
             if self._is_marked():
                 self._third.learn(_MARKED, now, _SLOTS)
         if self._is_marked() and now >= self._keep_at:
-            self._keep_at = now + reclaim.KEEP_INTERVAL_S
+            self._keep_at = now + reclaim_state.KEEP_INTERVAL_S
             self._hold(reclaim.KEEP_HOLD_S)
 
     def _renew(self) -> None:
