--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -267,13 +267,15 @@
     async def _renew(self, owner: model.UpstreamId) -> None:
         service = self._target_table.by_id[owner].upstream.service
         while True:
+            key_map = self._maps.by_service[service]
             is_answering = await self._renew_due(service, owner)
-            if is_answering:
-                self.unreachable.discard(owner)
-                await self._maps.changed.wait(_POLL_INTERVAL_S)
-            else:
+            if not is_answering:
                 self.unreachable.add(owner)
                 await asyncio.sleep(_RETRY_DELAY_S)
+                continue
+            self.unreachable.discard(owner)
+            if self._maps.by_service[service] is key_map:
+                await self._maps.changed.wait(_POLL_INTERVAL_S)
 
     async def _renew_due(self, service, owner) -> bool:
         key_map = self._maps.by_service[service]
@@ -294,11 +296,14 @@
         async def grant(slot_range: range) -> None:
             answers.append(await self._grant(service, owner, slot_range))
 
+        def should_continue() -> bool:
+            # A newer map may have slots that were never granted, which go
+            # first; the rest is still due in the next round.
+            is_answering = any(answers) or len(answers) < _GIVE_UP_AFTER
+            return is_answering and self._maps.by_service[service] is key_map
+
         await parallel.process_concurrently(
-            queue,
-            min(count, len(queue)),
-            grant,
-            lambda: any(answers) or len(answers) < _GIVE_UP_AFTER,
+            queue, min(count, len(queue)), grant, should_continue
         )
         if all(answers):
             self._unresponsive.discard(owner)
--- a/tests/unit/test_gateway_handover_time.py
+++ b/tests/unit/test_gateway_handover_time.py
@@ -33,6 +33,7 @@
 
     Attributes:
         released_at: When slots were first released, by slot.
+        granted: Owner and slot of each grant, in order.
         work_s_by_slot: How long work runs on a slot when it is released.
         lost: Slots of which the answer to the first release is lost.
     """
@@ -40,6 +41,7 @@
     def __init__(self, clock: virtual_time.Clock):
         self._clock = clock
         self.released_at: dict[int, float] = {}
+        self.granted: list[tuple[str, int]] = []
         self.work_s_by_slot: dict[int, float] = {}
         self.lost: set[int] = set()
 
@@ -47,6 +49,8 @@
         self, address, upstream, keys, fence, hold_s, token, on_send
     ):
         on_send()
+        slot = keymap.KeyMap.empty(slotplan.SLOT_COUNT).index_of(keys.first)
+        self.granted.append((upstream, slot))
         await asyncio.sleep(_CALL_S)
         return interfaces.GrantResult.HELD
 
@@ -70,6 +74,7 @@
     Attributes:
         slots: Its slots.
         upstreams: The owners.
+        parts: The leader.
     """
 
     def __init__(self, monkeypatch):
@@ -78,17 +83,17 @@
             "swiftstile.clocks.monotonic", lambda: self.clock.now
         )
         self.upstreams = _Upstreams(self.clock)
-        self._parts = assigner_parts.Parts(
+        self.parts = assigner_parts.Parts(
             control=self.upstreams, max_ranges=slotplan.SLOT_COUNT
         )
         for name in _OWNERS:
-            self._parts.target_table.put(builders.upstream(name), 0.0)
+            self.parts.target_table.put(builders.upstream(name), 0.0)
         weights = dict.fromkeys(_OWNERS, 3.0)
         assigned = keyplan.assign_blocks(slotplan.SLOT_COUNT, weights)
-        self._parts.start(owners=dict(enumerate(assigned)), leaving=())
-        self._parts.assigner._started -= 60.0
+        self.parts.start(owners=dict(enumerate(assigned)), leaving=())
+        self.parts.assigner._started -= 60.0
         self.slots = [i for i, name in enumerate(assigned) if name == "u-1"]
-        self._hold_table = self._parts.renewer.holds(
+        self._hold_table = self.parts.renewer.holds(
             builders.LOOKUPS, slotplan.SLOT_COUNT
         )
         self.grant(self.slots)
@@ -116,13 +121,13 @@
         }
 
     async def _play(self) -> dict[int, float]:
-        target = self._parts.target_table.by_id["u-1"]
+        target = self.parts.target_table.by_id["u-1"]
         target.mark_leaving(self.clock.now, self.clock.now)
         self.left_at, assigned_at = self.clock.now, {}
         while len(assigned_at) < len(self.slots):
             assert self.clock.now < self.left_at + _LENGTH_S
-            await self._parts.assigner.tick()
-            key_map = self._parts.maps.by_service[builders.LOOKUPS]
+            await self.parts.assigner.tick()
+            key_map = self.parts.maps.by_service[builders.LOOKUPS]
             for slot in self.slots:
                 if key_map.slots[slot].owner != "u-1":
                     assigned_at.setdefault(slot, self.clock.now)
@@ -161,3 +166,30 @@
     delayed = sum(took_s > 0.5 for took_s in unowned_s.values())
     assert delayed <= len(hand_over.slots) / 10
     assert max(unowned_s.values()) <= _BOUND_S
+
+
+def test_a_first_grant_does_not_wait_for_renewals(monkeypatch):
+    # A round of renewals of all slots of an owner takes seconds where calls are
+    # slow. A slot that it got meanwhile had no owner until the round ended.
+    hand_over = _HandOver(monkeypatch)
+    parts, new_slot = hand_over.parts, hand_over.slots[7]
+
+    async def scenario() -> int:
+        renewing = asyncio.create_task(parts.renewer._renew("u-2"))
+        # All have been granted once, and are being renewed.
+        await asyncio.sleep(3.0)
+        before = len(hand_over.upstreams.granted)
+        moved = parts.maps.by_service[builders.LOOKUPS].assign(
+            {}, {new_slot: "u-2"}
+        )
+        moved.version += 1
+        parts.maps.put(builders.LOOKUPS, moved, hand_over.clock.now)
+        while ("u-2", new_slot) not in hand_over.upstreams.granted:
+            await asyncio.sleep(_CALL_S)
+        renewing.cancel()
+        return len(hand_over.upstreams.granted) - before
+
+    with asyncio.Runner(
+        loop_factory=lambda: virtual_time.Loop(hand_over.clock)
+    ) as runner:
+        assert runner.run(scenario()) <= 16
