--- a/src/swiftstile/gateway/key_assigner.py
+++ b/src/swiftstile/gateway/key_assigner.py
@@ -54,6 +54,10 @@
 ASSIGN_INTERVAL_PER_VM_S = 0.003
 
 
+# Reason of the writes of rebalancing.
+_REBALANCING = "evening out"
+
+
 class _NextSteps(typing.NamedTuple):
     """The next steps for slots that are leaving.
 
@@ -230,7 +234,7 @@
             reason = "hot slots"
         if not moving:
             moving = self._plan.surplus_slots_to_move(current, weights, now)
-            reason = "evening out"
+            reason = _REBALANCING
         if not moving:
             return
         owners = {current.slots[index].owner for index in moving}
@@ -239,7 +243,10 @@
             # Commands of the release that this one replaces may still arrive;
             # their fence must be older than that of the next release.
             marked = marked.with_newer_fence()
+        if reason == _REBALANCING:
+            self._plan.log_rebalancing(current, moving, weights)
         if await self._write(marked, reason):
+            self._meters.ownership.add(f"{_label(reason)}-slots", len(moving))
             written_at = self._marked_at = clocks.monotonic()
             version = self._maps.by_service[self._service].version
             for owner in owners:
@@ -540,7 +547,7 @@
             return False
         changed.version = version
         self._maps.put(self._service, changed, clocks.monotonic())
-        self._meters.ownership.add(reason.replace(" ", "-"))
+        self._meters.ownership.add(_label(reason))
         logs.logger.info(
             "key map written",
             service=self._service,
@@ -566,3 +573,8 @@
         if current.leaving.issuperset(current.slots_by_owner[owner])
     }
     return {name: w for name, w in weights.items() if name not in emptied}
+
+
+def _label(reason: str) -> str:
+    """Returns the metric label of a reason for writing a map."""
+    return reason.replace(" ", "-")
--- a/src/swiftstile/gateway/slotplan.py
+++ b/src/swiftstile/gateway/slotplan.py
@@ -8,6 +8,7 @@
 import collections.abc
 
 from swiftstile import ids
+from swiftstile import logs
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import hotplan
 from swiftstile.gateway import key_load
@@ -37,6 +38,8 @@
 # keys. A slow target keeps a few keys, whose requests show when it is fast
 # again.
 MIN_SPEED, MAX_SPEED = 0.1, 2.0
+# Owners that a log line on rebalancing names at either end.
+MAX_LOGGED = 3
 # Part of its share of the keys that an owner keeps beside a hot slot that takes
 # up all its capacity, so that it isn't idle when the hotspot ends.
 MIN_SHARE_BESIDE_HOT = 0.1
@@ -171,6 +174,37 @@
             current, remaining, MAX_REBALANCED_SLOTS, hot, width
         )
 
+    def log_rebalancing(
+        self, current: keymap.KeyMap, moving: list[int], weights: Weights
+    ) -> None:
+        """Logs by which estimates slots are about to be rebalanced."""
+        total = sum(weights.values())
+        count = len(current.slots)
+        excess = {
+            owner: len(current.slots_by_owner.get(owner, ()))
+            / (count * weight / total)
+            for owner, weight in weights.items()
+        }
+        in_order = sorted(excess, key=excess.get)
+        logs.logger.info(
+            "slots rebalanced",
+            service=self._service,
+            slots=len(moving),
+            hot=len(self._rebalanced_for),
+            owners=len(weights),
+            # Owned slots relative to the share that the speeds call for, and
+            # the answers that these speeds rest on.
+            furthest_below=self._described(in_order[:MAX_LOGGED], excess),
+            furthest_above=self._described(in_order[-MAX_LOGGED:], excess),
+        )
+
+    def _described(self, owners, excess: Weights) -> list[str]:
+        counts = self._speed_table.answer_counts
+        return [
+            f"{owner} {excess[owner]:.2f} {counts.get(owner, 0.0):.0f}"
+            for owner in owners
+        ]
+
     def destinations(
         self,
         current: keymap.KeyMap,
--- a/src/swiftstile/gateway/speeds.py
+++ b/src/swiftstile/gateway/speeds.py
@@ -130,9 +130,15 @@
 
 
 class SpeedTable:
-    """Ratios of measured to expected service time, by upstream."""
+    """Ratios of measured to expected service time, by upstream.
+
+    Attributes:
+        answer_counts: Decayed number of answers that the last placement ratios
+            rest on, by upstream.
+    """
 
     def __init__(self):
+        self.answer_counts: dict[model.UpstreamId, float] = {}
         self._own: dict[model.UpstreamId, _DecayingSum] = {}
         self._peers = _PeerSums()
 
@@ -178,6 +184,9 @@
         and keys would move for no reason.
         """
         sums = self._sums(now)
+        self.answer_counts = {
+            name: sums[name][1] for name in members if name in sums
+        }
         known = {name: _ratio(*sums[name]) for name in members if name in sums}
         least = PRIOR_COUNT * len(members)
         if not known or sum(sums[name][1] for name in known) < least:
