--- a/src/swiftstile/gateway/speeds.py
+++ b/src/swiftstile/gateway/speeds.py
@@ -178,21 +178,21 @@
     ) -> dict[model.UpstreamId, float]:
         """Returns comparable ratios of members, for key placement.
 
-        All are equal while there are few answers. A member without samples gets
-        the mean of the others: where work takes a fifth of the expected time,
-        each member with samples would otherwise seem five times as fast as it,
-        and keys would move for no reason.
+        All are equal while there are few answers. The prior of each member is
+        the mean of all: where work takes a fifth of the expected time, members
+        with few answers would otherwise seem several times as slow as the
+        others, and keys would move to where answers are.
         """
         sums = self._sums(now)
-        self.answer_counts = {
-            name: sums[name][1] for name in members if name in sums
-        }
-        known = {name: _ratio(*sums[name]) for name in members if name in sums}
-        least = PRIOR_COUNT * len(members)
-        if not known or sum(sums[name][1] for name in known) < least:
+        known = {name: sums[name] for name in members if name in sums}
+        self.answer_counts = {name: count for name, (_, count) in known.items()}
+        answers = sum(self.answer_counts.values())
+        if not known or answers < PRIOR_COUNT * len(members):
             return dict.fromkeys(members, DEFAULT_RATIO)
-        mean = sum(known.values()) / len(known)
-        return {name: known.get(name, mean) for name in members}
+        mean = sum(total for total, _ in known.values()) / answers
+        return {
+            name: _ratio(*known.get(name, (0.0, 0.0)), mean) for name in members
+        }
 
     def ratios(self, now: float) -> dict[model.UpstreamId, float]:
         """Returns the known ratios; others count as `DEFAULT_RATIO`."""
@@ -211,5 +211,5 @@
         return sums
 
 
-def _ratio(total: float, count: float) -> float:
-    return (PRIOR_COUNT + total) / (PRIOR_COUNT + count)
+def _ratio(total: float, count: float, prior: float = DEFAULT_RATIO) -> float:
+    return (PRIOR_COUNT * prior + total) / (PRIOR_COUNT + count)
