--- a/src/swiftstile/gateway/causes.py
+++ b/src/swiftstile/gateway/causes.py
@@ -12,7 +12,7 @@
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import model
 
-__all__ = ["CrashId", "crash_id", "find_causes"]
+__all__ = ["CrashId", "TimesToCrash", "crash_id", "find_causes", "weights"]
 
 # Minimum crashes before a request can be regarded as their cause.
 MIN_CRASHES = 3
@@ -62,7 +62,7 @@
         if digest not in found
     }
     best, best_weight = None, 0.0
-    for digest, weight in _weights(unexplained).items():
+    for digest, weight in weights(unexplained).items():
         count = len(unexplained[digest])
         is_cause = weight > MIN_WEIGHT or count >= CERTAIN_CRASHES
         if is_cause and count >= MIN_CRASHES and weight > best_weight:
@@ -82,8 +82,12 @@
     )
 
 
-def _weights(sent: TimesToCrash) -> dict[fingerprint.Digest, float]:
-    """Returns the total weight of the crashes of each suspect."""
+def weights(sent: TimesToCrash) -> dict[fingerprint.Digest, float]:
+    """Returns the total weight of the crashes of each suspect.
+
+    Args:
+        sent: Suspects of several crashes.
+    """
     suspects_by_crash: dict[CrashId, list[fingerprint.Digest]] = {}
     for digest, crashes in sent.items():
         for crash in crashes:
--- a/src/swiftstile/gateway/crash_guard.py
+++ b/src/swiftstile/gateway/crash_guard.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from swiftstile import clocks
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import causes
@@ -109,7 +110,10 @@
             check.add_done_callback(
                 lambda _: self._checks_by_address.pop(address, None)
             )
-        return await asyncio.shield(check) and target.leaving_since is None
+        is_refused = await asyncio.shield(check)
+        if not is_refused:
+            self._meters.crashes.add("still-up")
+        return is_refused and target.leaving_since is None
 
     def record_crash(
         self,
@@ -128,13 +132,17 @@
         """
         upstream = target.upstream
         crash = causes.crash_id(upstream.id, upstream.started_ms)
-        self._suspect_table.record_crash(digest, crash, sent_s, now)
-        self._meters.crashes.add("suspected")
+        counted = self._suspect_table.record_crash(digest, crash, sent_s, now)
+        self._meters.crashes.add("suspected" if counted else "known-crash")
         logs.logger.info(
             "request suspected of a crash",
             request=digest.hex(),
             upstream=upstream.id,
+            started_ms=upstream.started_ms,
+            sent_ms=clocks.milliseconds(sent_s),
+            is_counted=counted,
             crashes=self._suspect_table.crashes(digest),
+            weight=round(self._suspect_table.weight(digest), 2),
             is_cause=digest in self._suspect_table.identified_causes(),
         )
 
--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -184,6 +184,10 @@
         suspect = self._by_digest.get(digest)
         return 0 if suspect is None else len(suspect.by_crash)
 
+    def weight(self, digest: fingerprint.Digest) -> float:
+        """Returns the weight of the crashes that a request is a suspect of."""
+        return causes.weights(self._times_to_crash()).get(digest, 0.0)
+
     def identified_causes(self) -> list[fingerprint.Digest]:
         """Returns the requests identified as causes of crashes."""
         return [
@@ -198,7 +202,7 @@
         crash: causes.CrashId,
         sent_s: float,
         now: float,
-    ) -> None:
+    ) -> bool:
         """Records that an upstream crashed while it had a request.
 
         Args:
@@ -206,15 +210,20 @@
             crash: The crash.
             sent_s: Time from sending the request to the crash, in seconds.
             now: The current time.
+
+        Returns:
+            Whether it wasn't known to be a suspect of this crash, and is now.
         """
         if digest in self._answered:
-            return
+            return False
         suspect = self._by_digest.get(digest)
         if suspect is None:
             suspect = self._by_digest[digest] = _Suspect(now)
-        if suspect.add_crash(crash, _Crash(now, sent_s)):
-            suspect.changed_at = now
-            self._update_causes(now)
+        if not suspect.add_crash(crash, _Crash(now, sent_s)):
+            return False
+        suspect.changed_at = now
+        self._update_causes(now)
+        return True
 
     def record_response(self, digest: fingerprint.Digest, now: float) -> bool:
         """Records a response to a request; returns whether it was suspected."""
@@ -343,22 +352,23 @@
         """Recomputes which requests are causes."""
         self._expire(now)
         self._evict()
-        found = causes.find_causes(
-            {
-                digest: {
-                    name: crash.sent_s
-                    for name, crash in suspect.by_crash.items()
-                }
-                for digest, suspect in self._by_digest.items()
-                if len(suspect.by_crash) >= CRASHES_TO_STOP_RESENDS
-            }
-        )
+        found = causes.find_causes(self._times_to_crash())
         for digest, suspect in self._by_digest.items():
             if digest not in found:
                 suspect.cause_since = None
             elif suspect.cause_since is None:
                 suspect.cause_since = now
 
+    def _times_to_crash(self) -> causes.TimesToCrash:
+        """Returns the crashes of the suspects of several."""
+        return {
+            digest: {
+                name: crash.sent_s for name, crash in suspect.by_crash.items()
+            }
+            for digest, suspect in self._by_digest.items()
+            if len(suspect.by_crash) >= CRASHES_TO_STOP_RESENDS
+        }
+
     def _expire(self, now: float) -> None:
         expired = [
             digest
--- a/tests/unit/test_gateway_suspects.py
+++ b/tests/unit/test_gateway_suspects.py
@@ -353,7 +353,7 @@
     def weights(sent):
         return {digest: len(crashes) for digest, crashes in sent.items()}
 
-    monkeypatch.setattr(causes, "_weights", weights)
+    monkeypatch.setattr(causes, "weights", weights)
     assert _count_rejections()[1] > 4
 
 
