--- a/src/swiftstile/gateway/causes.py
+++ b/src/swiftstile/gateway/causes.py
@@ -12,7 +12,14 @@
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import model
 
-__all__ = ["CrashId", "TimesToCrash", "crash_id", "find_causes", "weights"]
+__all__ = [
+    "CrashId",
+    "TimesToCrash",
+    "crash_id",
+    "find_causes",
+    "next_crash_id",
+    "weights",
+]
 
 # Minimum crashes before a request can be regarded as their cause.
 MIN_CRASHES = 3
@@ -34,6 +41,11 @@
     return CrashId(zlib.crc32(f"{upstream}/{started_ms}".encode()))
 
 
+def next_crash_id(crash: CrashId) -> CrashId:
+    """Returns the id of the crash after one whose run looks like the same."""
+    return CrashId(zlib.crc32(f"{crash}".encode()))
+
+
 def find_causes(sent: TimesToCrash) -> list[fingerprint.Digest]:
     """Returns the requests that are regarded as causes, likeliest first.
 
--- a/src/swiftstile/gateway/crash_guard.py
+++ b/src/swiftstile/gateway/crash_guard.py
@@ -13,6 +13,7 @@
 from swiftstile.gateway import connections
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import gossip
+from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import sharing
 from swiftstile.gateway import suspects as suspects_lib
@@ -118,21 +119,20 @@
     def record_crash(
         self,
         digest: fingerprint.Digest,
-        target: targets.Target,
+        upstream: model.Upstream,
         sent_s: float,
-        now: float,
+        at: float,
     ) -> None:
         """Records that an upstream crashed while it had a request.
 
         Args:
             digest: The request.
-            target: The upstream.
+            upstream: The upstream, as registered when the request was sent.
             sent_s: Time from sending the request to the crash, in seconds.
-            now: The current time.
+            at: Time of the crash.
         """
-        upstream = target.upstream
         crash = causes.crash_id(upstream.id, upstream.started_ms)
-        counted = self._suspect_table.record_crash(digest, crash, sent_s, now)
+        counted = self._suspect_table.record_crash(digest, crash, sent_s, at)
         self._meters.crashes.add("suspected" if counted else "known-crash")
         logs.logger.info(
             "request suspected of a crash",
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -305,14 +305,14 @@
                     raise self._final_error(error, waiter, state) from error
             state.sends += 1
             self._record_send(call, waiter, target, state, trace)
-            sent = clocks.monotonic()
+            sent, upstream = clocks.monotonic(), target.upstream
             try:
                 response = await self._client.send(call, target)
             except outcomes.GatewayError as error:
                 now = clocks.monotonic()
                 self._update_target(error, waiter, target, state, call, now)
                 may_resend = await self._check_for_crash(
-                    error, call, target, now - sent
+                    error, call, target, upstream, sent, now
                 )
                 now = clocks.monotonic()
                 if not may_resend or not self._may_retry(
@@ -328,18 +328,28 @@
                 self._permits.release(waiter, target)
 
     async def _check_for_crash(
-        self, error, call, target, sent_s: float
+        self, error, call, target, upstream, sent: float, broken_at: float
     ) -> bool:
         """Returns whether a request may be sent to another upstream.
 
         It may not if it probably crashed the last one.
+
+        Args:
+            error: How the exchange ended.
+            call: The request.
+            target: The upstream.
+            upstream: Its registration when the request was sent; it may have
+                registered again since.
+            sent: When the request was sent.
+            broken_at: When the exchange ended.
         """
         is_broken = getattr(error, "is_connection_broken", False)
         if not is_broken or not await self._crash_guard.has_crashed(target):
             return True
         digest = call.digest()
-        now = clocks.monotonic()
-        self._crash_guard.record_crash(digest, target, sent_s, now)
+        self._crash_guard.record_crash(
+            digest, upstream, broken_at - sent, broken_at
+        )
         return self._crash_guard.may_resend(digest)
 
     def _update_target(self, error, waiter, target, state, call, now) -> None:
--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -216,6 +216,7 @@
         """
         if digest in self._answered:
             return False
+        crash = self._distinct_crash(crash, now - sent_s)
         suspect = self._by_digest.get(digest)
         if suspect is None:
             suspect = self._by_digest[digest] = _Suspect(now)
@@ -225,6 +226,22 @@
         self._update_causes(now)
         return True
 
+    def _distinct_crash(
+        self, crash: causes.CrashId, sent_at: float
+    ) -> causes.CrashId:
+        """Returns the id of a crash during a request that was sent at a time.
+
+        A VM may not know yet that an upstream restarted, and take a crash of
+        the new run for that of the earlier one. But a request that was sent
+        after a crash wasn't in progress during it.
+        """
+        while any(
+            crash in suspect.by_crash and suspect.by_crash[crash].at < sent_at
+            for suspect in self._by_digest.values()
+        ):
+            crash = causes.next_crash_id(crash)
+        return crash
+
     def record_response(self, digest: fingerprint.Digest, now: float) -> bool:
         """Records a response to a request; returns whether it was suspected."""
         self._answered.pop(digest, None)
--- a/tests/unit/test_gateway_suspects.py
+++ b/tests/unit/test_gateway_suspects.py
@@ -83,6 +83,24 @@
     assert _verdict(table, "bad") is _PASS
 
 
+def test_a_crash_of_a_run_that_is_not_known_yet_counts():
+    # The VM didn't know that the upstream had restarted, and the second crash
+    # had the id of the first.
+    table = suspects.SuspectTable()
+    for at in (_NOW, _NOW + 2.5, _NOW + 5.0):
+        assert table.record_crash(_digest("bad"), _crash_id(1), 0.1, at)
+    assert _verdict(table, "bad") is _REJECT
+
+
+def test_requests_in_progress_at_one_crash_share_it():
+    # The second VM sent its request before the crash, and saw it later.
+    table = suspects.SuspectTable()
+    table.record_crash(_digest("one"), _crash_id(1), 0.1, _NOW)
+    table.record_crash(_digest("other"), _crash_id(1), 0.5, _NOW + 0.3)
+    [one, other] = table.report(_NOW + 1)
+    assert one.crashes.keys() == other.crashes.keys()
+
+
 def test_response_clears_a_suspect():
     table = _make_table({"good": [0, 1]})
     assert table.record_response(_digest("good"), _NOW + 10)
