--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -293,17 +293,23 @@
         count = _PARALLEL_UNRESPONSIVE if is_unresponsive else _PARALLEL
         answers: list[bool] = []
 
+        queued, checked = set(queue), key_map
+
         async def grant(slot_range: range) -> None:
+            nonlocal checked
+            if self._maps.by_service[service] is not checked:
+                # Slots that the owner just got go before the renewals.
+                checked = self._maps.by_service[service]
+                fresh = self._ungranted_ranges(service, owner) - queued
+                queued.update(fresh)
+                queue.extend(fresh)
             answers.append(await self._grant(service, owner, slot_range))
 
-        def should_continue() -> bool:
-            # A newer map may have slots that were never granted, which go
-            # first; the rest is still due in the next round.
-            is_answering = any(answers) or len(answers) < _GIVE_UP_AFTER
-            return is_answering and self._maps.by_service[service] is key_map
-
         await parallel.process_concurrently(
-            queue, min(count, len(queue)), grant, should_continue
+            queue,
+            min(count, len(queue)),
+            grant,
+            lambda: any(answers) or len(answers) < _GIVE_UP_AFTER,
         )
         if all(answers):
             self._unresponsive.discard(owner)
@@ -331,6 +337,17 @@
         due.sort(key=lambda entry: entry[0], reverse=True)
         return [slot_range for _, slot_range in due]
 
+    def _ungranted_ranges(self, service, owner) -> set[range]:
+        """Returns ranges that were never granted under their fence."""
+        key_map = self._maps.by_service[service]
+        granted = self._granted.get(service, {})
+        return {
+            slot_range
+            for slot_range in key_map.ranges_of(owner)
+            if granted.get(slot_range.start, (0, 0.0))[0]
+            != key_map.slots[slot_range.start].fence
+        }
+
     async def _grant(self, service, owner, slot_range: range) -> bool:
         key_map = self._maps.by_service[service]
         slot = key_map.slots[slot_range.start]
