--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -21,7 +21,6 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import report_encoding
 from swiftstile.gateway import reports
-from swiftstile.gateway import suspects
 
 __all__ = ["Peers"]
 
@@ -73,11 +72,11 @@
             for entry in report.advisories
             if entry.leaving_ms is not None
         ],
-        [
+        sorted(
             (entry.digest, len(entry.crashes))
             for entry in report.suspicions
-            if len(entry.crashes) >= suspects.CRASHES_TO_STOP_RESENDS
-        ],
+            if entry.is_urgent
+        ),
     )
 
 
--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -43,6 +43,8 @@
 MAX_CRASHES_PER_SUSPECT = 8
 # How long a change of a suspect is included in every report.
 CHANGE_REPORT_PERIOD_S = 3.0
+# How long a crash is reported to all VMs at once.
+URGENT_PERIOD_S = 1.0
 # Maximum difference of the times that several VMs report for one response.
 _RESPONSE_TIME_TOLERANCE_S = 1.0
 # Maximum suspects in one report: recently changed ones, and others in rotation.
@@ -74,6 +76,17 @@
     crashes: dict[causes.CrashId, tuple[int, int]]
     answered_ms: int | None = None
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether it is a suspect of several crashes, one of them recent.
+
+        Others are included in turn, so that they differ in each report.
+        """
+        if len(self.crashes) < CRASHES_TO_STOP_RESENDS:
+            return False
+        newest_ms = min(age_ms for age_ms, _ in self.crashes.values())
+        return newest_ms <= URGENT_PERIOD_S * 1000
+
 
 class _Crash(typing.NamedTuple):
     """A crash during which a request was in progress.
--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -14,10 +14,13 @@
 from swiftstile import clocks
 from swiftstile import metrics
 from swiftstile.gateway import admission
+from swiftstile.gateway import causes
 from swiftstile.gateway import connections
 from swiftstile.gateway import crash_guard as crash_guard_lib
+from swiftstile.gateway import fingerprint
 from swiftstile.gateway import gossip
 from swiftstile.gateway import handler as handler_lib
+from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import suspects
 from tests import gateway_builders as builders
@@ -161,3 +164,24 @@
     assert told == []
     peers.apply(builders.node_row("vm-2", run="another1"), row.node, 102.0)
     assert told == [102.0]
+
+
+def _urgent(table: suspects.SuspectTable, now: float) -> tuple:
+    report = builders.report(builders.node_row(), suspicions=table.report(now))
+    return gossip._urgent_state(report)
+
+
+def test_crashes_are_urgent_only_when_they_are_new():
+    # Suspects that are reported in turn would make each report urgent.
+    table = suspects.SuspectTable()
+    for number in range(20):
+        digest = fingerprint.Digest(bytes([number]) * 16)
+        for crash in (1, 2):
+            name = causes.crash_id(model.UpstreamId(f"u-{number}"), crash)
+            table.record_crash(digest, name, 0.1, 100.0 + crash)
+    states = [_urgent(table, 200.0 + tick) for tick in range(5)]
+    assert states == states[:1] * 5
+    name = causes.crash_id(model.UpstreamId("u-1"), 3)
+    table.record_crash(fingerprint.Digest(b"\1" * 16), name, 0.1, 210.0)
+    assert _urgent(table, 210.0) != states[0]
+    assert _urgent(table, 215.0) == states[0]
