--- a/src/swiftstile/gateway/key_assigner.py
+++ b/src/swiftstile/gateway/key_assigner.py
@@ -303,8 +303,8 @@
                 self._plan.move_ranges(current, step.to_release),
                 step.to_fence,
             )
-        if steps.cleared:
-            receivers = _receivers(current, weights)
+        receivers = self._receivers(current, weights)
+        if steps.cleared and receivers:
             moving = [i for slots in steps.cleared.values() for i in slots]
             tokens: dict[int, str] = {}
             for owner in steps.cleared:
@@ -318,7 +318,9 @@
         is_throttled = now - self._assigned_at < self._write_interval_s(
             ASSIGN_INTERVAL_PER_VM_S
         )
-        can_assign = not is_throttled and bool(_receivers(current, weights))
+        can_assign = not is_throttled and bool(
+            self._receivers(current, weights)
+        )
         for owner, slots in current.leaving_by_owner().items():
             slot_reclaim = self._slot_reclaims.get(owner)
             if slot_reclaim is None:
@@ -331,6 +333,28 @@
                 steps.releases.append((owner, step))
         return steps
 
+    def _receivers(
+        self, current: keymap.KeyMap, weights: slotplan.Weights
+    ) -> slotplan.Weights:
+        """Returns the upstreams that may get slots now.
+
+        An owner that releases all its slots gets none meanwhile, as these calls
+        may cover any key.
+        """
+        emptying = {
+            owner
+            for owner, slot_reclaim in self._slot_reclaims.items()
+            if slot_reclaim.is_releasing
+            and current.leaving.issuperset(
+                current.slots_by_owner.get(owner, ())
+            )
+        }
+        return {
+            owner: weight
+            for owner, weight in weights.items()
+            if owner not in emptying
+        }
+
     async def _assign(self, current, placed, tokens) -> None:
         """Assigns cleared slots to other owners.
 
@@ -559,22 +583,6 @@
         return True
 
 
-def _receivers(
-    current: keymap.KeyMap, weights: slotplan.Weights
-) -> slotplan.Weights:
-    """Returns the upstreams that may get slots now.
-
-    An owner that all its slots are leaving gets none: releases that are under
-    way there may cover any key.
-    """
-    emptied = {
-        owner
-        for owner in current.leaving_by_owner()
-        if current.leaving.issuperset(current.slots_by_owner[owner])
-    }
-    return {name: w for name, w in weights.items() if name not in emptied}
-
-
 def _label(reason: str) -> str:
     """Returns the metric label of a reason for writing a map."""
     return reason.replace(" ", "-")
--- a/tests/unit/test_gateway_handover_time.py
+++ b/tests/unit/test_gateway_handover_time.py
@@ -168,6 +168,34 @@
     assert max(unowned_s.values()) <= _BOUND_S
 
 
+def test_owners_that_all_slots_leave_get_slots_once_these_are_released(
+    monkeypatch,
+):
+    # All domains were evacuated and taken back: no owner kept a slot, and none
+    # was given any.
+    hand_over = _HandOver(monkeypatch)
+    parts = hand_over.parts
+    now = hand_over.clock.now
+    for target in parts.target_table.by_id.values():
+        target.set_evacuated(now)
+
+    async def scenario() -> None:
+        for _ in range(10):
+            await parts.assigner.tick()
+            await asyncio.sleep(_TICK_S)
+        for target in parts.target_table.by_id.values():
+            target.set_evacuated(None)
+        for _ in range(int(_BOUND_S / _TICK_S)):
+            await parts.assigner.tick()
+            await asyncio.sleep(_TICK_S)
+
+    with asyncio.Runner(
+        loop_factory=lambda: virtual_time.Loop(hand_over.clock)
+    ) as runner:
+        runner.run(scenario())
+    assert not parts.maps.by_service[builders.LOOKUPS].leaving
+
+
 def test_a_first_grant_does_not_wait_for_renewals(monkeypatch):
     # A round of renewals of all slots of an owner takes seconds where calls are
     # slow. A slot that it got meanwhile had no owner until the round ended.
