Count and log what connections show about the paths to upstreams

Cause: no line of a VM that lost all its upstreams said so; each refusal named one upstream, and not which VM refused a slot. Change: pools report opened, failed and broken connections and data to an observer, which counts them (swiftstile.upstream.links) and derives how this VM reaches upstreams; lines of requests that weren't served carry data_age_ms and decided_by. Connections come from the VM's registered address, so that peers and upstreams can tell which VM they are from. No decision uses any of it yet.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -5,6 +5,7 @@
 still in transit.
 """
 
+import abc
 import asyncio
 import collections
 import functools
@@ -21,6 +22,7 @@
 
 __all__ = [
     "ConnectionPool",
+    "LinkObserver",
     "ResponseHead",
     "UpstreamConnection",
     "reset_on_close",
@@ -59,6 +61,52 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
 
 
+class LinkObserver(abc.ABC):
+    """Is told what connections show about the paths to their peers."""
+
+    @abc.abstractmethod
+    def on_opened(self, address: str, now: float) -> None:
+        """Called after a connection was opened."""
+
+    @abc.abstractmethod
+    def on_open_failed(self, address: str, now: float) -> None:
+        """Called after a connection couldn't be opened."""
+
+    @abc.abstractmethod
+    def on_sent(self, address: str, now: float) -> None:
+        """Called after a request was sent."""
+
+    @abc.abstractmethod
+    def on_received(self, address: str, now: float) -> None:
+        """Called when data arrives."""
+
+    @abc.abstractmethod
+    def on_broken(self, address: str, now: float) -> None:
+        """Called when a connection failed or timed out during an exchange."""
+
+
+class _Unobserved(LinkObserver):
+    """Ignores everything."""
+
+    def on_opened(self, address: str, now: float) -> None:
+        """See base class."""
+
+    def on_open_failed(self, address: str, now: float) -> None:
+        """See base class."""
+
+    def on_sent(self, address: str, now: float) -> None:
+        """See base class."""
+
+    def on_received(self, address: str, now: float) -> None:
+        """See base class."""
+
+    def on_broken(self, address: str, now: float) -> None:
+        """See base class."""
+
+
+_UNOBSERVED = _Unobserved()
+
+
 class ResponseHead:
     """Status and headers of a response, and the stream of its body."""
 
@@ -81,9 +129,15 @@
         idle_timeout_s: Idle timeout of the server.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, peer: str):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        peer: str,
+        observer: LinkObserver | None = None,
+    ):
         super().__init__(loop)
         self._loop = loop
+        self._observer = observer or _UNOBSERVED
         self.peer = peer
         self.is_usable = True
         self.is_reused = False
@@ -113,6 +167,7 @@
 
     def data_received(self, data: bytes) -> None:
         """See base class."""
+        self._observer.on_received(self.peer, clocks.monotonic())
         if self._parser is None:
             if data:
                 # Unsolicited data, as no request is in progress.
@@ -134,6 +189,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """See base class."""
         self.is_usable = False
+        if self._parser is not None and exc is not None:
+            self._observer.on_broken(self.peer, clocks.monotonic())
         if self._parser is not None and exc is None:
             try:
                 self._parser.feed_eof()
@@ -177,6 +234,7 @@
         self._idle_parser = None
         self._has_body = has_body
         self.transport.write(data)
+        self._observer.on_sent(self.peer, clocks.monotonic())
 
     def _new_parser(self, has_body: bool) -> http.HttpResponseParser:
         return http.HttpResponseParser(
@@ -240,6 +298,7 @@
 
     def fail_with_timeout(self) -> None:
         """Fails the current exchange with a timeout and aborts."""
+        self._observer.on_broken(self.peer, clocks.monotonic())
         self._fail(TimeoutError("no answer in time"))
         self.abort()
 
@@ -264,9 +323,18 @@
 
 
 class ConnectionPool:
-    """Idle connections to upstreams, by address."""
+    """Idle connections to upstreams, by address.
+
+    Args:
+        local_host: Address that connections come from; empty for any.
+        observer: Is told what the connections show about the paths.
+    """
 
-    def __init__(self):
+    def __init__(
+        self, local_host: str = "", observer: LinkObserver | None = None
+    ):
+        self._local_address = (local_host, 0) if local_host else None
+        self._observer = observer or _UNOBSERVED
         self._idle_by_address: dict[
             str, collections.deque[UpstreamConnection]
         ] = {}
@@ -318,13 +386,18 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop, address), host, int(port)
+                    lambda: UpstreamConnection(loop, address, self._observer),
+                    host,
+                    int(port),
+                    local_addr=self._local_address,
                 )
         except (OSError, TimeoutError, ValueError) as error:
+            self._observer.on_open_failed(address, clocks.monotonic())
             raise errors.PeerUnreachableError(
                 repr(error), step="connect", peer=address
             ) from error
         self.opened += 1
+        self._observer.on_opened(address, clocks.monotonic())
         return connection
 
     def on_broken(self, connection: UpstreamConnection, now: float) -> None:
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -57,6 +57,9 @@
         limit_age_ms: Time since that was last stated.
         leaving_ms: Time since the upstream announced its exit; 0 if it didn't.
         backoff_ms: How much longer the upstream wants no requests of this VM.
+        data_age_ms: Time since any upstream delivered data to this VM; of
+            requests that weren't served only.
+        decided_by: The VM that refused a slot, if it wasn't this one.
     """
 
     id: str
@@ -82,6 +85,8 @@
     limit_age_ms: int = 0
     leaving_ms: int = 0
     backoff_ms: int = 0
+    data_age_ms: int = 0
+    decided_by: str = ""
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -25,6 +25,7 @@
 from swiftstile.gateway import service_times
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
+from swiftstile.gateway import upstream_links
 from swiftstile.gateway import weighted_round_robin
 
 __all__ = ["RequestHandler"]
@@ -87,6 +88,7 @@
         store: follow.TableFollower,
         operations: follow.TableFollower,
         guard: crash_guard.CrashGuard,
+        links: upstream_links.UpstreamLinks,
         meters: metrics.Meters,
     ):
         self.config: model.Config | None = None
@@ -102,6 +104,7 @@
         self._store = store
         self._operations = operations
         self._crash_guard = guard
+        self._links = links
         self._meters = meters
         self._service_times = service_times.ServiceTimeEstimates()
         self._round_robin = weighted_round_robin.WeightedRoundRobin()
@@ -533,6 +536,8 @@
                 store_age_ms=clocks.milliseconds(now - self._store.contact_at),
                 occupied=target.occupied(now) if target is not None else 0,
                 queued=self._permits.queued,
+                data_age_ms=self._links.data_age_ms(now),
+                decided_by=getattr(error, "decided_by", ""),
                 **_stated_fields(target, now),
             )
         )
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -94,11 +94,13 @@
 
     Attributes:
         rejection: The decision that led to it.
+        decided_by: The VM that decided; empty if it was this one.
     """
 
     status = 503
     reason = "overloaded"
     rejection = None
+    decided_by = ""
 
 
 class CrashingRequestError(RejectedError):
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -300,7 +300,9 @@
             if target is not None:
                 self._rate_limits.note_reply(target)
             if reply.status is permit_messages.PermitStatus.REFUSED:
-                raise _rejected_error(reply, target)
+                error = _rejected_error(reply, target)
+                error.decided_by = arbiter.row.node
+                raise error
             granted = self._granted_target(waiter, target, reply)
             if granted is not None:
                 self._number_by_waiter[waiter.sequence] = number
--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -44,6 +44,11 @@
     seeds: tuple[str, ...] = ()
     link_mbps: float = 0.0
 
+    @property
+    def host(self) -> str:
+        """Address at which it is registered and that its connections have."""
+        return self.peers.rpartition(":")[0]
+
 
 class StoreSettings(msgspec.Struct, frozen=True):
     """Section [store]: the platform's store.
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -50,6 +50,7 @@
 from swiftstile.gateway import succession
 from swiftstile.gateway import suspects
 from swiftstile.gateway import targets
+from swiftstile.gateway import upstream_links
 from swiftstile.peers import links
 
 __all__ = ["Adapters", "gateway"]
@@ -75,6 +76,7 @@
         decode_upstream: Returns an upstream from its id and a row's value.
         evacuated_domain: Returns the failure domain that is evacuated while the
             operator's table has a row of this key; None for other rows.
+        links: Observes the connections that `control` uses.
     """
 
     state: interfaces.StateTable
@@ -88,6 +90,9 @@
         [model.UpstreamId, bytes], model.Upstream
     ]
     evacuated_domain: collections.abc.Callable[[str], ids.FailureDomain | None]
+    links: upstream_links.UpstreamLinks = msgspec.field(
+        default_factory=upstream_links.UpstreamLinks
+    )
 
 
 def gateway(
@@ -143,6 +148,8 @@
         self._speed_table = speeds.SpeedTable()
         self._key_load_table = key_load.KeyLoadTable()
         self._suspect_table = suspects.SuspectTable()
+        self._links = adapters.links
+        self._links.use_meters(self._meters)
         self._advisories = advisories.AdvisoryTable(
             self._target_table, self._meters
         )
@@ -259,7 +266,7 @@
             self._is_leaving,
             self._meters,
         )
-        pool = connections.ConnectionPool()
+        pool = connections.ConnectionPool(self._settings.vm.host, self._links)
         self._handler = handler = handler_lib.RequestHandler(
             permits.PermitClient(
                 self._peers,
@@ -288,6 +295,7 @@
                 self._started,
                 self._meters,
             ),
+            self._links,
             self._meters,
         )
         self._renewer = renewals.GrantRenewer(
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -80,6 +80,8 @@
         self.crashes = LabelledCounter()
         self.rows = LabelledCounter()
         self.advisories = LabelledCounter()
+        self.links = LabelledCounter()
+        self.forwards = LabelledCounter()
 
     def count_http(
         self, kind: str, response: aiohttp.ClientResponse, sent: int
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -27,6 +27,8 @@
     "permits": ("swiftstile.permits", "{permit}", "kind"),
     "rows": ("swiftstile.rows.asked", "{question}", "result"),
     "advisories": ("swiftstile.upstream.advisories", "{answer}", "kind"),
+    "links": ("swiftstile.upstream.links", "{event}", "kind"),
+    "forwards": ("swiftstile.forwards", "{request}", "result"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
 }
 
--- a/tests/unit/test_gateway_stale.py
+++ b/tests/unit/test_gateway_stale.py
@@ -21,6 +21,7 @@
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import upstream_links
 from tests import gateway_builders as builders
 
 _MANY = 10**6
@@ -177,6 +178,7 @@
         store=_follower(),
         operations=operations,
         guard=_Guard(),
+        links=upstream_links.UpstreamLinks(),
         meters=metrics.Meters(),
     )
     made.config = builders.config()
