--- /dev/null
+++ b/src/swiftstile/gateway/forwarding.py
@@ -0,0 +1,213 @@
+"""Forwards requests to other VMs while this VM reaches no upstream.
+
+Over HTTP like requests to upstreams, and not over the control links: bodies and
+responses are streamed, and closing the connection cancels a request.
+
+A VM that can't send a request to an upstream says so, and another one is asked;
+a forwarded request isn't forwarded again.
+"""
+
+import asyncio
+
+import msgspec
+
+from swiftstile import clocks
+from swiftstile import errors
+from swiftstile import metrics
+from swiftstile.gateway import connections
+from swiftstile.gateway import exchange
+from swiftstile.gateway import forward_headers
+from swiftstile.gateway import forward_selection
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import outcomes
+from swiftstile.gateway import reports
+
+__all__ = ["MAX_ASKED_VMS", "PeerForwarder"]
+
+# VMs that are asked for one request.
+MAX_ASKED_VMS = 3
+# Extra wait for the response of a VM that stops at the deadline itself.
+_DEADLINE_GRACE_S = 0.08
+# Reasons for which a VM didn't handle a request and another one may.
+_UNABLE = frozenset(
+    error.reason
+    for error in (
+        outcomes.NoUpstreamPathError,
+        outcomes.ForwardLimitError,
+        outcomes.NotReadyError,
+        outcomes.StaleConfigError,
+        outcomes.UnknownVmError,
+    )
+)
+
+
+class _ErrorBody(msgspec.Struct):
+    """Body of a response that no upstream gave."""
+
+    reason: str
+    step: str = ""
+    peer: str = ""
+    message: str = ""
+
+
+class PeerForwarder:
+    """Forwards the requests of this VM's callers.
+
+    Args:
+        own_run: Short name of this run.
+        selector: Selects the VM.
+        pool: Connections to other VMs.
+        dialect: Tells which headers apply to a single connection.
+        meters: Counts forwarded requests.
+    """
+
+    def __init__(
+        self,
+        own_run: str,
+        selector: forward_selection.ForwardSelector,
+        pool: connections.ConnectionPool,
+        dialect: interfaces.RequestDialect,
+        meters: metrics.Meters,
+    ):
+        self.own_run = own_run
+        self._selector = selector
+        self._pool = pool
+        self._dialect = dialect
+        self._meters = meters
+
+    def has_peer(self, now: float) -> bool:
+        """Whether there is a VM to forward to."""
+        return self._selector.has_any(now)
+
+    async def forward(
+        self, call: exchange.Call, arrived: float, origin
+    ) -> exchange.UpstreamResponse:
+        """Forwards a request and returns the upstream's response.
+
+        Args:
+            call: The request.
+            arrived: When it arrived, on the monotonic clock.
+            origin: Returns what to state about it, given its age.
+
+        Raises:
+            NoUpstreamPathError: No VM can send it to an upstream.
+            ForwardedError: A VM handled it and no upstream answered.
+            UnknownOutcomeError: No complete response; it may have run.
+            TimedOutError: No response in time; it may have run.
+        """
+        tried = set()
+        while len(tried) < MAX_ASKED_VMS:
+            peer = self._selector.choose(tried, clocks.monotonic())
+            if peer is None:
+                break
+            tried.add(peer.row.node)
+            try:
+                response = await self._send(call, peer, arrived, origin)
+            except outcomes.ForwardedError as error:
+                self._meters.forwards.add(error.reason)
+                if error.reason not in _UNABLE:
+                    raise
+            except outcomes.UpstreamUnreachableError:
+                self._meters.forwards.add("peer-unreachable")
+            else:
+                self._meters.forwards.add("answered")
+                return response
+            self._selector.avoid(peer.row.node, clocks.monotonic())
+        self._meters.forwards.add("no-peer")
+        raise outcomes.NoUpstreamPathError(
+            f"{len(tried)} VMs asked", step="forward"
+        )
+
+    async def _send(
+        self, call: exchange.Call, peer: reports.Peer, arrived: float, origin
+    ) -> exchange.UpstreamResponse:
+        node, address = peer.row.node, peer.row.forward_address
+        self._selector.note_started(node)
+        connection = None
+        keeps_connection = False
+        try:
+            connection = await self._pool.acquire(address, call.is_idempotent)
+            now = clocks.monotonic()
+            data = exchange.encode_request(
+                call, self._headers(call, origin(now - arrived))
+            )
+            connection.send_request(call.method, data)
+            async with asyncio.timeout(
+                max(0.0, call.deadline - now) + _DEADLINE_GRACE_S
+            ):
+                response = await exchange.while_sending_body(
+                    call, connection, self._receive(connection, address, node)
+                )
+            keeps_connection = True
+            return response
+        except outcomes.ForwardedError:
+            keeps_connection = True
+            raise
+        except errors.PeerUnavailableError as error:
+            raise outcomes.UpstreamUnreachableError(
+                str(error), step="forward", peer=node
+            ) from error
+        except TimeoutError as error:
+            raise outcomes.TimedOutError(
+                "no answer in time", step="forward", peer=node
+            ) from error
+        except connections.EXCHANGE_ERRORS as error:
+            self._selector.avoid(node, clocks.monotonic())
+            raise outcomes.UnknownOutcomeError(
+                repr(error), step="forward", peer=node
+            ) from error
+        finally:
+            self._selector.note_ended(node)
+            if connection is not None and not keeps_connection:
+                connection.abort()
+
+    def _headers(
+        self, call: exchange.Call, origin: forward_headers.Origin
+    ) -> list[tuple[str, str]]:
+        kept = self._dialect.end_to_end_headers(call.headers)
+        return forward_headers.end_to_end(kept) + origin.headers()
+
+    async def _receive(
+        self, connection, address: str, node: str
+    ) -> exchange.UpstreamResponse:
+        head = await connection.next_head()
+        outcome = head.headers.get(forward_headers.OUTCOME_HEADER, "")
+        headers = forward_headers.end_to_end(
+            self._dialect.answer_headers(head.headers)
+        )
+
+        def finish(is_whole: bool) -> None:
+            if is_whole:
+                connection.finish(head)
+                self._pool.release(address, connection)
+            else:
+                connection.abort()
+
+        if outcome == forward_headers.ANSWERED:
+            return await exchange.read_response(head, headers, None, finish)
+        body = await head.payload.read()
+        finish(True)
+        if not outcome:
+            raise outcomes.UnknownOutcomeError(
+                f"status {head.status} without outcome",
+                step="forward",
+                peer=node,
+            )
+        raise _forwarded_error(head, body, node)
+
+
+def _forwarded_error(head, body: bytes, node: str) -> outcomes.ForwardedError:
+    """Returns the error of a VM that got no answer of an upstream."""
+    try:
+        stated = msgspec.json.decode(body, type=_ErrorBody)
+    except msgspec.MsgspecError as error:
+        raise outcomes.UnknownOutcomeError(
+            f"malformed error: {error}", step="forward", peer=node
+        ) from error
+    result = outcomes.ForwardedError(
+        f"by {node}: {stated.message}", step=stated.step, peer=stated.peer
+    )
+    result.status, result.reason = head.status, stated.reason
+    retry_after = head.headers.get("Retry-After")
+    result.retry_after_s = None if retry_after is None else float(retry_after)
+    return result
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -13,6 +13,8 @@
 
 from aiohttp import web
 
+from tests.integration import link_cuts
+
 KEYS = 65536
 _QUEUE_LIMIT = 12
 
@@ -219,6 +221,7 @@
         crashing_paths: Paths of requests that crash the server that runs them;
             it restarts under the same id after `CRASH_DOWNTIME_S`.
         crashes_by_path: Times of these crashes, by path.
+        links: Links of the VMs to the servers.
     """
 
     def __init__(self, store: Store):
@@ -228,6 +231,7 @@
         self.violations: list[str] = []
         self.crashing_paths: set[str] = set()
         self.crashes_by_path: dict[str, list[float]] = {}
+        self.links = link_cuts.Links()
         self._restarts: set[asyncio.Task] = set()
 
     async def start(self, service: str, zone: str, **changes) -> "Server":
@@ -318,6 +322,7 @@
         self._working: list[int | None] = []
         self._request_ended = asyncio.Condition()
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
         self._is_restarting = False
 
     async def start(self) -> None:
@@ -330,11 +335,15 @@
         )
         await self._runner.setup()
         # A restarted server listens at the same address.
-        site = web.TCPSite(
-            self._runner, "127.0.0.1", self._port, reuse_address=True
+        links = self.cluster.links
+        self._listener = await asyncio.get_running_loop().create_server(
+            lambda: link_cuts.Door(links, self._runner.server),
+            "127.0.0.1",
+            self._port,
+            reuse_address=True,
         )
-        await site.start()
-        self._port = site._server.sockets[0].getsockname()[1]
+        links.add(self._listener, self._runner.server)
+        self._port = self._listener.sockets[0].getsockname()[1]
         self.address = self.address or f"127.0.0.1:{self._port}"
         self.is_up = True
         self.register("ready")
@@ -388,6 +397,8 @@
         """Stops the server like a crash: its registration remains."""
         if self.is_up:
             self.is_up = False
+            self._listener.close()
+            self.cluster.links.remove(self._listener)
             await self._runner.cleanup()
 
     async def _grant(self, request: web.Request) -> web.Response:
@@ -402,9 +413,10 @@
                 self.incarnation,
             )
             await asyncio.sleep(3600)
-        return web.Response(
-            status=self._apply_grant(call, arrived, self.incarnation)
-        )
+        status = self._apply_grant(call, arrived, self.incarnation)
+        if self.cluster.links.loses_answers(request.remote):
+            await asyncio.sleep(3600)
+        return web.Response(status=status)
 
     def _apply_grant(self, call, arrived: float, incarnation: int) -> int:
         first, last, fence = call["from"], call["to"], call["fence"]
@@ -422,6 +434,8 @@
 
     async def _release(self, request: web.Request) -> web.Response:
         call = await request.json()
+        if self.cluster.links.loses_answers(request.remote):
+            await asyncio.sleep(3600)
         keys = range(call["from"], call["to"] + 1)
         for key in keys:
             self.held_until[key] = 0.0
@@ -455,6 +469,8 @@
         self.arrivals.append(arrival)
         headers = {"X-Attempt-Id": arrival.attempt} | self._statements()
         answer = await self._respond(request, headers)
+        if self.cluster.links.loses_answers(request.remote):
+            await asyncio.sleep(3600)
         arrival.answered_at = _now()
         arrival.stated = {
             name: value
