--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -88,20 +88,27 @@
         self._encoder = msgspec.msgpack.Encoder()
 
     async def run(self) -> None:
-        """Ends expired permits and those of ended runs, until cancelled."""
+        """Ends permits that expired or whose VM can't use them.
+
+        Runs until cancelled.
+        """
         while True:
             await pacing.sleep_aligned(_SWEEP_INTERVAL_S)
             now = clocks.monotonic()
             expired = [
                 name
                 for name, permit in self._permits.items()
-                if now > permit.expires_at
-                or self._peers.find_run(name[0]) is None
+                if now > permit.expires_at or self._has_ended(name[0])
             ]
             for name in expired:
                 self._meters.permits.add("lapsed")
                 self._end(name)
 
+    def _has_ended(self, run: str) -> bool:
+        """Whether a run has ended or has no requests at upstreams any more."""
+        peer = self._peers.find_run(run)
+        return peer is None or peer.is_isolated
+
     def handle_request(
         self, peer: reports.Peer, request: permit_messages.PermitRequest
     ) -> None:
--- a/src/swiftstile/gateway/arbiter_selection.py
+++ b/src/swiftstile/gateway/arbiter_selection.py
@@ -14,6 +14,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import sharing
 from swiftstile.gateway import targets
+from swiftstile.gateway import upstream_links
 
 __all__ = ["ArbiterSelector"]
 
@@ -29,6 +30,8 @@
         peers: The other VMs.
         is_leaving: Returns whether this VM is shutting down.
         limits: Names the one VM that assigns the slots of a cold upstream.
+        is_isolated: Returns whether this VM reaches no upstream, given the
+            time.
     """
 
     def __init__(
@@ -36,10 +39,12 @@
         peers: gossip.Peers,
         is_leaving: collections.abc.Callable[[], bool],
         limits: coldstart.SendLimits,
+        is_isolated: upstream_links.IsIsolated = upstream_links.never_isolated,
     ):
         self._peers = peers
         self._is_leaving = is_leaving
         self._limits = limits
+        self._is_isolated = is_isolated
         self._avoided_until: dict[model.NodeId, float] = {}
 
     def arbiter_of(
@@ -108,10 +113,21 @@
         now: float,
         is_eligible: collections.abc.Callable[[reports.Peer], bool],
     ) -> tuple[reports.Peer | None, bool]:
-        """Returns the eligible VM of highest affinity, or whether it is me."""
+        """Returns the eligible VM of highest affinity, or whether it is me.
+
+        A VM that reaches no upstream can't tell how loaded one is.
+        """
         me = self._peers.me
-        peers = self._peers.reachable(domain, now)
-        is_near = domain == me.domain and not self._is_leaving()
+        peers = [
+            peer
+            for peer in self._peers.reachable(domain, now)
+            if not peer.is_isolated
+        ]
+        is_near = (
+            domain == me.domain
+            and not self._is_leaving()
+            and not self._is_isolated(now)
+        )
         most_mbps = max(
             [peer.row.link_mbps for peer in peers] + [me.link_mbps] * is_near,
             default=0.0,
--- a/src/swiftstile/gateway/caller_requests.py
+++ b/src/swiftstile/gateway/caller_requests.py
@@ -7,6 +7,8 @@
 from aiohttp import web_request
 from aiohttp import web_response
 
+from swiftstile.gateway import forward_headers
+
 __all__ = ["IncomingRequest", "PendingRequest", "Responder"]
 
 
@@ -15,7 +17,9 @@
 
     Attributes:
         request: The request.
-        arrived: When its head was read, on the monotonic clock.
+        arrived: When its head was read, on the monotonic clock. That of a
+            forwarded request was read by the VM that forwarded it.
+        origin: What that VM states about it; None if a caller sent it.
     """
 
     def __init__(
@@ -25,9 +29,11 @@
         wait_for_turn: collections.abc.Callable[
             [], collections.abc.Awaitable[None]
         ],
+        origin: forward_headers.Origin | None = None,
     ):
         self.request = request
         self.arrived = arrived
+        self.origin = origin
         self._wait_for_turn = wait_for_turn
 
     async def wait_for_turn(self) -> None:
--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -19,6 +19,7 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile import logs
 
 __all__ = [
     "ConnectionPool",
@@ -49,6 +50,9 @@
 # connections that were idle for 0.3 s or more, over a period of some seconds.
 UNSAFE_REUSE_PAUSE_S = 10.0
 MAX_SAFE_IDLE_S = 0.2
+# A connection that is refused by a device on the path may open and be reset one
+# round trip later.
+_RESET_DELAY_S = 0.03
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _MAX_HEAD_BYTES = 32768
 _INFORMATIONAL = range(100, 200)
@@ -64,6 +68,10 @@
 class LinkObserver(abc.ABC):
     """Is told what connections show about the paths to their peers."""
 
+    @abc.abstractmethod
+    def may_open(self) -> bool:
+        """Whether it is worth trying to open a connection for a request."""
+
     @abc.abstractmethod
     def on_opened(self, address: str, now: float) -> None:
         """Called after a connection was opened."""
@@ -77,17 +85,27 @@
         """Called after a request was sent."""
 
     @abc.abstractmethod
-    def on_received(self, address: str, now: float) -> None:
-        """Called when data arrives."""
+    def on_received(self, address: str, opened_at: float, now: float) -> None:
+        """Called when data arrives on a connection opened at a time."""
 
     @abc.abstractmethod
-    def on_broken(self, address: str, now: float) -> None:
-        """Called when a connection failed or timed out during an exchange."""
+    def on_broken(self, address: str, is_proven: bool, now: float) -> None:
+        """Called when a connection failed, or an exchange on it timed out.
+
+        Args:
+            address: Address of the peer.
+            is_proven: Whether the connection had delivered data before.
+            now: The time.
+        """
 
 
 class _Unobserved(LinkObserver):
     """Ignores everything."""
 
+    def may_open(self) -> bool:
+        """See base class."""
+        return True
+
     def on_opened(self, address: str, now: float) -> None:
         """See base class."""
 
@@ -97,10 +115,10 @@
     def on_sent(self, address: str, now: float) -> None:
         """See base class."""
 
-    def on_received(self, address: str, now: float) -> None:
+    def on_received(self, address: str, opened_at: float, now: float) -> None:
         """See base class."""
 
-    def on_broken(self, address: str, now: float) -> None:
+    def on_broken(self, address: str, is_proven: bool, now: float) -> None:
         """See base class."""
 
 
@@ -125,7 +143,8 @@
         is_usable: Whether another request may be sent on it.
         is_reused: Whether it came from the pool for the current request.
         has_response: Whether any response to the current request was received.
-        idle_since: When it became idle, on the monotonic clock.
+        opened_at: When it was opened, on the monotonic clock.
+        idle_since: When it became idle.
         idle_timeout_s: Idle timeout of the server.
     """
 
@@ -142,6 +161,8 @@
         self.is_usable = True
         self.is_reused = False
         self.has_response = False
+        self._has_received = False
+        self.opened_at = clocks.monotonic()
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._heads: collections.deque[ResponseHead] = collections.deque()
@@ -167,7 +188,10 @@
 
     def data_received(self, data: bytes) -> None:
         """See base class."""
-        self._observer.on_received(self.peer, clocks.monotonic())
+        self._has_received = True
+        self._observer.on_received(
+            self.peer, self.opened_at, clocks.monotonic()
+        )
         if self._parser is None:
             if data:
                 # Unsolicited data, as no request is in progress.
@@ -189,8 +213,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """See base class."""
         self.is_usable = False
-        if self._parser is not None and exc is not None:
-            self._observer.on_broken(self.peer, clocks.monotonic())
+        is_in_use = self._parser is not None
+        if exc is not None and (is_in_use or not self._has_received):
+            self._note_broken()
         if self._parser is not None and exc is None:
             try:
                 self._parser.feed_eof()
@@ -199,6 +224,11 @@
         self._fail(exc or ConnectionResetError("closed by the server"))
         super().connection_lost(exc)
 
+    def _note_broken(self) -> None:
+        self._observer.on_broken(
+            self.peer, self._has_received, clocks.monotonic()
+        )
+
     def _fail(self, error: BaseException) -> None:
         self.is_usable = False
         self._error = self._error or error
@@ -298,7 +328,7 @@
 
     def fail_with_timeout(self) -> None:
         """Fails the current exchange with a timeout and aborts."""
-        self._observer.on_broken(self.peer, clocks.monotonic())
+        self._note_broken()
         self._fail(TimeoutError("no answer in time"))
         self.abort()
 
@@ -366,6 +396,10 @@
                 connection.is_reused = True
                 return connection
             connection.abort()
+        if not self._observer.may_open():
+            raise errors.PeerUnreachableError(
+                "no new connection opens", step="connect", peer=address
+            )
         return await self._open(address)
 
     async def refuses_connections(self, address: str) -> bool:
@@ -380,6 +414,55 @@
         self.release(address, connection)
         return False
 
+    async def opens(self, address: str) -> bool:
+        """Returns whether a new connection opens and isn't reset at once."""
+        try:
+            connection = await self._open(address)
+        except errors.PeerUnreachableError:
+            return False
+        try:
+            await asyncio.sleep(_RESET_DELAY_S)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        is_open = connection.is_usable
+        self.release(address, connection)
+        return is_open
+
+    async def answers(self, address: str, path: str) -> bool:
+        """Returns whether a request on a new connection is answered.
+
+        Args:
+            address: Address of the upstream.
+            path: Path that any request may ask for.
+        """
+        try:
+            connection = await self._open(address)
+        except errors.PeerUnreachableError:
+            return False
+        request = f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+        is_complete = False
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                connection.send_request("GET", request.encode())
+                head = await connection.next_head()
+                await head.payload.read()
+            is_complete = True
+        except (
+            TimeoutError,
+            errors.PeerUnavailableError,
+            *EXCHANGE_ERRORS,
+        ) as error:
+            logs.logger.debug("no answer", peer=address, error=repr(error))
+            return connection.has_response
+        finally:
+            if is_complete:
+                connection.finish(head)
+                self.release(address, connection)
+            else:
+                connection.abort()
+        return True
+
     async def _open(self, address: str) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
--- a/src/swiftstile/gateway/crash_guard.py
+++ b/src/swiftstile/gateway/crash_guard.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 
 from swiftstile import clocks
 from swiftstile import logs
@@ -36,6 +37,8 @@
         suspect_table: Suspects that are known to all VMs.
         peers: The other VMs.
         pool: Opens connections to upstreams.
+        reaches_another: Returns whether this VM reaches any upstream but the
+            one at an address.
         started: When the process started, on the monotonic clock.
         meters: Counts suspects and rejections.
     """
@@ -45,12 +48,16 @@
         suspect_table: suspects_lib.SuspectTable,
         peers: gossip.Peers,
         pool: connections.ConnectionPool,
+        reaches_another: collections.abc.Callable[
+            [str], collections.abc.Awaitable[bool]
+        ],
         started: float,
         meters: metrics.Meters,
     ):
         self._suspect_table = suspect_table
         self._peers = peers
         self._pool = pool
+        self._reaches_another = reaches_another
         self._meters = meters
         self._started = started
         self._is_informed = False
@@ -123,14 +130,15 @@
         """Returns whether an upstream whose connection broke has crashed.
 
         A planned exit isn't a crash. An unreachable upstream may be partitioned
-        from this VM; only a refused connection shows that nothing runs there.
+        from this VM; only a refused connection shows that nothing runs there,
+        and only if connections to other upstreams aren't refused as well.
         """
         if target.leaving_since is not None:
             return False
         address = target.upstream.address
         check = self._checks_by_address.get(address)
         if check is None:
-            check = asyncio.create_task(self._pool.refuses_connections(address))
+            check = asyncio.create_task(self._is_down(address))
             self._checks_by_address[address] = check
             check.add_done_callback(
                 lambda _: self._checks_by_address.pop(address, None)
@@ -140,6 +148,11 @@
             self._meters.crashes.add("still-up")
         return is_refused and target.leaving_since is None
 
+    async def _is_down(self, address: str) -> bool:
+        if not await self._pool.refuses_connections(address):
+            return False
+        return await self._reaches_another(address)
+
     def record_crash(
         self,
         digest: fingerprint.Digest,
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -16,12 +16,15 @@
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import follow
+from swiftstile.gateway import forward_listener
+from swiftstile.gateway import forwarding
 from swiftstile.gateway import frontend as frontend_lib
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import key_load
 from swiftstile.gateway import leadership as leadership_lib
+from swiftstile.gateway import link_probes
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
 from swiftstile.gateway import ratelimits
@@ -33,6 +36,7 @@
 from swiftstile.gateway import speeds
 from swiftstile.gateway import suspects
 from swiftstile.gateway import targets
+from swiftstile.gateway import upstream_links
 from swiftstile.peers import links
 
 __all__ = ["GatewayDaemon"]
@@ -82,6 +86,10 @@
         rate_limiter: ratelimits.RateLimiter,
         suspect_table: suspects.SuspectTable,
         advisory_table: advisories.AdvisoryTable,
+        links: upstream_links.UpstreamLinks,
+        prober: link_probes.LinkProber,
+        forwarder: forwarding.PeerForwarder,
+        forwards: forward_listener.ForwardListener,
         log: decision_log.BoundedLog,
         make_key_assigner,
         grace_s: float,
@@ -114,6 +122,10 @@
         self._rate_limiter = rate_limiter
         self._suspect_table = suspect_table
         self._advisories = advisory_table
+        self._links = links
+        self._prober = prober
+        self._forwarder = forwarder
+        self._forwards = forwards
         self._log = log
         self._make_key_assigner = make_key_assigner
         self._grace_s = grace_s
@@ -125,6 +137,7 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until `stopping` is set, then completes requests in flight."""
         await self._frontend.start()
+        await self._forwards.start()
         await self._ready.start()
         runs = [
             *(follower.run() for follower in self._followers.values()),
@@ -135,6 +148,8 @@
             self._vm_membership.run(),
             self._gate.run(),
             self._arbiter.run(),
+            self._prober.run(),
+            self._forwards.run(),
             self._log.run(),
             self._frontend.enforce_timeouts(),
             self._run_housekeeping(),
@@ -158,9 +173,15 @@
             not self._is_leaving
             and self._handler.config is not None
             and self._handler.is_informed(clocks.monotonic())
+            and self._can_send()
             and all(follower.is_loaded for follower in self._followers.values())
         )
 
+    def _can_send(self) -> bool:
+        """Whether requests reach upstreams, also through another VM."""
+        now = clocks.monotonic()
+        return not self._links.is_isolated(now) or self._forwarder.has_peer(now)
+
     @property
     def is_leaving(self) -> bool:
         """Whether it is shutting down."""
@@ -171,6 +192,7 @@
         logs.logger.info("gateway drains", in_flight=self._frontend.in_flight)
         self._is_leaving = True
         self._frontend.is_leaving = True
+        self._forwards.is_leaving = True
         for assigner in self._key_assigners.values():
             assigner.drop_leader_state()
         self._renewer.stop(started)
@@ -178,14 +200,19 @@
         step_down = asyncio.create_task(self._leadership.step_down())
         await asyncio.sleep(LINGER_S)
         self._frontend.stop_listening()
+        self._forwards.stop_listening()
         self._frontend.close_idle()
         end = started + self._grace_s - GRACE_MARGIN_S
-        while self._frontend.in_flight and clocks.monotonic() < end:
+        while self._in_flight and clocks.monotonic() < end:
             await asyncio.sleep(TICK_S / 2)
         self._frontend.is_closed = True
         self._frontend.close_idle()
         step_down.cancel()
 
+    @property
+    def _in_flight(self) -> int:
+        return self._frontend.in_flight + self._forwards.in_flight
+
     def _report(self, sequence: int, is_full: bool = True) -> reports.Report:
         """Returns this VM's report.
 
@@ -196,7 +223,10 @@
         """
         now = clocks.monotonic()
         store = self._followers["state"]
-        shared, local = self._counts() if is_full else ({}, {})
+        is_isolated = self._links.is_isolated(now)
+        shared, local = {}, {}
+        if is_full and not is_isolated:
+            shared, local = self._counts()
         return reports.Report(
             reports.short_run(self._node.incarnation),
             sequence,
@@ -223,6 +253,7 @@
             grants_end_s=self._renewer.grants_end_s(now),
             suspicions=self._suspect_table.report(now),
             advisories=self._advisories.report(now),
+            is_isolated=is_isolated,
         )
 
     def _statuses_to_publish(
@@ -355,6 +386,8 @@
             "node": self._node.node,
             "failure_domain": self._node.domain,
             "in_flight": self._frontend.in_flight,
+            "forwarded_in_flight": self._forwards.in_flight,
+            "links": self._links.state(clocks.monotonic()).value,
             "config": config.version if config else None,
             "leads": self._leadership.is_leader,
             "targets": len(self._target_table.by_id),
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -16,7 +16,15 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import targets
 
-__all__ = ["Call", "UpstreamClient", "UpstreamResponse"]
+__all__ = [
+    "Call",
+    "UpstreamClient",
+    "UpstreamResponse",
+    "encode_request",
+    "read_response",
+    "stream_response",
+    "while_sending_body",
+]
 
 # Responses up to this size are read completely before their head is sent to the
 # caller, so that a truncated one can still be reported as an error.
@@ -83,7 +91,8 @@
         headers: Headers for the caller.
         body: The complete body, or None if it is streamed.
         stream: The stream of the body if `body` is None.
-        metadata: Metadata from its status and headers.
+        metadata: Metadata from its status and headers; None if another VM
+            validated it.
         finish: Ends the exchange after streaming. Takes whether the body was
             relayed completely.
     """
@@ -92,7 +101,7 @@
     headers: list[tuple[str, str]]
     body: bytes | None
     stream: object
-    metadata: interfaces.AnswerMetadata
+    metadata: interfaces.AnswerMetadata | None
     finish: collections.abc.Callable[[bool], None]
 
 
@@ -117,6 +126,8 @@
         self._dialect = dialect
         self._advisories = advisory_table
         self._drain_s = drain_s
+        # Connections on which idempotent requests are in progress.
+        self._abandonable: set[connections.UpstreamConnection] = set()
 
     async def send(
         self, call: Call, target: targets.Target
@@ -138,6 +149,8 @@
                 str(error), step="connect", peer=target.id
             ) from error
         keeps_connection = False
+        if call.is_idempotent:
+            self._abandonable.add(connection)
         try:
             self._check_accepts(target)
             left_s = call.deadline - clocks.monotonic()
@@ -168,9 +181,20 @@
             outcome_error.is_connection_broken = not connection.has_response
             raise outcome_error from error
         finally:
+            self._abandonable.discard(connection)
             if not keeps_connection:
                 connection.abort()
 
+    def abandon_idempotent(self) -> None:
+        """Ends the exchanges of requests that may be sent again.
+
+        For when no upstream can be reached: the answers wouldn't arrive, and
+        another VM can still send these requests. The outcome of the others may
+        still arrive, if the network recovers in time.
+        """
+        for connection in list(self._abandonable):
+            connection.abort()
+
     def _check_accepts(self, target: targets.Target) -> None:
         """Raises an error if the target stopped taking requests meanwhile."""
         now = clocks.monotonic()
@@ -194,36 +218,17 @@
             raise outcomes.UpstreamUnreachableError(
                 str(error), step="send", peer=target.id
             ) from error
-        if call.body is not None:
-            return await self._receive(call, target, connection, sent_at)
-        sender = asyncio.create_task(_send_stream(call, connection))
-        try:
-            response = await self._receive(call, target, connection, sent_at)
-            if not sender.done():
-                # Not reusable before the rest of the body was sent.
-                connection.is_usable = False
-            return response
-        finally:
-            if not sender.done():
-                sender.cancel()
-            elif not sender.cancelled() and sender.exception():
-                connection.is_usable = False
+        return await while_sending_body(
+            call,
+            connection,
+            self._receive(call, target, connection, sent_at),
+        )
 
     def _encode(self, call, target, left_s) -> bytes:
         headers = self._dialect.upstream_headers(
             call.headers, target.id, left_s
         )
-        lines = [f"{call.method} {call.target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        body = call.body or b""
-        if call.body is None and call.length is None:
-            lines.append("Transfer-Encoding: chunked")
-        elif call.body is None:
-            lines.append(f"Content-Length: {call.length}")
-        elif body or call.method in ("POST", "PUT", "PATCH"):
-            lines.append(f"Content-Length: {len(body)}")
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("utf-8", "surrogateescape") + body
+        return encode_request(call, headers)
 
     async def _receive(
         self, call, target, connection, sent_at: float
@@ -274,10 +279,7 @@
     async def _read_response(
         self, head, metadata, target, connection
     ) -> UpstreamResponse:
-        headers = self._dialect.answer_headers(head.headers)
         address = target.upstream.address
-        length = head.headers.get("Content-Length", "")
-        is_long = length.isdigit() and int(length) > MAX_BUFFERED_BYTES
 
         def finish(is_whole: bool) -> None:
             if is_whole:
@@ -286,13 +288,76 @@
             else:
                 connection.abort()
 
-        body = None
-        if not is_long:
-            body = await head.payload.read()
-            finish(True)
-        return UpstreamResponse(
-            head.status, headers, body, head.payload, metadata, finish
-        )
+        headers = self._dialect.answer_headers(head.headers)
+        return await read_response(head, headers, metadata, finish)
+
+
+def encode_request(call: Call, headers: list[tuple[str, str]]) -> bytes:
+    """Returns the head of a request and its body, if that is buffered."""
+    lines = [f"{call.method} {call.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    body = call.body or b""
+    if call.body is None and call.length is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif call.body is None:
+        lines.append(f"Content-Length: {call.length}")
+    elif body or call.method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("utf-8", "surrogateescape") + body
+
+
+async def while_sending_body(
+    call: Call,
+    connection: connections.UpstreamConnection,
+    receive: collections.abc.Coroutine[None, None, UpstreamResponse],
+) -> UpstreamResponse:
+    """Receives the response while the rest of the body is sent, if any.
+
+    Args:
+        call: The request, whose head was sent.
+        connection: Its connection.
+        receive: Receives the response.
+    """
+    if call.body is not None:
+        return await receive
+    sender = asyncio.create_task(_send_stream(call, connection))
+    try:
+        response = await receive
+        if not sender.done():
+            # Not reusable before the rest of the body was sent.
+            connection.is_usable = False
+        return response
+    finally:
+        if not sender.done():
+            sender.cancel()
+        elif not sender.cancelled() and sender.exception():
+            connection.is_usable = False
+
+
+async def read_response(
+    head: connections.ResponseHead,
+    headers: list[tuple[str, str]],
+    metadata: interfaces.AnswerMetadata | None,
+    finish: collections.abc.Callable[[bool], None],
+) -> UpstreamResponse:
+    """Returns the response with a head, with its body unless that is long.
+
+    Args:
+        head: The head.
+        headers: Headers for the caller.
+        metadata: Metadata of the head.
+        finish: Ends the exchange.
+    """
+    length = head.headers.get("Content-Length", "")
+    is_long = length.isdigit() and int(length) > MAX_BUFFERED_BYTES
+    body = None
+    if not is_long:
+        body = await head.payload.read()
+        finish(True)
+    return UpstreamResponse(
+        head.status, headers, body, head.payload, metadata, finish
+    )
 
 
 async def _send_stream(call: Call, connection) -> None:
--- a/src/swiftstile/gateway/forward_headers.py
+++ b/src/swiftstile/gateway/forward_headers.py
@@ -12,7 +12,14 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 
-__all__ = ["ANSWERED", "OUTCOME_HEADER", "Origin", "end_to_end", "parse"]
+__all__ = [
+    "ANSWERED",
+    "OUTCOME_HEADER",
+    "Origin",
+    "end_to_end",
+    "mark_answered",
+    "parse",
+]
 
 _PREFIX = "swiftstile-"
 _RUN_HEADER = "Swiftstile-Run"
@@ -83,6 +90,11 @@
     ]
 
 
+def mark_answered(headers: list[tuple[str, str]]) -> None:
+    """Marks the headers of a response as those of an upstream."""
+    headers[:] = [*end_to_end(headers), (OUTCOME_HEADER, ANSWERED)]
+
+
 def _number(headers, name: str) -> int:
     text = headers.get(name, "")
     if not text.isascii() or not text.isdigit() or len(text) > _MAX_DIGITS:
--- a/src/swiftstile/gateway/forward_listener.py
+++ b/src/swiftstile/gateway/forward_listener.py
@@ -144,10 +144,7 @@
         request = incoming.request
         origin = forward_headers.parse(request.headers)
         self._check_vm(origin.run, request.remote or "")
-        if (
-            self._requests > MAX_REQUESTS
-            or self._body_bytes > MAX_BODY_BYTES
-        ):
+        if self._requests > MAX_REQUESTS or self._body_bytes > MAX_BODY_BYTES:
             raise outcomes.ForwardLimitError(
                 f"{self._requests} requests, {self._body_bytes} bytes",
                 step="accept",
--- a/src/swiftstile/gateway/forward_selection.py
+++ b/src/swiftstile/gateway/forward_selection.py
@@ -63,9 +63,7 @@
         if near:
             return near
         domains = {peer.row.domain for peer in self._peers.topology.far}
-        return [
-            peer for domain in domains for peer in self._able(domain, now)
-        ]
+        return [peer for domain in domains for peer in self._able(domain, now)]
 
     def _able(self, domain, now: float) -> list[reports.Peer]:
         return [
--- a/src/swiftstile/gateway/frontend.py
+++ b/src/swiftstile/gateway/frontend.py
@@ -20,7 +20,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 
-__all__ = ["Frontend", "ReadinessServer"]
+__all__ = ["Frontend", "ReadinessServer", "error_response", "listen"]
 
 _HEADER_TOO_LARGE = 431
 _BAD_REQUEST = 400
@@ -70,7 +70,7 @@
             SettingsError: Listening failed, for example as the port is in use.
         """
         loop = asyncio.get_running_loop()
-        self._listener = await _listen(
+        self._listener = await listen(
             lambda: callers.CallerConnection(loop, self, self._connections),
             self._listen,
             "listen for callers",
@@ -126,21 +126,26 @@
             response = await self._handler.handle(incoming)
             outcome = "answered"
         except outcomes.GatewayError as error:
-            response = _error_response(error)
+            response = error_response(error)
             outcome = error.reason
         except asyncio.CancelledError:
             self._meters.requests.add("cancelled")
             raise
         except Exception as error:
             logs.logger.exception("request failed")
-            response = _error_response(_internal_error(error))
+            response = error_response(_internal_error(error))
             outcome = "internal"
         self._meters.requests.add(outcome)
         self._meters.durations.record(clocks.monotonic() - incoming.arrived)
         return response
 
 
-async def _listen(make_protocol, address: str, step: str) -> asyncio.Server:
+async def listen(make_protocol, address: str, step: str) -> asyncio.Server:
+    """Starts to listen at an address.
+
+    Raises:
+        SettingsError: Listening failed, for example as the port is in use.
+    """
     host, port = settings_lib.split_address(address)
     try:
         return await asyncio.get_running_loop().create_server(
@@ -152,7 +157,8 @@
         ) from error
 
 
-def _error_response(error: outcomes.GatewayError) -> web_response.Response:
+def error_response(error: outcomes.GatewayError) -> web_response.Response:
+    """Returns the response to a request that no upstream answered."""
     body = _ErrorBody(error.reason, error.step, error.peer, str(error))
     response = web_response.Response(
         status=error.status,
@@ -182,7 +188,7 @@
             SettingsError: Listening failed, for example as the port is in use.
         """
         server = web_server.Server(self._handle, access_log=None)
-        await _listen(server, self._listen, "serve the ready page")
+        await listen(server, self._listen, "serve the ready page")
 
     async def _handle(
         self, _request: web_request.BaseRequest
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -67,6 +67,7 @@
         report.versions,
         report.unreachable,
         report.is_leaving,
+        report.is_isolated,
         [
             entry.upstream
             for entry in report.advisories
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -17,6 +17,8 @@
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
 from swiftstile.gateway import follow
+from swiftstile.gateway import forward_headers
+from swiftstile.gateway import forwarding
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
@@ -57,10 +59,15 @@
 
 
 class _SendState:
-    """State of the sends of one request so far."""
+    """State of the sends of one request so far.
 
-    def __init__(self):
-        self.sends = 0
+    Args:
+        sends: Upstreams that it was sent to, by this VM and the one that
+            forwarded it.
+    """
+
+    def __init__(self, sends: int):
+        self.sends = sends
         self.misdirected = 0
         self.unreachable = 0
         self.may_have_run = False
@@ -89,6 +96,7 @@
         operations: follow.TableFollower,
         guard: crash_guard.CrashGuard,
         links: upstream_links.UpstreamLinks,
+        forwarder: forwarding.PeerForwarder,
         meters: metrics.Meters,
     ):
         self.config: model.Config | None = None
@@ -105,6 +113,7 @@
         self._operations = operations
         self._crash_guard = guard
         self._links = links
+        self._forwarder = forwarder
         self._meters = meters
         self._service_times = service_times.ServiceTimeEstimates()
         self._round_robin = weighted_round_robin.WeightedRoundRobin()
@@ -212,8 +221,7 @@
 
     async def _serve(self, incoming, inbound, route, config, trace):
         request, arrived = incoming.request, incoming.arrived
-        service = self._round_robin.next_service(route)
-        self._budget.note_request(service, arrived)
+        service = self._select_service(route, incoming.origin, arrived)
         wait_s = route.timeout_s
         if inbound.timeout_s is not None:
             wait_s = min(wait_s, inbound.timeout_s)
@@ -236,7 +244,11 @@
             inbound.key,
             None if inbound.timeout_s is None else arrived + inbound.timeout_s,
         )
-        upstream_response = await self._send_with_retries(call, waiter, trace)
+        upstream_response = await self._send_with_retries(
+            call, waiter, incoming.origin, trace
+        )
+        if incoming.origin is not None:
+            forward_headers.mark_answered(upstream_response.headers)
         if upstream_response.body is None:
             await incoming.wait_for_turn()
             return await exchange.stream_response(request, upstream_response)
@@ -248,6 +260,24 @@
             response.headers.add(name, value)
         return response
 
+    def _select_service(
+        self,
+        route: model.Route,
+        origin: forward_headers.Origin | None,
+        arrived: float,
+    ) -> ids.ServiceName:
+        """Returns the service for a request and counts the request.
+
+        A forwarded request was counted by the VM that received it.
+        """
+        if origin is None:
+            service = self._round_robin.next_service(route)
+            self._budget.note_request(service, arrived)
+            return service
+        if origin.service in {share.service for share in route.shares}:
+            return origin.service
+        return self._round_robin.next_service(route)
+
     async def _make_call(
         self, request, inbound, route, config, end
     ) -> exchange.Call:
@@ -300,10 +330,12 @@
         return None, _remaining_body(pieces, content, limit), first_part
 
     async def _send_with_retries(
-        self, call, waiter, trace
+        self, call, waiter, origin, trace
     ) -> exchange.UpstreamResponse:
-        state = _SendState()
+        state = _SendState(0 if origin is None else origin.sends)
         while True:
+            if self._needs_other_vm(state):
+                return await self._forward(call, waiter, origin, state, trace)
             try:
                 target = await self._permits.acquire(waiter)
             except outcomes.RejectedError as error:
@@ -324,6 +356,12 @@
                 response = await self._client.send(call, target)
             except outcomes.GatewayError as error:
                 now = clocks.monotonic()
+                if self._links.is_partitioned and isinstance(
+                    error, outcomes.NotSentError
+                ):
+                    state.sends -= 1
+                    state.unreachable += 1
+                    continue
                 self._update_target(error, waiter, target, state, call, now)
                 may_resend = await self._check_for_crash(
                     error, call, target, upstream, sent, now
@@ -341,6 +379,54 @@
             finally:
                 self._permits.release(waiter, target)
 
+    def _needs_other_vm(self, state: _SendState) -> bool:
+        """Whether only another VM can send a request to an upstream.
+
+        While existing connections deliver data, they are tried first.
+        """
+        return self._links.is_isolated(clocks.monotonic()) or (
+            self._links.is_partitioned and state.unreachable > 0
+        )
+
+    async def _forward(
+        self, call, waiter, origin, state, trace
+    ) -> exchange.UpstreamResponse:
+        """Lets another VM send a request, unless another one forwarded it."""
+        if origin is not None:
+            raise self._final_error(
+                outcomes.NoUpstreamPathError(
+                    "forwarded requests aren't forwarded again", step="forward"
+                ),
+                waiter,
+                state,
+            )
+        version = self.config.version if self.config else 0
+
+        def make_origin(age_s: float) -> forward_headers.Origin:
+            return forward_headers.Origin(
+                self._forwarder.own_run,
+                age_s,
+                state.sends,
+                waiter.service,
+                version,
+                call.caller,
+            )
+
+        while True:
+            self._record_send(call, waiter, None, state, trace)
+            try:
+                return await self._forwarder.forward(
+                    call, waiter.arrived, make_origin
+                )
+            except outcomes.UnknownOutcomeError as error:
+                state.may_have_run = True
+                state.sends += 1
+                now = clocks.monotonic()
+                if not self._may_retry(error, call, waiter, state, now):
+                    raise
+            except outcomes.GatewayError as error:
+                raise self._final_error(error, waiter, state) from error
+
     async def _check_for_crash(
         self, error, call, target, upstream, sent: float, broken_at: float
     ) -> bool:
@@ -428,9 +514,7 @@
         If an earlier send may have run, the outcome is unknown, even if the
         last send certainly didn't run.
         """
-        if state.may_have_run and isinstance(
-            error, (outcomes.NotRunError, outcomes.RejectedError)
-        ):
+        if state.may_have_run and error.promises_not_run:
             return outcomes.UnknownOutcomeError(
                 f"an earlier send may have run; {error}",
                 step="send again",
@@ -495,15 +579,16 @@
         )
 
     def _record_send(self, call, waiter, target, state, trace) -> None:
+        """Records that a request is sent, or forwarded if `target` is None."""
         now = clocks.monotonic()
         config = self.config
         trace.add(
             decision_log.RequestDecision(
                 id=call.inbound.attempt_id,
-                event="sent",
+                event="forwarded" if target is None else "sent",
                 route=waiter.route.name,
                 service=waiter.service,
-                upstream=target.id,
+                upstream="" if target is None else target.id,
                 attempt=state.sends,
                 waited_ms=clocks.milliseconds(now - waiter.arrived),
                 left_ms=clocks.milliseconds(call.deadline - now),
@@ -511,8 +596,11 @@
                 config=config.version if config else 0,
                 key_map=self._owners.version(waiter.service),
                 store_age_ms=clocks.milliseconds(now - self._store.contact_at),
-                occupied=target.occupied(now),
+                occupied=0 if target is None else target.occupied(now),
                 queued=self._permits.queued,
+                data_age_ms=self._links.data_age_ms(now)
+                if target is None
+                else 0,
                 **_stated_fields(target, now),
             )
         )
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -293,6 +293,10 @@
     ) -> list[tuple[str, str]]:
         """Returns the headers to send: end-to-end ones and the gateway's."""
 
+    @abc.abstractmethod
+    def end_to_end_headers(self, headers) -> list[tuple[str, str]]:
+        """Returns the headers that don't apply to a single connection."""
+
     @abc.abstractmethod
     def parse_answer(self, status: int, headers) -> AnswerMetadata:
         """Returns the metadata in the head of an answer."""
--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -21,6 +21,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import reports
 from swiftstile.gateway import settle
+from swiftstile.gateway import upstream_links
 
 __all__ = ["LEADER_KEY", "LeaderRow", "Leadership"]
 
@@ -85,10 +86,12 @@
         peers: gossip.Peers,
         table: interfaces.StateTable,
         follower: follow.TableFollower,
+        is_isolated: upstream_links.IsIsolated = upstream_links.never_isolated,
     ):
         self._peers = peers
         self._table = table
         self._follower = follower
+        self._is_isolated = is_isolated
         self._started = clocks.monotonic()
         self._retry_at = 0.0
         self._unresponsive_since: float | None = None
@@ -162,6 +165,8 @@
             return
         if not self._is_vacant(now) or self._follower.failing_since is not None:
             return
+        if self._is_isolated(now) and self._others_reach_upstreams(now):
+            return
         await asyncio.sleep(self._takeover_delay_s())
         if self._is_vacant(clocks.monotonic()):
             await self._take_over()
@@ -204,6 +209,9 @@
         """Whether a responsive leader is currently unable to lead."""
         if report.is_leaving:
             return True
+        if report.is_isolated and not self._is_isolated(now):
+            # It can't reclaim keys from their owners.
+            return True
         has_just_reconnected = (
             now - self._follower.recovered_at < LEADER_RECONNECT_S
         )
@@ -212,6 +220,9 @@
             and not has_just_reconnected
         )
 
+    def _others_reach_upstreams(self, now: float) -> bool:
+        return any(not peer.is_isolated for peer in self._peers.live_peers(now))
+
     async def _take_over(self) -> None:
         me = self._peers.me
         await self._write(LeaderRow(me.node, me.incarnation, _attempt()))
--- /dev/null
+++ b/src/swiftstile/gateway/link_probes.py
@@ -0,0 +1,157 @@
+"""Opens connections that show whether this VM reaches any upstream.
+
+`upstream_links.py` decides what they mean.
+"""
+
+import asyncio
+import collections.abc
+import random
+
+from swiftstile import clocks
+from swiftstile import logs
+from swiftstile.gateway import connections
+from swiftstile.gateway import targets
+from swiftstile.gateway import upstream_links
+
+__all__ = ["LinkProber"]
+
+_CHECK_INTERVAL_S = 0.05
+# Pause between attempts to reach an upstream during a partition.
+RETRY_PAUSE_S = 0.2
+# Upstreams that each attempt tries.
+_TRIED_AT_ONCE = 2
+# Time after which more upstreams are tried: many round trips.
+_FIRST_TRY_S = 0.08
+# If a timeout ends later than this, the process was paused, and its timeouts
+# say nothing about the network.
+_STALL_S = 0.25
+
+# Whether an upstream at an address can be reached.
+_Check = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
+
+
+class LinkProber:
+    """Confirms suspicions of a partition and notices its end.
+
+    Args:
+        links: Decides what the connections show.
+        pool: Opens them.
+        target_table: The upstreams.
+        health_path: Returns the path of a service's health check.
+        on_isolated: Called once no upstream can be reached any more.
+        on_regained: Called once upstreams can be reached again.
+    """
+
+    def __init__(
+        self,
+        links: upstream_links.UpstreamLinks,
+        pool: connections.ConnectionPool,
+        target_table: targets.TargetTable,
+        health_path: collections.abc.Callable[[str], str],
+        on_isolated: collections.abc.Callable[[], None],
+        on_regained: collections.abc.Callable[[], None],
+    ):
+        self._links = links
+        self._pool = pool
+        self._target_table = target_table
+        self._health_path = health_path
+        self._on_isolated = on_isolated
+        self._on_regained = on_regained
+        self._was_isolated = False
+
+    async def run(self) -> None:
+        """Checks the links until cancelled."""
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            suspicion = self._links.suspicion(clocks.monotonic())
+            if self._links.is_partitioned:
+                await self._retry()
+            elif suspicion is not upstream_links.Suspicion.NONE:
+                await self._confirm(suspicion)
+            self._notify()
+
+    def _notify(self) -> None:
+        is_isolated = self._links.is_isolated(clocks.monotonic())
+        if is_isolated and not self._was_isolated:
+            self._on_isolated()
+        self._was_isolated = is_isolated
+
+    async def _confirm(self, suspicion: upstream_links.Suspicion) -> None:
+        began = clocks.monotonic()
+        self._links.begin_confirmation(began)
+        sampled = upstream_links.sample(self._target_table)
+        if not sampled:
+            return
+        # Where connections live and deliver nothing, new ones may open, too.
+        is_silent = suspicion is upstream_links.Suspicion.SILENCE
+        check = self._answers if is_silent else self._pool.opens
+        if await self._any_passes(sampled, check):
+            self._links.refute(clocks.monotonic())
+            return
+        ended = clocks.monotonic()
+        if ended - began > 2 * connections.CONNECT_TIMEOUT_S + _STALL_S:
+            logs.logger.info(
+                "links not judged after a pause", for_s=round(ended - began, 3)
+            )
+            return
+        self._links.record_partition(ended)
+        self._notify()
+
+    async def reaches_another(self, address: str) -> bool:
+        """Returns whether any upstream but the one at an address answers.
+
+        False if that isn't known, as there is no other one.
+        """
+        if self._links.is_partitioned:
+            return False
+        others = upstream_links.sample(self._target_table, other_than={address})
+        return await self._any_passes(others, self._answers)
+
+    async def _answers(self, address: str) -> bool:
+        target = self._target_table.at_address(address)
+        if target is None:
+            return False
+        path = self._health_path(target.upstream.service)
+        return await self._pool.answers(address, path)
+
+    @staticmethod
+    async def _any_passes(addresses: list[str], check: _Check) -> bool:
+        """Returns whether any of some upstreams passes a check.
+
+        Those of the second half are only tried if the first ones don't pass
+        soon.
+        """
+        tasks = {asyncio.create_task(check(a)) for a in addresses[::2]}
+        later = addresses[1::2]
+        timeout_s: float | None = _FIRST_TRY_S
+        try:
+            while tasks:
+                done, tasks = await asyncio.wait(
+                    tasks,
+                    timeout=timeout_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if any(task.result() for task in done):
+                    return True
+                if not done or not tasks:
+                    tasks |= {asyncio.create_task(check(a)) for a in later}
+                    later, timeout_s = [], None
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _retry(self) -> None:
+        """Tries some upstreams and ends the partition if they answer."""
+        addresses = [
+            target.upstream.address
+            for target in self._target_table.by_id.values()
+            if not target.is_unregistered
+        ]
+        count = min(_TRIED_AT_ONCE, len(addresses))
+        tried = random.sample(addresses, count)
+        await asyncio.gather(*map(self._answers, tried))
+        if self._links.end_if_regained(len(addresses), clocks.monotonic()):
+            self._on_regained()
+            return
+        await asyncio.sleep(RETRY_PAUSE_S)
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -8,10 +8,13 @@
     "BadRequestError",
     "BodyTooLargeError",
     "CrashingRequestError",
+    "ForwardLimitError",
+    "ForwardedError",
     "GatewayError",
     "HeaderTooLargeError",
     "MisdirectedError",
     "NoRouteError",
+    "NoUpstreamPathError",
     "NotReadyError",
     "NotRunError",
     "NotSentError",
@@ -20,6 +23,7 @@
     "StaleConfigError",
     "TimedOutError",
     "UnknownOutcomeError",
+    "UnknownVmError",
     "UpstreamUnreachableError",
     "WithdrawnError",
 ]
@@ -39,6 +43,11 @@
     reason: typing.ClassVar[str] = "internal"
     retry_after_s: float | None = None
 
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether its status promises that the request never ran."""
+        return self.status == 503
+
 
 class BadRequestError(GatewayError):
     """The request is malformed."""
@@ -89,6 +98,40 @@
     retry_after_s = 0.3
 
 
+class NoUpstreamPathError(GatewayError):
+    """This VM reaches no upstream, and no other VM can send the request."""
+
+    status = 503
+    reason = "no-upstream-path"
+    retry_after_s = 0.3
+
+
+class ForwardLimitError(GatewayError):
+    """This VM handles as many requests of other VMs as it can."""
+
+    status = 503
+    reason = "forward-limit"
+    retry_after_s = 0.3
+
+
+class UnknownVmError(GatewayError):
+    """A request was forwarded by something that isn't a registered VM."""
+
+    status = 503
+    reason = "unknown-vm"
+    retry_after_s = 0.3
+
+
+class ForwardedError(GatewayError):
+    """Another VM handled the request and no upstream answered.
+
+    Its status, reason and Retry-After are those that the other VM gave.
+    """
+
+    status = 503
+    reason = "forwarded"
+
+
 class RejectedError(GatewayError):
     """The request can't be served in time, and no upstream ran it.
 
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -28,6 +28,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import sharing
 from swiftstile.gateway import targets
+from swiftstile.gateway import upstream_links
 
 __all__ = ["HOLD_S", "Authority", "GrantRenewer", "KeyMaps"]
 
@@ -174,6 +175,7 @@
         control: interfaces.UpstreamControl,
         authority: Authority,
         meters: metrics.Meters,
+        is_isolated: upstream_links.IsIsolated = upstream_links.never_isolated,
     ):
         self._maps = maps
         self._target_table = target_table
@@ -181,6 +183,7 @@
         self._responsibilities = sharing.Responsibilities(peers.me)
         self._control = control
         self._authority = authority
+        self._is_isolated = is_isolated
         self._meters = meters
         # When a range of slots was last granted, and under which fence, by its
         # first slot.
@@ -238,7 +241,9 @@
             return
         if self._authorised_since is None:
             self._authorised_since = now
-        wanted = self._responsibilities.upstreams(self._cluster_view(now))
+        wanted: frozenset[model.UpstreamId] = frozenset()
+        if not self._is_isolated(now):
+            wanted = self._responsibilities.upstreams(self._cluster_view(now))
         for owner in [name for name in self._tasks if name not in wanted]:
             self._tasks.pop(owner).cancel()
             self.unreachable.discard(owner)
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -39,6 +39,7 @@
         address: `host:port` that it receives datagrams at.
         is_retired: It was unresponsive for long; no VM waits for it any more.
         link_mbps: Bandwidth of its link; 0 if unknown.
+        forward_port: Port that it takes forwarded requests at; 0 if none.
     """
 
     node: model.NodeId
@@ -47,6 +48,17 @@
     address: str
     is_retired: bool = False
     link_mbps: float = 0.0
+    forward_port: int = 0
+
+    @property
+    def host(self) -> str:
+        """Its address without a port."""
+        return self.address.rpartition(":")[0]
+
+    @property
+    def forward_address(self) -> str:
+        """`host:port` that it takes forwarded requests at."""
+        return f"{self.host}:{self.forward_port}"
 
 
 class Hold(msgspec.Struct, array_like=True):
@@ -119,6 +131,7 @@
             makes no more; None before.
         suspicions: Requests that may crash upstreams.
         advisories: What upstreams state about themselves.
+        is_isolated: It reaches no upstream.
     """
 
     run: str
@@ -143,6 +156,7 @@
     grants_end_s: float | None = None
     suspicions: list[suspects.SuspectReport] = []
     advisories: list[advisories_lib.AdvisoryReport] = []
+    is_isolated: bool = False
 
 
 class Peer:
@@ -234,6 +248,11 @@
         """Whether its last report says that it is the leader."""
         return self.report is not None and self.report.is_leader
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether its last report says that it reaches no upstream."""
+        return self.report is not None and self.report.is_isolated
+
     @property
     def claims_reader_role(self) -> bool:
         """Whether its last report says that it is a reader of its domain."""
--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -29,6 +29,8 @@
         listen: `host:port` for callers.
         ready: `host:port` of the readiness page for the load balancer.
         peers: `host:port` for datagrams from other VMs.
+        forward: `host:port` for requests that other VMs forward; empty for the
+            port after that of `peers`.
         metrics: `host:port` of the metrics endpoint; empty for none.
         seeds: `host:port` of VMs that may be asked for rows while the store is
             unavailable. Only the hosts are used: the port is that of `peers`.
@@ -40,6 +42,7 @@
     listen: str
     ready: str
     peers: str
+    forward: str = ""
     metrics: str = ""
     seeds: tuple[str, ...] = ()
     link_mbps: float = 0.0
@@ -49,6 +52,12 @@
         """Address at which it is registered and that its connections have."""
         return self.peers.rpartition(":")[0]
 
+    @property
+    def forward_address(self) -> str:
+        """`host:port` for requests that other VMs forward."""
+        host, _, port = self.peers.rpartition(":")
+        return self.forward or f"{host}:{int(port) + 1}"
+
 
 class StoreSettings(msgspec.Struct, frozen=True):
     """Section [store]: the platform's store.
@@ -100,6 +109,7 @@
     ("vm", "listen"),
     ("vm", "ready"),
     ("vm", "peers"),
+    ("vm", "forward"),
     ("vm", "metrics"),
     ("store", "address"),
 )
--- a/src/swiftstile/gateway/sharing.py
+++ b/src/swiftstile/gateway/sharing.py
@@ -151,7 +151,7 @@
     for peer in peers.live_peers(now):
         report = peer.report
         is_authorised = report.can_renew or peer.received_at < propagated_at
-        if is_authorised and not report.is_leaving:
+        if is_authorised and not report.is_leaving and not report.is_isolated:
             entry = AuthorisedVm(peer.row, tuple(report.unreachable))
             authorised.setdefault(peer.row.domain, []).append(entry)
     return authorised
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -233,6 +233,11 @@
         self._failures += 1
         self._penalty_until = now + penalty
 
+    def forget_failures(self) -> None:
+        """Ends its penalty, if other causes than itself made it fail."""
+        self._failures = 0
+        self._penalty_until = 0.0
+
     def note_rejected(self, now: float, wait_s: float) -> None:
         """Records that it rejected a request because it was full."""
         self._penalty_until = max(self._penalty_until, now + wait_s)
@@ -320,6 +325,23 @@
             )
         return target
 
+    def at_address(self, address: str) -> Target | None:
+        """Returns the registered upstream at an address, if there is one."""
+        return next(
+            (
+                target
+                for target in self.by_id.values()
+                if target.upstream.address == address
+                and not target.is_unregistered
+            ),
+            None,
+        )
+
+    def forget_failures(self) -> None:
+        """Ends the penalties of all targets."""
+        for target in self.by_id.values():
+            target.forget_failures()
+
     def evacuate(self, domain: ids.FailureDomain, now: float) -> None:
         """Marks the upstreams of a failure domain as evacuated.
 
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -6,8 +6,8 @@
 
 An upstream that fails says nothing about the others, and a service may lose all
 of its upstreams at once. So failures only raise a suspicion, which is confirmed
-by opening connections to upstreams of each failure domain: any that opens
-refutes it. A partition ends when connections to several upstreams open again.
+by trying upstreams of each failure domain: any that can be reached refutes it.
+A partition ends when several upstreams answer on new connections.
 """
 
 import collections.abc
@@ -21,7 +21,14 @@
 from swiftstile.gateway import connections
 from swiftstile.gateway import targets
 
-__all__ = ["LinkState", "UpstreamLinks", "sample"]
+__all__ = [
+    "IsIsolated",
+    "LinkState",
+    "Suspicion",
+    "UpstreamLinks",
+    "never_isolated",
+    "sample",
+]
 
 # Upstreams that must fail, without any success in between, to raise a
 # suspicion. A single one may have crashed.
@@ -31,16 +38,26 @@
 # A suspicion is raised as well if requests are outstanding and no data arrives
 # from any upstream for this long. Longer than most requests take.
 SILENCE_S = 0.4
-# Minimum time between two confirmations, as each opens connections.
-CONFIRMATION_INTERVAL_S = 1.0
+# Minimum time between two confirmations, as each opens connections. It doubles
+# with each suspicion that is refuted, up to the maximum.
+CONFIRMATION_INTERVAL_S, MAX_CONFIRMATION_INTERVAL_S = 1.0, 8.0
 # Upstreams of each failure domain that are tried to confirm a suspicion: one
 # may have crashed at the same time.
 CONFIRMED_PER_DOMAIN = 2
 # Existing connections are used during a partition while any of them has
 # delivered data within this time.
 DATA_TTL_S = 0.5
-# Upstreams to which connections must open again before a partition has ended.
+# Upstreams that must answer again before a partition has ended.
 MIN_REGAINED = 2
+_MAX_DATA_AGE_S = 60.0
+
+# Returns whether this VM reaches no upstream, given the time.
+IsIsolated = collections.abc.Callable[[float], bool]
+
+
+def never_isolated(_now: float) -> bool:
+    """The VM always reaches upstreams."""
+    return False
 
 
 class LinkState(enum.Enum):
@@ -52,6 +69,16 @@
     ISOLATED = "isolated"
 
 
+class Suspicion(enum.Enum):
+    """Why upstreams may be unreachable."""
+
+    NONE = "none"
+    # Several connections or exchanges failed.
+    FAILURES = "failures"
+    # Requests are outstanding, and no data arrives.
+    SILENCE = "silence"
+
+
 class UpstreamLinks(connections.LinkObserver):
     """Tracks which upstreams this VM reaches.
 
@@ -64,30 +91,32 @@
 
     def __init__(self, meters: metrics.Meters | None = None):
         self._meters = meters or metrics.Meters()
-        # Failed connections since one opened, and failed exchanges since data
+        # Connections that failed to open, and exchanges that failed since data
         # arrived, by address.
         self._open_failed_at: dict[str, float] = {}
         self._broken_at: dict[str, float] = {}
-        self._regained: set[str] = set()
-        self._confirm_at = float("-inf")
+        # When the newest connection was opened that delivered data.
+        self._proven_at = float("-inf")
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
+        self._confirm_at = float("-inf")
+        self._interval_s = CONFIRMATION_INTERVAL_S
         self._partitioned_since: float | None = None
-        # When a connection to each address last opened.
-        self._opened_at: dict[str, float] = {}
+        # Addresses that answered on connections opened in this partition.
+        self._regained: set[str] = set()
         self.received_at = float("-inf")
 
     def use_meters(self, meters: metrics.Meters) -> None:
         """Counts events in other meters from now on."""
         self._meters = meters
 
+    def may_open(self) -> bool:
+        """See base class."""
+        return self._partitioned_since is None
+
     def on_opened(self, address: str, now: float) -> None:
         """See base class."""
         self._meters.links.add("opened")
-        self._open_failed_at.clear()
-        self._opened_at[address] = now
-        if self._partitioned_since is not None:
-            self._regained.add(address)
 
     def on_open_failed(self, address: str, now: float) -> None:
         """See base class."""
@@ -100,30 +129,46 @@
         if self._waiting_since is None:
             self._waiting_since = now
 
-    def on_received(self, address: str, now: float) -> None:
+    def on_received(self, address: str, opened_at: float, now: float) -> None:
         """See base class."""
         self.received_at = now
         self._waiting_since = None
-        self._broken_at.clear()
+        if self._broken_at:
+            self._broken_at.clear()
+        if opened_at > self._proven_at:
+            self._record_proof(opened_at)
+        since = self._partitioned_since
+        if since is not None and opened_at >= since:
+            self._regained.add(address)
 
-    def on_broken(self, address: str, now: float) -> None:
-        """See base class."""
+    def on_broken(self, address: str, is_proven: bool, now: float) -> None:
+        """See base class.
+
+        A connection that never delivered data hasn't opened, in effect: a
+        device on the path may accept connections and reset them.
+        """
         self._meters.links.add("broken")
-        self._broken_at[address] = now
+        failures = self._broken_at if is_proven else self._open_failed_at
+        failures[address] = now
+
+    def _record_proof(self, opened_at: float) -> None:
+        """Records that a connection opened at a time works."""
+        self._proven_at = opened_at
+        self._open_failed_at = {
+            address: at
+            for address, at in self._open_failed_at.items()
+            if at > opened_at
+        }
 
     def data_age_ms(self, now: float) -> int:
         """Returns the time since data last arrived, at most a minute."""
-        return clocks.milliseconds(min(now - self.received_at, 60.0))
-
-    def has_data(self, now: float) -> bool:
-        """Whether existing connections deliver data."""
-        return now - self.received_at < DATA_TTL_S
+        return clocks.milliseconds(min(now - self.received_at, _MAX_DATA_AGE_S))
 
     def state(self, now: float) -> LinkState:
         """Returns how this VM reaches upstreams now."""
         if self._partitioned_since is None:
             return LinkState.CONNECTED
-        if self.has_data(now):
+        if now - self.received_at < DATA_TTL_S:
             return LinkState.NO_NEW_CONNECTIONS
         return LinkState.ISOLATED
 
@@ -136,51 +181,51 @@
         """Whether no upstream can be reached by any connection."""
         return self.state(now) is LinkState.ISOLATED
 
-    def is_suspicious(self, now: float) -> bool:
-        """Whether a suspicion has to be confirmed now."""
+    def suspicion(self, now: float) -> Suspicion:
+        """Returns the suspicion that has to be confirmed now, if any."""
         if self.is_partitioned or now < self._confirm_at:
-            return False
+            return Suspicion.NONE
+        since = self._waiting_since
+        if since is not None and now - since > SILENCE_S:
+            return Suspicion.SILENCE
         failed = {
             address
             for failures in (self._open_failed_at, self._broken_at)
             for address, at in failures.items()
             if now - at < FAILURE_TTL_S
         }
-        since = self._waiting_since
-        is_silent = since is not None and now - since > SILENCE_S
-        return len(failed) >= MIN_FAILED or is_silent
+        if len(failed) >= MIN_FAILED:
+            return Suspicion.FAILURES
+        return Suspicion.NONE
 
     def begin_confirmation(self, now: float) -> None:
-        """Records that connections are being opened to confirm a suspicion."""
+        """Records that upstreams are being tried to confirm a suspicion."""
         self._meters.links.add("suspected")
-        self._confirm_at = now + CONFIRMATION_INTERVAL_S
-
-    def reaches_any(self, since: float, other_than: str | None = None) -> bool:
-        """Whether a connection opened since a time.
-
-        Args:
-            since: The time.
-            other_than: An address that doesn't count.
-        """
-        return any(
-            at >= since
-            for address, at in self._opened_at.items()
-            if address != other_than
-        )
+        self._confirm_at = now + self._interval_s
+
+    def refute(self, now: float) -> None:
+        """Records that an upstream could be reached."""
+        longer_s = 2 * self._interval_s
+        self._interval_s = min(longer_s, MAX_CONFIRMATION_INTERVAL_S)
+        self._confirm_at = now + self._interval_s
+        self._record_proof(now)
+        self._broken_at.clear()
+        self._waiting_since = None
 
     def record_partition(self, now: float) -> None:
-        """Records that a suspicion was confirmed: no connection opened."""
+        """Records that a suspicion was confirmed."""
         self._meters.links.add("partitioned")
         self._partitioned_since = now
+        self._interval_s = CONFIRMATION_INTERVAL_S
         self._regained.clear()
         logs.logger.warning(
             "upstreams unreachable",
-            failed=len(self._open_failed_at),
+            failed=len(self._open_failed_at | self._broken_at),
             data_age_ms=self.data_age_ms(now),
         )
 
     def end_if_regained(self, upstreams: int, now: float) -> bool:
-        """Ends a partition if enough upstreams are reached again.
+        """Ends a partition if enough upstreams answer again.
 
         Args:
             upstreams: Number of known upstreams.
@@ -190,9 +235,8 @@
             Whether it has just ended.
         """
         since = self._partitioned_since
-        if since is None:
-            return False
-        if len(self._regained) < max(1, min(MIN_REGAINED, upstreams)):
+        wanted = max(1, min(MIN_REGAINED, upstreams))
+        if since is None or len(self._regained) < wanted:
             return False
         self._meters.links.add("regained")
         logs.logger.info("upstreams regained", after_s=round(now - since, 3))
@@ -223,8 +267,10 @@
         if is_up and address not in other_than:
             group = by_domain.setdefault(target.upstream.failure_domain, [])
             group.append(address)
-    return [
+    sampled = [
         address
         for group in by_domain.values()
         for address in random.sample(group, min(per_domain, len(group)))
     ]
+    random.shuffle(sampled)
+    return sampled
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -22,6 +22,9 @@
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
 from swiftstile.gateway import follow
+from swiftstile.gateway import forward_listener
+from swiftstile.gateway import forward_selection
+from swiftstile.gateway import forwarding
 from swiftstile.gateway import frontend
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
@@ -31,6 +34,7 @@
 from swiftstile.gateway import key_load
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
+from swiftstile.gateway import link_probes
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
@@ -142,6 +146,7 @@
             vm.failure_domain,
             vm.peers,
             link_mbps=vm.link_mbps,
+            forward_port=int(vm.forward_address.rpartition(":")[2]),
         )
         self._target_table = targets.TargetTable()
         self._maps = renewals.KeyMaps()
@@ -177,7 +182,7 @@
             outage=self._outage,
         )
         self._leadership = leadership_lib.Leadership(
-            self._peers, adapters.state, self._state
+            self._peers, adapters.state, self._state, self._links.is_isolated
         )
         self._succession = succession.Succession(self._leadership, self._maps)
         self._vm_membership = membership.Membership(
@@ -189,7 +194,10 @@
             lambda: self._vm_membership.is_registered,
         )
         self._arbiter_selector = arbiter_selection.ArbiterSelector(
-            self._peers, self._is_leaving, self._cold_limits
+            self._peers,
+            self._is_leaving,
+            self._cold_limits,
+            self._links.is_isolated,
         )
         self._rate_limiter = ratelimits.RateLimiter(
             self._peers, self._arbiter_selector
@@ -267,6 +275,24 @@
             self._meters,
         )
         pool = connections.ConnectionPool(self._settings.vm.host, self._links)
+        client = exchange.UpstreamClient(
+            pool, adapters.dialect, self._advisories, self._drain_s
+        )
+        prober = link_probes.LinkProber(
+            self._links,
+            pool,
+            self._target_table,
+            self._health_path,
+            client.abandon_idempotent,
+            self._target_table.forget_failures,
+        )
+        forwarder = forwarding.PeerForwarder(
+            reports.short_run(self._node.incarnation),
+            forward_selection.ForwardSelector(self._peers),
+            connections.ConnectionPool(self._settings.vm.host),
+            adapters.dialect,
+            self._meters,
+        )
         self._handler = handler = handler_lib.RequestHandler(
             permits.PermitClient(
                 self._peers,
@@ -277,9 +303,7 @@
                 self._arbiter_selector,
                 self._rate_limiter,
             ),
-            exchange.UpstreamClient(
-                pool, adapters.dialect, self._advisories, self._drain_s
-            ),
+            client,
             adapters.dialect,
             self._target_table,
             key_owners,
@@ -292,10 +316,12 @@
                 self._suspect_table,
                 self._peers,
                 pool,
+                prober.reaches_another,
                 self._started,
                 self._meters,
             ),
             self._links,
+            forwarder,
             self._meters,
         )
         self._renewer = renewals.GrantRenewer(
@@ -305,6 +331,7 @@
             adapters.control,
             self._authority,
             self._meters,
+            self._links.is_isolated,
         )
         followers = {
             follower.name: follower
@@ -348,6 +375,15 @@
             self._rate_limiter,
             self._suspect_table,
             self._advisories,
+            self._links,
+            prober,
+            forwarder,
+            forward_listener.ForwardListener(
+                self._settings.vm.forward_address,
+                handler,
+                self._peers,
+                self._meters,
+            ),
             self._request_log,
             self._make_key_assigner,
             settings_lib.parse_seconds(bounds.grace),
@@ -385,6 +421,12 @@
             self._meters,
         )
 
+    def _health_path(self, service: ids.ServiceName) -> str:
+        """Returns the path of a service's health check."""
+        config = self._handler.config
+        known = config.services_by_name.get(service) if config else None
+        return known.health_path if known else "/"
+
     def _is_leaving(self) -> bool:
         return self._daemon is not None and self._daemon.is_leaving
 
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -39,6 +39,14 @@
     return re.sub(r"{{([\w.]+)}}", value, template)
 
 
+def _free_ports(host: str) -> list[int]:
+    """Returns four free ports; the one after the third is free as well."""
+    while True:
+        ports = processes.free_ports(4, host)
+        if ports[2] + 1 not in ports:
+            return ports
+
+
 @dataclasses.dataclass
 class Gateway:
     """One gateway process."""
@@ -51,14 +59,16 @@
     front: str = ""
     ready: str = ""
     metrics: str = ""
+    forward: str = ""
 
     def __post_init__(self):
         self.zone = ZONES[self.number % len(ZONES)]
         self.log = self.folder / f"gateway-{self.number}.log"
-        ports = processes.free_ports(4, self.host)
+        ports = _free_ports(self.host)
         self.front = f"{self.host}:{ports[0]}"
         self.ready = f"{self.host}:{ports[1]}"
         self.metrics = f"{self.host}:{ports[3]}"
+        self.forward = f"{self.host}:{ports[2] + 1}"
         fields = {
             "node_name": f"vm-{self.number}",
             "zone": self.zone,
--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -23,6 +23,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import suspects
+from swiftstile.gateway import upstream_links
 from tests import gateway_builders as builders
 
 
@@ -72,6 +73,8 @@
         _permits=permits,
         _client=client,
         _crash_guard=crash_guard,
+        _links=upstream_links.UpstreamLinks(),
+        _needs_other_vm=lambda _: False,
         _record_send=lambda *_: None,
         _update_target=lambda *_: None,
         _may_retry=lambda *_: False,
@@ -85,7 +88,7 @@
     call = types.SimpleNamespace(digest=lambda: b"d" * 16, is_probe=is_probe)
     waiter = builders.waiter(clocks.monotonic(), None)
     run = handler_lib.RequestHandler._send_with_retries(
-        handler, call, waiter, None
+        handler, call, waiter, None, None
     )
     with pytest.raises(outcomes.GatewayError):
         asyncio.run(run)
@@ -110,11 +113,16 @@
     assert _run_handler(crash_guard, permits, is_probe=True).sent == 1
 
 
+async def _reaches_another(_address: str) -> bool:
+    return True
+
+
 def _guard(peers: gossip.Peers, started: float) -> crash_guard_lib.CrashGuard:
     return crash_guard_lib.CrashGuard(
         suspects.SuspectTable(),
         peers,
         connections.ConnectionPool(),
+        _reaches_another,
         started,
         metrics.Meters(),
     )
--- a/tests/unit/test_gateway_stale.py
+++ b/tests/unit/test_gateway_stale.py
@@ -179,6 +179,7 @@
         operations=operations,
         guard=_Guard(),
         links=upstream_links.UpstreamLinks(),
+        forwarder=None,
         meters=metrics.Meters(),
     )
     made.config = builders.config()
--- a/tests/unit/test_upstream_links.py
+++ b/tests/unit/test_upstream_links.py
@@ -5,6 +5,7 @@
 from tests import gateway_builders as builders
 
 _LinkState = upstream_links.LinkState
+_Suspicion = upstream_links.Suspicion
 
 
 def _partitioned(now: float) -> upstream_links.UpstreamLinks:
@@ -20,47 +21,72 @@
     links = upstream_links.UpstreamLinks()
     for at in range(5):
         links.on_open_failed("a:1", at / 10)
-    assert not links.is_suspicious(0.5)
+    assert links.suspicion(0.5) is _Suspicion.NONE
 
 
 def test_several_that_fail_in_a_row_raise_a_suspicion():
     links = upstream_links.UpstreamLinks()
     links.on_open_failed("a:1", 0.0)
-    links.on_broken("b:1", 0.1)
-    assert links.is_suspicious(0.2)
-    assert not links.is_suspicious(0.2 + upstream_links.FAILURE_TTL_S)
+    links.on_broken("b:1", True, 0.1)
+    assert links.suspicion(0.2) is _Suspicion.FAILURES
+    later = 0.2 + upstream_links.FAILURE_TTL_S
+    assert links.suspicion(later) is _Suspicion.NONE
 
 
-def test_a_connection_that_opens_in_between_refutes_it():
+def test_a_new_connection_that_delivers_data_in_between_refutes_it():
     links = upstream_links.UpstreamLinks()
     links.on_open_failed("a:1", 0.0)
-    links.on_opened("c:1", 0.05)
+    links.on_received("c:1", 0.05, 0.06)
     links.on_open_failed("b:1", 0.1)
-    assert not links.is_suspicious(0.2)
+    assert links.suspicion(0.2) is _Suspicion.NONE
+
+
+def test_data_on_an_older_connection_does_not_refute_it():
+    links = upstream_links.UpstreamLinks()
+    links.on_open_failed("a:1", 0.0)
+    links.on_received("c:1", -5.0, 0.06)
+    links.on_open_failed("b:1", 0.1)
+    assert links.suspicion(0.2) is _Suspicion.FAILURES
+
+
+def test_new_connections_that_are_reset_count_although_others_live():
+    links = upstream_links.UpstreamLinks()
+    links.on_broken("a:1", False, 0.0)
+    links.on_broken("b:1", False, 0.1)
+    links.on_received("c:1", -5.0, 0.2)
+    assert links.suspicion(0.3) is _Suspicion.FAILURES
 
 
 def test_requests_without_any_data_raise_a_suspicion():
     links = upstream_links.UpstreamLinks()
     links.on_sent("a:1", 0.0)
-    assert not links.is_suspicious(upstream_links.SILENCE_S / 2)
+    early = upstream_links.SILENCE_S / 2
+    assert links.suspicion(early) is _Suspicion.NONE
     links.on_sent("b:1", 0.3)
-    assert links.is_suspicious(upstream_links.SILENCE_S + 0.01)
-    links.on_received("b:1", 0.5)
-    assert not links.is_suspicious(1.0)
+    late = upstream_links.SILENCE_S + 0.01
+    assert links.suspicion(late) is _Suspicion.SILENCE
+    links.on_received("b:1", 0.0, 0.5)
+    assert links.suspicion(1.0) is _Suspicion.NONE
 
 
-def test_confirmations_are_spaced():
+def test_confirmations_that_refute_suspicions_become_rare():
     links = upstream_links.UpstreamLinks()
-    links.on_open_failed("a:1", 0.0)
-    links.on_open_failed("b:1", 0.0)
-    links.begin_confirmation(0.1)
-    assert not links.is_suspicious(0.2)
-    assert links.is_suspicious(0.1 + upstream_links.CONFIRMATION_INTERVAL_S)
+    spacing, now = [], 0.0
+    for _ in range(6):
+        began = now
+        while links.suspicion(now) is _Suspicion.NONE:
+            links.on_open_failed("a:1", now)
+            links.on_open_failed("b:1", now)
+            now += 0.1
+        spacing.append(round(now - began))
+        links.begin_confirmation(now)
+        links.refute(now)
+    assert spacing[1:] == [2, 4, 8, 8, 8]
 
 
 def test_existing_connections_that_deliver_data_are_used_on():
     links = _partitioned(0.0)
-    links.on_received("a:1", 1.0)
+    links.on_received("a:1", -1.0, 1.0)
     assert links.state(1.1) is _LinkState.NO_NEW_CONNECTIONS
     later = 1.0 + upstream_links.DATA_TTL_S
     assert links.state(later) is _LinkState.ISOLATED
@@ -69,24 +95,24 @@
 
 def test_a_partition_ends_once_several_upstreams_are_reached():
     links = _partitioned(0.0)
-    links.on_opened("a:1", 5.0)
+    links.on_received("a:1", 5.0, 5.0)
     assert not links.end_if_regained(10, 5.0)
-    links.on_opened("b:1", 5.2)
+    links.on_received("b:1", 5.2, 5.2)
     assert links.end_if_regained(10, 5.2)
     assert links.state(5.3) is _LinkState.CONNECTED
 
 
 def test_one_upstream_that_comes_and_goes_does_not_end_it():
     links = _partitioned(0.0)
-    links.on_opened("a:1", 5.0)
+    links.on_received("a:1", 5.0, 5.0)
     links.on_open_failed("a:1", 5.2)
-    links.on_opened("b:1", 5.4)
+    links.on_received("b:1", 5.4, 5.4)
     assert not links.end_if_regained(10, 5.4)
 
 
 def test_the_only_upstream_of_a_deployment_ends_it_alone():
     links = _partitioned(0.0)
-    links.on_opened("a:1", 5.0)
+    links.on_received("a:1", 5.0, 5.0)
     assert links.end_if_regained(1, 5.0)
 
 
@@ -106,11 +132,3 @@
     sampled = upstream_links.sample(table, 2, {"u-1:1"})
     assert len(sampled) == 4
     assert not {"u-0:1", "u-1:1"} & set(sampled)
-
-
-def test_another_upstream_that_was_reached_shows_that_one_is_down():
-    links = upstream_links.UpstreamLinks()
-    links.on_opened("a:1", 1.0)
-    assert links.reaches_any(0.5, "b:1")
-    assert not links.reaches_any(0.5, "a:1")
-    assert not links.reaches_any(1.5, "b:1")
