--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -184,6 +184,7 @@
             logs.logger.info(
                 "change history expired, reading the whole table",
                 table=self.name,
+                known=self.version,
             )
             await self._reload()
             return
@@ -359,6 +360,12 @@
 
     def _replace_rows(self, snapshot: interfaces.Snapshot) -> None:
         if snapshot.version < self.version:
+            logs.logger.info(
+                "older rows refused",
+                table=self.name,
+                known=self.version,
+                received=snapshot.version,
+            )
             raise errors.PlatformUnavailableError(
                 f"read of version {snapshot.version} after {self.version}",
                 step="read table",
@@ -427,6 +434,7 @@
             logs.logger.info(
                 "table regained",
                 table=self.name,
+                version=self.version,
                 after_s=round(now - self.failing_since, 3),
             )
             self.recovered_at = now
--- a/tools/check_boundary.py
+++ b/tools/check_boundary.py
@@ -12,7 +12,7 @@
 _PLATFORM_NAMES = re.compile(
     r"X-(Attempt-Id|Deadline-Ms|Expect-Instance|Instance-(Id|Load)|Shard-Key"
     r"|Not-Executed|Server-Signature|Handover)"
-    r"|Server-(Limit|Leaving)"
+    r"|Server-(Limit|Leaving)|Store-Era"
     r"|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)"
     r"|\b(hold_time|cold_remaining|traffic_split|entry_type|tombstone)\b"
 )
