Failing tests: a store that returns from an older copy

Callers saw: changes that were acknowledged after the return weren't in force for seconds, and leaving servers got requests (rules CONFIG, DRAIN). Here also: two owners of a key. Change: the stand-in store keeps its history, returns from a copy, gives versions out again and states its era; operator and servers write again.

--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -29,6 +29,9 @@
     """The platform's store, with an endpoint for each gateway.
 
     Attributes:
+        era: Rises by one each time the store returns from an older copy.
+        intended: What the operator and the servers wrote last, by table and
+            key; None for what they removed.
         mode_by_endpoint: Fault of each endpoint: `busy`, `unresponsive`, `lost`
             (applied without an answer), `late` (applied later without an
             answer) or `stale` (no feed of the operator's changes).
@@ -40,6 +43,10 @@
         self.oldest = 0
         self.log: list[tuple[str, str, int]] = []
         self.mode_by_endpoint: dict[int, str] = {}
+        self.era = 1
+        self.intended: dict[tuple[str, str], bytes | None] = {}
+        # All transactions: time, version and values by table and key.
+        self._history: list[tuple[float, int, dict]] = []
         self._changed = asyncio.Event()
         self._runners: list[web.AppRunner] = []
 
@@ -62,13 +69,43 @@
             await runner.cleanup()
 
     def put(self, table: str, key: str, document) -> int:
-        return self.write([(table, key, json.dumps(document).encode())])
+        value = json.dumps(document).encode()
+        self.intended[table, key] = value
+        return self.write([(table, key, value)])
 
     def remove(self, table: str, key: str) -> int:
+        self.intended[table, key] = None
         return self.write([(table, key, None)])
 
+    def return_from_copy(self, age_s: float) -> None:
+        """Continues from a copy of some seconds ago; all later writes are lost.
+
+        Versions after the copy's are given out again.
+        """
+        end = _now() - age_s
+        self._history = [entry for entry in self._history if entry[0] <= end]
+        self.era += 1
+        self.version, self.rows, self.log = 0, {}, []
+        for _, version, values in self._history:
+            self.version = version
+            for name, value in values.items():
+                self.rows[name] = Row(value, version)
+                self.log.append((*name, version))
+        self.oldest = min(self.oldest, self.version)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def write_again(self) -> None:
+        """Writes again what the operator and the servers wrote and was lost."""
+        for name, value in self.intended.items():
+            row = self.rows.get(name)
+            if value != (row.value if row else None):
+                self.write([(*name, value)])
+
     def write(self, entries) -> int:
         self.version += 1
+        values = {(table, key): value for table, key, value in entries}
+        self._history.append((_now(), self.version, values))
         for table, key, value in entries:
             self.rows[table, key] = Row(value, self.version)
             self.log.append((table, key, self.version))
@@ -87,6 +124,11 @@
         ]
 
     async def _answer(self, request, endpoint: int) -> web.Response:
+        answer = await self._answer_call(request, endpoint)
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _answer_call(self, request, endpoint: int) -> web.Response:
         mode = self.mode_by_endpoint.get(endpoint, "")
         if mode == "busy":
             return web.Response(status=503)
@@ -146,7 +188,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.oldest:
+            if after < self.oldest or after > self.version:
                 return web.Response(status=410)
             names = {
                 key
