Follow a store that returns from an older copy, and keep one owner of each key

In our own test also two owners of keys. Cause: versions were taken to grow always. Followers refused older rows until the counter had overtaken; rows with numbers below the last known one would have been overlooked; conditions of writes compared numbers that had been given out again; and key maps of the copy, which name former owners and old fences, were granted by. Change: versions are a generation (the store's era) and a number, so that they grow again (store_versions.py). A follower reads everything in a new generation and says so; leaving upstreams aren't taken back and lost registrations get time. VMs keep the maps that they knew; a leader confirms them in the new generation with higher fences (map_confirmation.py), or, if its knowledge may be incomplete, once all grants have expired. Nothing is renewed by an unconfirmed map.

--- a/src/swiftstile/gateway/authority.py
+++ b/src/swiftstile/gateway/authority.py
@@ -71,6 +71,8 @@
         self._is_registered = is_registered
         self._store_contact_at = store_contact_at
         self.quorum_since: float | None = None
+        # When this VM last had the authority to renew, by service.
+        self._authorised_at: dict[ids.ServiceName, float] = {}
 
     def tick(self, now: float) -> None:
         """Updates since when a majority has followed this VM's leadership."""
@@ -78,6 +80,16 @@
             self.quorum_since = None
         elif self.quorum_since is None:
             self.quorum_since = now
+        for service in self._maps.by_service:
+            if self.may_renew(service):
+                self._authorised_at[service] = now
+
+    def authorised_at(self, service: ids.ServiceName) -> float:
+        """Returns when this VM last had the authority to renew a service.
+
+        Minus infinity if it never had.
+        """
+        return self._authorised_at.get(service, float("-inf"))
 
     def _has_quorum(self, now: float) -> bool:
         # The age of a forwarded report depends on the VM that forwards it,
@@ -102,14 +114,15 @@
     def may_renew(self, service: ids.ServiceName) -> bool:
         """See base class."""
         now = clocks.monotonic()
+        key_map = self._maps.by_service.get(service)
+        if key_map is None or not key_map.is_confirmed:
+            return False
         if self._leadership.is_leader:
             return self.is_authorised(now)
         leader = self._authorising_leader(now)
         if leader is None or not self._is_registered():
             return False
-        key_map = self._maps.by_service.get(service)
-        leader_version = leader.report.versions.get(service)
-        return key_map is not None and leader_version == key_map.version
+        return leader.report.versions.get(service) == key_map.version
 
     def _authorising_leader(self, now: float) -> reports.Peer | None:
         """Returns the leader, if it gives this VM the authority to renew."""
--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -17,6 +17,7 @@
 from swiftstile.gateway import outage as outage_lib
 from swiftstile.gateway import readers
 from swiftstile.gateway import reports
+from swiftstile.gateway import store_versions
 
 __all__ = ["TableFollower"]
 
@@ -81,6 +82,12 @@
         is_loaded: Whether the table was read since the start.
         earliest_change_at: Earliest time at which the store may have had the
             rows that are being applied, or were applied last.
+        is_returning: Whether the rows that are being applied are the first ones
+            read since the store returned from an older copy. Rows known from
+            before may be newer, and so may the absence of a row; what the
+            operator and upstreams had written is written again.
+        generation_seen_at: When the first row of the present generation was
+            read.
     """
 
     def __init__(
@@ -104,6 +111,8 @@
         self.recovered_at = 0.0
         self.is_loaded = False
         self.earliest_change_at = float("-inf")
+        self.is_returning = False
+        self.generation_seen_at = float("-inf")
         # Time up to which all changes of the table are known here.
         self._complete_until = float("-inf")
         self._table = table
@@ -319,6 +328,9 @@
         """
         if snapshot.version <= self.version:
             return
+        generation = store_versions.generation_of(snapshot.version)
+        if not is_whole and generation != self.generation:
+            return
         self._cancel_step()
         self._record_peer_rows(clocks.monotonic())
         if is_whole:
@@ -371,6 +383,9 @@
                 step="read table",
                 peer=self.name,
             )
+        generation = store_versions.generation_of(snapshot.version)
+        if self.is_loaded and generation > self.generation:
+            self._begin_generation(snapshot)
         # Rows may have been written and removed since the last read, unseen
         # here; peers that saw them have to get all rows.
         self._remembers_since = max(self._remembers_since, snapshot.version)
@@ -381,11 +396,32 @@
             if key not in present
         ]
         self._record_version(snapshot.version)
-        self._merge_rows(snapshot.rows + removed)
+        try:
+            self._merge_rows(snapshot.rows + removed)
+        finally:
+            self.is_returning = False
         if not self.is_loaded:
             self.is_loaded = True
             self.recovered_at = clocks.monotonic()
 
+    @property
+    def generation(self) -> store_versions.Generation:
+        """The generation of the store that the rows are from."""
+        return store_versions.generation_of(self.version)
+
+    def _begin_generation(self, snapshot: interfaces.Snapshot) -> None:
+        self.is_returning = True
+        self.generation_seen_at = clocks.monotonic()
+        logs.logger.warning(
+            "table returned from an older copy",
+            table=self.name,
+            generation=store_versions.generation_of(snapshot.version),
+            known=store_versions.number_of(self.version),
+            received=store_versions.number_of(snapshot.version),
+            rows=len(snapshot.rows),
+        )
+        self._removed.clear()
+
     def _merge_rows(self, changes: list[interfaces.Change]) -> None:
         newer = []
         for change in changes:
--- a/src/swiftstile/gateway/key_assigner.py
+++ b/src/swiftstile/gateway/key_assigner.py
@@ -20,6 +20,7 @@
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
+from swiftstile.gateway import map_confirmation
 from swiftstile.gateway import model
 from swiftstile.gateway import move_steps
 from swiftstile.gateway import moves
@@ -29,6 +30,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import settle
 from swiftstile.gateway import slotplan
+from swiftstile.gateway import store_versions
 from swiftstile.gateway import succession
 from swiftstile.gateway import targets
 
@@ -156,6 +158,9 @@
         if current is None:
             await self._assign_all(weights, now)
             return
+        if not self._is_confirmed(current):
+            await self._confirm(current, now)
+            return
         if await self._reassign_to_restarted(current):
             return
         await self._mark(current, weights, now)
@@ -175,6 +180,70 @@
                 first, range(len(assigned)), sent_at
             )
 
+    def _is_confirmed(self, current: keymap.KeyMap) -> bool:
+        """Whether the map in force is stored in the store's generation."""
+        generation = store_versions.generation_of(current.version)
+        is_stored = generation >= self._follower.generation
+        return is_stored and current.is_confirmed
+
+    async def _confirm(self, current: keymap.KeyMap, now: float) -> None:
+        """Writes the known map after the store returned from an older copy."""
+        generation = self._follower.generation
+        leadership = self._leadership
+        has_led_before = leadership.led_in < generation
+        known_at = leadership.led_since
+        if has_led_before:
+            known_at = self._follower.generation_seen_at
+        method = map_confirmation.choose_method(
+            has_led_before,
+            current.is_confirmed,
+            self._authority.authorised_at(self._service),
+            known_at,
+        )
+        if method is map_confirmation.Method.ASSIGN_ANEW and (
+            not map_confirmation.have_grants_expired(
+                self._authority.quorum_since, now
+            )
+        ):
+            return
+        uncertain = current.uncertain
+        if method is map_confirmation.Method.HOLD_BACK_LEAVING:
+            uncertain = uncertain | current.leaving
+        stored = self._follower.rows.get(MAP_PREFIX + self._service)
+        confirmed = current.confirmed(
+            map_confirmation.FENCE_STEP,
+            interfaces.NEW_ROW if stored is None else stored.version,
+            uncertain,
+            method is map_confirmation.Method.ASSIGN_ANEW,
+        )
+        logs.logger.warning(
+            "key map confirmed after a return of the store",
+            service=self._service,
+            method=method.value,
+            known=store_versions.number_of(current.version),
+            uncertain=len(uncertain),
+        )
+        await self._write(confirmed, "confirmed")
+
+    def _leaving_by_owner(
+        self, current: keymap.KeyMap, now: float
+    ) -> dict[model.UpstreamId, list[int]]:
+        """Returns the leaving slots that can be moved, by owner.
+
+        A slot that another upstream may have got by a lost map waits until that
+        one's grants have expired.
+        """
+        leaving = current.leaving_by_owner()
+        if not current.uncertain or map_confirmation.have_grants_expired(
+            self._authority.quorum_since, now
+        ):
+            return leaving
+        movable = {
+            owner: [i for i in slots if i not in current.uncertain]
+            for owner, slots in leaving.items()
+        }
+        return {owner: slots for owner, slots in movable.items() if slots}
+
     async def _reassign_to_restarted(self, current) -> bool:
         """Assigns the slots of restarted owners to them again.
 
@@ -278,7 +347,7 @@
         return now - since > UNKNOWN_OWNER_S
 
     async def _advance_moves(self, current, weights, now: float) -> None:
-        leaving_by_owner = current.leaving_by_owner()
+        leaving_by_owner = self._leaving_by_owner(current, now)
         for owner in [
             name for name in self._slot_reclaims if name not in leaving_by_owner
         ]:
@@ -321,7 +390,7 @@
         can_assign = not is_throttled and bool(
             self._receivers(current, weights)
         )
-        for owner, slots in current.leaving_by_owner().items():
+        for owner, slots in self._leaving_by_owner(current, now).items():
             slot_reclaim = self._slot_reclaims.get(owner)
             if slot_reclaim is None:
                 # Reclaims were cancelled meanwhile: this VM is shutting down.
@@ -401,7 +470,7 @@
         written_at = clocks.monotonic()
         version = self._maps.by_service[self._service].version
         self.drop_leader_state()
-        slots = current.leaving_by_owner()
+        slots = self._leaving_by_owner(current, written_at)
         self._slot_reclaims = {
             owner: self._adopted_source(
                 slots.get(owner, []), version, written_at
@@ -448,7 +517,7 @@
         current = self._maps.by_service.get(self._service)
         if current is None or not current.leaving:
             return
-        leaving_by_owner = current.leaving_by_owner()
+        leaving_by_owner = self._leaving_by_owner(current, clocks.monotonic())
         await asyncio.gather(
             *(
                 self._reclaimer.keep(
@@ -541,6 +610,7 @@
             # name the row of the new leader, and the write would succeed.
             return False
         key = MAP_PREFIX + self._service
+        changed.generation = self._follower.generation
         value = changed.encode(ids.new_attempt_id())
         if len(value) > self._row_bytes:
             # Tokens only save the next owners a cold start, and take up most
@@ -576,7 +646,7 @@
             "key map written",
             service=self._service,
             reason=reason,
-            version=version,
+            version=store_versions.number_of(version),
             leaving=len(changed.leaving),
             fence=changed.next_fence - 1,
         )
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -14,6 +14,7 @@
 from swiftstile import errors
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
+from swiftstile.gateway import store_versions
 
 __all__ = ["KeyMap", "KeySlot", "decode"]
 
@@ -54,6 +55,10 @@
     tokens: dict[int, str]
     # By upstream, in the order of `upstreams`.
     started_ms: list[int] = []
+    # Generation of the store for which the map was written; None in documents
+    # of earlier releases.
+    generation: int | None = None
+    uncertain: list[int] = []
 
 
 class KeyMap:
@@ -67,6 +72,10 @@
         slots: Slots by index.
         started_ms: Start time of each owner, from `model.Upstream`, when its
             slots were assigned; only where it is known.
+        generation: Generation of the store for which it was written; None if it
+            isn't known.
+        uncertain: Slots that are leaving and that a lost map may have assigned
+            to another upstream.
     """
 
     def __init__(self, version: int, next_fence: int, slots: list[KeySlot]):
@@ -79,6 +88,8 @@
             if slot.owner is not None:
                 self.slots_by_owner.setdefault(slot.owner, []).append(index)
         self.started_ms: dict[model.UpstreamId, int] = {}
+        self.generation: store_versions.Generation | None = None
+        self.uncertain: frozenset[int] = frozenset()
         self._ranges_by_owner: dict[model.UpstreamId, list[range]] = {}
         # The decoded document, if the map was read from one.
         self._columns: _Columns | None = None
@@ -101,16 +112,33 @@
             slots[index] = slot
         if len(changed) > _MAX_CHANGED_SHARE * len(slots):
             result = KeyMap(version, next_fence, slots)
-            result.started_ms = self.started_ms
+            self._copy_details(result, changed)
             return result
         result = KeyMap(version, next_fence, [])
-        result.started_ms = self.started_ms
+        self._copy_details(result, changed)
         result.slots = slots
         result.leaving = self.leaving - set(changed)
         result.leaving |= {i for i, slot in changed.items() if slot.is_leaving}
         result.slots_by_owner = self._updated_owners(changed)
         return result
 
+    def _copy_details(self, result: "KeyMap", changed) -> None:
+        result.started_ms = self.started_ms
+        result.generation = self.generation
+        result.uncertain = self.uncertain - changed.keys()
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether it was written in the generation that it was read in.
+
+        If not, it is part of an older copy: owners may have given keys away
+        since, and nothing may be granted by it.
+        """
+        known = self.generation
+        return known is None or known >= store_versions.generation_of(
+            self.version
+        )
+
     def _updated_owners(
         self, changed: dict[int, KeySlot]
     ) -> dict[model.UpstreamId, list[int]]:
@@ -211,6 +239,32 @@
         """Returns the same map with a fence that hasn't been used yet."""
         return self.with_slots({}, self.next_fence + 2, self.version)
 
+    def confirmed(
+        self,
+        fence_step: int,
+        version: int,
+        uncertain: frozenset[int],
+        needs_new_fences: bool,
+    ) -> "KeyMap":
+        """Returns the map to write after the store lost writes.
+
+        Args:
+            fence_step: Added to the next fence; more than lost maps used.
+            version: Version of the row that it replaces.
+            uncertain: Slots that may have another owner.
+            needs_new_fences: Whether all owners get their slots anew.
+        """
+        result = self.with_slots({}, self.next_fence + fence_step, version)
+        if needs_new_fences:
+            owners = {
+                index: slot.owner
+                for index, slot in enumerate(self.slots)
+                if slot.owner is not None
+            }
+            result = result.assign({}, owners, self.started_ms)
+        result.uncertain = uncertain
+        return result
+
     def without_tokens(self) -> "KeyMap":
         """Returns the same map without hand-over tokens."""
         changed = {
@@ -251,6 +305,8 @@
             [i for i, slot in enumerate(self.slots) if slot.is_leaving],
             {i: slot.token for i, slot in enumerate(self.slots) if slot.token},
             [self.started_ms.get(name, 0) for name in names],
+            self.generation,
+            sorted(self.uncertain),
         )
         return zlib.compress(msgspec.msgpack.encode(document), _COMPRESSION)
 
@@ -281,6 +337,11 @@
             repr(error), step="decode key map", peer=peer
         ) from error
     result._columns = columns
+    if document.generation is None:
+        result.generation = None
+    else:
+        result.generation = store_versions.Generation(document.generation)
+    result.uncertain = frozenset(document.uncertain)
     result.started_ms = dict(
         zip(document.upstreams, document.started_ms, strict=False)
     )
--- a/src/swiftstile/gateway/leadership.py
+++ b/src/swiftstile/gateway/leadership.py
@@ -21,6 +21,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import reports
 from swiftstile.gateway import settle
+from swiftstile.gateway import store_versions
 from swiftstile.gateway import upstream_links
 
 __all__ = ["LEADER_KEY", "LeaderRow", "Leadership"]
@@ -79,6 +80,7 @@
             led directly before.
         former_leader: The VM that led directly before, where it is known.
         led_since: When this VM became leader, on the monotonic clock.
+        led_in: Generation of the store in which it became leader.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.predecessor = interfaces.NEW_ROW
         self.former_leader: model.NodeId | None = None
         self.led_since = 0.0
+        self.led_in = store_versions.Generation(0)
 
     def apply(self, change: interfaces.Change) -> None:
         """Applies a change of the leader's row, unless it is known.
@@ -123,7 +126,8 @@
         logs.logger.info(
             "leader changed",
             leader=self.row.node if self.row else "",
-            version=self.version,
+            version=store_versions.number_of(self.version),
+            generation=store_versions.generation_of(self.version),
         )
         if was_leader and not self.is_leader:
             logs.logger.info("no longer leading")
@@ -132,6 +136,7 @@
             # other VM led in between.
             self.predecessor = vacated or before
             self.led_since = self._applied_at
+            self.led_in = store_versions.generation_of(self.version)
 
     @property
     def is_leader(self) -> bool:
@@ -154,7 +159,8 @@
 
     def condition(self) -> interfaces.Condition:
         """Returns a condition that fails once this VM has been replaced."""
-        return interfaces.Condition(LEADER_KEY, self.version)
+        version = interfaces.NEW_ROW if self.row is None else self.version
+        return interfaces.Condition(LEADER_KEY, version)
 
     async def tick(self) -> None:
         """Takes over if there is no leader."""
--- a/src/swiftstile/gateway/membership.py
+++ b/src/swiftstile/gateway/membership.py
@@ -59,7 +59,13 @@
         if node == self._peers.me.node:
             self._registered_row = row
             return
-        self._peers.apply(row, node, clocks.monotonic())
+        now = clocks.monotonic()
+        known = self._peers.by_node.get(node)
+        if self._follower.is_returning and known is not None:
+            row = self._returned_row(row, known, now)
+            if row is None:
+                return
+        self._peers.apply(row, node, now)
         logs.logger.info(
             "peer registered",
             peer_node=node,
@@ -67,6 +73,22 @@
             retired=row.is_retired if row else True,
         )
 
+    @staticmethod
+    def _returned_row(
+        row: reports.NodeRow | None, known: reports.Peer, now: float
+    ) -> reports.NodeRow | None:
+        """Returns what to believe of a VM by an older copy of the store.
+
+        None to keep what is known: a VM that is live registers again. Any other
+        one stays in the quorum for a while.
+        """
+        is_older = row is None or row.incarnation != known.row.incarnation
+        if not is_older:
+            return row
+        if known.is_live(now):
+            return None
+        return msgspec.structs.replace(known.row, is_retired=True)
+
     async def run(self) -> None:
         """Registers this VM whenever it isn't registered, until cancelled."""
         while True:
--- a/src/swiftstile/gateway/registry.py
+++ b/src/swiftstile/gateway/registry.py
@@ -24,6 +24,12 @@
 # this time after its end if the upstream lives; the platform states about two
 # seconds.
 REREGISTRATION_GRACE_S = 2.2
+# Registrations that the store lost when it returned from an older copy are
+# written again within this time, some heartbeats.
+RETURN_GRACE_S = 3.0
+# What an older copy of the store shows again, and is known to have ended, is
+# believed after this time: by then it would have been ended again.
+RETURN_DISTRUST_S = 10.0
 # Departed targets are kept for this long, as keys may still have to be
 # reclaimed from them.
 DEPARTED_RETENTION_S = 20.0
@@ -71,6 +77,13 @@
         # Registrations for services that aren't configured, by id.
         self._unconfigured: dict[model.UpstreamId, bytes] = {}
         self._missing_by_id: dict[model.UpstreamId, _MissingRegistration] = {}
+        self._ended_evacuations: set[ids.FailureDomain] = set()
+        # Rows of an older copy that aren't believed yet, and until when, by id;
+        # and the same for evacuations by failure domain.
+        self._distrusted: dict[model.UpstreamId, tuple[bytes, float]] = {}
+        self._evacuation_doubts: dict[ids.FailureDomain, tuple[bool, float]] = (
+            {}
+        )
         self.follower: follow.TableFollower | None = None
 
     def apply(self, changes: list[interfaces.Change]) -> None:
@@ -80,6 +93,7 @@
         for change in changes:
             upstream_id = model.UpstreamId(change.key)
             self._unconfigured.pop(upstream_id, None)
+            self._distrusted.pop(upstream_id, None)
             if change.value is None:
                 self._record_missing(upstream_id, now, earliest_departure_at)
             else:
@@ -99,16 +113,34 @@
         self._on_change()
 
     def set_evacuated(
-        self, domain: ids.FailureDomain, is_evacuated: bool
+        self,
+        domain: ids.FailureDomain,
+        is_evacuated: bool,
+        is_returning: bool = False,
     ) -> None:
-        """Sets whether the operator evacuates a failure domain."""
+        """Sets whether the operator evacuates a failure domain.
+
+        Args:
+            domain: The domain.
+            is_evacuated: Whether it is evacuated.
+            is_returning: Whether an older copy of the store says so. It is
+                believed only after a while.
+        """
+        self._evacuation_doubts.pop(domain, None)
+        is_known = domain in self._ended_evacuations or not is_evacuated
+        if is_returning and is_known:
+            until = clocks.monotonic() + RETURN_DISTRUST_S
+            self._evacuation_doubts[domain] = is_evacuated, until
+            return
         if is_evacuated == (domain in self._target_table.evacuated_at):
             return
         now = clocks.monotonic()
         if is_evacuated:
+            self._ended_evacuations.discard(domain)
             self._target_table.evacuate(domain, now)
             logs.logger.info("failure domain evacuated", domain=domain)
         else:
+            self._ended_evacuations.add(domain)
             self._target_table.end_evacuation(domain, now)
             logs.logger.info("failure domain taken back", domain=domain)
         self._on_change()
@@ -132,8 +164,16 @@
                 self._reject(upstream_id, "unknown-service", upstream.service)
                 self._record_missing(upstream_id, now, earliest_departure_at)
             return
-        self._missing_by_id.pop(upstream_id, None)
         known = self._target_table.by_id.get(upstream_id)
+        if self.follower.is_returning and _is_outdated(upstream, known):
+            self._distrusted[upstream_id] = value, now + RETURN_DISTRUST_S
+            logs.logger.info(
+                "registration of an older copy not believed",
+                upstream=upstream_id,
+                state=upstream.state.value,
+            )
+            return
+        self._missing_by_id.pop(upstream_id, None)
         before = None if known is None else known.leaving_since
         target = self._target_table.put(upstream, now, earliest_departure_at)
         if known is None or (before is None) != (target.leaving_since is None):
@@ -145,6 +185,21 @@
                 address=upstream.address,
             )
 
+    def _believe_overdue(self, now: float) -> None:
+        overdue = [
+            name for name, (_, until) in self._distrusted.items() if now > until
+        ]
+        for upstream_id in overdue:
+            value, _ = self._distrusted.pop(upstream_id)
+            self._put(upstream_id, value, now, float("-inf"))
+        if overdue:
+            self._on_change()
+        for domain, (is_evacuated, until) in list(
+            self._evacuation_doubts.items()
+        ):
+            if now > until:
+                self.set_evacuated(domain, is_evacuated)
+
     def _reject(self, upstream_id, reason: str, detail: str) -> None:
         """Counts and logs an entry that doesn't describe a usable upstream."""
         self._meters.refusals.add(f"registration-{reason}")
@@ -165,7 +220,9 @@
         if target is None:
             return
         until = self.follower.recovered_at + REREGISTRATION_GRACE_S
-        if self.follower.failing_since is not None:
+        if self.follower.is_returning:
+            until = now + RETURN_GRACE_S
+        elif self.follower.failing_since is not None:
             # The call that returned this change is the first to succeed.
             until = now + REREGISTRATION_GRACE_S
         if now < until:
@@ -190,7 +247,11 @@
         logs.logger.info("upstream gone", upstream=upstream_id)
 
     def tick(self, now: float) -> None:
-        """Removes targets that weren't renewed in time, and old departures."""
+        """Removes targets that weren't renewed in time, and old departures.
+
+        What an older copy of the store shows is believed in the end.
+        """
+        self._believe_overdue(now)
         overdue = {
             name: missing
             for name, missing in self._missing_by_id.items()
@@ -205,3 +266,18 @@
             or overdue
         ):
             self._on_change()
+
+
+def _is_outdated(
+    upstream: model.Upstream, known: targets.Target | None
+) -> bool:
+    """Whether a registration is older than what is known of an upstream.
+
+    An upstream that leaves never takes it back in the same run.
+    """
+    if known is None:
+        return False
+    if known.upstream.has_restarted_since(upstream.started_ms):
+        return known.upstream.started_ms > upstream.started_ms
+    is_ready = upstream.state is model.UpstreamState.READY
+    return is_ready and known.left_at is not None
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -86,9 +86,15 @@
     def put(
         self, service: ids.ServiceName, newer: keymap.KeyMap, now: float
     ) -> None:
-        """Stores a map, unless the known one is at least as new."""
+        """Stores a map, unless the known one is at least as new.
+
+        A known map is newer than one of an older copy of the store.
+        """
         known = self.by_service.get(service)
-        if known is not None and known.version >= newer.version:
+        if known is not None and (
+            known.version >= newer.version
+            or (known.is_confirmed and not newer.is_confirmed)
+        ):
             return
         times = self.changed_at.setdefault(service, {})
         if known is not None and len(known.slots) == len(newer.slots):
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -210,6 +210,7 @@
             lambda: self._state.contact_at,
         )
         self._registry: registry_lib.Registry | None = None
+        self._operations: follow.TableFollower | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
 
     def build(self) -> daemon_lib.GatewayDaemon:
@@ -254,7 +255,7 @@
             self._outage,
         )
         registry.follower = registrations
-        operations = follow.TableFollower(
+        self._operations = operations = follow.TableFollower(
             "operations",
             adapters.operations,
             self._apply_operations,
@@ -473,10 +474,16 @@
         for change in changes:
             domain = self._adapters.evacuated_domain(change.key)
             if domain is not None:
-                self._registry.set_evacuated(domain, change.value is not None)
+                self._registry.set_evacuated(
+                    domain, change.value is not None, self._is_returning()
+                )
             elif change.key == self._adapters.config_key:
                 self._apply_config(change)
 
+    def _is_returning(self) -> bool:
+        """Whether the operator's rows are those of an older copy."""
+        return self._operations is not None and self._operations.is_returning
+
     def _apply_config(self, change: interfaces.Change) -> None:
         if change.value is None:
             return
--- a/tests/assigner_parts.py
+++ b/tests/assigner_parts.py
@@ -112,7 +112,13 @@
             self.authority,
             meters,
         )
-        follower = types.SimpleNamespace(failing_since=None, version=0)
+        follower = types.SimpleNamespace(
+            failing_since=None,
+            version=0,
+            generation=0,
+            generation_seen_at=0.0,
+            rows={},
+        )
         self.key_load = key_load.KeyLoadTable()
         self.speeds = speeds.SpeedTable()
         self.work_s: float | None = None
--- a/tests/unit/test_gateway_rows_racing.py
+++ b/tests/unit/test_gateway_rows_racing.py
@@ -122,7 +122,8 @@
         self._pages = list(pages)
 
     async def query(self, path, params, timeout_s):
-        return 200, json.dumps(self._pages.pop(0)).encode()
+        body = json.dumps(self._pages.pop(0)).encode()
+        return store.Answer(200, body, self.generation)
 
 
 def _page(ver, has_more, *keys):
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -231,7 +231,7 @@
         self._body = body
 
     async def query(self, path, params, timeout_s):
-        return 200, self._body
+        return store.Answer(200, self._body, self.generation)
 
 
 @pytest.mark.parametrize("text", ["", "2", "ms", "2m", "s", "-"])
