--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -4,10 +4,11 @@
 each seed and prints violated guarantees; the exit status is 0 if there are
 none. Overlapping faults are injected: gateways are killed, paused, shut down
 gracefully and restarted; a proxy delays, resets or stalls connections to
-servers, or drops one direction; the store refuses VMs, loses answers, applies
-writes late and drops its history; servers crash, leave, join, restart under the
-same id and don't answer grants; servers state rate limits, announce their exit
-in answers or ask for pauses; callers pipeline. The checks use only what callers
+servers, or drops one direction; VMs lose their links to all servers; the store
+refuses VMs, loses answers, applies writes late, drops its history and returns
+from older copies; servers crash, leave, join, restart under the same id and
+don't answer grants; servers state rate limits, announce their exit in answers
+or ask for pauses; callers pipeline. The checks use only what callers
 and servers observe.
 """
 
@@ -22,6 +23,7 @@
 import typing
 
 from tests.integration import gateways
+from tests.integration import link_cuts
 from tests.integration import statement_checks
 
 # Time between two faults, in seconds: short enough that they overlap.
@@ -56,21 +58,30 @@
         server: Name of the server.
         mode: `pass`, `delay`, `reset`, `stalled` or `one-way` (data from the
             server is dropped).
+        links: Links of the VMs to the proxies.
     """
 
-    def __init__(self, target: str, server: str):
+    def __init__(self, target: str, server: str, links: link_cuts.Links):
         host, _, port = target.rpartition(":")
         self.server = server
+        self.links = links
         self._target = (host, int(port))
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._accepted: set[asyncio.StreamWriter] = set()
         self.mode = "pass"
 
     async def start(self) -> str:
         self._listener = await asyncio.start_server(self._serve, "127.0.0.1")
+        self.links.add(self._listener, self)
         port = self._listener.sockets[0].getsockname()[1]
         return f"127.0.0.1:{port}"
 
+    @property
+    def connections(self) -> list[asyncio.StreamWriter]:
+        """The connections of VMs."""
+        return list(self._accepted)
+
     def set_mode(self, mode: str) -> None:
         self.mode = mode
         if mode == "reset":
@@ -78,32 +89,42 @@
                 writer.transport.abort()
 
     def close(self) -> None:
+        self.links.remove(self._listener)
         self._listener.close()
         self.set_mode("reset")
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
+        self._accepted.add(writer)
+        host = writer.get_extra_info("peername")[0]
         with contextlib.suppress(OSError):
-            if self.mode == "reset":
+            if self.mode == "reset" or self.links.resets_new(host):
                 writer.transport.abort()
+                self._accepted.discard(writer)
                 return
             to_reader, to_writer = await asyncio.open_connection(*self._target)
             self._writers.add(to_writer)
             await asyncio.gather(
-                self._forward(reader, to_writer, is_response=False),
-                self._forward(to_reader, writer, is_response=True),
+                self._forward(reader, to_writer, host, is_response=False),
+                self._forward(to_reader, writer, host, is_response=True),
             )
             self._writers.discard(to_writer)
         self._writers.discard(writer)
+        self._accepted.discard(writer)
 
-    async def _forward(self, reader, writer, is_response: bool) -> None:
+    async def _forward(
+        self, reader, writer, host: str, is_response: bool
+    ) -> None:
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(0.3)
                 while self.mode == "stalled":
                     await asyncio.sleep(0.05)
-                if self.mode == "one-way" and is_response:
+                is_lost = self.mode == "one-way" or self.links.loses_answers(
+                    host
+                )
+                if is_lost and is_response:
                     continue
                 writer.write(data)
                 await writer.drain()
@@ -176,6 +197,8 @@
                 self._limit_server,
                 self._announce_exit,
                 self._ask_for_pause,
+                self._cut_links,
+                self._return_store,
             ]
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
@@ -348,6 +371,38 @@
         await asyncio.sleep(duration_s)
         server.backoff_s = None
 
+    async def _cut_links(self, duration_s: float) -> None:
+        """Cuts some VMs, or all, off from all servers."""
+        gateways_ = self._site.gateways
+        count = self._random.randint(1, len(gateways_))
+        chosen = self._random.sample(gateways_, count)
+        how = self._random.choice(list(link_cuts.Cut))
+        numbers = [gateway.number for gateway in chosen]
+        self._record(f"links of {numbers} {how.value} for {duration_s:.1f}")
+        hosts = [gateway.host for gateway in chosen]
+        links = self._site.cluster.links
+        with contextlib.ExitStack() as excuses:
+            for number in numbers:
+                excuses.enter_context(self._excusing(vm=number))
+            links.cut(hosts, how)
+            await asyncio.sleep(duration_s)
+            links.heal(hosts)
+
+    async def _return_store(self, duration_s: float) -> None:
+        """Takes the store away; it returns from a copy of some seconds ago."""
+        store = self._site.store
+        if store.is_away:
+            return
+        away_s = min(duration_s, 2.0)
+        age_s = self._random.uniform(0.2, 3.0)
+        self._record(f"store away for {away_s:.1f}, {age_s:.1f} older")
+        store.is_away = True
+        await asyncio.sleep(away_s)
+        store.return_from_copy(away_s + age_s)
+        store.is_away = False
+        await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        store.write_again()
+
     async def _pipeline(self, duration_s: float) -> None:
         self._record(f"callers pipeline for {duration_s:.1f}")
         loop = asyncio.get_running_loop()
@@ -366,7 +421,8 @@
 
     async def add_server(self, service: str, zone: str):
         server = await super().add_server(service, zone)
-        proxy = Proxy(server.address, server.name)
+        self.cluster.links.remove(server.listener)
+        proxy = Proxy(server.address, server.name, self.cluster.links)
         server.address = await proxy.start()
         server.register("ready")
         self.proxies.append(proxy)
--- a/tests/integration/test_store_from_older_copy.py
+++ b/tests/integration/test_store_from_older_copy.py
@@ -28,13 +28,10 @@
 
 async def _return_older(site, away_s: float, age_s: float) -> None:
     """Takes the store away for a moment; it returns from an older copy."""
-    endpoints = range(len(site.gateways))
-    for endpoint in endpoints:
-        site.store.mode_by_endpoint[endpoint] = "busy"
+    site.store.is_away = True
     await asyncio.sleep(away_s)
     site.store.return_from_copy(away_s + age_s)
-    for endpoint in endpoints:
-        site.store.mode_by_endpoint.pop(endpoint, None)
+    site.store.is_away = False
 
 
 async def _write_often(site, seconds: float) -> None:
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -29,6 +29,7 @@
     """The platform's store, with an endpoint for each gateway.
 
     Attributes:
+        is_away: Whether it answers nobody.
         era: Rises by one each time the store returns from an older copy.
         intended: What the operator and the servers wrote last, by table and
             key; None for what they removed.
@@ -43,6 +44,7 @@
         self.oldest = 0
         self.log: list[tuple[str, str, int]] = []
         self.mode_by_endpoint: dict[int, str] = {}
+        self.is_away = False
         self.era = 1
         self.intended: dict[tuple[str, str], bytes | None] = {}
         # All transactions: time, version and values by table and key.
@@ -130,7 +132,7 @@
 
     async def _answer_call(self, request, endpoint: int) -> web.Response:
         mode = self.mode_by_endpoint.get(endpoint, "")
-        if mode == "busy":
+        if mode == "busy" or self.is_away:
             return web.Response(status=503)
         if mode == "unresponsive":
             await asyncio.sleep(3600)
@@ -329,6 +331,7 @@
         backoff_s: If set, it rejects all requests and wants none of the same VM
             for so long.
         arrivals: All requests that reached its current run, run or not.
+        listener: Where it listens.
     """
 
     def __init__(
@@ -364,7 +367,7 @@
         self._working: list[int | None] = []
         self._request_ended = asyncio.Condition()
         self._runner: web.AppRunner | None = None
-        self._listener: asyncio.Server | None = None
+        self.listener: asyncio.Server | None = None
         self._is_restarting = False
 
     async def start(self) -> None:
@@ -378,14 +381,14 @@
         await self._runner.setup()
         # A restarted server listens at the same address.
         links = self.cluster.links
-        self._listener = await asyncio.get_running_loop().create_server(
+        self.listener = await asyncio.get_running_loop().create_server(
             lambda: link_cuts.Door(links, self._runner.server),
             "127.0.0.1",
             self._port,
             reuse_address=True,
         )
-        links.add(self._listener, self._runner.server)
-        self._port = self._listener.sockets[0].getsockname()[1]
+        links.add(self.listener, self._runner.server)
+        self._port = self.listener.sockets[0].getsockname()[1]
         self.address = self.address or f"127.0.0.1:{self._port}"
         self.is_up = True
         self.register("ready")
@@ -439,8 +442,8 @@
         """Stops the server like a crash: its registration remains."""
         if self.is_up:
             self.is_up = False
-            self._listener.close()
-            self.cluster.links.remove(self._listener)
+            self.listener.close()
+            self.cluster.links.remove(self.listener)
             await self._runner.cleanup()
 
     async def _grant(self, request: web.Request) -> web.Response:
