Long answers keep their length

Callers saw: answers of more than 1 MB arrived as empty bodies with status 200. Cause: the length was looked up among the headers for the caller, from which it had been removed; found by the test of long answers through another VM, and the same without one. Change: the length is part of the upstream's response.

--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -95,6 +95,7 @@
             validated it.
         finish: Ends the exchange after streaming. Takes whether the body was
             relayed completely.
+        length: Length of a streamed body, in bytes.
     """
 
     status: int
@@ -103,6 +104,7 @@
     stream: object
     metadata: interfaces.AnswerMetadata | None
     finish: collections.abc.Callable[[bool], None]
+    length: int = 0
 
 
 class UpstreamClient:
@@ -356,7 +358,13 @@
         body = await head.payload.read()
         finish(True)
     return UpstreamResponse(
-        head.status, headers, body, head.payload, metadata, finish
+        head.status,
+        headers,
+        body,
+        head.payload,
+        metadata,
+        finish,
+        int(length) if is_long else 0,
     )
 
 
@@ -381,9 +389,7 @@
     response = web_response.StreamResponse(status=upstream_response.status)
     for name, value in upstream_response.headers:
         response.headers.add(name, value)
-    response.content_length = int(
-        dict(upstream_response.headers).get("Content-Length", 0)
-    )
+    response.content_length = upstream_response.length
     is_whole = False
     try:
         await response.prepare(request)
--- a/tests/integration/test_forwarded_requests.py
+++ b/tests/integration/test_forwarded_requests.py
@@ -8,6 +8,7 @@
 
 from tests.integration import gateways
 from tests.integration import link_cuts
+from tests.integration import users_standins
 
 # A VM concludes within this time that it has lost its upstreams.
 _KNOWN_S = 2.5
@@ -64,6 +65,18 @@
     _run(tmp_path, scenario)
 
 
+def test_long_answers_arrive_whole_directly_and_forwarded(tmp_path):
+    async def scenario(site):
+        await _cut(site, 0)
+        for gateway in site.gateways:
+            path = f"/read/x{users_standins.LONG_ANSWER}"
+            outcome = await site.callers.call(path, 3, gateway)
+            assert outcome.status == 200
+            assert len(outcome.body) > users_standins.LONG_ANSWER_BYTES
+
+    _run(tmp_path, scenario)
+
+
 def test_work_ends_when_the_caller_of_a_forwarded_request_leaves(tmp_path):
     async def scenario(site):
         await _cut(site, 0)
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -17,6 +17,9 @@
 
 KEYS = 65536
 _QUEUE_LIMIT = 12
+# Requests for paths with this end get an answer that is longer by so much.
+LONG_ANSWER = "/long"
+LONG_ANSWER_BYTES = 3 << 20
 
 
 @dataclasses.dataclass
@@ -575,8 +578,11 @@
         body = await request.read()
         await asyncio.sleep(self.work_s)
         load = f"{self.running},{self.waiting},{self.slots}"
+        answer = f"{attempt}:{len(body)}".encode()
+        if request.path.endswith(LONG_ANSWER):
+            answer += bytes(LONG_ANSWER_BYTES)
         return web.Response(
-            body=f"{attempt}:{len(body)}".encode(),
+            body=answer,
             headers=headers
             | self._statements()
             | {"X-Server-Signature": "s", "X-Instance-Load": load},
