Leaders confirm key maps before renewals, with fences above those of lost confirmations

Cause: (1) a confirmed map may itself be lost; a leader that confirms again from an older map added the same step to its fences. (2) A new leader renewed by the map that it remembered before it had decided whether that was complete. Change: the step grows with the generations since the map; a leader neither renews by a map of an earlier generation nor reports it to its followers.

--- a/src/swiftstile/gateway/authority.py
+++ b/src/swiftstile/gateway/authority.py
@@ -17,12 +17,16 @@
 decides which VM leads.
 """
 
+import collections.abc
+
 from swiftstile import clocks
 from swiftstile import ids
 from swiftstile.gateway import gossip
+from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
+from swiftstile.gateway import store_versions
 
 __all__ = [
     "LEADER_STOPPED_AFTER_S",
@@ -64,12 +68,14 @@
         maps: renewals.KeyMaps,
         is_registered,
         store_contact_at,
+        generation: collections.abc.Callable[[], store_versions.Generation],
     ):
         self._peers = peers
         self._leadership = leadership
         self._maps = maps
         self._is_registered = is_registered
         self._store_contact_at = store_contact_at
+        self._generation = generation
         self.quorum_since: float | None = None
         # When this VM last had the authority to renew, by service.
         self._authorised_at: dict[ids.ServiceName, float] = {}
@@ -84,6 +90,15 @@
             if self.may_renew(service):
                 self._authorised_at[service] = now
 
+    def is_in_force(self, key_map: keymap.KeyMap) -> bool:
+        """Whether a leader may renew by a map, and let others do so.
+
+        After a return of the store it has to confirm the map first: another VM
+        may have led meanwhile and moved slots of which this one knows nothing.
+        """
+        generation = store_versions.generation_of(key_map.version)
+        return key_map.is_confirmed and generation >= self._generation()
+
     def authorised_at(self, service: ids.ServiceName) -> float:
         """Returns when this VM last had the authority to renew a service.
 
@@ -118,7 +133,7 @@
         if key_map is None or not key_map.is_confirmed:
             return False
         if self._leadership.is_leader:
-            return self.is_authorised(now)
+            return self.is_in_force(key_map) and self.is_authorised(now)
         leader = self._authorising_leader(now)
         if leader is None or not self._is_registered():
             return False
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -240,10 +240,7 @@
             # Measurements are attached when the report is sent.
             {},
             {},
-            {
-                service: key_map.version
-                for service, key_map in self._maps.by_service.items()
-            },
+            self._map_versions(),
             self._renewer.leaving_holds(now),
             sorted(self._renewer.unreachable),
             self._statuses_to_publish(now) if is_full else {},
@@ -256,6 +253,18 @@
             is_isolated=is_isolated,
         )
 
+    def _map_versions(self) -> dict[ids.ServiceName, int]:
+        """Returns the versions of the key maps to report.
+
+        Others renew by the versions that the leader reports.
+        """
+        is_leader = self._leadership.is_leader
+        return {
+            service: key_map.version
+            for service, key_map in self._maps.by_service.items()
+            if not is_leader or self._authority.is_in_force(key_map)
+        }
+
     def _statuses_to_publish(
         self, now: float
     ) -> dict[str, reports.TableStatus]:
--- a/src/swiftstile/gateway/key_assigner.py
+++ b/src/swiftstile/gateway/key_assigner.py
@@ -211,7 +211,7 @@
             uncertain = uncertain | current.leaving
         stored = self._follower.rows.get(MAP_PREFIX + self._service)
         confirmed = current.confirmed(
-            map_confirmation.FENCE_STEP,
+            map_confirmation.fence_step(current.generation, generation),
             interfaces.NEW_ROW if stored is None else stored.version,
             uncertain,
             method is map_confirmation.Method.ASSIGN_ANEW,
--- a/src/swiftstile/gateway/map_confirmation.py
+++ b/src/swiftstile/gateway/map_confirmation.py
@@ -14,18 +14,20 @@
 from swiftstile.gateway import authority
 from swiftstile.gateway import holds
 from swiftstile.gateway import renewals
+from swiftstile.gateway import store_versions
 
 __all__ = [
     "CURRENT_FOR_S",
-    "FENCE_STEP",
+    "FENCES_PER_GENERATION",
     "Method",
     "choose_method",
+    "fence_step",
     "have_grants_expired",
 ]
 
-# Fences of lost maps are lower than the last known one plus this: a map gets
-# two fences with each write, some ten times a second.
-FENCE_STEP = 1 << 16
+# More fences than the maps of one generation use between its beginning and the
+# next return: a map gets two with each write, at most some ten times a second.
+FENCES_PER_GENERATION = 1 << 16
 # A VM's map is complete if it could renew by it this recently: a leader that
 # doesn't hear a VM waits for so long before it assumes that the VM has stopped,
 # and no move is completed before that.
@@ -67,6 +69,22 @@
     return Method.KEEP if has_led_before else Method.HOLD_BACK_LEAVING
 
 
+def fence_step(
+    known: store_versions.Generation | None,
+    generation: store_versions.Generation,
+) -> int:
+    """Returns what to add to the fences of a map that is confirmed.
+
+    In each generation since that of the map, a map with higher fences may have
+    been confirmed and lost.
+
+    Args:
+        known: The generation of the map; None if it isn't known.
+        generation: The generation in which it is confirmed.
+    """
+    return (generation - (known or 0)) * FENCES_PER_GENERATION
+
+
 def have_grants_expired(quorum_since: float | None, now: float) -> bool:
     """Whether all grants by maps unknown to the leader have expired.
 
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -208,6 +208,7 @@
             self._maps,
             lambda: self._vm_membership.is_registered,
             lambda: self._state.contact_at,
+            lambda: self._state.generation,
         )
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
--- a/tests/unit/test_gateway_exclusivity.py
+++ b/tests/unit/test_gateway_exclusivity.py
@@ -72,7 +72,12 @@
         maps = renewals.KeyMaps()
         self._maps = maps
         self.authority = authority.PeerAuthority(
-            peers, leadership, maps, lambda: True, lambda: clock.now
+            peers,
+            leadership,
+            maps,
+            lambda: True,
+            lambda: clock.now,
+            lambda: 0,
         )
         self.learn(1)
 
@@ -421,6 +426,7 @@
         renewals.KeyMaps(),
         lambda: True,
         lambda: contact["at"],
+        lambda: 0,
     )
     for name in ("vm-2", "vm-3", "vm-4"):
         row = builders.node_row(name)
--- a/tests/unit/test_gateway_succession.py
+++ b/tests/unit/test_gateway_succession.py
@@ -199,6 +199,7 @@
             self.vm.maps,
             lambda: True,
             lambda: clock.now,
+            lambda: 0,
         )
         self.hold_table = holds.HoldTable(8, renewals.HOLD_S)
         self.due = clock.now
--- a/tests/unit/test_store_generations.py
+++ b/tests/unit/test_store_generations.py
@@ -188,6 +188,13 @@
     assert chosen is method
 
 
+def test_fences_rise_for_each_generation_in_which_maps_may_be_lost():
+    unit = map_confirmation.FENCES_PER_GENERATION
+    assert map_confirmation.fence_step(7, 8) == unit
+    assert map_confirmation.fence_step(7, 10) == 3 * unit
+    assert map_confirmation.fence_step(None, 2) == 2 * unit
+
+
 def test_grants_by_lost_maps_expire_after_the_longest_hold():
     assert not map_confirmation.have_grants_expired(None, 100.0)
     assert not map_confirmation.have_grants_expired(
