Explain partitions and returns of the store; doubt evacuations of older copies for a while only

Cause: explain left the new changes of state out, and an evacuation was doubted if the domain had ever been evacuated before, however long ago.

--- a/src/swiftstile/explain.py
+++ b/src/swiftstile/explain.py
@@ -29,12 +29,21 @@
     "upstream rate limit": "upstream",
     "upstream announces exit": "upstream",
     "upstream backoff": "upstream",
+    "upstreams unreachable": "",
+    "upstreams regained": "",
+    "table returned from an older copy": "table",
+    "key map confirmed after a return of the store": "service",
+    "registration of an older copy not believed": "upstream",
     "gateway started": "",
     "gateway drains": "",
     "process stood still": "",
     "moves wait for the store": "service",
     "release unanswered": "upstream",
 }
+# Key maps are written by the leader only, but apply to all VMs.
+_LEADER_EVENTS = frozenset(
+    ("key map written", "key map confirmed after a return of the store")
+)
 _DROPPED_EVENT = "lines dropped"
 _OMITTED_FIELDS = ("id", "vm", "at_ms", "event", "time", "level")
 
@@ -123,10 +132,9 @@
         event = line["event"]
         detail = line.get(_CHANGE_EVENTS[event], "")
         is_other_upstream = (
-            event.startswith("upstream") and detail not in upstreams
+            _CHANGE_EVENTS[event] == "upstream" and detail not in upstreams
         )
-        # Key maps are written by the leader only, but apply to all VMs.
-        is_relevant_vm = line.get("vm") in vms or event == "key map written"
+        is_relevant_vm = line.get("vm") in vms or event in _LEADER_EVENTS
         if age_s < 0 or is_other_upstream or not is_relevant_vm:
             continue
         key = (line.get("vm"), event, detail)
--- a/src/swiftstile/gateway/forward_listener.py
+++ b/src/swiftstile/gateway/forward_listener.py
@@ -24,10 +24,10 @@
 
 __all__ = ["ForwardListener"]
 
-# Requests of other VMs in progress. A VM handles about 50 requests of 0.1 s at
-# a time with its share of a core.
+# Requests of other VMs in progress. This VM's own callers need its processor
+# time as well.
 MAX_REQUESTS = 96
-# Announced lengths of their bodies together.
+# Announced lengths of their bodies together: well below the memory of a VM.
 MAX_BODY_BYTES = 48 << 20
 # Counted for a body of unknown length: what is buffered of it.
 _UNKNOWN_BODY_BYTES = handler_lib.MAX_BUFFERED_BODY_BYTES
--- a/src/swiftstile/gateway/registry.py
+++ b/src/swiftstile/gateway/registry.py
@@ -77,7 +77,8 @@
         # Registrations for services that aren't configured, by id.
         self._unconfigured: dict[model.UpstreamId, bytes] = {}
         self._missing_by_id: dict[model.UpstreamId, _MissingRegistration] = {}
-        self._ended_evacuations: set[ids.FailureDomain] = set()
+        # When evacuations ended, by failure domain.
+        self._evacuation_ended_at: dict[ids.FailureDomain, float] = {}
         # Rows of an older copy that aren't believed yet, and until when, by id;
         # and the same for evacuations by failure domain.
         self._distrusted: dict[model.UpstreamId, tuple[bytes, float]] = {}
@@ -127,24 +128,31 @@
                 believed only after a while.
         """
         self._evacuation_doubts.pop(domain, None)
-        is_known = domain in self._ended_evacuations or not is_evacuated
-        if is_returning and is_known:
-            until = clocks.monotonic() + RETURN_DISTRUST_S
+        now = clocks.monotonic()
+        if is_returning and self._doubts_evacuation(domain, is_evacuated, now):
+            until = now + RETURN_DISTRUST_S
             self._evacuation_doubts[domain] = is_evacuated, until
             return
         if is_evacuated == (domain in self._target_table.evacuated_at):
             return
-        now = clocks.monotonic()
         if is_evacuated:
-            self._ended_evacuations.discard(domain)
             self._target_table.evacuate(domain, now)
             logs.logger.info("failure domain evacuated", domain=domain)
         else:
-            self._ended_evacuations.add(domain)
+            self._evacuation_ended_at[domain] = now
             self._target_table.end_evacuation(domain, now)
             logs.logger.info("failure domain taken back", domain=domain)
         self._on_change()
 
+    def _doubts_evacuation(
+        self, domain: ids.FailureDomain, is_evacuated: bool, now: float
+    ) -> bool:
+        """Whether an older copy differs from what was written since."""
+        if not is_evacuated:
+            return domain in self._target_table.evacuated_at
+        ended_at = self._evacuation_ended_at.get(domain, float("-inf"))
+        return now - ended_at < RETURN_DISTRUST_S
+
     def _put(
         self,
         upstream_id,
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -48,6 +48,8 @@
         _state(40, "configuration in force", version=5),
         _state(25, "upstream gone", upstream="u-1"),
         _state(25, "upstream gone", upstream="u-9"),
+        _state(26, "upstreams unreachable", failed=5),
+        _state(27, "table returned from an older copy", table="state"),
         _decision(900, "failed", reason="timeout", status=504),
         _decision(0, "sent", upstream="u-1"),
         {"event": "lines dropped", "count": 4},
@@ -68,6 +70,9 @@
     assert ("configuration in force", 3) not in shown
     assert ("configuration in force", 5) not in shown
     assert ("key map written", 77) in shown
+    events = {change.event for change in trace.changes}
+    assert "upstreams unreachable" in events
+    assert "table returned from an older copy" in events
     gone = [c for c in trace.changes if c.event == "upstream gone"]
     assert [c.fields["upstream"] for c in gone] == ["u-1"]
     assert gone[0].age_s == pytest.approx(5.0)
