Retry decisions of the handler in a module of their own; tests of what a VM takes

Change: retries.py holds the state of sends, whether a request may be sent again and the final error, moved without changes; nine tests of the forward listener and the prober.

--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -1,7 +1,6 @@
 """Handles one request from its arrival to its response."""
 
 import asyncio
-import random
 
 from aiohttp import web_request
 from aiohttp import web_response
@@ -24,6 +23,7 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits as permits_lib
+from swiftstile.gateway import retries
 from swiftstile.gateway import service_times
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
@@ -34,21 +34,9 @@
 
 # Bodies up to this size are buffered, so that they can be sent again.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
-# Maximum sends that upstreams may reject as misdirected because the key is
-# being moved. Such a send runs nothing, and only the key's next owner can serve
-# the request.
-MAX_MISDIRECTED = 3
-# Maximum upstreams that are tried when connections to them fail.
-MAX_UNREACHABLE = 4
 # Pause before a target that rejected a request for lack of slots gets another:
 # about the time until a slot becomes free.
 OVERLOADED_TARGET_PAUSE_S = 0.1
-# Retry-After when upstreams rejected the request for lack of slots.
-NO_SLOT_RETRY_AFTER_S = 0.2
-# The same where they had free slots, in objectives: a retry is likely to
-# succeed and can still be in time, so it should be soon. The range spreads
-# retries over time.
-FREE_SLOT_RETRY_AFTER = (0.05, 0.15)
 _FIRST_ERROR_STATUS = 400
 _READ_ERRORS = (
     aiohttp.ClientError,
@@ -58,21 +46,6 @@
 )
 
 
-class _SendState:
-    """State of the sends of one request so far.
-
-    Args:
-        sends: Upstreams that it was sent to, by this VM and the one that
-            forwarded it.
-    """
-
-    def __init__(self, sends: int):
-        self.sends = sends
-        self.misdirected = 0
-        self.unreachable = 0
-        self.may_have_run = False
-
-
 class RequestHandler:
     """Handles requests according to the current configuration.
 
@@ -107,6 +80,7 @@
         self._target_table = target_table
         self._owners = key_owners
         self._budget = retry_budget
+        self._retries = retries.RetryPolicy(retry_budget, target_table, meters)
         self._speed_table = speed_table
         self._log = log
         self._store = store
@@ -332,7 +306,7 @@
     async def _send_with_retries(
         self, call, waiter, origin, trace
     ) -> exchange.UpstreamResponse:
-        state = _SendState(0 if origin is None else origin.sends)
+        state = retries.SendState(0 if origin is None else origin.sends)
         while True:
             if self._needs_other_vm(state):
                 return await self._forward(call, waiter, origin, state, trace)
@@ -340,7 +314,7 @@
                 target = await self._permits.acquire(waiter)
             except outcomes.RejectedError as error:
                 error.peer = error.peer or self._owners.owner_name(waiter)
-                raise self._final_error(error, waiter, state) from error
+                raise self._retries.final_error(error, waiter, state) from error
             if self._crash_guard.has_suspects and not call.is_probe:
                 # It may have been identified as a cause of crashes while it
                 # was waiting for a slot.
@@ -348,7 +322,9 @@
                     self._crash_guard.check(call.digest(), clocks.monotonic())
                 except outcomes.CrashingRequestError as error:
                     self._permits.release(waiter, target)
-                    raise self._final_error(error, waiter, state) from error
+                    raise self._retries.final_error(
+                        error, waiter, state
+                    ) from error
             state.sends += 1
             self._record_send(call, waiter, target, state, trace)
             sent, upstream = clocks.monotonic(), target.upstream
@@ -367,10 +343,12 @@
                     error, call, target, upstream, sent, now
                 )
                 now = clocks.monotonic()
-                if not may_resend or not self._may_retry(
+                if not may_resend or not self._retries.may_retry(
                     error, call, waiter, state, now
                 ):
-                    raise self._final_error(error, waiter, state) from error
+                    raise self._retries.final_error(
+                        error, waiter, state
+                    ) from error
             else:
                 self._record_response(
                     call, waiter, target, response, sent, trace
@@ -379,7 +357,7 @@
             finally:
                 self._permits.release(waiter, target)
 
-    def _needs_other_vm(self, state: _SendState) -> bool:
+    def _needs_other_vm(self, state: retries.SendState) -> bool:
         """Whether only another VM can send a request to an upstream.
 
         While existing connections deliver data, they are tried first.
@@ -393,7 +371,7 @@
     ) -> exchange.UpstreamResponse:
         """Lets another VM send a request, unless another one forwarded it."""
         if origin is not None:
-            raise self._final_error(
+            raise self._retries.final_error(
                 outcomes.NoUpstreamPathError(
                     "forwarded requests aren't forwarded again", step="forward"
                 ),
@@ -422,10 +400,10 @@
                 state.may_have_run = True
                 state.sends += 1
                 now = clocks.monotonic()
-                if not self._may_retry(error, call, waiter, state, now):
+                if not self._retries.may_retry(error, call, waiter, state, now):
                     raise
             except outcomes.GatewayError as error:
-                raise self._final_error(error, waiter, state) from error
+                raise self._retries.final_error(error, waiter, state) from error
 
     async def _check_for_crash(
         self, error, call, target, upstream, sent: float, broken_at: float
@@ -482,70 +460,6 @@
             if waiter.owner is None:
                 waiter.excluded.add(target.id)
 
-    def _may_retry(self, error, call, waiter, state, now) -> bool:
-        if not call.can_resend or now + waiter.expected_s > call.deadline:
-            return False
-        pause_s = self._owner_backoff_s(error, waiter, now)
-        if now + pause_s + waiter.expected_s > call.deadline:
-            return False
-        if isinstance(error, outcomes.NotSentError):
-            # Nothing was sent, so this counts neither as a send nor as a retry.
-            state.sends -= 1
-            state.unreachable += 1
-            return state.unreachable < MAX_UNREACHABLE
-        if not isinstance(error, outcomes.NotRunError):
-            route = waiter.route
-            if route.repeatability is not model.Repeatability.IDEMPOTENT:
-                return False
-        if isinstance(error, outcomes.MisdirectedError):
-            if state.misdirected > MAX_MISDIRECTED:
-                return False
-        elif state.sends >= waiter.route.max_attempts:
-            return False
-        if not self._budget.can_spend(waiter.service, now):
-            self._meters.refusals.add("retry-budget")
-            return False
-        self._budget.spend(waiter.service, now)
-        return True
-
-    def _final_error(self, error, waiter, state) -> outcomes.GatewayError:
-        """Returns the error for the caller.
-
-        If an earlier send may have run, the outcome is unknown, even if the
-        last send certainly didn't run.
-        """
-        if state.may_have_run and error.promises_not_run:
-            return outcomes.UnknownOutcomeError(
-                f"an earlier send may have run; {error}",
-                step="send again",
-                peer=error.peer,
-            )
-        if isinstance(error, outcomes.NotRunError):
-            error.retry_after_s = self._retry_after_s(error, waiter)
-        return error
-
-    def _retry_after_s(
-        self, error: outcomes.NotRunError, waiter: admission.Waiter
-    ) -> float:
-        """Returns when a request that no upstream ran should be retried."""
-        pause_s = self._owner_backoff_s(error, waiter, clocks.monotonic())
-        if pause_s > 0:
-            return pause_s
-        if error.had_free_slot:
-            fraction = random.uniform(*FREE_SLOT_RETRY_AFTER)
-            return fraction * waiter.route.objective_s
-        return NO_SLOT_RETRY_AFTER_S
-
-    def _owner_backoff_s(self, error, waiter, now: float) -> float:
-        """Returns how long the owner that failed a request wants no requests.
-
-        0 for a request without an owner, which others can serve.
-        """
-        target = self._target_table.by_id.get(error.peer)
-        if waiter.owner is None or target is None:
-            return 0.0
-        return target.backoff_left_s(now)
-
     def _record_response(
         self, call, waiter, target, response, sent, trace
     ) -> None:
--- /dev/null
+++ b/tests/unit/test_forward_listener.py
@@ -0,0 +1,150 @@
+"""Which forwarded requests a VM takes, and when a prober concludes nothing."""
+
+import asyncio
+import types
+
+from aiohttp import test_utils
+from aiohttp import web_response
+import pytest
+
+from swiftstile import clocks
+from swiftstile import metrics
+from swiftstile.gateway import caller_requests
+from swiftstile.gateway import forward_headers
+from swiftstile.gateway import forward_listener
+from swiftstile.gateway import gossip
+from swiftstile.gateway import link_probes
+from swiftstile.gateway import model
+from swiftstile.gateway import targets
+from swiftstile.gateway import upstream_links
+from tests import gateway_builders as builders
+
+_RUN, _HOST = "aaaaaaaa", "10.0.0.2"
+
+
+class _Handler:
+
+    def __init__(self, version: int | None):
+        self.config = None if version is None else builders.config(version)
+        self.handled: list[caller_requests.IncomingRequest] = []
+
+    async def handle(self, incoming):
+        self.handled.append(incoming)
+        return web_response.Response(text="served")
+
+
+def _listener(handler: _Handler) -> forward_listener.ForwardListener:
+    peers = gossip.Peers(builders.node_row("vm-1"), lambda *_: None)
+    row = builders.node_row("vm-2", _RUN, address=f"{_HOST}:7000")
+    peers.apply(row, row.node, 0.0)
+    return forward_listener.ForwardListener(
+        "127.0.0.1:1", handler, peers, metrics.Meters()
+    )
+
+
+def _respond(
+    listener,
+    version: int = 3,
+    run: str = _RUN,
+    host: str = _HOST,
+    length: str = "0",
+) -> web_response.Response:
+    origin = forward_headers.Origin(
+        run, 0.5, 1, builders.LOOKUPS, model.ConfigVersion(version), "9.9.9.9"
+    )
+    request = test_utils.make_mocked_request(
+        "POST",
+        "/a/x",
+        headers=dict(origin.headers()) | {"Content-Length": length, "X-A": "1"},
+        payload=object() if length != "0" else None,
+    ).clone(remote=host)
+    incoming = caller_requests.IncomingRequest(
+        request, clocks.monotonic(), asyncio.sleep
+    )
+    return asyncio.run(listener.respond(incoming))
+
+
+def _outcome(response) -> str:
+    return response.headers.get(forward_headers.OUTCOME_HEADER, "")
+
+
+def test_a_request_is_handled_as_the_first_vm_would_have():
+    handler = _Handler(3)
+    response = _respond(_listener(handler))
+    assert response.text == "served"
+    (incoming,) = handler.handled
+    assert incoming.origin.sends == 1
+    assert incoming.request.remote == "9.9.9.9"
+    assert clocks.monotonic() - incoming.arrived >= 0.5
+    names = {name.lower() for name in incoming.request.headers}
+    assert "x-a" in names
+    assert not [name for name in names if name.startswith("swiftstile-")]
+
+
+@pytest.mark.parametrize("version", [None, 2])
+def test_a_vm_with_an_older_configuration_refuses(version):
+    handler = _Handler(version)
+    response = _respond(_listener(handler), version=3)
+    assert (response.status, _outcome(response)) == (503, "config-behind")
+    assert not handler.handled
+
+
+@pytest.mark.parametrize(
+    ("run", "host"), [("bbbbbbbb", _HOST), (_RUN, "10.0.0.3")]
+)
+def test_only_a_registered_run_at_its_own_address_is_served(run, host):
+    handler = _Handler(3)
+    response = _respond(_listener(handler), run=run, host=host)
+    assert (response.status, _outcome(response)) == (503, "unknown-vm")
+    assert not handler.handled
+
+
+def test_more_requests_than_it_can_take_are_refused():
+    handler = _Handler(3)
+    listener = _listener(handler)
+    listener._requests = forward_listener.MAX_REQUESTS
+    response = _respond(listener)
+    assert (response.status, _outcome(response)) == (503, "forward-limit")
+    assert listener.in_flight == forward_listener.MAX_REQUESTS
+    assert not handler.handled
+
+
+def test_more_bytes_than_it_can_take_are_refused():
+    handler = _Handler(3)
+    listener = _listener(handler)
+    too_long = str(forward_listener.MAX_BODY_BYTES + 1)
+    assert _outcome(_respond(listener, length=too_long)) == "forward-limit"
+    assert _respond(listener).text == "served"
+
+
+class _DeadPool:
+    """No connection opens; the clock advances as if the process was paused."""
+
+    def __init__(self, clock, paused_s: float):
+        self._clock = clock
+        self._paused_s = paused_s
+
+    async def opens(self, _address: str) -> bool:
+        self._clock.now += self._paused_s
+        return False
+
+
+@pytest.mark.parametrize(("paused_s", "concludes"), [(0.1, True), (2.0, False)])
+def test_a_pause_of_the_process_is_not_taken_for_a_partition(
+    monkeypatch, paused_s, concludes
+):
+    clock = types.SimpleNamespace(now=100.0)
+    monkeypatch.setattr(clocks, "monotonic", lambda: clock.now)
+    table = targets.TargetTable()
+    table.put(builders.upstream("u-1", address="u-1:1"), clock.now)
+    links = upstream_links.UpstreamLinks()
+    prober = link_probes.LinkProber(
+        links,
+        _DeadPool(clock, paused_s),
+        table,
+        lambda _: "/health",
+        lambda: None,
+        lambda: None,
+    )
+    asyncio.run(prober._confirm(upstream_links.Suspicion.FAILURES))
+    assert links.is_partitioned is concludes
--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -77,8 +77,9 @@
         _needs_other_vm=lambda _: False,
         _record_send=lambda *_: None,
         _update_target=lambda *_: None,
-        _may_retry=lambda *_: False,
-        _final_error=lambda error, *_: error,
+        _retries=types.SimpleNamespace(
+            may_retry=lambda *_: False, final_error=lambda error, *_: error
+        ),
     )
 
     async def may_resend(*_) -> bool:
