--- a/src/swiftstile/gateway/settle.py
+++ b/src/swiftstile/gateway/settle.py
@@ -20,7 +20,8 @@
     A write whose answer is lost may take effect seconds later, as long as its
     condition holds. So the same write is repeated until an answer is definite:
     a write that took effect makes the conditions of all others fail, and as
-    versions only grow, a condition that failed once never holds again.
+    versions only grow (store_versions.py), a condition that failed once never
+    holds again.
 
     Args:
         table: The table.
