Upstreams of a domain whose VMs all reach none are renewed from other domains on large fleets

Cause: where VMs know other domains by their readers only, a domain with live VMs was left to itself; if all of them are isolated nobody renewed its upstreams, and its keys would lapse. Change: readers publish domains whose live VMs are all isolated; such a domain counts as one that doesn't renew. Only own knowledge and direct reports are published on.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -251,6 +251,11 @@
             suspicions=self._suspect_table.report(now),
             advisories=self._advisories.report(now),
             is_isolated=is_isolated,
+            isolated_domains=sorted(
+                self._peers.dissemination.isolated_domains_to_publish(
+                    is_isolated, now
+                )
+            ),
         )
 
     def _map_versions(self) -> dict[ids.ServiceName, int]:
--- a/src/swiftstile/gateway/dissemination.py
+++ b/src/swiftstile/gateway/dissemination.py
@@ -163,6 +163,60 @@
     def live_domains(self, now: float) -> set[ids.FailureDomain]:
         """Returns other domains that have live VMs according to readers."""
 
+    def isolated_domains_to_publish(
+        self, is_isolated: bool, now: float
+    ) -> set[ids.FailureDomain]:
+        """Returns the domains whose live VMs all reach no upstream.
+
+        Only what this VM knows itself or by reports from there, so that VMs of
+        one domain don't confirm each other's outdated reports.
+
+        Args:
+            is_isolated: Whether this VM reaches none.
+            now: The time.
+        """
+        isolated = self._isolated_by_report(now)[0]
+        if is_isolated and all(
+            peer.is_isolated
+            for peer in reports.live_peers(self._topology.near, now)
+        ):
+            isolated.add(self._me.domain)
+        return isolated
+
+    def _isolated_by_report(
+        self, now: float
+    ) -> tuple[set[ids.FailureDomain], set[ids.FailureDomain]]:
+        """Returns other domains that report to be isolated, and all others.
+
+        Those without reports are in neither.
+        """
+        heard, connected = set(), set()
+        for peer in reports.live_peers(self._topology.far, now):
+            domain = peer.row.domain
+            heard.add(domain)
+            if domain not in peer.report.isolated_domains:
+                connected.add(domain)
+        return heard - connected, connected
+
+    def renewing_domains(self, now: float) -> set[ids.FailureDomain]:
+        """Returns other domains whose VMs renew the grants of their upstreams.
+
+        According to readers, where this VM receives no reports from there.
+        """
+        live = self.live_domains(now)
+        if not live:
+            return live
+        isolated, connected = self._isolated_by_report(now)
+        for peer in reports.live_peers(self._topology.near, now):
+            isolated.update(peer.report.isolated_domains)
+        return live - (isolated - connected)
+
+    def _own_if_isolated(
+        self, report: reports.Report
+    ) -> list[ids.FailureDomain]:
+        own = self._me.domain
+        return [own] if own in report.isolated_domains else []
+
     def far_leaders(self) -> list[reports.Peer]:
         """Returns the far peers that claim to be the leader."""
         return [peer for peer in self._topology.far if peer.claims_leadership]
@@ -185,7 +239,12 @@
 
     def trim(self, report: reports.Report) -> reports.Report:
         """See base class."""
-        return msgspec.structs.replace(report, local={}, tables={})
+        return msgspec.structs.replace(
+            report,
+            local={},
+            tables={},
+            isolated_domains=self._own_if_isolated(report),
+        )
 
     def counts_to_publish(
         self, now: float
@@ -232,7 +291,12 @@
     def trim(self, report: reports.Report) -> reports.Report:
         """See base class."""
         return msgspec.structs.replace(
-            report, shared={}, local={}, tables={}, far_live={}
+            report,
+            shared={},
+            local={},
+            tables={},
+            far_live={},
+            isolated_domains=self._own_if_isolated(report),
         )
 
     def counts_to_publish(
--- a/src/swiftstile/gateway/renewals.py
+++ b/src/swiftstile/gateway/renewals.py
@@ -265,7 +265,7 @@
             sharing.authorised_by_domain(
                 self._peers, now, self._authorised_since
             ),
-            self._peers.dissemination.live_domains(now),
+            self._peers.dissemination.renewing_domains(now),
             frozenset(self.unreachable),
             {
                 owner: by_id[owner].upstream.failure_domain
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -132,6 +132,8 @@
         suspicions: Requests that may crash upstreams.
         advisories: What upstreams state about themselves.
         is_isolated: It reaches no upstream.
+        isolated_domains: Domains whose live VMs all reach no upstream. To other
+            domains a VM publishes its own only.
     """
 
     run: str
@@ -157,6 +159,7 @@
     suspicions: list[suspects.SuspectReport] = []
     advisories: list[advisories_lib.AdvisoryReport] = []
     is_isolated: bool = False
+    isolated_domains: list[ids.FailureDomain] = []
 
 
 class Peer:
--- a/src/swiftstile/gateway/sharing.py
+++ b/src/swiftstile/gateway/sharing.py
@@ -53,8 +53,8 @@
 
     Attributes:
         authorised_by_domain: Other VMs that may renew grants, by domain.
-        live_domains: Domains that have live VMs according to the reports of
-            others, though this VM receives none from them.
+        live_domains: Domains that have live VMs which reach upstreams according
+            to the reports of others, though this VM receives none from them.
         unreachable: Upstreams that this VM can't reach.
         domain_by_owner: Failure domains of the upstreams that own keys.
     """
--- a/tests/unit/test_gateway_dissemination.py
+++ b/tests/unit/test_gateway_dissemination.py
@@ -96,6 +96,33 @@
     )
 
 
+def test_upstreams_of_a_domain_without_links_are_renewed_from_others():
+    # z1 lives, so its upstreams were left to it, and their holds ran out.
+    peers = _peers(30, 78, _near(30, 78))
+    reader = peers.by_node["vm-00"]
+    reader.report.far_live = {"z1": 26, "z2": 26}
+    dissemination_ = peers.dissemination
+    assert dissemination_.renewing_domains(_NOW) == {"z1", "z2"}
+    reader.report.isolated_domains = ["z1"]
+    assert dissemination_.renewing_domains(_NOW) == {"z2"}
+    # What it only hears from near VMs isn't published on.
+    assert dissemination_.isolated_domains_to_publish(False, _NOW) == set()
+
+
+def test_a_domain_is_without_links_once_all_its_live_vms_are():
+    peers = _peers(30, 78, _near(30, 78) | {1})
+    dissemination_ = peers.dissemination
+    for number in _near(30, 78) - {30}:
+        assert not dissemination_.isolated_domains_to_publish(True, _NOW)
+        peers.by_node[f"vm-{number:02d}"].report.is_isolated = True
+    assert dissemination_.isolated_domains_to_publish(True, _NOW) == {"z0"}
+    peers.by_node["vm-01"].report.isolated_domains = ["z1", "z2"]
+    published = dissemination_.isolated_domains_to_publish(True, _NOW)
+    assert published == {"z0", "z1"}
+    report = builders.report(peers.me, isolated_domains=sorted(published))
+    assert dissemination_.trim(report).isolated_domains == ["z0"]
+
+
 class _Site:
     """All VMs' views of who renews the grants of one upstream."""
 
