A connection whose request body is unfinished isn't used again after a rejection

Callers could see: answers or bytes of another request, or a request that ran with another body; found by reading the forwarding of large bodies. Cause: an upstream or a VM that refused a streamed request early had its connection put back into the pool before the rest of the body was sent. Forwarding also tried the next VM with a body of which the first part was gone. Change: such a connection is unusable; a body that can't be sent twice goes to one VM only. Result: the new test failed before for 503 (the next request got no answer) and passes; 43 tests around exchange, path and forwarding pass.

--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -325,13 +325,11 @@
         return await receive
     sender = asyncio.create_task(_send_stream(call, connection))
     try:
-        response = await receive
-        if not sender.done():
-            # Not reusable before the rest of the body was sent.
-            connection.is_usable = False
-        return response
+        return await receive
     finally:
         if not sender.done():
+            # What is sent next would be taken for the rest of the body.
+            connection.is_usable = False
             sender.cancel()
         elif not sender.cancelled() and sender.exception():
             connection.is_usable = False
--- a/src/swiftstile/gateway/forwarding.py
+++ b/src/swiftstile/gateway/forwarding.py
@@ -105,7 +105,7 @@
                 response = await self._send(call, peer, arrived, origin)
             except outcomes.ForwardedError as error:
                 self._meters.forwards.add(error.reason)
-                if error.reason not in _UNABLE:
+                if error.reason not in _UNABLE or not call.can_resend:
                     raise
             except outcomes.UpstreamUnreachableError:
                 self._meters.forwards.add("peer-unreachable")
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -441,3 +441,51 @@
         listener.close()
 
     asyncio.run(scenario())
+
+
+async def _slow_body():
+    yield b"x" * 1000
+    await asyncio.sleep(30.0)
+    yield b"x" * 1000
+
+
+@pytest.mark.parametrize("status", [503, 200])
+def test_no_request_follows_on_a_connection_whose_body_is_unfinished(status):
+    # An upstream may answer before it has read a long body. What came next on
+    # that connection would be taken for the rest of the body.
+    async def scenario():
+        heads: list[bytes] = []
+
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            heads.append(head)
+            number = len(heads)
+            if number == 1 and status == 503:
+                writer.write(
+                    b"HTTP/1.1 503 Full\r\nX-Attempt-Id: a1\r\n"
+                    b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+            else:
+                writer.write(_answer(f"a{number}"))
+            while data := await reader.read(65536):
+                if number == 1 and b"HTTP/1.1" in data:
+                    heads.append(b"taken for a body")
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
+        target = targets.Target(upstream, 0.0)
+        sender = _client(connections.ConnectionPool())
+        upload = _call("a1", "POST", None)
+        upload.stream, upload.length = _slow_body(), 2000
+        if status == 503:
+            with pytest.raises(outcomes.NotRunError):
+                await sender.send(upload, target)
+        else:
+            await sender.send(upload, target)
+        await sender.send(_call("a2"), target)
+        listener.close()
+        assert len(heads) == 2
+        assert b"taken for a body" not in heads
+
+    asyncio.run(scenario())
