--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -145,8 +145,7 @@
         """Tries some upstreams and ends the partition if they answer."""
         addresses = [
             target.upstream.address
-            for target in self._target_table.by_id.values()
-            if not target.is_unregistered
+            for target in upstream_links.in_service(self._target_table)
         ]
         count = min(_TRIED_AT_ONCE, len(addresses))
         tried = random.sample(addresses, count)
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -26,6 +26,7 @@
     "LinkState",
     "Suspicion",
     "UpstreamLinks",
+    "in_service",
     "never_isolated",
     "sample",
 ]
@@ -248,6 +249,18 @@
         return True
 
 
+def in_service(table: targets.TargetTable) -> list[targets.Target]:
+    """Returns the upstreams that may be tried: those that aren't leaving.
+
+    An evacuated failure domain must get nothing at all.
+    """
+    return [
+        target
+        for target in table.by_id.values()
+        if target.leaving_since is None and not target.is_replaced
+    ]
+
+
 def sample(
     table: targets.TargetTable,
     per_domain: int = CONFIRMED_PER_DOMAIN,
@@ -261,12 +274,10 @@
         other_than: Addresses that are left out.
     """
     by_domain: dict[ids.FailureDomain, list[str]] = {}
-    for target in table.by_id.values():
-        address = target.upstream.address
-        is_up = not target.is_unregistered and not target.is_replaced
-        if is_up and address not in other_than:
+    for target in in_service(table):
+        if target.upstream.address not in other_than:
             group = by_domain.setdefault(target.upstream.failure_domain, [])
-            group.append(address)
+            group.append(target.upstream.address)
     sampled = [
         address
         for group in by_domain.values()
--- a/tests/unit/test_upstream_links.py
+++ b/tests/unit/test_upstream_links.py
@@ -132,3 +132,10 @@
     sampled = upstream_links.sample(table, 2, {"u-1:1"})
     assert len(sampled) == 4
     assert not {"u-0:1", "u-1:1"} & set(sampled)
+    table.evacuate(builders.AWAY, 0.0)
+    sampled = upstream_links.sample(table)
+    domains_by_address = {
+        target.upstream.address: target.upstream.failure_domain
+        for target in table.by_id.values()
+    }
+    assert {domains_by_address[a] for a in sampled} == {builders.HOME}
