--- a/tests/integration/test_narrow_links.py
+++ b/tests/integration/test_narrow_links.py
@@ -31,6 +31,7 @@
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import relay
 from swiftstile.gateway import reports
+from swiftstile.gateway import store_versions
 from swiftstile.peers import links
 from tests import assigner_parts
 from tests import gateway_builders as builders
@@ -81,7 +82,9 @@
         async with _store_table() as (store, table, _):
             value = _big_row()
             version = store.write([(_TABLE, "config", value)])
-            changes = await table.wait_for_changes(version - 1, wait_s)
+            generation = store_versions.Generation(store.era)
+            known = store_versions.version_of(generation, version - 1)
+            changes = await table.wait_for_changes(known, wait_s)
             assert changes.rows[0].value == value
 
     asyncio.run(scenario())
