--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -8,6 +8,7 @@
 from swiftstile import ids
 from swiftstile import ini
 from swiftstile import settings as settings_lib
+from swiftstile.gateway import load_settings
 from swiftstile.gateway import model
 
 __all__ = [
@@ -95,6 +96,7 @@
     vm: NodeSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    load: load_settings.LoadSettings = load_settings.LoadSettings()
     log: settings_lib.LogSettings = settings_lib.LogSettings()
 
 
@@ -102,6 +104,7 @@
     "vm": NodeSettings,
     "store": StoreSettings,
     "bounds": BoundSettings,
+    "load": load_settings.LoadSettings,
     "log": settings_lib.LogSettings,
 }
 _REQUIRED = ("vm", "store")
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -5,6 +5,7 @@
 from swiftstile import cli
 from swiftstile import errors
 from swiftstile.commandline import shared
+from swiftstile.gateway import load_settings
 from swiftstile.gateway import settings
 
 _GOOD = """
@@ -39,6 +40,12 @@
         ("127.0.0.1:4", "", "[store] address: is empty"),
         ("127.0.0.1:2", "nowhere", "[vm] ready: expected host:port"),
         ("[store]", "[bounds]\ndrain = 2\n[store]", "[bounds] drain"),
+        (
+            "[store]",
+            "[load]\nplacement = maybe\n[store]",
+            "[load] placement: Invalid enum value 'maybe'; expected one of "
+            "auto, on, off",
+        ),
         ("[store]", "[shop]", "[store]: section missing"),
         ("id = vm-1", "id = vm-1\nodd = 1", "[vm] odd: unknown option"),
     ],
@@ -49,6 +56,26 @@
     assert problem in str(caught.value)
 
 
+def test_load_decisions_are_automatic_unless_set(tmp_path):
+    assert _load(tmp_path, _GOOD).load == load_settings.LoadSettings()
+    loaded = _load(tmp_path, _GOOD + "\n[load]\nfair_shares = off\n").load
+    assert loaded.fair_shares is load_settings.Switch.OFF
+    assert loaded.placement is load_settings.Switch.AUTO
+
+
+@pytest.mark.parametrize(
+    ("switch", "vms", "expected"),
+    [
+        (load_settings.Switch.AUTO, 6, False),
+        (load_settings.Switch.AUTO, 7, True),
+        (load_settings.Switch.ON, 1, True),
+        (load_settings.Switch.OFF, 60, False),
+    ],
+)
+def test_automatic_means_on_in_domains_with_many_vms(switch, vms, expected):
+    assert load_settings.is_on(switch, vms) is expected
+
+
 def test_the_error_lists_all_faults(tmp_path):
     text = _GOOD.replace("id = vm-1", "id =").replace("127.0.0.1:2", "x")
     with pytest.raises(errors.SettingsError) as caught:
