Owners that return before their slots could move get them back at once

Change: the leader remembers owners that left while they owned slots, and assigns these slots to them again under a newer fence once they are in service. Slots that a lost map may have assigned elsewhere stay with the move.

Not measured at size yet.

--- a/src/swiftstile/gateway/key_assigner.py
+++ b/src/swiftstile/gateway/key_assigner.py
@@ -132,6 +132,8 @@
         self._store_answered_at = 0.0
         self._store_failed_at = 0.0
         self._unknown_since: dict[model.UpstreamId, float] = {}
+        # Owners that had left while they still owned slots.
+        self._departed_owners: set[model.UpstreamId] = set()
         # Version of the leader's row under which `_slot_reclaims` were created.
         self._leader_version = interfaces.NEW_ROW
 
@@ -140,6 +142,7 @@
         for slot_reclaim in self._slot_reclaims.values():
             slot_reclaim.cancel()
         self._slot_reclaims.clear()
+        self._departed_owners.clear()
 
     async def tick(self) -> None:
         """Determines what has to be done and takes the next step."""
@@ -163,6 +166,8 @@
             return
         if await self._reassign_to_restarted(current):
             return
+        if await self._reassign_to_returned(current, weights):
+            return
         await self._mark(current, weights, now)
         current = self._maps.by_service[self._service]
         await self._advance_moves(current, weights, now)
@@ -277,6 +282,51 @@
             )
         ]
 
+    async def _reassign_to_returned(self, current, weights) -> bool:
+        """Assigns the leaving slots of owners that are back to them again.
+
+        An owner whose failure domain was partitioned is taken for lost, and is
+        registered again soon after the partition ends. Its grants have expired
+        by then, but those of VMs that were partitioned with it aren't known to
+        have, so any other upstream would have to wait for several seconds. A
+        newer fence is enough for the owner itself.
+        """
+        owned = current.slots_by_owner.keys()
+        self._departed_owners &= owned
+        returned = self._departed_owners & weights.keys()
+        self._departed_owners |= owned - weights.keys()
+        self._departed_owners -= returned
+        owners = {
+            index: owner
+            for owner in returned
+            for index in current.slots_by_owner[owner]
+            if index in current.leaving and index not in current.uncertain
+        }
+        if not owners:
+            return False
+        tokens: dict[int, str] = {}
+        for owner in returned & self._slot_reclaims.keys():
+            # Commands of a release that arrive later carry an older fence.
+            slot_reclaim = self._slot_reclaims.pop(owner)
+            slot_reclaim.cancel()
+            tokens |= slot_reclaim.tokens
+        reassigned = current.assign(
+            {
+                index: token
+                for index, token in tokens.items()
+                if index in owners
+            },
+            owners,
+            self._started_ms(returned),
+        )
+        sent_at = clocks.monotonic()
+        if await self._write(reassigned, "owner returned"):
+            self._assignment_times.note_assigned(reassigned, owners, sent_at)
+            self._meters.ownership.add("returned", len(returned))
+        else:
+            self._departed_owners |= returned
+        return True
+
     def _started_ms(self, owners) -> dict[model.UpstreamId, int]:
         """Returns the start times of upstreams, where they are known."""
         return {
