Cuts are confirmed in time after refuted suspicions, and if connections are rare

Cause: each refuted suspicion doubled the time to the next confirmation, up to 8 s, and nothing shortened it when the evidence became clear.

Change: without data from any upstream for 0.8 s, or after six new connections in a row that failed, a suspicion is confirmed 1 s after the last one. A failed new connection counts until a newer one works.

Failing before: test_a_cut_after_refuted_suspicions_is_confirmed_in_time, test_many_new_connections_that_fail_in_a_row_are_confirmed_in_time and test_a_failed_new_connection_counts_until_a_newer_one_works. test_confirmations_that_refute_suspicions_become_rare let every connection fail and no data arrive for 31 s, which is a cut; it now has new connections that work in between, as in the overload that the doubling is for, with the same expected intervals.

--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -34,14 +34,21 @@
 # Upstreams that must fail, without any success in between, to raise a
 # suspicion. A single one may have crashed.
 MIN_FAILED = 2
-# Failures older than this don't raise a suspicion.
+# Exchanges that failed longer ago don't raise a suspicion. A connection that
+# failed to open counts until a newer one works: a VM that rarely needs a new
+# connection would otherwise never see two of them fail in time.
 FAILURE_TTL_S = 2.0
 # A suspicion is raised as well if requests are outstanding and no data arrives
 # from any upstream for this long. Longer than most requests take.
 SILENCE_S = 0.4
 # Minimum time between two confirmations, as each opens connections. It doubles
-# with each suspicion that is refuted, up to the maximum.
+# with each suspicion that is refuted, up to the maximum, unless the evidence is
+# strong.
 CONFIRMATION_INTERVAL_S, MAX_CONFIRMATION_INTERVAL_S = 1.0, 8.0
+# Evidence is strong if no upstream delivered data for this long, which few
+# requests take, or if so many connections in a row failed to open. Under
+# overload, where upstreams reset some connections, others work in between.
+LONG_SILENCE_S, MANY_FAILED = 0.8, 6
 # Upstreams of each failure domain that are tried to confirm a suspicion: one
 # may have crashed at the same time.
 CONFIRMED_PER_DOMAIN = 2
@@ -100,7 +107,10 @@
         self._proven_at = float("-inf")
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
+        self._failed_in_a_row = 0
         self._confirm_at = float("-inf")
+        # When a suspicion with strong evidence may be confirmed again.
+        self._confirm_strong_at = float("-inf")
         self._interval_s = CONFIRMATION_INTERVAL_S
         self._partitioned_since: float | None = None
         # Addresses that answered on connections opened in this partition.
@@ -123,6 +133,7 @@
         """See base class."""
         self._meters.links.add("open-failed")
         self._open_failed_at[address] = now
+        self._failed_in_a_row += 1
         self._regained.discard(address)
 
     def on_sent(self, address: str, now: float) -> None:
@@ -149,12 +160,16 @@
         device on the path may accept connections and reset them.
         """
         self._meters.links.add("broken")
-        failures = self._broken_at if is_proven else self._open_failed_at
-        failures[address] = now
+        if is_proven:
+            self._broken_at[address] = now
+        else:
+            self._open_failed_at[address] = now
+            self._failed_in_a_row += 1
 
     def _record_proof(self, opened_at: float) -> None:
         """Records that a connection opened at a time works."""
         self._proven_at = opened_at
+        self._failed_in_a_row = 0
         self._open_failed_at = {
             address: at
             for address, at in self._open_failed_at.items()
@@ -184,31 +199,41 @@
 
     def suspicion(self, now: float) -> Suspicion:
         """Returns the suspicion that has to be confirmed now, if any."""
-        if self.is_partitioned or now < self._confirm_at:
+        if self.is_partitioned or now < self._confirm_strong_at:
+            return Suspicion.NONE
+        if now < self._confirm_at and not self._is_evidence_strong(now):
             return Suspicion.NONE
         since = self._waiting_since
         if since is not None and now - since > SILENCE_S:
             return Suspicion.SILENCE
-        failed = {
+        broken = {
             address
-            for failures in (self._open_failed_at, self._broken_at)
-            for address, at in failures.items()
+            for address, at in self._broken_at.items()
             if now - at < FAILURE_TTL_S
         }
-        if len(failed) >= MIN_FAILED:
+        if len(broken | self._open_failed_at.keys()) >= MIN_FAILED:
             return Suspicion.FAILURES
         return Suspicion.NONE
 
+    def _is_evidence_strong(self, now: float) -> bool:
+        """Whether a suspicion that was refuted is likely to be true now."""
+        return (
+            now - self.received_at > LONG_SILENCE_S
+            or self._failed_in_a_row >= MANY_FAILED
+        )
+
     def begin_confirmation(self, now: float) -> None:
         """Records that upstreams are being tried to confirm a suspicion."""
         self._meters.links.add("suspected")
         self._confirm_at = now + self._interval_s
+        self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
 
     def refute(self, now: float) -> None:
         """Records that an upstream could be reached."""
         longer_s = 2 * self._interval_s
         self._interval_s = min(longer_s, MAX_CONFIRMATION_INTERVAL_S)
         self._confirm_at = now + self._interval_s
+        self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
         self._record_proof(now)
         self._broken_at.clear()
         self._waiting_since = None
@@ -245,7 +270,9 @@
         self._waiting_since = None
         self._open_failed_at.clear()
         self._broken_at.clear()
+        self._failed_in_a_row = 0
         self._confirm_at = now + CONFIRMATION_INTERVAL_S
+        self._confirm_strong_at = self._confirm_at
         return True
 
 
--- a/tests/unit/test_upstream_links.py
+++ b/tests/unit/test_upstream_links.py
@@ -70,11 +70,13 @@
 
 
 def test_confirmations_that_refute_suspicions_become_rare():
+    """While new connections work in between, as under overload."""
     links = upstream_links.UpstreamLinks()
     spacing, now = [], 0.0
     for _ in range(6):
         began = now
         while links.suspicion(now) is _Suspicion.NONE:
+            links.on_received("c:1", now - 0.01, now)
             links.on_open_failed("a:1", now)
             links.on_open_failed("b:1", now)
             now += 0.1
@@ -84,6 +86,46 @@
     assert spacing[1:] == [2, 4, 8, 8, 8]
 
 
+def _refuted_often(now: float) -> upstream_links.UpstreamLinks:
+    links = upstream_links.UpstreamLinks()
+    for _ in range(4):
+        links.begin_confirmation(now)
+        links.refute(now)
+    return links
+
+
+def test_a_cut_after_refuted_suspicions_is_confirmed_in_time():
+    """Suspicions that were refuted earlier delayed it by up to 8 s."""
+    links = _refuted_often(0.0)
+    links.on_received("a:1", -1.0, 0.1)
+    links.on_broken("a:1", True, 0.2)
+    links.on_broken("b:1", True, 0.2)
+    links.on_open_failed("c:1", 0.3)
+    links.on_open_failed("d:1", 0.3)
+    assert links.suspicion(0.5) is _Suspicion.NONE
+    assert links.suspicion(1.1) is _Suspicion.FAILURES
+
+
+def test_many_new_connections_that_fail_in_a_row_are_confirmed_in_time():
+    links = _refuted_often(0.0)
+    for number in range(upstream_links.MANY_FAILED):
+        assert links.suspicion(1.1) is _Suspicion.NONE
+        links.on_open_failed(f"u-{number}:1", 1.0)
+        links.on_received("z:1", -1.0, 1.05)
+    assert links.suspicion(1.1) is _Suspicion.FAILURES
+
+
+def test_a_failed_new_connection_counts_until_a_newer_one_works():
+    """A VM that rarely needs new connections saw two fail 5 s apart."""
+    links = upstream_links.UpstreamLinks()
+    links.on_broken("a:1", False, 0.0)
+    links.on_received("c:1", -5.0, 4.9)
+    links.on_broken("b:1", False, 5.0)
+    assert links.suspicion(5.1) is _Suspicion.FAILURES
+    links.on_received("c:1", 5.05, 5.15)
+    assert links.suspicion(5.2) is _Suspicion.NONE
+
+
 def test_existing_connections_that_deliver_data_are_used_on():
     links = _partitioned(0.0)
     links.on_received("a:1", -1.0, 1.0)
