VMs of a domain check their upstreams when one of them reports a cut

Cause: the VMs of a cut domain notice it seconds apart, by which connections they happen to need. Until then the others forward to those that don't know.

Change: the first report of a near VM that it reaches no upstream raises a suspicion, at most one a second, which is confirmed like any other. Reports carry this already.

Failing before: test_an_isolated_vm_of_the_domain_raises_a_suspicion_once.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -311,6 +311,8 @@
             )
         if peer.report.advisories:
             self._advisories.receive(peer.report.advisories, peer.received_at)
+        if peer.is_isolated and peer.row.domain == self._node.domain:
+            self._links.note_isolated_peer(node, now)
         self._gate.on_peer_report()
 
     def _apply_counts(
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -7,6 +7,8 @@
 An upstream that fails says nothing about the others, and a service may lose all
 of its upstreams at once. So failures only raise a suspicion, which is confirmed
 by trying upstreams of each failure domain: any that can be reached refutes it.
+The VMs of a domain often lose their upstreams together, so a VM also suspects
+that it lost its own when another one of its domain reports it.
 A partition ends when several upstreams answer on new connections.
 """
 
@@ -19,6 +21,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import connections
+from swiftstile.gateway import model
 from swiftstile.gateway import targets
 
 __all__ = [
@@ -49,6 +52,9 @@
 # requests take, or if so many connections in a row failed to open. Under
 # overload, where upstreams reset some connections, others work in between.
 LONG_SILENCE_S, MANY_FAILED = 0.8, 6
+# Another VM's report that it is isolated is new if it hasn't said so for this
+# long.
+PEER_REPORT_TTL_S = 2.0
 # Upstreams of each failure domain that are tried to confirm a suspicion: one
 # may have crashed at the same time.
 CONFIRMED_PER_DOMAIN = 2
@@ -85,6 +91,8 @@
     FAILURES = "failures"
     # Requests are outstanding, and no data arrives.
     SILENCE = "silence"
+    # Another VM of the failure domain reports that it reaches no upstream.
+    PEER = "peer"
 
 
 class UpstreamLinks(connections.LinkObserver):
@@ -108,6 +116,8 @@
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
         self._failed_in_a_row = 0
+        self._isolated_peer_at: dict[model.NodeId, float] = {}
+        self._has_isolated_peer = False
         self._confirm_at = float("-inf")
         # When a suspicion with strong evidence may be confirmed again.
         self._confirm_strong_at = float("-inf")
@@ -166,6 +176,13 @@
             self._open_failed_at[address] = now
             self._failed_in_a_row += 1
 
+    def note_isolated_peer(self, node: model.NodeId, now: float) -> None:
+        """Records that a VM of this domain reports to be isolated."""
+        since = self._isolated_peer_at.get(node, float("-inf"))
+        self._isolated_peer_at[node] = now
+        if now - since > PEER_REPORT_TTL_S:
+            self._has_isolated_peer = True
+
     def _record_proof(self, opened_at: float) -> None:
         """Records that a connection opened at a time works."""
         self._proven_at = opened_at
@@ -201,6 +218,8 @@
         """Returns the suspicion that has to be confirmed now, if any."""
         if self.is_partitioned or now < self._confirm_strong_at:
             return Suspicion.NONE
+        if self._has_isolated_peer:
+            return Suspicion.PEER
         if now < self._confirm_at and not self._is_evidence_strong(now):
             return Suspicion.NONE
         since = self._waiting_since
@@ -227,6 +246,7 @@
         self._meters.links.add("suspected")
         self._confirm_at = now + self._interval_s
         self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
+        self._has_isolated_peer = False
 
     def refute(self, now: float) -> None:
         """Records that an upstream could be reached."""
@@ -271,6 +291,8 @@
         self._open_failed_at.clear()
         self._broken_at.clear()
         self._failed_in_a_row = 0
+        # Others of the domain may report for a moment that they are isolated.
+        self._has_isolated_peer = False
         self._confirm_at = now + CONFIRMATION_INTERVAL_S
         self._confirm_strong_at = self._confirm_at
         return True
