VMs that open no connections aren't asked to forward while others are there

Cause: a VM whose new connections are reset while existing ones live reported nothing until the last one fell silent. They noticed the cut up to 3 s apart.

Change: reports say `is_partitioned`, appended with a default. Such VMs are asked last, and the others of the domain check their upstreams at the first such report instead of once the VM is isolated.

Failing before: test_a_vm_that_opens_no_connections_is_asked_last.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -256,6 +256,7 @@
                     is_isolated, now
                 )
             ),
+            is_partitioned=self._links.is_partitioned,
         )
 
     def _map_versions(self) -> dict[ids.ServiceName, int]:
@@ -311,8 +312,8 @@
             )
         if peer.report.advisories:
             self._advisories.receive(peer.report.advisories, peer.received_at)
-        if peer.is_isolated and peer.row.domain == self._node.domain:
-            self._links.note_isolated_peer(node, now)
+        if peer.is_partitioned and peer.row.domain == self._node.domain:
+            self._links.note_partitioned_peer(node, now)
         self._gate.on_peer_report()
 
     def _apply_counts(
--- a/src/swiftstile/gateway/forward_selection.py
+++ b/src/swiftstile/gateway/forward_selection.py
@@ -8,6 +8,9 @@
 The VMs of a domain often lose their upstreams together, and some notice it
 later than others. So VMs of other domains are asked as well where those of the
 own domain refused, failed, or would get the requests of many isolated VMs.
+
+A VM that opens no new connections, while existing ones live, can send few
+requests and refuses the others. It is asked only if there is no other one.
 """
 
 import collections
@@ -53,12 +56,11 @@
             now: The time.
         """
         near = self._able([self._peers.me.domain], tried, now)
-        if near:
-            peer = self._less_loaded(near)
-            if not self._is_crowded(peer, now):
-                return peer
-        far = self._able(self._far_domains(now), tried, now)
-        return self._less_loaded(near + far)
+        peer = self._less_loaded(_opening_connections(near))
+        if peer is not None and not self._is_crowded(peer, now):
+            return peer
+        able = near + self._able(self._far_domains(now), tried, now)
+        return self._less_loaded(_opening_connections(able) or able)
 
     def has_any(self, now: float) -> bool:
         """Whether there is a VM that requests can be forwarded to."""
@@ -82,11 +84,11 @@
     def _is_crowded(self, peer: reports.Peer, now: float) -> bool:
         """Whether a VM of this domain is given too many requests.
 
-        The other isolated VMs of the domain are assumed to forward as many to
-        it as this one.
+        The other VMs of the domain that open no connections are assumed to
+        forward as many to it as this one.
         """
         isolated = 1 + sum(
-            other.is_isolated
+            other.is_partitioned
             for other in self._peers.topology.near
             if other.is_live(now)
         )
@@ -137,3 +139,8 @@
     def avoid(self, node: model.NodeId, now: float) -> None:
         """Stops asking a VM that failed or refused, for a while."""
         self._avoided_until[node] = now + AVOID_S
+
+
+def _opening_connections(peers: list[reports.Peer]) -> list[reports.Peer]:
+    """Returns the VMs that open new connections to upstreams."""
+    return [peer for peer in peers if not peer.is_partitioned]
--- a/src/swiftstile/gateway/gossip.py
+++ b/src/swiftstile/gateway/gossip.py
@@ -68,6 +68,7 @@
         report.unreachable,
         report.is_leaving,
         report.is_isolated,
+        report.is_partitioned,
         [
             entry.upstream
             for entry in report.advisories
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -134,6 +134,8 @@
         is_isolated: It reaches no upstream.
         isolated_domains: Domains whose live VMs all reach no upstream. To other
             domains a VM publishes its own only.
+        is_partitioned: It opens no new connection to any upstream. Existing
+            ones may still deliver data.
     """
 
     run: str
@@ -160,6 +162,7 @@
     advisories: list[advisories_lib.AdvisoryReport] = []
     is_isolated: bool = False
     isolated_domains: list[ids.FailureDomain] = []
+    is_partitioned: bool = False
 
 
 class Peer:
@@ -256,6 +259,14 @@
         """Whether its last report says that it reaches no upstream."""
         return self.report is not None and self.report.is_isolated
 
+    @property
+    def is_partitioned(self) -> bool:
+        """Whether its last report says that it opens no new connection."""
+        report = self.report
+        return report is not None and (
+            report.is_partitioned or report.is_isolated
+        )
+
     @property
     def claims_reader_role(self) -> bool:
         """Whether its last report says that it is a reader of its domain."""
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -52,8 +52,7 @@
 # requests take, or if so many connections in a row failed to open. Under
 # overload, where upstreams reset some connections, others work in between.
 LONG_SILENCE_S, MANY_FAILED = 0.8, 6
-# Another VM's report that it is isolated is new if it hasn't said so for this
-# long.
+# Another VM's report of a partition is new if it hasn't said so for this long.
 PEER_REPORT_TTL_S = 2.0
 # Upstreams of each failure domain that are tried to confirm a suspicion: one
 # may have crashed at the same time.
@@ -91,7 +90,7 @@
     FAILURES = "failures"
     # Requests are outstanding, and no data arrives.
     SILENCE = "silence"
-    # Another VM of the failure domain reports that it reaches no upstream.
+    # Another VM of the failure domain reports that it opens no connection.
     PEER = "peer"
 
 
@@ -116,8 +115,8 @@
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
         self._failed_in_a_row = 0
-        self._isolated_peer_at: dict[model.NodeId, float] = {}
-        self._has_isolated_peer = False
+        self._partitioned_peer_at: dict[model.NodeId, float] = {}
+        self._has_partitioned_peer = False
         self._confirm_at = float("-inf")
         # When a suspicion with strong evidence may be confirmed again.
         self._confirm_strong_at = float("-inf")
@@ -176,12 +175,12 @@
             self._open_failed_at[address] = now
             self._failed_in_a_row += 1
 
-    def note_isolated_peer(self, node: model.NodeId, now: float) -> None:
-        """Records that a VM of this domain reports to be isolated."""
-        since = self._isolated_peer_at.get(node, float("-inf"))
-        self._isolated_peer_at[node] = now
+    def note_partitioned_peer(self, node: model.NodeId, now: float) -> None:
+        """Records that a VM of this domain reports to be partitioned."""
+        since = self._partitioned_peer_at.get(node, float("-inf"))
+        self._partitioned_peer_at[node] = now
         if now - since > PEER_REPORT_TTL_S:
-            self._has_isolated_peer = True
+            self._has_partitioned_peer = True
 
     def _record_proof(self, opened_at: float) -> None:
         """Records that a connection opened at a time works."""
@@ -218,7 +217,7 @@
         """Returns the suspicion that has to be confirmed now, if any."""
         if self.is_partitioned or now < self._confirm_strong_at:
             return Suspicion.NONE
-        if self._has_isolated_peer:
+        if self._has_partitioned_peer:
             return Suspicion.PEER
         if now < self._confirm_at and not self._is_evidence_strong(now):
             return Suspicion.NONE
@@ -246,7 +245,7 @@
         self._meters.links.add("suspected")
         self._confirm_at = now + self._interval_s
         self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
-        self._has_isolated_peer = False
+        self._has_partitioned_peer = False
 
     def refute(self, now: float) -> None:
         """Records that an upstream could be reached."""
@@ -291,8 +290,8 @@
         self._open_failed_at.clear()
         self._broken_at.clear()
         self._failed_in_a_row = 0
-        # Others of the domain may report for a moment that they are isolated.
-        self._has_isolated_peer = False
+        # Others of the domain may report their partition for a moment.
+        self._has_partitioned_peer = False
         self._confirm_at = now + CONFIRMATION_INTERVAL_S
         self._confirm_strong_at = self._confirm_at
         return True
--- a/tests/unit/test_forward_selection.py
+++ b/tests/unit/test_forward_selection.py
@@ -161,6 +161,20 @@
     assert len(asked) == vms - len(cut)
 
 
+def test_a_vm_that_opens_no_connections_is_asked_last():
+    """It refuses what no existing connection can take."""
+    peers = _peers(0, 9, {0, 3})
+    for number in range(6, 9):
+        peer = peers.by_node[model.NodeId(f"vm-{number}")]
+        peer.report = msgspec.structs.replace(peer.report, is_partitioned=True)
+    selector = forward_selection.ForwardSelector(peers)
+    asked = {selector.choose((), _NOW).row.node for _ in range(100)}
+    others = {f"vm-{number}" for number in (1, 2, 4, 5)}
+    assert asked == others
+    last = {selector.choose(others, _NOW).row.node for _ in range(100)}
+    assert last == {"vm-6", "vm-7", "vm-8"}
+
+
 def test_none_is_asked_if_all_are_isolated():
     selector = forward_selection.ForwardSelector(_peers(0, 4, {0, 1, 2, 3}))
     assert selector.choose((), _NOW) is None
--- a/tests/unit/test_upstream_links.py
+++ b/tests/unit/test_upstream_links.py
@@ -126,18 +126,18 @@
     assert links.suspicion(5.2) is _Suspicion.NONE
 
 
-def test_an_isolated_vm_of_the_domain_raises_a_suspicion_once():
+def test_a_partitioned_vm_of_the_domain_raises_a_suspicion_once():
     """A VM that noticed a cut of its domain late refused what others sent."""
     links = upstream_links.UpstreamLinks()
     links.on_received("c:1", 0.0, 0.9)
-    links.note_isolated_peer("vm-3", 1.0)
+    links.note_partitioned_peer("vm-3", 1.0)
     assert links.suspicion(1.0) is _Suspicion.PEER
     links.begin_confirmation(1.0)
     links.refute(1.1)
     for tick in range(11, 60):
-        links.note_isolated_peer("vm-3", tick / 10)
+        links.note_partitioned_peer("vm-3", tick / 10)
         assert links.suspicion(tick / 10) is _Suspicion.NONE
-    links.note_isolated_peer("vm-6", 6.0)
+    links.note_partitioned_peer("vm-6", 6.0)
     assert links.suspicion(6.0) is _Suspicion.PEER
 
 
