A single failed new connection leads to a trial of other upstreams

Cause: a cut of new connections was noticed at the second request that needed one, which took 4 to 7 s at VMs that rarely do. Counting the first failure for longer doesn't help: the second request fails as well.

Change: 0.2 s after a new connection failed, if no newer one worked, one other upstream of each domain is tried, at most each 2 s. If none works, the cut is confirmed like any other. Without another upstream nothing is concluded.

Failing before: test_one_failed_connection_leads_to_a_trial_of_others. test_one_failing_upstream_raises_no_suspicion demanded that a single failure is ignored, which is the fault. It is replaced by test_one_failing_upstream_is_reason_to_try_others_at_times, which bounds the trials while an upstream stays down, test_one_failing_upstream_is_no_reason_while_new_connections_work, and the case of the new test in which others work and no cut is concluded. test_several_that_fail_in_a_row_raise_a_suspicion expects this trial where the failed connection alone still counts.

--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -78,6 +78,12 @@
 
     async def _confirm(self, suspicion: upstream_links.Suspicion) -> None:
         began = clocks.monotonic()
+        if suspicion is upstream_links.Suspicion.ONE_FAILURE:
+            self._links.begin_trial(began)
+            if await self._reaches_others():
+                self._links.note_reached(clocks.monotonic())
+                return
+            began = clocks.monotonic()
         self._links.begin_confirmation(began)
         sampled = upstream_links.sample(self._target_table)
         if not sampled:
@@ -107,6 +113,17 @@
         self._links.record_partition(ended)
         self._notify()
 
+    async def _reaches_others(self) -> bool:
+        """Returns whether new connections to upstreams that didn't fail work.
+
+        One of each domain is tried. Also true if there is none: a deployment
+        may have a single upstream, which crashed.
+        """
+        others = upstream_links.sample(
+            self._target_table, 1, self._links.failed_addresses
+        )
+        return not others or await self._any_passes(others, self._works)
+
     async def reaches_another(self, address: str) -> bool:
         """Returns whether any upstream but the one at an address answers.
 
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -37,9 +37,12 @@
 # Upstreams that must fail, without any success in between, to raise a
 # suspicion. A single one may have crashed.
 MIN_FAILED = 2
+# A single new connection that failed, while no newer one worked, is reason to
+# try other upstreams after this long, and again after the interval. A VM that
+# rarely needs a new connection would otherwise fail a second request.
+ONE_FAILURE_DELAY_S, ONE_FAILURE_INTERVAL_S = 0.2, 2.0
 # Exchanges that failed longer ago don't raise a suspicion. A connection that
-# failed to open counts until a newer one works: a VM that rarely needs a new
-# connection would otherwise never see two of them fail in time.
+# failed to open counts until a newer one works.
 FAILURE_TTL_S = 2.0
 # A suspicion is raised as well if requests are outstanding and no data arrives
 # from any upstream for this long. Longer than most requests take.
@@ -88,6 +91,8 @@
     NONE = "none"
     # Several connections or exchanges failed.
     FAILURES = "failures"
+    # A single new connection failed; the upstream may have crashed.
+    ONE_FAILURE = "one-failure"
     # Requests are outstanding, and no data arrives.
     SILENCE = "silence"
     # Another VM of the failure domain reports that it opens no connection.
@@ -115,9 +120,13 @@
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
         self._failed_in_a_row = 0
+        # Since when new connections have failed.
+        self._failing_since = 0.0
         self._partitioned_peer_at: dict[model.NodeId, float] = {}
         self._has_partitioned_peer = False
         self._confirm_at = float("-inf")
+        # When a single failure may be looked into again.
+        self._try_others_at = float("-inf")
         # When a suspicion with strong evidence may be confirmed again.
         self._confirm_strong_at = float("-inf")
         self._interval_s = CONFIRMATION_INTERVAL_S
@@ -141,8 +150,7 @@
     def on_open_failed(self, address: str, now: float) -> None:
         """See base class."""
         self._meters.links.add("open-failed")
-        self._open_failed_at[address] = now
-        self._failed_in_a_row += 1
+        self._note_open_failed(address, now)
         self._regained.discard(address)
 
     def on_sent(self, address: str, now: float) -> None:
@@ -172,8 +180,13 @@
         if is_proven:
             self._broken_at[address] = now
         else:
-            self._open_failed_at[address] = now
-            self._failed_in_a_row += 1
+            self._note_open_failed(address, now)
+
+    def _note_open_failed(self, address: str, now: float) -> None:
+        if not self._open_failed_at:
+            self._failing_since = now
+        self._open_failed_at[address] = now
+        self._failed_in_a_row += 1
 
     def note_partitioned_peer(self, node: model.NodeId, now: float) -> None:
         """Records that a VM of this domain reports to be partitioned."""
@@ -191,6 +204,7 @@
             for address, at in self._open_failed_at.items()
             if at > opened_at
         }
+        self._failing_since = min(self._open_failed_at.values(), default=0.0)
 
     def data_age_ms(self, now: float) -> int:
         """Returns the time since data last arrived, at most a minute."""
@@ -220,7 +234,7 @@
         if self._has_partitioned_peer:
             return Suspicion.PEER
         if now < self._confirm_at and not self._is_evidence_strong(now):
-            return Suspicion.NONE
+            return self._one_failure(now)
         since = self._waiting_since
         if since is not None and now - since > SILENCE_S:
             return Suspicion.SILENCE
@@ -231,8 +245,32 @@
         }
         if len(broken | self._open_failed_at.keys()) >= MIN_FAILED:
             return Suspicion.FAILURES
+        return self._one_failure(now)
+
+    def _one_failure(self, now: float) -> Suspicion:
+        """Returns whether a new connection failed and none worked since."""
+        if (
+            self._open_failed_at
+            and now >= self._try_others_at
+            and now - self._failing_since > ONE_FAILURE_DELAY_S
+        ):
+            return Suspicion.ONE_FAILURE
         return Suspicion.NONE
 
+    @property
+    def failed_addresses(self) -> set[str]:
+        """Returns the upstreams that no new connection could be opened to."""
+        return set(self._open_failed_at)
+
+    def begin_trial(self, now: float) -> None:
+        """Records that others are being tried after a single failure."""
+        self._meters.links.add("one-failure")
+        self._try_others_at = now + ONE_FAILURE_INTERVAL_S
+
+    def note_reached(self, now: float) -> None:
+        """Records that new connections work, after a single failure."""
+        self._record_proof(now)
+
     def _is_evidence_strong(self, now: float) -> bool:
         """Whether a suspicion that was refuted is likely to be true now."""
         return (
--- a/tests/unit/test_forward_listener.py
+++ b/tests/unit/test_forward_listener.py
@@ -154,13 +154,17 @@
     assert links.is_partitioned is concludes
 
 
-def _prober(
-    links: upstream_links.UpstreamLinks, port: int
-) -> link_probes.LinkProber:
-    """Returns a prober of a deployment with one upstream at a port."""
+def _table(port: int) -> targets.TargetTable:
+    """Returns one upstream at a port of this host."""
     table = targets.TargetTable()
     upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
     table.put(upstream, clocks.monotonic())
+    return table
+
+
+def _prober(
+    links: upstream_links.UpstreamLinks, table: targets.TargetTable
+) -> link_probes.LinkProber:
     return link_probes.LinkProber(
         links,
         connections.ConnectionPool("", links),
@@ -193,7 +197,7 @@
         server = await loop.create_server(_LateResets, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         links = upstream_links.UpstreamLinks()
-        prober = _prober(links, port)
+        prober = _prober(links, _table(port))
         now = clocks.monotonic()
         if others_deliver:
             # Existing connections live.
@@ -205,6 +209,48 @@
     assert asyncio.run(confirm())
 
 
+class _Healthy(asyncio.Protocol):
+    """Answers each request."""
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "is_cut", "concludes"),
+    [(1, True, False), (3, False, False), (3, True, True)],
+)
+def test_one_failed_connection_leads_to_a_trial_of_others(
+    upstreams, is_cut, concludes
+):
+    """A VM that rarely opens connections noticed a cut after 7 s."""
+
+    async def confirm() -> bool:
+        loop = asyncio.get_running_loop()
+        protocol = _LateResets if is_cut else _Healthy
+        links = upstream_links.UpstreamLinks()
+        table = targets.TargetTable()
+        servers = []
+        for number in range(upstreams):
+            server = await loop.create_server(protocol, "127.0.0.1", 0)
+            servers.append(server)
+            host, port = server.sockets[0].getsockname()
+            address = f"{host}:{port}"
+            upstream = builders.upstream(f"u-{number}", address=address)
+            table.put(upstream, clocks.monotonic())
+        links.on_open_failed(address, clocks.monotonic())
+        prober = _prober(links, table)
+        await prober._confirm(upstream_links.Suspicion.ONE_FAILURE)
+        for server in servers:
+            server.close()
+        return links.is_partitioned
+
+    assert asyncio.run(confirm()) is concludes
+
+
 def test_a_full_upstream_that_keeps_connections_open_refutes_a_suspicion():
     """It answers no health check, and others deliver data."""
 
@@ -213,7 +259,7 @@
         server = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         links = upstream_links.UpstreamLinks()
-        prober = _prober(links, port)
+        prober = _prober(links, _table(port))
         now = clocks.monotonic()
         loop.call_later(0.2, links.on_received, "u-2:1", -1.0, now + 0.2)
         await prober._confirm(upstream_links.Suspicion.FAILURES)
--- a/tests/unit/test_upstream_links.py
+++ b/tests/unit/test_upstream_links.py
@@ -1,5 +1,7 @@
 """When a VM concludes that it has lost its links to all upstreams."""
 
+import pytest
+
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
 from tests import gateway_builders as builders
@@ -17,11 +19,30 @@
     return links
 
 
-def test_one_failing_upstream_raises_no_suspicion():
+def test_one_failing_upstream_is_reason_to_try_others_at_times():
+    """A VM that rarely needs new connections failed a request before."""
     links = upstream_links.UpstreamLinks()
-    for at in range(5):
-        links.on_open_failed("a:1", at / 10)
-    assert links.suspicion(0.5) is _Suspicion.NONE
+    tried = []
+    for tick in range(80):
+        now = tick / 10
+        links.on_open_failed("a:1", now)
+        links.on_received("c:1", -5.0, now)
+        suspicion = links.suspicion(now)
+        if suspicion is not _Suspicion.NONE:
+            assert suspicion is _Suspicion.ONE_FAILURE
+            links.begin_trial(now)
+            links.note_reached(now)
+            tried.append(now)
+    assert tried == pytest.approx([0.3, 2.3, 4.3, 6.3])
+
+
+def test_one_failing_upstream_is_no_reason_while_new_connections_work():
+    links = upstream_links.UpstreamLinks()
+    for tick in range(40):
+        now = tick / 10
+        links.on_open_failed("a:1", now)
+        links.on_received("c:1", now + 0.01, now + 0.05)
+        assert links.suspicion(now + 0.06) is _Suspicion.NONE
 
 
 def test_several_that_fail_in_a_row_raise_a_suspicion():
@@ -29,8 +50,9 @@
     links.on_open_failed("a:1", 0.0)
     links.on_broken("b:1", True, 0.1)
     assert links.suspicion(0.2) is _Suspicion.FAILURES
+    # Only the new connection still counts.
     later = 0.2 + upstream_links.FAILURE_TTL_S
-    assert links.suspicion(later) is _Suspicion.NONE
+    assert links.suspicion(later) is _Suspicion.ONE_FAILURE
 
 
 def test_a_new_connection_that_delivers_data_in_between_refutes_it():
