--- a/tests/unit/test_forward_selection.py
+++ b/tests/unit/test_forward_selection.py
@@ -7,6 +7,7 @@
 import pytest
 
 from swiftstile import metrics
+from swiftstile.gateway import arbiter_selection
 from swiftstile.gateway import forward_headers
 from swiftstile.gateway import forward_selection
 from swiftstile.gateway import forwarding
@@ -131,9 +132,8 @@
     assert max(others) <= 1.5 * sum(others) / len(others) + 2
 
 
-@pytest.mark.parametrize("vms", [60, 200])
-def test_a_domain_that_reports_to_be_isolated_is_not_asked(vms):
-    """Its VMs refuse: three that are asked may all be of such a domain."""
+def _peers_of_isolated_domain(vms: int) -> gossip.Peers:
+    """Returns what a VM of d-0, which is cut, knows while d-1 is, too."""
     peers = _peers(0, vms, set(range(0, vms, len(_DOMAINS))))
     # Of other domains only readers' reports arrive.
     for number in range(vms):
@@ -144,6 +144,23 @@
         peer.report = msgspec.structs.replace(
             peer.report, isolated_domains=["d-1"]
         )
+    return peers
+
+
+@pytest.mark.parametrize("vms", [60, 200])
+def test_an_isolated_domain_has_no_arbiters(vms):
+    """Its VMs judge upstreams by links that they lost."""
+    selector = arbiter_selection.ArbiterSelector(
+        _peers_of_isolated_domain(vms), lambda: False, None
+    )
+    assert selector.arbiter_in_domain("d-1", "u-1", _NOW) == (None, False)
+    assert selector.arbiter_in_domain("d-2", "u-1", _NOW)[0] is not None
+
+
+@pytest.mark.parametrize("vms", [60, 200])
+def test_a_domain_that_reports_to_be_isolated_is_not_asked(vms):
+    """Its VMs refuse: three that are asked may all be of such a domain."""
+    peers = _peers_of_isolated_domain(vms)
     selector = forward_selection.ForwardSelector(peers)
     asked = {selector.choose((), _NOW).row.domain for _ in range(50)}
     assert asked == {"d-2"}
