--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -123,6 +123,8 @@
     status: int
     body: bytes
     echoed: str
+    # Seconds until the answer, or until the caller gave up.
+    took_s: float = 0.0
 
 
 class Callers:
@@ -174,6 +176,8 @@
                 outcome.echoed = answer.headers.get("X-Attempt-Id", attempt)
         except (aiohttp.ClientError, TimeoutError, OSError):
             outcome.status = 0
+        sent_at = self.sends[attempt][1]
+        outcome.took_s = asyncio.get_running_loop().time() - sent_at
         self.outcomes.append(outcome)
         return outcome
 
