Soak cuts off whole failure domains

Cause: cuts hit random VMs, rarely all of one domain and no other.

Change: four of ten cuts of links hit all VMs of one domain.

--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -30,6 +30,8 @@
 _INTERVAL_S = (0.2, 2.0)
 # Duration of a fault, in seconds.
 _DURATION_S = (0.5, 5.0)
+# Share of the cuts of links that hit all VMs of a failure domain.
+_WHOLE_DOMAIN_SHARE = 0.4
 # Limits are stated for longer than faults last, to be in force for a while.
 _LIMIT_FACTOR = 2.5
 # Requests per second during the faults.
@@ -372,10 +374,14 @@
         server.backoff_s = None
 
     async def _cut_links(self, duration_s: float) -> None:
-        """Cuts some VMs, or all, off from all servers."""
+        """Cuts some VMs, a whole domain, or all off from all servers."""
         gateways_ = self._site.gateways
-        count = self._random.randint(1, len(gateways_))
-        chosen = self._random.sample(gateways_, count)
+        if self._random.random() < _WHOLE_DOMAIN_SHARE:
+            zone = self._random.choice(gateways_).zone
+            chosen = [g for g in gateways_ if g.zone == zone]
+        else:
+            count = self._random.randint(1, len(gateways_))
+            chosen = self._random.sample(gateways_, count)
         how = self._random.choice(list(link_cuts.Cut))
         numbers = [gateway.number for gateway in chosen]
         self._record(f"links of {numbers} {how.value} for {duration_s:.1f}")
