A trial that tries no upstream is no proof that new connections work

Cause: after a failed new connection, upstreams that hadn't failed were tried; if there was none, the trial counted as passed, and the record of failed connections was cleared. A VM whose new connections all failed, after refuted suspicions and while old connections delivered data, never noticed the cut.

Change: if all upstreams failed, the suspicion is confirmed as others are. With a single upstream in service nothing is tried and nothing recorded.

Result: the unit test, with four upstreams that all failed, concludes a partition; with a single one it doesn't, and keeps its failure.

--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -80,6 +80,9 @@
         began = clocks.monotonic()
         if suspicion is upstream_links.Suspicion.ONE_FAILURE:
             self._links.begin_trial(began)
+            if len(upstream_links.in_service(self._target_table)) <= 1:
+                # The only upstream may have crashed.
+                return
             if await self._reaches_others():
                 self._links.note_reached(clocks.monotonic())
                 return
@@ -116,13 +119,12 @@
     async def _reaches_others(self) -> bool:
         """Returns whether new connections to upstreams that didn't fail work.
 
-        One of each domain is tried. Also true if there is none: a deployment
-        may have a single upstream, which crashed.
+        One of each domain is tried. False if new connections to all failed.
         """
         others = upstream_links.sample(
             self._target_table, 1, self._links.failed_addresses
         )
-        return not others or await self._any_passes(others, self._works)
+        return await self._any_passes(others, self._works)
 
     async def reaches_another(self, address: str) -> bool:
         """Returns whether any upstream but the one at an address answers.
--- a/tests/unit/test_forward_listener.py
+++ b/tests/unit/test_forward_listener.py
@@ -267,3 +267,35 @@
         return links.is_partitioned
 
     assert not asyncio.run(confirm())
+
+
+@pytest.mark.parametrize(("upstreams", "concludes"), [(1, False), (4, True)])
+def test_a_trial_that_tries_nothing_keeps_the_evidence(upstreams, concludes):
+    """All new connections failed while old ones delivered data.
+
+    After refuted suspicions, a trial found no upstream that hadn't failed and
+    counted this as a proof that new connections work.
+    """
+    links = upstream_links.UpstreamLinks()
+    now = clocks.monotonic()
+    for _ in range(4):
+        links.begin_confirmation(now - 3.0)
+        links.refute(now - 3.0)
+    table = targets.TargetTable()
+    for number in range(upstreams):
+        address = f"u-{number}:1"
+        table.put(builders.upstream(f"u-{number}", address=address), now)
+        links.on_open_failed(address, now - 1.0)
+    links.on_received("u-0:1", now - 9.0, now)
+    assert links.suspicion(now) is upstream_links.Suspicion.ONE_FAILURE
+    prober = link_probes.LinkProber(
+        links,
+        _DeadPool(types.SimpleNamespace(now=now), 0.0),
+        table,
+        lambda _: "/health",
+        lambda: None,
+        lambda: None,
+    )
+    asyncio.run(prober._confirm(upstream_links.Suspicion.ONE_FAILURE))
+    assert len(links.failed_addresses) == upstreams
+    assert links.is_partitioned is concludes
