Reports of a cut by another VM delay no confirmation of what a VM sees itself

Causes: a refuted report of another VM doubled the interval between confirmations; after four from one VM whose links came and went, two failed connections were noticed after 5.1 s. Such a report was lost if the confirmation ended without a judgement, after a pause or while no upstream was known. A VM without requests had strong evidence by silence and confirmed its refuted suspicions each second.

Change: a refuted report leaves the interval as it is and puts off other confirmations by 1 s at most; it counts until a confirmation that began after it is judged. Silence counts from the oldest request that is outstanding or failed without data since.

Result: unit tests of the three cases, which failed before, pass.

--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import connections
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
+from swiftstile.gateway import upstream_sampling
 
 __all__ = ["LinkProber"]
 
@@ -80,15 +81,15 @@
         began = clocks.monotonic()
         if suspicion is upstream_links.Suspicion.ONE_FAILURE:
             self._links.begin_trial(began)
-            if len(upstream_links.in_service(self._target_table)) <= 1:
+            if len(upstream_sampling.in_service(self._target_table)) <= 1:
                 # The only upstream may have crashed.
                 return
             if await self._reaches_others():
                 self._links.note_reached(clocks.monotonic())
                 return
             began = clocks.monotonic()
-        self._links.begin_confirmation(began)
-        sampled = upstream_links.sample(self._target_table)
+        self._links.begin_confirmation(began, suspicion)
+        sampled = upstream_sampling.sample(self._target_table)
         if not sampled:
             return
         if suspicion is upstream_links.Suspicion.SILENCE:
@@ -106,7 +107,7 @@
             data_age_ms=self._links.data_age_ms(ended),
         )
         if is_reached:
-            self._links.refute(ended)
+            self._links.refute(ended, suspicion)
             return
         if ended - began > 2 * connections.CONNECT_TIMEOUT_S + _STALL_S:
             logs.logger.info(
@@ -121,7 +122,7 @@
 
         One of each domain is tried. False if new connections to all failed.
         """
-        others = upstream_links.sample(
+        others = upstream_sampling.sample(
             self._target_table, 1, self._links.failed_addresses
         )
         return await self._any_passes(others, self._works)
@@ -133,7 +134,9 @@
         """
         if self._links.is_partitioned:
             return False
-        others = upstream_links.sample(self._target_table, other_than={address})
+        others = upstream_sampling.sample(
+            self._target_table, other_than={address}
+        )
         return await self._any_passes(others, self._answers)
 
     async def _works(self, address: str) -> bool:
@@ -195,7 +198,7 @@
         """Tries some upstreams and ends the partition if they answer."""
         addresses = [
             target.upstream.address
-            for target in upstream_links.in_service(self._target_table)
+            for target in upstream_sampling.in_service(self._target_table)
         ]
         count = min(_TRIED_AT_ONCE, len(addresses))
         tried = random.sample(addresses, count)
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -14,24 +14,19 @@
 
 import collections.abc
 import enum
-import random
 
 from swiftstile import clocks
-from swiftstile import ids
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import connections
 from swiftstile.gateway import model
-from swiftstile.gateway import targets
 
 __all__ = [
     "IsIsolated",
     "LinkState",
     "Suspicion",
     "UpstreamLinks",
-    "in_service",
     "never_isolated",
-    "sample",
 ]
 
 # Upstreams that must fail, without any success in between, to raise a
@@ -51,15 +46,12 @@
 # with each suspicion that is refuted, up to the maximum, unless the evidence is
 # strong.
 CONFIRMATION_INTERVAL_S, MAX_CONFIRMATION_INTERVAL_S = 1.0, 8.0
-# Evidence is strong if no upstream delivered data for this long, which few
-# requests take, or if so many connections in a row failed to open. Under
-# overload, where upstreams reset some connections, others work in between.
+# Evidence is strong if requests got no data from any upstream for this long,
+# which few requests take, or if so many connections in a row failed to open.
+# Under overload upstreams reset some connections, and others work in between.
 LONG_SILENCE_S, MANY_FAILED = 0.8, 6
 # Another VM's report of a partition is new if it hasn't said so for this long.
 PEER_REPORT_TTL_S = 2.0
-# Upstreams of each failure domain that are tried to confirm a suspicion: one
-# may have crashed at the same time.
-CONFIRMED_PER_DOMAIN = 2
 # Existing connections are used during a partition while any of them has
 # delivered data within this time.
 DATA_TTL_S = 0.5
@@ -123,7 +115,9 @@
         # Since when new connections have failed.
         self._failing_since = 0.0
         self._partitioned_peer_at: dict[model.NodeId, float] = {}
-        self._has_partitioned_peer = False
+        # When another VM of the domain reported a partition that isn't judged.
+        self._peer_reported_at: float | None = None
+        self._confirmation_began_at = float("-inf")
         self._confirm_at = float("-inf")
         # When a single failure may be looked into again.
         self._try_others_at = float("-inf")
@@ -193,7 +187,7 @@
         since = self._partitioned_peer_at.get(node, float("-inf"))
         self._partitioned_peer_at[node] = now
         if now - since > PEER_REPORT_TTL_S:
-            self._has_partitioned_peer = True
+            self._peer_reported_at = now
 
     def _record_proof(self, opened_at: float) -> None:
         """Records that a connection opened at a time works."""
@@ -231,7 +225,7 @@
         """Returns the suspicion that has to be confirmed now, if any."""
         if self.is_partitioned or now < self._confirm_strong_at:
             return Suspicion.NONE
-        if self._has_partitioned_peer:
+        if self._peer_reported_at is not None:
             return Suspicion.PEER
         if now < self._confirm_at and not self._is_evidence_strong(now):
             return self._one_failure(now)
@@ -273,30 +267,56 @@
 
     def _is_evidence_strong(self, now: float) -> bool:
         """Whether a suspicion that was refuted is likely to be true now."""
+        # An idle VM receives nothing either, so only requests count that are
+        # outstanding or failed.
+        since = min(self._broken_at.values(), default=now)
+        if self._waiting_since is not None:
+            since = min(since, self._waiting_since)
         return (
-            now - self.received_at > LONG_SILENCE_S
-            or self._failed_in_a_row >= MANY_FAILED
+            now - since > LONG_SILENCE_S or self._failed_in_a_row >= MANY_FAILED
         )
 
-    def begin_confirmation(self, now: float) -> None:
+    def begin_confirmation(
+        self, now: float, suspicion: Suspicion = Suspicion.FAILURES
+    ) -> None:
         """Records that upstreams are being tried to confirm a suspicion."""
         self._meters.links.add("suspected")
-        self._confirm_at = now + self._interval_s
-        self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
-        self._has_partitioned_peer = False
+        self._confirmation_began_at = now
+        self._put_off_confirmations(now, suspicion)
 
-    def refute(self, now: float) -> None:
+    def refute(
+        self, now: float, suspicion: Suspicion = Suspicion.FAILURES
+    ) -> None:
         """Records that an upstream could be reached."""
-        longer_s = 2 * self._interval_s
-        self._interval_s = min(longer_s, MAX_CONFIRMATION_INTERVAL_S)
-        self._confirm_at = now + self._interval_s
-        self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
+        if suspicion is not Suspicion.PEER:
+            longer_s = 2 * self._interval_s
+            self._interval_s = min(longer_s, MAX_CONFIRMATION_INTERVAL_S)
+        self._put_off_confirmations(now, suspicion)
+        self._judge_peer_report()
         self._record_proof(now)
         self._broken_at.clear()
         self._waiting_since = None
 
+    def _put_off_confirmations(self, now: float, suspicion: Suspicion) -> None:
+        """Sets when the next suspicion may be confirmed.
+
+        The links of another VM may fail again and again, which must not delay
+        the confirmation of what this VM sees itself.
+        """
+        self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
+        if suspicion is Suspicion.PEER:
+            self._confirm_at = max(self._confirm_at, self._confirm_strong_at)
+        else:
+            self._confirm_at = now + self._interval_s
+
+    def _judge_peer_report(self) -> None:
+        """Drops a report that arrived before the confirmation began."""
+        if (self._peer_reported_at or 0.0) <= self._confirmation_began_at:
+            self._peer_reported_at = None
+
     def record_partition(self, now: float) -> None:
         """Records that a suspicion was confirmed."""
+        self._peer_reported_at = None
         self._meters.links.add("partitioned")
         self._partitioned_since = now
         self._interval_s = CONFIRMATION_INTERVAL_S
@@ -329,45 +349,7 @@
         self._broken_at.clear()
         self._failed_in_a_row = 0
         # Others of the domain may report their partition for a moment.
-        self._has_partitioned_peer = False
+        self._peer_reported_at = None
         self._confirm_at = now + CONFIRMATION_INTERVAL_S
         self._confirm_strong_at = self._confirm_at
         return True
-
-
-def in_service(table: targets.TargetTable) -> list[targets.Target]:
-    """Returns the upstreams that may be tried: those that aren't leaving.
-
-    An evacuated failure domain must get nothing at all.
-    """
-    return [
-        target
-        for target in table.by_id.values()
-        if target.leaving_since is None and not target.is_replaced
-    ]
-
-
-def sample(
-    table: targets.TargetTable,
-    per_domain: int = CONFIRMED_PER_DOMAIN,
-    other_than: collections.abc.Collection[str] = (),
-) -> list[str]:
-    """Returns addresses of random upstreams of each failure domain.
-
-    Args:
-        table: The upstreams.
-        per_domain: Upstreams of each domain.
-        other_than: Addresses that are left out.
-    """
-    by_domain: dict[ids.FailureDomain, list[str]] = {}
-    for target in in_service(table):
-        if target.upstream.address not in other_than:
-            group = by_domain.setdefault(target.upstream.failure_domain, [])
-            group.append(target.upstream.address)
-    sampled = [
-        address
-        for group in by_domain.values()
-        for address in random.sample(group, min(per_domain, len(group)))
-    ]
-    random.shuffle(sampled)
-    return sampled
--- a/tests/unit/test_forward_selection.py
+++ b/tests/unit/test_forward_selection.py
@@ -16,6 +16,7 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
+from swiftstile.gateway import upstream_sampling
 from tests import gateway_builders as builders
 
 _NOW = 100.0
@@ -235,7 +236,7 @@
 
 def _reaches_any(table: targets.TargetTable, down: set[str]) -> bool:
     """Returns whether an upstream that is tried can be reached."""
-    return bool(set(upstream_links.sample(table)) - down)
+    return bool(set(upstream_sampling.sample(table)) - down)
 
 
 @pytest.mark.parametrize("seed", range(20))
--- a/tests/unit/test_upstream_links.py
+++ b/tests/unit/test_upstream_links.py
@@ -4,6 +4,7 @@
 
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
+from swiftstile.gateway import upstream_sampling
 from tests import gateway_builders as builders
 
 _LinkState = upstream_links.LinkState
@@ -163,6 +164,49 @@
     assert links.suspicion(6.0) is _Suspicion.PEER
 
 
+def test_refuted_reports_of_one_vm_delay_no_other_confirmation():
+    """After four of them, two failed connections were noticed after 5.1 s."""
+    links = upstream_links.UpstreamLinks()
+    for number in range(4):
+        now = 2.5 * number
+        links.note_partitioned_peer("vm-3", now)
+        assert links.suspicion(now) is _Suspicion.PEER
+        links.begin_confirmation(now, _Suspicion.PEER)
+        links.refute(now, _Suspicion.PEER)
+    links.on_open_failed("a:1", 7.6)
+    links.on_open_failed("b:1", 7.6)
+    links.on_received("c:1", -5.0, 8.5)
+    later = 7.5 + upstream_links.CONFIRMATION_INTERVAL_S
+    assert links.suspicion(later) is _Suspicion.FAILURES
+
+
+def test_a_report_of_a_partition_counts_until_a_confirmation_is_judged():
+    """It was lost if the process paused or no upstream was known."""
+    links = upstream_links.UpstreamLinks()
+    links.note_partitioned_peer("vm-3", 1.0)
+    links.begin_confirmation(1.0, _Suspicion.PEER)
+    assert links.suspicion(1.5) is _Suspicion.NONE
+    assert links.suspicion(2.1) is _Suspicion.PEER
+    links.begin_confirmation(2.1, _Suspicion.PEER)
+    # Arrives during the confirmation, so this doesn't answer it.
+    links.note_partitioned_peer("vm-6", 2.2)
+    links.refute(2.3, _Suspicion.PEER)
+    assert links.suspicion(3.4) is _Suspicion.PEER
+    links.begin_confirmation(3.4, _Suspicion.PEER)
+    links.refute(3.5, _Suspicion.PEER)
+    assert links.suspicion(4.6) is _Suspicion.NONE
+
+
+def test_an_idle_vm_has_no_strong_evidence_by_silence():
+    """Its refuted suspicions were confirmed anew each second."""
+    links = _refuted_often(0.0)
+    links.on_sent("a:1", 0.1)
+    links.on_received("a:1", -1.0, 0.2)
+    links.on_open_failed("b:1", 1.1)
+    links.on_open_failed("c:1", 1.1)
+    assert links.suspicion(1.2) is _Suspicion.NONE
+
+
 def test_existing_connections_that_deliver_data_are_used_on():
     links = _partitioned(0.0)
     links.on_received("a:1", -1.0, 1.0)
@@ -208,11 +252,11 @@
             0.0,
         )
     table.mark_unregistered("u-0", 0.0)
-    sampled = upstream_links.sample(table, 2, {"u-1:1"})
+    sampled = upstream_sampling.sample(table, 2, {"u-1:1"})
     assert len(sampled) == 4
     assert not {"u-0:1", "u-1:1"} & set(sampled)
     table.evacuate(builders.AWAY, 0.0)
-    sampled = upstream_links.sample(table)
+    sampled = upstream_sampling.sample(table)
     domains_by_address = {
         target.upstream.address: target.upstream.failure_domain
         for target in table.by_id.values()
