--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import connections
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
+from swiftstile.gateway import upstream_sampling
 
 __all__ = ["LinkProber"]
 
@@ -78,17 +79,36 @@
 
     async def _confirm(self, suspicion: upstream_links.Suspicion) -> None:
         began = clocks.monotonic()
-        self._links.begin_confirmation(began)
-        sampled = upstream_links.sample(self._target_table)
+        if suspicion is upstream_links.Suspicion.ONE_FAILURE:
+            self._links.begin_trial(began)
+            if len(upstream_sampling.in_service(self._target_table)) <= 1:
+                # The only upstream may have crashed.
+                return
+            if await self._reaches_others():
+                self._links.note_reached(clocks.monotonic())
+                return
+            began = clocks.monotonic()
+        self._links.begin_confirmation(began, suspicion)
+        sampled = upstream_sampling.sample(self._target_table)
         if not sampled:
             return
-        # Where connections live and deliver nothing, new ones may open, too.
-        is_silent = suspicion is upstream_links.Suspicion.SILENCE
-        check = self._answers if is_silent else self._pool.opens
-        if await self._any_passes(sampled, check):
-            self._links.refute(clocks.monotonic())
-            return
+        if suspicion is upstream_links.Suspicion.SILENCE:
+            # Where connections live and deliver nothing, new ones may open.
+            check = self._answers
+        else:
+            check = self._works
+        is_reached = await self._any_passes(sampled, check)
         ended = clocks.monotonic()
+        logs.logger.info(
+            "upstreams tried",
+            why=suspicion.value,
+            reached=is_reached,
+            took_ms=clocks.milliseconds(ended - began),
+            data_age_ms=self._links.data_age_ms(ended),
+        )
+        if is_reached:
+            self._links.refute(ended, suspicion)
+            return
         if ended - began > 2 * connections.CONNECT_TIMEOUT_S + _STALL_S:
             logs.logger.info(
                 "links not judged after a pause", for_s=round(ended - began, 3)
@@ -97,6 +117,16 @@
         self._links.record_partition(ended)
         self._notify()
 
+    async def _reaches_others(self) -> bool:
+        """Returns whether new connections to upstreams that didn't fail work.
+
+        One of each domain is tried. False if new connections to all failed.
+        """
+        others = upstream_sampling.sample(
+            self._target_table, 1, self._links.failed_addresses
+        )
+        return await self._any_passes(others, self._works)
+
     async def reaches_another(self, address: str) -> bool:
         """Returns whether any upstream but the one at an address answers.
 
@@ -104,9 +134,32 @@
         """
         if self._links.is_partitioned:
             return False
-        others = upstream_links.sample(self._target_table, other_than={address})
+        others = upstream_sampling.sample(
+            self._target_table, other_than={address}
+        )
         return await self._any_passes(others, self._answers)
 
+    async def _works(self, address: str) -> bool:
+        """Returns whether new connections to an upstream work.
+
+        A full upstream may not answer a health check in time. A connection
+        that stays open shows the same if other connections deliver data, but
+        not otherwise: the host or a device on the path accepts connections
+        that the server, or a cut, resets later.
+        """
+        began = clocks.monotonic()
+        answers = asyncio.create_task(self._answers(address))
+        stays_open = asyncio.create_task(
+            self._pool.opens(address, connections.CONNECT_TIMEOUT_S)
+        )
+        try:
+            if await answers:
+                return True
+            return await stays_open and self._links.received_at > began
+        finally:
+            answers.cancel()
+            stays_open.cancel()
+
     async def _answers(self, address: str) -> bool:
         target = self._target_table.at_address(address)
         if target is None:
@@ -145,7 +198,7 @@
         """Tries some upstreams and ends the partition if they answer."""
         addresses = [
             target.upstream.address
-            for target in upstream_links.in_service(self._target_table)
+            for target in upstream_sampling.in_service(self._target_table)
         ]
         count = min(_TRIED_AT_ONCE, len(addresses))
         tried = random.sample(addresses, count)
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -7,44 +7,51 @@
 An upstream that fails says nothing about the others, and a service may lose all
 of its upstreams at once. So failures only raise a suspicion, which is confirmed
 by trying upstreams of each failure domain: any that can be reached refutes it.
+The VMs of a domain often lose their upstreams together, so a VM also suspects
+that it lost its own when another one of its domain reports it.
 A partition ends when several upstreams answer on new connections.
 """
 
 import collections.abc
 import enum
-import random
 
 from swiftstile import clocks
-from swiftstile import ids
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import connections
-from swiftstile.gateway import targets
+from swiftstile.gateway import model
 
 __all__ = [
     "IsIsolated",
     "LinkState",
     "Suspicion",
     "UpstreamLinks",
-    "in_service",
     "never_isolated",
-    "sample",
 ]
 
 # Upstreams that must fail, without any success in between, to raise a
 # suspicion. A single one may have crashed.
 MIN_FAILED = 2
-# Failures older than this don't raise a suspicion.
+# A single new connection that failed, while no newer one worked, is reason to
+# try other upstreams after this long, and again after the interval. A VM that
+# rarely needs a new connection would otherwise fail a second request.
+ONE_FAILURE_DELAY_S, ONE_FAILURE_INTERVAL_S = 0.2, 2.0
+# Exchanges that failed longer ago don't raise a suspicion. A connection that
+# failed to open counts until a newer one works.
 FAILURE_TTL_S = 2.0
 # A suspicion is raised as well if requests are outstanding and no data arrives
 # from any upstream for this long. Longer than most requests take.
 SILENCE_S = 0.4
 # Minimum time between two confirmations, as each opens connections. It doubles
-# with each suspicion that is refuted, up to the maximum.
+# with each suspicion that is refuted, up to the maximum, unless the evidence is
+# strong.
 CONFIRMATION_INTERVAL_S, MAX_CONFIRMATION_INTERVAL_S = 1.0, 8.0
-# Upstreams of each failure domain that are tried to confirm a suspicion: one
-# may have crashed at the same time.
-CONFIRMED_PER_DOMAIN = 2
+# Evidence is strong if requests got no data from any upstream for this long,
+# which few requests take, or if so many connections in a row failed to open.
+# Under overload upstreams reset some connections, and others work in between.
+LONG_SILENCE_S, MANY_FAILED = 0.8, 6
+# Another VM's report of a partition is new if it hasn't said so for this long.
+PEER_REPORT_TTL_S = 2.0
 # Existing connections are used during a partition while any of them has
 # delivered data within this time.
 DATA_TTL_S = 0.5
@@ -76,8 +83,12 @@
     NONE = "none"
     # Several connections or exchanges failed.
     FAILURES = "failures"
+    # A single new connection failed; the upstream may have crashed.
+    ONE_FAILURE = "one-failure"
     # Requests are outstanding, and no data arrives.
     SILENCE = "silence"
+    # Another VM of the failure domain reports that it opens no connection.
+    PEER = "peer"
 
 
 class UpstreamLinks(connections.LinkObserver):
@@ -100,7 +111,18 @@
         self._proven_at = float("-inf")
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
+        self._failed_in_a_row = 0
+        # Since when new connections have failed.
+        self._failing_since = 0.0
+        self._partitioned_peer_at: dict[model.NodeId, float] = {}
+        # When another VM of the domain reported a partition that isn't judged.
+        self._peer_reported_at: float | None = None
+        self._confirmation_began_at = float("-inf")
         self._confirm_at = float("-inf")
+        # When a single failure may be looked into again.
+        self._try_others_at = float("-inf")
+        # When a suspicion with strong evidence may be confirmed again.
+        self._confirm_strong_at = float("-inf")
         self._interval_s = CONFIRMATION_INTERVAL_S
         self._partitioned_since: float | None = None
         # Addresses that answered on connections opened in this partition.
@@ -122,7 +144,7 @@
     def on_open_failed(self, address: str, now: float) -> None:
         """See base class."""
         self._meters.links.add("open-failed")
-        self._open_failed_at[address] = now
+        self._note_open_failed(address, now)
         self._regained.discard(address)
 
     def on_sent(self, address: str, now: float) -> None:
@@ -149,17 +171,34 @@
         device on the path may accept connections and reset them.
         """
         self._meters.links.add("broken")
-        failures = self._broken_at if is_proven else self._open_failed_at
-        failures[address] = now
+        if is_proven:
+            self._broken_at[address] = now
+        else:
+            self._note_open_failed(address, now)
+
+    def _note_open_failed(self, address: str, now: float) -> None:
+        if not self._open_failed_at:
+            self._failing_since = now
+        self._open_failed_at[address] = now
+        self._failed_in_a_row += 1
+
+    def note_partitioned_peer(self, node: model.NodeId, now: float) -> None:
+        """Records that a VM of this domain reports to be partitioned."""
+        since = self._partitioned_peer_at.get(node, float("-inf"))
+        self._partitioned_peer_at[node] = now
+        if now - since > PEER_REPORT_TTL_S:
+            self._peer_reported_at = now
 
     def _record_proof(self, opened_at: float) -> None:
         """Records that a connection opened at a time works."""
         self._proven_at = opened_at
+        self._failed_in_a_row = 0
         self._open_failed_at = {
             address: at
             for address, at in self._open_failed_at.items()
             if at > opened_at
         }
+        self._failing_since = min(self._open_failed_at.values(), default=0.0)
 
     def data_age_ms(self, now: float) -> int:
         """Returns the time since data last arrived, at most a minute."""
@@ -184,37 +223,100 @@
 
     def suspicion(self, now: float) -> Suspicion:
         """Returns the suspicion that has to be confirmed now, if any."""
-        if self.is_partitioned or now < self._confirm_at:
+        if self.is_partitioned or now < self._confirm_strong_at:
             return Suspicion.NONE
+        if self._peer_reported_at is not None:
+            return Suspicion.PEER
+        if now < self._confirm_at and not self._is_evidence_strong(now):
+            return self._one_failure(now)
         since = self._waiting_since
         if since is not None and now - since > SILENCE_S:
             return Suspicion.SILENCE
-        failed = {
+        broken = {
             address
-            for failures in (self._open_failed_at, self._broken_at)
-            for address, at in failures.items()
+            for address, at in self._broken_at.items()
             if now - at < FAILURE_TTL_S
         }
-        if len(failed) >= MIN_FAILED:
+        if len(broken | self._open_failed_at.keys()) >= MIN_FAILED:
             return Suspicion.FAILURES
+        return self._one_failure(now)
+
+    def _one_failure(self, now: float) -> Suspicion:
+        """Returns whether a new connection failed and none worked since."""
+        if (
+            self._open_failed_at
+            and now >= self._try_others_at
+            and now - self._failing_since > ONE_FAILURE_DELAY_S
+        ):
+            return Suspicion.ONE_FAILURE
         return Suspicion.NONE
 
-    def begin_confirmation(self, now: float) -> None:
+    @property
+    def failed_addresses(self) -> set[str]:
+        """Returns the upstreams that no new connection could be opened to."""
+        return set(self._open_failed_at)
+
+    def begin_trial(self, now: float) -> None:
+        """Records that others are being tried after a single failure."""
+        self._meters.links.add("one-failure")
+        self._try_others_at = now + ONE_FAILURE_INTERVAL_S
+
+    def note_reached(self, now: float) -> None:
+        """Records that new connections work, after a single failure."""
+        self._record_proof(now)
+
+    def _is_evidence_strong(self, now: float) -> bool:
+        """Whether a suspicion that was refuted is likely to be true now."""
+        # An idle VM receives nothing either, so only requests count that are
+        # outstanding or failed.
+        since = min(self._broken_at.values(), default=now)
+        if self._waiting_since is not None:
+            since = min(since, self._waiting_since)
+        return (
+            now - since > LONG_SILENCE_S or self._failed_in_a_row >= MANY_FAILED
+        )
+
+    def begin_confirmation(
+        self, now: float, suspicion: Suspicion = Suspicion.FAILURES
+    ) -> None:
         """Records that upstreams are being tried to confirm a suspicion."""
         self._meters.links.add("suspected")
-        self._confirm_at = now + self._interval_s
+        self._confirmation_began_at = now
+        self._put_off_confirmations(now, suspicion)
 
-    def refute(self, now: float) -> None:
+    def refute(
+        self, now: float, suspicion: Suspicion = Suspicion.FAILURES
+    ) -> None:
         """Records that an upstream could be reached."""
-        longer_s = 2 * self._interval_s
-        self._interval_s = min(longer_s, MAX_CONFIRMATION_INTERVAL_S)
-        self._confirm_at = now + self._interval_s
+        if suspicion is not Suspicion.PEER:
+            longer_s = 2 * self._interval_s
+            self._interval_s = min(longer_s, MAX_CONFIRMATION_INTERVAL_S)
+        self._put_off_confirmations(now, suspicion)
+        self._judge_peer_report()
         self._record_proof(now)
         self._broken_at.clear()
         self._waiting_since = None
 
+    def _put_off_confirmations(self, now: float, suspicion: Suspicion) -> None:
+        """Sets when the next suspicion may be confirmed.
+
+        The links of another VM may fail again and again, which must not delay
+        the confirmation of what this VM sees itself.
+        """
+        self._confirm_strong_at = now + CONFIRMATION_INTERVAL_S
+        if suspicion is Suspicion.PEER:
+            self._confirm_at = max(self._confirm_at, self._confirm_strong_at)
+        else:
+            self._confirm_at = now + self._interval_s
+
+    def _judge_peer_report(self) -> None:
+        """Drops a report that arrived before the confirmation began."""
+        if (self._peer_reported_at or 0.0) <= self._confirmation_began_at:
+            self._peer_reported_at = None
+
     def record_partition(self, now: float) -> None:
         """Records that a suspicion was confirmed."""
+        self._peer_reported_at = None
         self._meters.links.add("partitioned")
         self._partitioned_since = now
         self._interval_s = CONFIRMATION_INTERVAL_S
@@ -245,43 +347,9 @@
         self._waiting_since = None
         self._open_failed_at.clear()
         self._broken_at.clear()
+        self._failed_in_a_row = 0
+        # Others of the domain may report their partition for a moment.
+        self._peer_reported_at = None
         self._confirm_at = now + CONFIRMATION_INTERVAL_S
+        self._confirm_strong_at = self._confirm_at
         return True
-
-
-def in_service(table: targets.TargetTable) -> list[targets.Target]:
-    """Returns the upstreams that may be tried: those that aren't leaving.
-
-    An evacuated failure domain must get nothing at all.
-    """
-    return [
-        target
-        for target in table.by_id.values()
-        if target.leaving_since is None and not target.is_replaced
-    ]
-
-
-def sample(
-    table: targets.TargetTable,
-    per_domain: int = CONFIRMED_PER_DOMAIN,
-    other_than: collections.abc.Collection[str] = (),
-) -> list[str]:
-    """Returns addresses of random upstreams of each failure domain.
-
-    Args:
-        table: The upstreams.
-        per_domain: Upstreams of each domain.
-        other_than: Addresses that are left out.
-    """
-    by_domain: dict[ids.FailureDomain, list[str]] = {}
-    for target in in_service(table):
-        if target.upstream.address not in other_than:
-            group = by_domain.setdefault(target.upstream.failure_domain, [])
-            group.append(target.upstream.address)
-    sampled = [
-        address
-        for group in by_domain.values()
-        for address in random.sample(group, min(per_domain, len(group)))
-    ]
-    random.shuffle(sampled)
-    return sampled
--- a/tests/unit/test_forward_listener.py
+++ b/tests/unit/test_forward_listener.py
@@ -10,6 +10,7 @@
 from swiftstile import clocks
 from swiftstile import metrics
 from swiftstile.gateway import caller_requests
+from swiftstile.gateway import connections
 from swiftstile.gateway import forward_headers
 from swiftstile.gateway import forward_listener
 from swiftstile.gateway import gossip
@@ -124,10 +125,13 @@
         self._clock = clock
         self._paused_s = paused_s
 
-    async def opens(self, _address: str) -> bool:
+    async def opens(self, _address: str, _for_s: float) -> bool:
         self._clock.now += self._paused_s
         return False
 
+    async def answers(self, _address: str, _path: str) -> bool:
+        return False
+
 
 @pytest.mark.parametrize(("paused_s", "concludes"), [(0.1, True), (2.0, False)])
 def test_a_pause_of_the_process_is_not_taken_for_a_partition(
@@ -148,3 +152,150 @@
     )
     asyncio.run(prober._confirm(upstream_links.Suspicion.FAILURES))
     assert links.is_partitioned is concludes
+
+
+def _table(port: int) -> targets.TargetTable:
+    """Returns one upstream at a port of this host."""
+    table = targets.TargetTable()
+    upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
+    table.put(upstream, clocks.monotonic())
+    return table
+
+
+def _prober(
+    links: upstream_links.UpstreamLinks, table: targets.TargetTable
+) -> link_probes.LinkProber:
+    return link_probes.LinkProber(
+        links,
+        connections.ConnectionPool("", links),
+        table,
+        lambda _: "/health",
+        lambda: None,
+        lambda: None,
+    )
+
+
+class _LateResets(asyncio.Protocol):
+    """Resets connections some time after they were opened."""
+
+    AFTER_S = 0.15
+
+    def connection_made(self, transport) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.AFTER_S, transport.abort)
+
+
+@pytest.mark.parametrize("others_deliver", [False, True])
+def test_connections_that_are_reset_late_refute_no_suspicion(others_deliver):
+    """A busy host opened connections and reset them after 30 ms.
+
+    A VM took that for a working path and noticed a cut after 5 s.
+    """
+
+    async def confirm() -> bool:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(_LateResets, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        links = upstream_links.UpstreamLinks()
+        prober = _prober(links, _table(port))
+        now = clocks.monotonic()
+        if others_deliver:
+            # Existing connections live.
+            loop.call_later(0.05, links.on_received, "u-2:1", -1.0, now + 0.05)
+        await prober._confirm(upstream_links.Suspicion.FAILURES)
+        server.close()
+        return links.is_partitioned
+
+    assert asyncio.run(confirm())
+
+
+class _Healthy(asyncio.Protocol):
+    """Answers each request."""
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "is_cut", "concludes"),
+    [(1, True, False), (3, False, False), (3, True, True)],
+)
+def test_one_failed_connection_leads_to_a_trial_of_others(
+    upstreams, is_cut, concludes
+):
+    """A VM that rarely opens connections noticed a cut after 7 s."""
+
+    async def confirm() -> bool:
+        loop = asyncio.get_running_loop()
+        protocol = _LateResets if is_cut else _Healthy
+        links = upstream_links.UpstreamLinks()
+        table = targets.TargetTable()
+        servers = []
+        for number in range(upstreams):
+            server = await loop.create_server(protocol, "127.0.0.1", 0)
+            servers.append(server)
+            host, port = server.sockets[0].getsockname()
+            address = f"{host}:{port}"
+            upstream = builders.upstream(f"u-{number}", address=address)
+            table.put(upstream, clocks.monotonic())
+        links.on_open_failed(address, clocks.monotonic())
+        prober = _prober(links, table)
+        await prober._confirm(upstream_links.Suspicion.ONE_FAILURE)
+        for server in servers:
+            server.close()
+        return links.is_partitioned
+
+    assert asyncio.run(confirm()) is concludes
+
+
+def test_a_full_upstream_that_keeps_connections_open_refutes_a_suspicion():
+    """It answers no health check, and others deliver data."""
+
+    async def confirm() -> bool:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        links = upstream_links.UpstreamLinks()
+        prober = _prober(links, _table(port))
+        now = clocks.monotonic()
+        loop.call_later(0.2, links.on_received, "u-2:1", -1.0, now + 0.2)
+        await prober._confirm(upstream_links.Suspicion.FAILURES)
+        server.close()
+        return links.is_partitioned
+
+    assert not asyncio.run(confirm())
+
+
+@pytest.mark.parametrize(("upstreams", "concludes"), [(1, False), (4, True)])
+def test_a_trial_that_tries_nothing_keeps_the_evidence(upstreams, concludes):
+    """All new connections failed while old ones delivered data.
+
+    After refuted suspicions, a trial found no upstream that hadn't failed and
+    counted this as a proof that new connections work.
+    """
+    links = upstream_links.UpstreamLinks()
+    now = clocks.monotonic()
+    for _ in range(4):
+        links.begin_confirmation(now - 3.0)
+        links.refute(now - 3.0)
+    table = targets.TargetTable()
+    for number in range(upstreams):
+        address = f"u-{number}:1"
+        table.put(builders.upstream(f"u-{number}", address=address), now)
+        links.on_open_failed(address, now - 1.0)
+    links.on_received("u-0:1", now - 9.0, now)
+    assert links.suspicion(now) is upstream_links.Suspicion.ONE_FAILURE
+    prober = link_probes.LinkProber(
+        links,
+        _DeadPool(types.SimpleNamespace(now=now), 0.0),
+        table,
+        lambda _: "/health",
+        lambda: None,
+        lambda: None,
+    )
+    asyncio.run(prober._confirm(upstream_links.Suspicion.ONE_FAILURE))
+    assert len(links.failed_addresses) == upstreams
+    assert links.is_partitioned is concludes
--- a/tests/unit/test_forward_selection.py
+++ b/tests/unit/test_forward_selection.py
@@ -3,16 +3,20 @@
 import collections
 import random
 
+import msgspec
 import pytest
 
 from swiftstile import metrics
+from swiftstile.gateway import arbiter_selection
 from swiftstile.gateway import forward_headers
 from swiftstile.gateway import forward_selection
+from swiftstile.gateway import forwarding
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
+from swiftstile.gateway import upstream_sampling
 from tests import gateway_builders as builders
 
 _NOW = 100.0
@@ -90,6 +94,117 @@
     assert selector.has_any(later)
 
 
+@pytest.mark.parametrize(
+    ("vms", "unaware_vms"),
+    [
+        (vms, unaware_vms)
+        for vms in (9, 12, 60, 200)
+        for unaware_vms in (1, 3, 5)
+        if unaware_vms < vms // len(_DOMAINS)
+    ],
+)
+def test_a_cut_domain_asks_others_although_some_vms_of_it_do_not_know(
+    vms, unaware_vms
+):
+    """The last VMs to notice the cut refuse what the others forward to them.
+
+    They asked nobody else: `forward: 0 VMs asked`. With three such VMs, all
+    that were asked for a request could be among them.
+    """
+    random.seed(7)
+    domain = set(range(0, vms, len(_DOMAINS)))
+    cut = set(sorted(domain)[:-unaware_vms])
+    unaware = {f"vm-{number}" for number in domain - cut}
+    served = 0
+    for number in sorted(cut):
+        selector = forward_selection.ForwardSelector(_peers(number, vms, cut))
+        for request in range(20):
+            tried, now = set(), _NOW + request / 50
+            while len(tried) < forwarding.MAX_ASKED_VMS:
+                peer = selector.choose(tried, now)
+                if peer is None:
+                    break
+                if peer.row.node not in unaware:
+                    served += 1
+                    break
+                tried.add(peer.row.node)
+                selector.avoid(peer.row.node, now)
+    assert served == 20 * len(cut)
+
+
+@pytest.mark.parametrize("vms", [12, 60, 200])
+def test_the_last_connected_vm_of_a_domain_is_not_given_all_requests(vms):
+    """It would get those of up to 66 VMs and refuse most of them."""
+    domain = set(range(0, vms, len(_DOMAINS)))
+    last = max(domain)
+    carried = _carried(vms, domain - {last}, 20)
+    limit = forward_selection.MAX_PREFERRED_REQUESTS
+    assert carried[f"vm-{last}"] <= limit + len(domain)
+    others = [n for node, n in carried.items() if node != f"vm-{last}"]
+    assert len(others) == vms - len(domain)
+    assert max(others) <= 1.5 * sum(others) / len(others) + 2
+
+
+def _peers_of_isolated_domain(vms: int) -> gossip.Peers:
+    """Returns what a VM of d-0, which is cut, knows while d-1 is, too."""
+    peers = _peers(0, vms, set(range(0, vms, len(_DOMAINS))))
+    # Of other domains only readers' reports arrive.
+    for number in range(vms):
+        if number % len(_DOMAINS) and number >= 6:
+            peers.by_node[model.NodeId(f"vm-{number}")].report = None
+    for number in (1, 4):
+        peer = peers.by_node[model.NodeId(f"vm-{number}")]
+        peer.report = msgspec.structs.replace(
+            peer.report, isolated_domains=["d-1"]
+        )
+    return peers
+
+
+@pytest.mark.parametrize("vms", [60, 200])
+def test_an_isolated_domain_has_no_arbiters(vms):
+    """Its VMs judge upstreams by links that they lost."""
+    selector = arbiter_selection.ArbiterSelector(
+        _peers_of_isolated_domain(vms), lambda: False, None
+    )
+    assert selector.arbiter_in_domain("d-1", "u-1", _NOW) == (None, False)
+    assert selector.arbiter_in_domain("d-2", "u-1", _NOW)[0] is not None
+
+
+@pytest.mark.parametrize("vms", [60, 200])
+def test_a_domain_that_reports_to_be_isolated_is_not_asked(vms):
+    """Its VMs refuse: three that are asked may all be of such a domain."""
+    peers = _peers_of_isolated_domain(vms)
+    selector = forward_selection.ForwardSelector(peers)
+    asked = {selector.choose((), _NOW).row.domain for _ in range(50)}
+    assert asked == {"d-2"}
+
+
+def test_an_outdated_report_of_isolation_does_not_exclude_a_vm():
+    """A former leader keeps the last report that each VM sent to it."""
+    vms = 60
+    cut = set(range(0, vms, len(_DOMAINS)))
+    peers = _peers(0, vms, set(range(vms)))
+    for number in set(range(vms)) - cut:
+        peers.by_node[model.NodeId(f"vm-{number}")].received_at = 50.0
+    selector = forward_selection.ForwardSelector(peers)
+    asked = {selector.choose((), _NOW).row.node for _ in range(500)}
+    assert len(asked) == vms - len(cut)
+
+
+def test_a_vm_that_opens_no_connections_is_asked_last():
+    """It refuses what no existing connection can take."""
+    peers = _peers(0, 9, {0, 3})
+    for number in range(6, 9):
+        peer = peers.by_node[model.NodeId(f"vm-{number}")]
+        peer.report = msgspec.structs.replace(peer.report, is_partitioned=True)
+    selector = forward_selection.ForwardSelector(peers)
+    asked = {selector.choose((), _NOW).row.node for _ in range(100)}
+    others = {f"vm-{number}" for number in (1, 2, 4, 5)}
+    assert asked == others
+    last = {selector.choose(others, _NOW).row.node for _ in range(100)}
+    assert last == {"vm-6", "vm-7", "vm-8"}
+
+
 def test_none_is_asked_if_all_are_isolated():
     selector = forward_selection.ForwardSelector(_peers(0, 4, {0, 1, 2, 3}))
     assert selector.choose((), _NOW) is None
@@ -121,7 +236,7 @@
 
 def _reaches_any(table: targets.TargetTable, down: set[str]) -> bool:
     """Returns whether an upstream that is tried can be reached."""
-    return bool(set(upstream_links.sample(table)) - down)
+    return bool(set(upstream_sampling.sample(table)) - down)
 
 
 @pytest.mark.parametrize("seed", range(20))
