Readers get overdue key maps from the leader and call the store anew

Cause: a long poll that the store drops without an answer ends only by its timeout, 4.6 s. Until then no row of the `state` table reaches a domain whose readers' polls were dropped; VMs with the old key map can't renew.

Change: a VM that reads the store compares the versions that the leader reports with those that the store returned. A reader whose calls fail goes on publishing which rows it has, with an age on which no VM relies, so that others can fetch them.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -25,6 +25,7 @@
 from swiftstile.gateway import key_load
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import map_catch_up as map_catch_up_lib
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
 from swiftstile.gateway import ratelimits
@@ -78,6 +79,7 @@
         followers: dict[str, follow.TableFollower],
         store_readers: readers.StoreReaders,
         row_relay: relay.RowRelay,
+        map_catch_up: map_catch_up_lib.MapCatchUp,
         server: links.ControlServer,
         retry_budget: budget.RetryBudget,
         speed_table: speeds.SpeedTable,
@@ -113,6 +115,7 @@
         self._followers = followers
         self._store_readers = store_readers
         self._relay = row_relay
+        self._map_catch_up = map_catch_up
         self._server = server
         self._budget = retry_budget
         self._speed_table = speed_table
@@ -144,6 +147,7 @@
             self._peers.run(self._report),
             self._server.run(),
             self._relay.run(),
+            self._map_catch_up.run(),
             self._renewer.run(),
             self._vm_membership.run(),
             self._gate.run(),
@@ -240,7 +244,7 @@
             # Measurements are attached when the report is sent.
             {},
             {},
-            self._map_versions(),
+            self.map_versions(),
             self._renewer.leaving_holds(now),
             sorted(self._renewer.unreachable),
             self._statuses_to_publish(now) if is_full else {},
@@ -258,7 +262,7 @@
             ),
         )
 
-    def _map_versions(self) -> dict[ids.ServiceName, int]:
+    def map_versions(self) -> dict[ids.ServiceName, int]:
         """Returns the versions of the key maps to report.
 
         Others renew by the versions that the leader reports.
--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -29,6 +29,9 @@
 # responding before they were written knows that it did by then.
 ANNOUNCE_S = WATCH_S + freshness.ANSWER_MARGIN_S
 
+# Age of a status that only says which rows a VM has: no VM relies on it.
+UNRELIABLE_AGE_S = 60.0
+
 # Backoff after failures: the first pause is short, since single answers get
 # lost; the maximum keeps all VMs from flooding a store that recovers.
 INITIAL_BACKOFF_S = 0.05
@@ -74,6 +77,7 @@
         rows: Rows by key.
         version: Newest version of the store that was seen.
         row_version: Newest version of a row of this table.
+        store_version: Newest version that the store itself returned to this VM.
         answered_at: When a call last succeeded.
         contact_at: When the last call that succeeded was sent; the rows are at
             least as new as that.
@@ -105,6 +109,7 @@
         self.rows: dict[str, interfaces.Change] = {}
         self.version = 0
         self.row_version = 0
+        self.store_version = 0
         self.contact_at = 0.0
         self.answered_at = 0.0
         self.failing_since: float | None = None
@@ -128,6 +133,11 @@
         self._freshness = freshness.Freshness(name)
         # Cancels the step in progress.
         self._step_timeout: asyncio.Timeout | None = None
+        # When the long poll in progress began; None while there is none.
+        self._long_poll_began_at: float | None = None
+        # The next call asks for changes at once and isn't cancelled for rows of
+        # a peer, so that a store that stays silent is noticed.
+        self._asks_at_once = False
         # Versions at which rows were removed, by key, oldest first.
         self._removed: dict[str, int] = {}
         # `_removed` has all rows that were removed after this version.
@@ -176,8 +186,25 @@
             self._step_timeout = None
         return True
 
+    def call_anew(self, now: float, min_age_s: float) -> bool:
+        """Replaces a long poll whose answer is overdue by a call without wait.
+
+        Args:
+            now: The time.
+            min_age_s: Younger calls may still be answered, in seconds.
+
+        Returns:
+            Whether a call was replaced.
+        """
+        began_at = self._long_poll_began_at
+        if began_at is None or now - began_at <= min_age_s:
+            return False
+        self._cancel_step()
+        self._asks_at_once = True
+        return True
+
     def _cancel_step(self) -> None:
-        if self._step_timeout is not None:
+        if self._step_timeout is not None and not self._asks_at_once:
             self._step_timeout.reschedule(asyncio.get_running_loop().time())
             self._step_timeout = None
 
@@ -186,9 +213,7 @@
             await self._reload()
             return
         asked_at = clocks.monotonic()
-        changes = await self._table.wait_for_changes(
-            self.version, self._watch_s()
-        )
+        changes = await self._ask_for_changes(asked_at)
         if changes is None:
             logs.logger.info(
                 "change history expired, reading the whole table",
@@ -197,6 +222,7 @@
             )
             await self._reload()
             return
+        self.store_version = max(self.store_version, changes.version)
         if changes.version < self.version:
             # A peer's rows arrived first. They include these, and the removal
             # of some of them.
@@ -208,9 +234,20 @@
             # Changes during the pause come with the next call.
             await asyncio.sleep(self._pause_after_change_s())
 
+    async def _ask_for_changes(self, now: float) -> interfaces.Snapshot | None:
+        watch_s = 0.0 if self._asks_at_once else self._watch_s()
+        self._long_poll_began_at = now if watch_s else None
+        try:
+            return await self._table.wait_for_changes(self.version, watch_s)
+        finally:
+            self._long_poll_began_at = None
+            if not watch_s:
+                self._asks_at_once = False
+
     async def _reload(self) -> None:
         asked_at = self.version
         snapshot = await self._table.read_all()
+        self.store_version = max(self.store_version, snapshot.version)
         if self.is_loaded and asked_at <= snapshot.version < self.version:
             # A peer's rows arrived first, and the store's answer wasn't stale.
             return
@@ -297,7 +334,12 @@
         """Returns the status to publish to peers; None if there is none."""
         if not self._should_publish(now):
             return None
-        if self.failing_since is not None or self.follows_peers(now):
+        if self.failing_since is not None:
+            if now - self._newest_row_at > ANNOUNCE_S:
+                return None
+            # Others can fetch these rows here, but may not rely on this VM.
+            return reports.TableStatus(self.row_version, UNRELIABLE_AGE_S)
+        if self.follows_peers(now):
             return None
         age_s = round(now - self.answered_at, 2)
         return reports.TableStatus(self.row_version, age_s)
--- a/src/swiftstile/gateway/readers.py
+++ b/src/swiftstile/gateway/readers.py
@@ -61,12 +61,18 @@
         # State of the last refresh, and its time.
         self._refreshed_at = -1.0
         self._is_large_domain = self._is_reader = False
+        self._rank = 0
 
     def is_reader(self, now: float) -> bool:
         """Whether this VM reads the store on behalf of its domain."""
         self._refresh(now)
         return self._is_reader
 
+    def rank(self, now: float) -> int:
+        """Returns how many readers of the domain come before this VM."""
+        self._refresh(now)
+        return self._rank
+
     def must_read_store(self, table: str, watch_s: float, now: float) -> bool:
         """Whether this VM has to call the store for a table itself.
 
@@ -107,6 +113,7 @@
             for peer in live[: dissemination.READERS_PER_DOMAIN]
             if dissemination.reader_order(peer.row) < own
         ]
+        self._rank = len(before)
         is_among_first = len(before) < dissemination.READERS_PER_DOMAIN
         self._is_reader = not self._is_large_domain or is_among_first
 
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -110,6 +110,32 @@
             if _should_ask_peer(follower, now):
                 self._start_fetch(peer.row.address, follower)
 
+    def fetch(
+        self,
+        follower: follow.TableFollower,
+        leader: reports.Peer | None,
+        now: float,
+    ) -> None:
+        """Fetches rows from a near VM that is ahead, or else from the leader.
+
+        Args:
+            follower: The follower that lacks them.
+            leader: The leader, if it is known.
+            now: The time.
+        """
+        near = self._peers.topology.near
+        ahead = [
+            peer
+            for peer in reports.live_peers(near, now)
+            if _has_newer(peer, follower)
+        ]
+        if not ahead and leader is not None:
+            ahead = [leader]
+        if ahead:
+            self._next_peer += 1
+            peer = ahead[self._next_peer % len(ahead)]
+            self._start_fetch(peer.row.address, follower)
+
     def _start_fetch(
         self, address: str, follower: follow.TableFollower
     ) -> None:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -35,6 +35,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import map_catch_up
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
@@ -169,16 +170,17 @@
         self._readers = readers.StoreReaders(
             self._peers, lambda: self._leadership.is_leader
         )
+        self._state_readers = readers.StoreReaders(
+            self._peers,
+            lambda: self._leadership.is_leader,
+            readers.MAX_INDEPENDENT_VMS_FOR_STATE,
+        )
         self._outage = outage.Outage()
         self._state = follow.TableFollower(
             "state",
             adapters.state,
             self._apply_state,
-            store_readers=readers.StoreReaders(
-                self._peers,
-                lambda: self._leadership.is_leader,
-                readers.MAX_INDEPENDENT_VMS_FOR_STATE,
-            ),
+            store_readers=self._state_readers,
             outage=self._outage,
         )
         self._leadership = leadership_lib.Leadership(
@@ -212,6 +214,7 @@
         )
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
+        self._map_catch_up: map_catch_up.MapCatchUp | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
 
     def build(self) -> daemon_lib.GatewayDaemon:
@@ -346,6 +349,13 @@
             _seed_addresses(self._settings.vm),
             self._meters,
         )
+        self._map_catch_up = map_catch_up.MapCatchUp(
+            self._peers,
+            self._state,
+            self._state_readers,
+            row_relay,
+            self._own_map_versions,
+        )
         self._daemon = daemon_lib.GatewayDaemon(
             self._node,
             frontend.Frontend(self._settings.vm.listen, handler, self._meters),
@@ -364,6 +374,7 @@
             followers,
             self._readers,
             row_relay,
+            self._map_catch_up,
             links.ControlServer(
                 self._settings.vm.peers,
                 row_relay,
@@ -429,6 +440,12 @@
         known = config.services_by_name.get(service) if config else None
         return known.health_path if known else "/"
 
+    def _own_map_versions(self) -> dict[ids.ServiceName, int] | None:
+        """Returns the versions that this VM reports as the leader, if it is."""
+        if not self._leadership.is_leader:
+            return None
+        return self._daemon.map_versions()
+
     def _is_leaving(self) -> bool:
         return self._daemon is not None and self._daemon.is_leaving
 
@@ -439,6 +456,7 @@
 
     def _on_report(self, peer: reports.Peer, now: float) -> None:
         self._succession.note_report(peer, now)
+        self._map_catch_up.on_report(peer, now)
         self._daemon.on_report(peer, now)
 
     def _apply_state(self, changes: list[interfaces.Change]) -> None:
--- /dev/null
+++ b/tests/unit/test_gateway_map_catch_up.py
@@ -0,0 +1,212 @@
+"""Key maps reach all VMs though the store drops long polls silently.
+
+Observed in the heating deployment: the readers' long polls got no answer while
+the leader wrote 8 key maps a second. VMs got no map for 4.6 s, could not renew,
+and grants lapsed.
+"""
+
+import asyncio
+
+import pytest
+
+from swiftstile import clocks
+from swiftstile.gateway import store_polling
+from swiftstile.gateway import store_versions
+from tests import store_site
+
+# All VMs of a domain have a map this long after its write.
+_LIMIT_S = 1.0
+
+
+def _worst_map_age(monkeypatch, vms, domains, fault, leader=0) -> float:
+    """Returns the highest age at which a VM got one of the maps.
+
+    Args:
+        monkeypatch: Replaces the clock.
+        vms: Number of VMs.
+        domains: Number of failure domains.
+        fault: Called with the site after a steady second.
+        leader: Number of the VM that leads.
+    """
+
+    async def scenario():
+        site = store_site.Site(vms, domains, leader)
+        await site.write_map()
+        site.start()
+        await asyncio.sleep(5.0)
+        fault(site)
+        written = {}
+        # 8 maps a second for 2 s, then a pause in which VMs catch up.
+        for _ in range(16):
+            written[await site.write_map()] = clocks.monotonic()
+            await asyncio.sleep(0.125)
+        await asyncio.sleep(6.0)
+        site.stop()
+        # Versions that were overwritten needn't be seen: a VM has a map once it
+        # has that one or a newer one.
+        ages = []
+        for at in written.values():
+            for vm in site.vms:
+                had_at = min(
+                    vm.seen_at.get(later, float("inf"))
+                    for later, later_at in written.items()
+                    if later_at >= at
+                )
+                ages.append(had_at - at)
+        return max(ages)
+
+    return store_site.run(monkeypatch, scenario)
+
+
+def _drop_long_polls(site: store_site.Site) -> None:
+    site.store.drop_long_polls()
+
+
+@pytest.mark.parametrize(
+    ("vms", "domains", "leader"),
+    # One and two VMs in a domain each read the table themselves. The last VM
+    # isn't a reader unless it leads.
+    [(3, 2, 0), (12, 2, 0), (12, 2, 11), (60, 4, 0)],
+)
+def test_maps_arrive_though_all_long_polls_in_progress_are_dropped(
+    monkeypatch, vms, domains, leader
+):
+    worst_s = _worst_map_age(
+        monkeypatch, vms, domains, _drop_long_polls, leader
+    )
+    assert worst_s <= _LIMIT_S
+
+
+def test_maps_arrive_though_the_store_is_silent_to_all_readers(monkeypatch):
+    def fault(site):
+        leader = site.leader.row.node
+        site.store.silent = {vm.row.node for vm in site.vms} - {leader}
+
+    assert _worst_map_age(monkeypatch, 12, 2, fault) <= _LIMIT_S
+
+
+def test_maps_arrive_though_the_second_calls_are_dropped_as_well(monkeypatch):
+    def fault(site):
+        site.store.drop_long_polls()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.5, site.store.drop_long_polls)
+        loop.call_later(1.0, site.store.drop_long_polls)
+
+    assert _worst_map_age(monkeypatch, 60, 4, fault) <= _LIMIT_S
+
+
+def test_only_readers_ask_the_leader(monkeypatch):
+    # The leader's link would be saturated if all VMs fetched maps from it.
+    async def scenario():
+        site = store_site.Site(60, 4)
+        await site.write_map()
+        site.start()
+        await asyncio.sleep(5.0)
+        leader = site.leader.row.node
+        site.store.silent = {vm.row.node for vm in site.vms} - {leader}
+        site.askers.clear()
+        for _ in range(16):
+            await site.write_map()
+            await asyncio.sleep(0.125)
+        site.stop()
+        return site
+
+    site = store_site.run(monkeypatch, scenario)
+    asked = site.askers[site.leader.row.node]
+    far = {
+        node
+        for node in asked
+        if site.vm_by_node[node].row.domain != site.leader.row.domain
+    }
+    assert len(far) <= 2 * 3
+    # A reader fetches at most once for each report of the leader.
+    assert max(asked[node] for node in far) <= 2.0 / 0.1
+
+
+def test_a_steady_store_is_not_called_anew(monkeypatch):
+    # The leader's reports are faster than the store's answers at times; maps
+    # that are late by less than the tolerance cause neither calls nor fetches.
+    async def scenario():
+        site = store_site.Site(12, 2)
+        site.store.latency_s = 0.25
+        await site.write_map()
+        site.start()
+        await asyncio.sleep(5.0)
+        site.askers.clear()
+        begin = clocks.monotonic()
+        for _ in range(24):
+            await site.write_map()
+            await asyncio.sleep(0.125)
+        calls = site.store.calls_between(begin, clocks.monotonic(), "state")
+        site.stop()
+        return site, calls
+
+    site, calls = store_site.run(monkeypatch, scenario)
+    far = [
+        node
+        for node in site.askers[site.leader.row.node]
+        if site.vm_by_node[node].row.domain != site.leader.row.domain
+    ]
+    assert not far
+    # The two readers of each domain, one of which is the leader, with one call
+    # per answer of 0.25 s.
+    assert calls <= 4 * 3.0 / 0.25 + 4
+
+
+def _versions(*reported: tuple[int, float]) -> store_polling.ReportedVersions:
+    made = store_polling.ReportedVersions()
+    for version, at in reported:
+        made.record_reported(version, at)
+    return made
+
+
+def test_the_oldest_missing_version_decides_what_is_overdue():
+    versions = _versions((5, 1.0), (6, 1.2), (5, 1.3))
+    assert versions.overdue_s(1.4) == pytest.approx(0.4)
+    versions.record_stored(5)
+    assert versions.overdue_s(1.4) == pytest.approx(0.2)
+    versions.record_stored(7)
+    assert versions.newest == 0
+    assert versions.overdue_s(9.0) == 0.0
+
+
+def test_many_missing_versions_keep_the_oldest_and_the_newest():
+    versions = _versions(*((n, float(n)) for n in range(1, 1000)))
+    assert versions.overdue_s(1000.0) == 999.0
+    assert versions.newest == 999
+
+
+def test_versions_of_a_later_generation_are_newer():
+    # The store returned from an older copy and gives lower numbers again.
+    later = store_versions.version_of(store_versions.Generation(2), 3)
+    earlier = store_versions.version_of(store_versions.Generation(1), 900)
+    versions = _versions((earlier, 1.0), (later, 1.1))
+    versions.record_stored(earlier)
+    assert versions.newest == later
+    # A leader that doesn't know the later generation is behind.
+    versions.record_stored(later)
+    versions.record_reported(earlier, 2.0)
+    versions.record_stored(later)
+    assert versions.newest == 0
+
+
+def test_maps_that_are_not_in_force_are_not_fetched(monkeypatch):
+    # After a return of the store the leader reports no map until it has
+    # confirmed it.
+    async def scenario():
+        site = store_site.Site(12, 2)
+        await site.write_map()
+        site.start()
+        await asyncio.sleep(5.0)
+        site.leader.map_version = None
+        site.store.drop_long_polls()
+        site.askers.clear()
+        begin = clocks.monotonic()
+        await asyncio.sleep(3.0)
+        calls = site.store.calls_between(begin, clocks.monotonic(), "state")
+        site.stop()
+        return site, calls
+
+    site, calls = store_site.run(monkeypatch, scenario)
+    assert calls == 0
+    assert not site.askers.get(site.leader.row.node)
