During outages the readers and one further VM in turn call the store

Cause: while no VM of a domain reached the store, each VM polled each table every 1.2 to 2 s. Where the store rejected the readers only, the other VMs took over all at once, relied on each other and stopped all at once, again and again.

Change: in domains of more than six VMs, a VM that isn't a reader calls the store in its turn only (store_polling.py). Turns last 0.2 s; their number comes from the uptime that the first reader reports. A VM whose call succeeds publishes its status, calls its other tables and goes on; it gives way only to VMs that come before it as readers. Waiting VMs fetch rows only from VMs of their domain, so the leader isn't asked by all. Readers back off to 0.7 s there, as others call meanwhile.

With both readers of a domain rejected one VM takes over within 1 s, also with 8 of 15 VMs rejected.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -17,6 +17,7 @@
 from swiftstile.gateway import outage as outage_lib
 from swiftstile.gateway import readers
 from swiftstile.gateway import reports
+from swiftstile.gateway import store_polling
 from swiftstile.gateway import store_versions
 
 __all__ = ["TableFollower"]
@@ -38,6 +39,9 @@
 MAX_BACKOFF_S = 0.4
 # The maximum for VMs that learn of the store's recovery from readers.
 MAX_BACKOFF_WITH_READERS_S = 1.2
+# The maximum for readers in domains where other VMs take turns: with its random
+# variation it is below the 1 s within which the recovery has to be noticed.
+MAX_BACKOFF_WITH_TURNS_S = 0.7
 # Interval of checks whether a peer still publishes a fresh status.
 PEER_CHECK_INTERVAL_S = 0.2
 # Peers' status is trusted for this long after a check, as the next check may be
@@ -68,6 +72,8 @@
         reader_watch_s: Long-poll timeout where other VMs rely on this one.
         outage: Outage state that this VM's followers share; None for a follower
             on its own.
+        turns: Limits calls while no reader reaches the store; None for no
+            limit.
         announces_changes: Whether to publish new rows to peers also where none
             relies on this VM: a peer whose call stopped responding learns by
             them that it is behind.
@@ -103,6 +109,7 @@
         store_readers: readers.StoreReaders | None = None,
         reader_watch_s: float = WATCH_S,
         outage: outage_lib.Outage | None = None,
+        turns: store_polling.PollingTurns | None = None,
         announces_changes: bool = False,
     ):
         self.name = name
@@ -126,6 +133,9 @@
         self._readers = store_readers
         self._reader_watch_s = reader_watch_s
         self._outage = outage or outage_lib.Outage()
+        self._turns = turns
+        # The store answered this VM while no reader reached it.
+        self._has_taken_over = False
         self._announces_changes = announces_changes
         # When the newest row of this table arrived.
         self._newest_row_at = float("-inf")
@@ -149,9 +159,13 @@
         while True:
             sent = clocks.monotonic()
             if self.follows_peers(sent):
+                self._has_taken_over = False
                 self._record_peer_coverage(sent)
                 await pacing.sleep_aligned(PEER_CHECK_INTERVAL_S)
                 continue
+            if not self._may_call(sent):
+                await self._outage.pause(store_polling.TURN_CHECK_S)
+                continue
             try:
                 is_done = await self._step_unless_overtaken()
             except errors.PlatformError as error:
@@ -167,6 +181,44 @@
                 # called after each of them.
                 await self._outage.pause(pause_s * random.uniform(0.7, 1.3))
 
+    def _may_call(self, now: float) -> bool:
+        """Whether to call the store; records a failure while it isn't."""
+        if not self.waits_for_turns(now):
+            return True
+        if self.failing_since is None:
+            self._record_failure(
+                errors.PlatformUnavailableError(
+                    "no VM of the domain reaches it",
+                    step="follow peers",
+                    peer=self.name,
+                )
+            )
+        return self._turns.may_call(self.name, now)
+
+    def waits_for_turns(self, now: float) -> bool:
+        """Whether this VM calls the store only when it is its turn.
+
+        Not while readers publish a fresh status but don't deliver their rows,
+        nor before the first read: few VMs start during an outage.
+        """
+        if self._turns is None or self._readers is None or not self.is_loaded:
+            return False
+        return (
+            not self._readers.always_reads(now)
+            and self._turns.has_turns(now)
+            and not self._is_substitute(now)
+            and not self.relies_on_peers(now)
+        )
+
+    def _is_substitute(self, now: float) -> bool:
+        """Whether this VM follows the store in place of the readers."""
+        max_age_s = self._reader_watch_s + readers.STATUS_MARGIN_S
+        return (
+            self._has_taken_over
+            and self.failing_since is None
+            and now - self.answered_at < max_age_s
+        )
+
     async def _step_unless_overtaken(self) -> bool:
         """Runs a step; returns whether it completed.
 
@@ -270,10 +322,12 @@
         self._complete_until = now
 
     def _max_backoff_s(self) -> float:
-        store_readers = self._readers
+        store_readers, now = self._readers, clocks.monotonic()
         longest_s = MAX_BACKOFF_WITH_READERS_S
-        if store_readers is None or store_readers.is_reader(clocks.monotonic()):
+        if store_readers is None or store_readers.is_reader(now):
             longest_s = MAX_BACKOFF_S
+            if self._turns is not None and self._turns.has_turns(now):
+                longest_s = MAX_BACKOFF_WITH_TURNS_S
         return self._outage.max_backoff_s(self.name, longest_s)
 
     def _watch_s(self) -> float:
@@ -298,9 +352,10 @@
         """Whether peers are responsible for reading the store, and do so."""
         if self._readers is None or not self.is_loaded:
             return False
-        return not self._readers.must_read_store(
-            self.name, self._reader_watch_s, now
-        )
+        arguments = [self.name, self._reader_watch_s, now]
+        if self._turns is not None:
+            arguments.append(self._is_substitute(now))
+        return not self._readers.must_read_store(*arguments)
 
     def is_lagging(self, now: float) -> bool:
         """Whether a row that a peer published is overdue."""
@@ -502,7 +557,9 @@
 
     def _record_contact(self, sent: float) -> None:
         self.contact_at = sent
-        self.answered_at = clocks.monotonic()
+        if self.failing_since is not None and self._turns is not None:
+            self._has_taken_over = True
+        self.answered_at = self._outage.reached_at = clocks.monotonic()
         self._record_recovery(self.answered_at)
         self._freshness.record_answer(self.answered_at, self._watch_s())
 
--- a/src/swiftstile/gateway/outage.py
+++ b/src/swiftstile/gateway/outage.py
@@ -16,9 +16,14 @@
 
 
 class Outage:
-    """The tables of this VM whose calls fail."""
+    """The tables of this VM whose calls fail.
+
+    Attributes:
+        reached_at: When the store last answered a call of this VM.
+    """
 
     def __init__(self):
+        self.reached_at = float("-inf")
         # Used as an ordered set; the first table is the primary.
         self._failing: dict[str, None] = {}
         self._answered = signals.Signal()
@@ -33,6 +38,15 @@
             del self._failing[table]
             self._answered.wake()
 
+    def nth_failing(self, number: int) -> str | None:
+        """Returns one of the failing tables, in rotation; None if none fails.
+
+        Args:
+            number: Selects the table; consecutive numbers select each in turn.
+        """
+        tables = list(self._failing)
+        return tables[number % len(tables)] if tables else None
+
     def max_backoff_s(self, table: str, primary_s: float) -> float:
         """Returns the maximum backoff of calls for a table.
 
--- a/src/swiftstile/gateway/readers.py
+++ b/src/swiftstile/gateway/readers.py
@@ -16,11 +16,13 @@
 __all__ = [
     "MAX_INDEPENDENT_VMS",
     "MAX_INDEPENDENT_VMS_FOR_STATE",
+    "READERS_PER_DOMAIN",
     "READER_WATCH_S",
     "STATUS_MARGIN_S",
     "StoreReaders",
 ]
 
+READERS_PER_DOMAIN = dissemination.READERS_PER_DOMAIN
 # Up to this many other VMs in a failure domain each VM reads the store itself:
 # readers would save little, and nothing depends on peers.
 MAX_INDEPENDENT_VMS = 6
@@ -73,18 +75,35 @@
         self._refresh(now)
         return self._rank
 
-    def must_read_store(self, table: str, watch_s: float, now: float) -> bool:
+    def always_reads(self, now: float) -> bool:
+        """Whether this VM calls the store whatever others do."""
+        return self._is_leader() or self.is_reader(now)
+
+    def must_read_store(
+        self,
+        table: str,
+        watch_s: float,
+        now: float,
+        is_substitute: bool = False,
+    ) -> bool:
         """Whether this VM has to call the store for a table itself.
 
         Args:
             table: Name of the table.
             watch_s: Long-poll timeout of the readers for it.
             now: The time.
+            is_substitute: It publishes its own status. It then relies only on
+                VMs that come before it as readers: two VMs that rely on each
+                other would both stop.
         """
-        if self._is_leader() or self.is_reader(now):
+        if self.always_reads(now):
             return True
+        own = dissemination.reader_order(self._peers.me)
         return not any(
             self._age_s(peer, table, now) < watch_s + STATUS_MARGIN_S
+            and (
+                not is_substitute or dissemination.reader_order(peer.row) < own
+            )
             for peer in self._live_near_peers(now)
         )
 
@@ -101,20 +120,18 @@
         if now == self._refreshed_at:
             return
         self._refreshed_at = now
-        needed = max(
-            self._max_independent_vms, dissemination.READERS_PER_DOMAIN
-        )
+        needed = max(self._max_independent_vms, READERS_PER_DOMAIN)
         live = list(itertools.islice(self._live_near_peers(now), needed))
         self._is_large_domain = len(live) >= self._max_independent_vms
         # Readers come first, so only the first few have to be checked.
         own = dissemination.reader_order(self._peers.me)
         before = [
             peer
-            for peer in live[: dissemination.READERS_PER_DOMAIN]
+            for peer in live[:READERS_PER_DOMAIN]
             if dissemination.reader_order(peer.row) < own
         ]
         self._rank = len(before)
-        is_among_first = len(before) < dissemination.READERS_PER_DOMAIN
+        is_among_first = len(before) < READERS_PER_DOMAIN
         self._is_reader = not self._is_large_domain or is_among_first
 
     @staticmethod
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -188,7 +188,11 @@
         # Other VMs of the domain may rely on readers, too, and have no newer
         # rows.
         ahead = [p for p in near if _has_newer(p, follower)]
-        candidates = [peer.row.address for peer in ahead or near or with_store]
+        others = ahead or near
+        if not follower.waits_for_turns(now):
+            # Where many VMs take turns, the readers ask on behalf of all.
+            others = others or with_store
+        candidates = [peer.row.address for peer in others]
         if not candidates and not self._peers.by_node:
             candidates = self._seeds
         if not candidates:
--- a/src/swiftstile/gateway/store_polling.py
+++ b/src/swiftstile/gateway/store_polling.py
@@ -2,7 +2,19 @@
 
 import collections
 
-__all__ = ["MAP_OVERDUE_S", "READER_STAGGER_S", "ReportedVersions"]
+from swiftstile.gateway import gossip
+from swiftstile.gateway import outage as outage_lib
+from swiftstile.gateway import readers
+from swiftstile.gateway import reports
+
+__all__ = [
+    "MAP_OVERDUE_S",
+    "READER_STAGGER_S",
+    "TURN_CHECK_S",
+    "TURN_S",
+    "PollingTurns",
+    "ReportedVersions",
+]
 
 # A row that the leader reports and the store doesn't return for this long is
 # overdue. A slow store answers within 0.25 s, and all VMs of a domain have to
@@ -12,6 +24,16 @@
 # one has fetched the rows in most cases, and the leader, which has to answer
 # the readers of all domains, isn't asked again.
 READER_STAGGER_S = 0.15
+# Duration of a turn: where the store rejects half of the VMs, the five turns
+# within the 1 s in which its recovery has to be noticed miss those that are
+# served in 1 of 32 cases at most.
+TURN_S = 0.2
+# Interval of checks whether it is this VM's turn.
+TURN_CHECK_S = 0.1
+# A VM that reached the store within this time calls it without a turn. It is
+# the readers' long poll: a VM that follows the store for others repeats its
+# calls at least this often.
+_REACHED_WITHIN_S = readers.READER_WATCH_S
 # Versions that are remembered: 8 maps a second for 8 s.
 _MAX_VERSIONS = 64
 
@@ -50,3 +72,76 @@
     def overdue_s(self, now: float) -> float:
         """Returns for how long the oldest version is missing, in seconds."""
         return now - self._reported[0][1] if self._reported else 0.0
+
+
+class PollingTurns:
+    """Decides whether a VM calls the store while no reader reaches it.
+
+    In a domain with many VMs, all of their calls during an outage would cost
+    far more than what they find out. The readers go on calling, and one of the
+    other VMs at a time, as the store may reject the readers only. A VM whose
+    call succeeds publishes its status and goes on, and the others follow it.
+
+    The number of a turn comes from the uptime in the reports of the first
+    reader, which all VMs of the domain receive; no clock is shared. VMs that
+    disagree on it for a moment make one call more or less.
+
+    Args:
+        peers: The other VMs.
+        outage: Outage state that this VM's followers share.
+    """
+
+    def __init__(self, peers: gossip.Peers, outage: outage_lib.Outage):
+        self._peers = peers
+        self._outage = outage
+        self._turn = -1
+        # Table to call in the present turn, if it is this VM's.
+        self._table_to_call: str | None = None
+
+    def has_turns(self, now: float) -> bool:
+        """Whether the domain has enough VMs to take turns."""
+        return len(self._live_near(now)) >= readers.MAX_INDEPENDENT_VMS
+
+    def may_call(self, table: str, now: float) -> bool:
+        """Whether this VM, which isn't a reader, may call the store.
+
+        Args:
+            table: Name of the table, whose failure has been recorded.
+            now: The time.
+        """
+        if now - self._outage.reached_at < _REACHED_WITHIN_S:
+            return True
+        near = self._live_near(now)
+        if len(near) < readers.MAX_INDEPENDENT_VMS:
+            return True
+        self._update_turn(near, now)
+        if self._table_to_call != table:
+            return False
+        self._table_to_call = None
+        return True
+
+    def _update_turn(self, near: list[reports.Peer], now: float) -> None:
+        first = near[0]
+        uptime_s = first.report.uptime_s + now - first.received_at
+        turn = int(uptime_s / TURN_S)
+        if turn == self._turn:
+            return
+        self._turn = turn
+        # The first VMs are the readers, as this VM isn't one.
+        nodes = [peer.row.node for peer in near[readers.READERS_PER_DOMAIN :]]
+        nodes = sorted([*nodes, self._peers.me.node])
+        rounds, number = divmod(turn, len(nodes))
+        is_own = nodes[number] == self._peers.me.node
+        # Each VM calls another table in the next round.
+        self._table_to_call = (
+            self._outage.nth_failing(rounds + number) if is_own else None
+        )
+
+    def _live_near(self, now: float) -> list[reports.Peer]:
+        """Returns the live VMs of the domain that stay, readers first."""
+        near = self._peers.topology.near
+        return [
+            peer
+            for peer in reports.live_peers(near, now)
+            if not peer.report.is_leaving
+        ]
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -52,6 +52,7 @@
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import slotplan
 from swiftstile.gateway import speeds
+from swiftstile.gateway import store_polling
 from swiftstile.gateway import succession
 from swiftstile.gateway import suspects
 from swiftstile.gateway import targets
@@ -176,12 +177,14 @@
             readers.MAX_INDEPENDENT_VMS_FOR_STATE,
         )
         self._outage = outage.Outage()
+        self._turns = store_polling.PollingTurns(self._peers, self._outage)
         self._state = follow.TableFollower(
             "state",
             adapters.state,
             self._apply_state,
             store_readers=self._state_readers,
             outage=self._outage,
+            turns=self._turns,
         )
         self._leadership = leadership_lib.Leadership(
             self._peers, adapters.state, self._state, self._links.is_isolated
@@ -257,6 +260,7 @@
             self._readers,
             readers.READER_WATCH_S,
             self._outage,
+            self._turns,
         )
         registry.follower = registrations
         self._operations = operations = follow.TableFollower(
@@ -269,6 +273,7 @@
             store_readers=readers.StoreReaders(self._peers, lambda: False),
             reader_watch_s=readers.READER_WATCH_S,
             outage=self._outage,
+            turns=self._turns,
             # Its changes have to be in force on all VMs within a time limit.
             announces_changes=True,
         )
--- a/tests/store_site.py
+++ b/tests/store_site.py
@@ -21,15 +21,16 @@
 from swiftstile.gateway import readers
 from swiftstile.gateway import relay
 from swiftstile.gateway import reports
+from swiftstile.gateway import store_polling
 from tests import gateway_builders as builders
 from tests import virtual_time
 
-__all__ = ["Site", "Store", "Vm", "run"]
+__all__ = ["NEAR_TICK_S", "TABLES", "Site", "Store", "Vm", "run"]
 
 _STORE_LATENCY_S = 0.004
 _LINK_LATENCY_S = 0.005
 # Report intervals of the product in domains of some 15 VMs.
-_NEAR_TICK_S, _LEADER_TICK_S = 0.2, 0.1
+NEAR_TICK_S, _LEADER_TICK_S = 0.2, 0.1
 # Time limits of the product's client, in addition to the long poll.
 _CALL_TIMEOUT_S, _WATCH_MARGIN_S = 0.7, 0.6
 TABLES = ("state", "registrations", "operations")
@@ -159,10 +160,12 @@
         self.is_down = False
         self.map_version: int | None = 0
         self.sequence = 0
+        self._started = clocks.monotonic()
         self.peers = gossip.Peers(row, lambda peer, now: None)
         self.meters = metrics.Meters()
         is_leader = self._is_leader
         shared = outage.Outage()
+        turns = store_polling.PollingTurns(self.peers, shared)
         common = readers.StoreReaders(self.peers, is_leader)
         own = readers.StoreReaders(
             self.peers, is_leader, readers.MAX_INDEPENDENT_VMS_FOR_STATE
@@ -177,6 +180,7 @@
                 self._apply,
                 store_readers=own,
                 outage=shared,
+                turns=turns,
             ),
             follow.TableFollower(
                 "registrations",
@@ -186,6 +190,7 @@
                 common,
                 watch_s,
                 shared,
+                turns,
             ),
             follow.TableFollower(
                 "operations",
@@ -194,6 +199,7 @@
                 store_readers=operations,
                 reader_watch_s=watch_s,
                 outage=shared,
+                turns=turns,
                 announces_changes=True,
             ),
         ]
@@ -234,7 +240,7 @@
     async def _report(self) -> None:
         while True:
             await pacing.sleep_aligned(
-                _LEADER_TICK_S if self._is_leader() else _NEAR_TICK_S
+                _LEADER_TICK_S if self._is_leader() else NEAR_TICK_S
             )
             if not self.is_down:
                 self._site.deliver(self, self.report(clocks.monotonic()))
@@ -254,6 +260,7 @@
             versions=self._map_versions(),
             tables=statuses,
             is_reader=self.state_readers.is_reader(now),
+            uptime_s=now - self._started,
         )
 
     def on_report(self, peer: reports.Peer, now: float) -> None:
--- /dev/null
+++ b/tests/unit/test_gateway_store_outage.py
@@ -0,0 +1,229 @@
+"""Calls to the store while it is away or rejects VMs, in domains of 15 VMs.
+
+Observed: 2 to 3.6 calls per VM and second, most of them during outages, in
+which every VM polled each table. Each call has a price.
+"""
+
+import asyncio
+
+import pytest
+
+from swiftstile import clocks
+from swiftstile.gateway import gossip
+from swiftstile.gateway import outage
+from swiftstile.gateway import readers
+from swiftstile.gateway import reports
+from swiftstile.gateway import store_polling
+from tests import gateway_builders as builders
+from tests import store_site
+
+_VMS, _DOMAINS = 60, 4
+# The recovery of the store is noticed within this time.
+_NOTICE_S = 1.0
+
+
+def _is_failing(vm: store_site.Vm) -> bool:
+    return any(f.failing_since is not None for f in vm.followers.values())
+
+
+async def _time_until(condition, limit_s: float = 10.0) -> float:
+    began = clocks.monotonic()
+    while not condition() and clocks.monotonic() < began + limit_s:
+        await asyncio.sleep(0.01)
+    return clocks.monotonic() - began
+
+
+async def _steady(vms: int = _VMS, domains: int = _DOMAINS) -> store_site.Site:
+    site = store_site.Site(vms, domains)
+    await site.write_map()
+    site.start()
+    await asyncio.sleep(6.0)
+    return site
+
+
+def _domains(site: store_site.Site) -> list[list[store_site.Vm]]:
+    """Returns the VMs of each domain, readers first."""
+    return [site.vms[number::_DOMAINS] for number in range(_DOMAINS)]
+
+
+def test_only_readers_and_one_vm_at_a_time_call_during_an_outage(monkeypatch):
+    async def scenario():
+        site = await _steady()
+        site.store.is_away = True
+        await asyncio.sleep(2.0)
+        site.store.calls.clear()
+        await asyncio.sleep(10.0)
+        site.stop()
+        return site
+
+    site = store_site.run(monkeypatch, scenario)
+    for _, _, *others in _domains(site):
+        nodes = {vm.row.node for vm in others}
+        calls = [
+            node
+            for (node, _), times in site.store.calls.items()
+            for _ in times
+            if node in nodes
+        ]
+        assert len(calls) <= 10.0 / store_polling.TURN_S + 1
+        # Every VM has its turn: the store may serve only some.
+        assert len(set(calls)) >= len(nodes) - 2
+
+
+def test_the_end_of_an_outage_is_noticed_in_each_domain(monkeypatch):
+    async def scenario():
+        site = await _steady()
+        site.store.is_away = True
+        await asyncio.sleep(8.0)
+        site.store.is_away = False
+        noticed_s = await _time_until(
+            lambda: all(
+                any(not _is_failing(vm) for vm in vms) for vms in _domains(site)
+            )
+        )
+        all_s = await _time_until(lambda: not any(map(_is_failing, site.vms)))
+        site.stop()
+        return noticed_s, noticed_s + all_s
+
+    noticed_s, all_s = store_site.run(monkeypatch, scenario)
+    assert noticed_s <= _NOTICE_S
+    # Others learn of it by the next report.
+    assert all_s <= _NOTICE_S + 2 * store_site.NEAR_TICK_S
+
+
+@pytest.mark.parametrize("rejected_count", [2, 8])
+def test_another_vm_takes_over_where_the_readers_are_rejected(
+    monkeypatch, rejected_count
+):
+    # With 8 of 15 VMs rejected, several turns find nothing.
+    async def scenario():
+        site = await _steady()
+        vms = _domains(site)[1]
+        rejected, served = vms[:rejected_count], vms[rejected_count:]
+        site.store.rejected = {vm.row.node for vm in rejected}
+        await _time_until(
+            lambda: all(
+                vm.followers["operations"].failing_since is not None
+                for vm in vms[:2]
+            )
+        )
+        await site.store.write("operations", "config")
+        name = f"config@{site.store.version}"
+        # Before, VMs of the domain that relied on each other stopped together.
+        taken_over_s = await _time_until(
+            lambda: all(name in vm.seen_at for vm in served)
+        )
+        others = rejected[2:]
+        all_s = await _time_until(
+            lambda: all(name in vm.seen_at for vm in others)
+        )
+        site.store.calls.clear()
+        await asyncio.sleep(5.0)
+        calls = sum(
+            len(times)
+            for (node, _), times in site.store.calls.items()
+            if node in {vm.row.node for vm in served}
+        )
+        site.stop()
+        return taken_over_s, taken_over_s + all_s, calls
+
+    taken_over_s, all_s, calls = store_site.run(monkeypatch, scenario)
+    assert taken_over_s <= _NOTICE_S
+    assert all_s <= _NOTICE_S + 2 * store_site.NEAR_TICK_S
+    # The substitute calls like a reader: two tables once a second, and the
+    # gateway's own one every 4 s. Two VMs may have taken over for a moment.
+    assert calls <= 2 * 5.0 * (1 + 1 + 0.25) + 2 * 3
+
+
+def test_turns_go_on_when_vms_of_the_domain_are_killed(monkeypatch):
+    async def scenario():
+        site = await _steady()
+        vms = _domains(site)[1]
+        site.store.is_away = True
+        await asyncio.sleep(4.0)
+        # A reader, and a third of the others.
+        for vm in [vms[0], *vms[3:7]]:
+            vm.is_down = True
+            site.store.silent.add(vm.row.node)
+        site.store.rejected = {vms[1].row.node}
+        await asyncio.sleep(1.5)
+        site.store.is_away = False
+        live = [vm for vm in vms if not vm.is_down]
+        noticed_s = await _time_until(
+            lambda: any(not _is_failing(vm) for vm in live)
+        )
+        site.stop()
+        return noticed_s
+
+    assert store_site.run(monkeypatch, scenario) <= _NOTICE_S
+
+
+def test_domains_of_six_vms_call_as_before(monkeypatch):
+    async def scenario():
+        site = await _steady(6, 1)
+        site.store.is_away = True
+        await asyncio.sleep(2.0)
+        site.store.calls.clear()
+        await asyncio.sleep(5.0)
+        site.stop()
+        return site.store.calls
+
+    calls = store_site.run(monkeypatch, scenario)
+    for number in range(6):
+        assert any(node == f"vm-{number:03d}" for node, _ in calls)
+
+
+def _turns(me: int, turn: int) -> store_polling.PollingTurns:
+    """Returns the turns of one of ten VMs, two of which are readers."""
+    rows = [builders.node_row(f"vm-{number}") for number in range(10)]
+    peers = _peers_of(rows[me], rows, turn)
+    shared = outage.Outage()
+    for table in store_site.TABLES:
+        shared.record_failure(table)
+    return store_polling.PollingTurns(peers, shared)
+
+
+def _peers_of(me: reports.NodeRow, rows, turn: int):
+    """Returns the peers of a VM, which have all reported."""
+    peers = gossip.Peers(me, lambda *_: None)
+    for row in rows:
+        if row is not me:
+            # The first reader is in the middle of the turn.
+            uptime_s = (turn + 0.5) * store_polling.TURN_S
+            report = builders.report(row, uptime_s=uptime_s)
+            peers.by_node[row.node] = builders.peer(row, report, 100.0)
+    return peers
+
+
+def test_each_turn_selects_one_vm_and_one_table():
+    selected = {}
+    for turn in range(300):
+        calls = [
+            (number, table)
+            for number in range(2, 10)
+            for turns in [_turns(number, turn)]
+            for table in store_site.TABLES
+            if turns.may_call(table, 100.0)
+        ]
+        assert len(calls) == 1
+        selected.setdefault(calls[0][0], set()).add(calls[0][1])
+    assert len(selected) == 8
+    assert all(len(tables) == 3 for tables in selected.values())
+
+
+def test_a_vm_calls_once_in_a_turn():
+    for turn in range(20):
+        turns = _turns(5, turn)
+        first = [turns.may_call(table, 100.0) for table in store_site.TABLES]
+        again = [turns.may_call(table, 100.05) for table in store_site.TABLES]
+        assert sum(first) <= 1
+        assert not any(again)
+
+
+def test_few_vms_take_no_turns():
+    rows = [builders.node_row(f"vm-{number}") for number in range(6)]
+    peers = _peers_of(rows[5], rows, 1)
+    turns = store_polling.PollingTurns(peers, outage.Outage())
+    assert readers.MAX_INDEPENDENT_VMS == 6
+    assert not turns.has_turns(100.0)
+    assert turns.may_call("state", 100.0)
