Count calls to the store; one reader of a domain follows key maps

Cause: each of the eight readers of 60 VMs in 4 domains made a call for every key map, which is the largest part of the calls while keys move. The leader also probed the store before moves though its writes and long polls had just been answered.

Change: in domains of more than six VMs the second reader takes the `state` table from the first one while that publishes a fresh status. The leader takes an answer to a write or a long poll for a probe. The counter `swiftstile.store.calls` has all calls by table and reason.

tests/assigner_parts.py: the fake follower has the new attribute.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -11,6 +11,7 @@
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import logs
+from swiftstile import metrics
 from swiftstile import pacing
 from swiftstile.gateway import freshness
 from swiftstile.gateway import interfaces
@@ -77,6 +78,7 @@
         announces_changes: Whether to publish new rows to peers also where none
             relies on this VM: a peer whose call stopped responding learns by
             them that it is behind.
+        store_calls: Counts calls by table and reason.
 
     Attributes:
         name: Name of the table, for logs.
@@ -84,6 +86,8 @@
         version: Newest version of the store that was seen.
         row_version: Newest version of a row of this table.
         store_version: Newest version that the store itself returned to this VM.
+        store_answered_at: When the store last answered, without the pause after
+            changes.
         answered_at: When a call last succeeded.
         contact_at: When the last call that succeeded was sent; the rows are at
             least as new as that.
@@ -111,12 +115,14 @@
         outage: outage_lib.Outage | None = None,
         turns: store_polling.PollingTurns | None = None,
         announces_changes: bool = False,
+        store_calls: metrics.LabelledCounter | None = None,
     ):
         self.name = name
         self.rows: dict[str, interfaces.Change] = {}
         self.version = 0
         self.row_version = 0
         self.store_version = 0
+        self.store_answered_at = float("-inf")
         self.contact_at = 0.0
         self.answered_at = 0.0
         self.failing_since: float | None = None
@@ -130,6 +136,9 @@
         self._table = table
         self._apply = apply
         self._batch_s = batch_s
+        self._store_calls = store_calls or metrics.LabelledCounter()
+        # Why the next call is made; set where a step ends.
+        self._next_reason = store_polling.Reason.POLL
         self._readers = store_readers
         self._reader_watch_s = reader_watch_s
         self._outage = outage or outage_lib.Outage()
@@ -233,6 +242,7 @@
         except TimeoutError:
             if not timeout.expired():
                 raise
+            self._next_reason = store_polling.Reason.OVERTAKEN
             return False
         finally:
             self._step_timeout = None
@@ -272,9 +282,10 @@
                 table=self.name,
                 known=self.version,
             )
+            self._next_reason = store_polling.Reason.EXPIRED
             await self._reload()
             return
-        self.store_version = max(self.store_version, changes.version)
+        self._record_store_version(changes.version)
         if changes.version < self.version:
             # A peer's rows arrived first. They include these, and the removal
             # of some of them.
@@ -284,10 +295,16 @@
         self._record_version(changes.version)
         if changes.rows:
             # Changes during the pause come with the next call.
+            self._next_reason = store_polling.Reason.CHANGE
             await asyncio.sleep(self._pause_after_change_s())
 
+    def _record_store_version(self, version: int) -> None:
+        self.store_version = max(self.store_version, version)
+        self.store_answered_at = clocks.monotonic()
+
     async def _ask_for_changes(self, now: float) -> interfaces.Snapshot | None:
         watch_s = 0.0 if self._asks_at_once else self._watch_s()
+        self._count_call()
         self._long_poll_began_at = now if watch_s else None
         try:
             return await self._table.wait_for_changes(self.version, watch_s)
@@ -298,8 +315,9 @@
 
     async def _reload(self) -> None:
         asked_at = self.version
+        self._count_call()
         snapshot = await self._table.read_all()
-        self.store_version = max(self.store_version, snapshot.version)
+        self._record_store_version(snapshot.version)
         if self.is_loaded and asked_at <= snapshot.version < self.version:
             # A peer's rows arrived first, and the store's answer wasn't stale.
             return
@@ -344,6 +362,17 @@
             return max(self._batch_s, STARTUP_BATCH_S)
         return self._batch_s
 
+    def _count_call(self) -> None:
+        reason = self._next_reason
+        if not self.is_loaded:
+            reason = store_polling.Reason.START
+        elif self.failing_since is not None:
+            reason = store_polling.Reason.OUTAGE
+        elif self._asks_at_once:
+            reason = store_polling.Reason.OVERDUE
+        self._next_reason = store_polling.Reason.POLL
+        self._store_calls.add(f"{self.name}-{reason.value}")
+
     def follows_peers(self, now: float) -> bool:
         """Whether peers publish newer rows, so that the store isn't called."""
         return self.relies_on_peers(now) and not self.is_lagging(now)
--- a/src/swiftstile/gateway/key_assigner.py
+++ b/src/swiftstile/gateway/key_assigner.py
@@ -494,7 +494,9 @@
     async def _store_answers(self) -> bool:
         """Probes the store, unless it has just answered or failed."""
         now = clocks.monotonic()
-        if now - self._store_answered_at < STORE_FRESH_S:
+        follower_at = self._follower.store_answered_at
+        answered_at = max(self._store_answered_at, follower_at)
+        if now - answered_at < STORE_FRESH_S:
             return True
         if now - self._store_failed_at < STORE_RETRY_S:
             return False
@@ -639,6 +641,7 @@
                 # map: moves restart once a write confirms the map in force.
                 self.drop_leader_state()
             return False
+        self._store_answered_at = clocks.monotonic()
         changed.version = version
         self._maps.put(self._service, changed, clocks.monotonic())
         self._meters.ownership.add(_label(reason))
--- a/src/swiftstile/gateway/map_catch_up.py
+++ b/src/swiftstile/gateway/map_catch_up.py
@@ -75,11 +75,13 @@
         own_versions = self._own_versions()
         if own_versions:
             versions.record_reported(max(own_versions.values()), now)
-        versions.record_stored(follower.store_version)
+        follows_peers = follower.follows_peers(now)
+        versions.record_stored(
+            follower.version if follows_peers else follower.store_version
+        )
         if not versions.newest or not follower.is_loaded:
             return
-        if follower.follows_peers(now):
-            versions.record_stored(follower.version)
+        if follows_peers and not self._readers.always_reads(now):
             return
         overdue_s = versions.overdue_s(now)
         if overdue_s <= store_polling.MAP_OVERDUE_S:
--- a/src/swiftstile/gateway/readers.py
+++ b/src/swiftstile/gateway/readers.py
@@ -49,6 +49,9 @@
             reads the store itself.
         max_independent_vms: Up to this many other VMs in a domain each VM reads
             the store itself.
+        has_standby: Whether the second reader relies on the first one while
+            that reaches the store, in domains of more than
+            `MAX_INDEPENDENT_VMS` other VMs.
     """
 
     def __init__(
@@ -56,13 +59,16 @@
         peers: gossip.Peers,
         is_leader,
         max_independent_vms: int = MAX_INDEPENDENT_VMS,
+        has_standby: bool = False,
     ):
         self._peers = peers
         self._is_leader = is_leader
         self._max_independent_vms = max_independent_vms
+        self._has_standby = has_standby
         # State of the last refresh, and its time.
         self._refreshed_at = -1.0
         self._is_large_domain = self._is_reader = False
+        self._is_standby = False
         self._rank = 0
 
     def is_reader(self, now: float) -> bool:
@@ -92,12 +98,16 @@
             table: Name of the table.
             watch_s: Long-poll timeout of the readers for it.
             now: The time.
-            is_substitute: It publishes its own status. It then relies only on
-                VMs that come before it as readers: two VMs that rely on each
-                other would both stop.
+            is_substitute: It publishes its own status. Like a standby, it then
+                relies only on VMs that come before it as readers: two VMs that
+                rely on each other would both stop.
         """
-        if self.always_reads(now):
+        if self._is_leader():
             return True
+        if self.is_reader(now):
+            if not self._is_standby:
+                return True
+            is_substitute = True
         own = dissemination.reader_order(self._peers.me)
         return not any(
             self._age_s(peer, table, now) < watch_s + STATUS_MARGIN_S
@@ -120,7 +130,7 @@
         if now == self._refreshed_at:
             return
         self._refreshed_at = now
-        needed = max(self._max_independent_vms, READERS_PER_DOMAIN)
+        needed = max(self._max_independent_vms, MAX_INDEPENDENT_VMS)
         live = list(itertools.islice(self._live_near_peers(now), needed))
         self._is_large_domain = len(live) >= self._max_independent_vms
         # Readers come first, so only the first few have to be checked.
@@ -133,6 +143,11 @@
         self._rank = len(before)
         is_among_first = len(before) < READERS_PER_DOMAIN
         self._is_reader = not self._is_large_domain or is_among_first
+        self._is_standby = (
+            self._has_standby
+            and self._rank > 0
+            and len(live) >= MAX_INDEPENDENT_VMS
+        )
 
     @staticmethod
     def _age_s(peer: reports.Peer, table: str, now: float) -> float:
--- a/src/swiftstile/gateway/store_polling.py
+++ b/src/swiftstile/gateway/store_polling.py
@@ -1,6 +1,7 @@
 """Decides when a VM calls the platform's store; this module does no I/O."""
 
 import collections
+import enum
 
 from swiftstile.gateway import gossip
 from swiftstile.gateway import outage as outage_lib
@@ -13,6 +14,7 @@
     "TURN_CHECK_S",
     "TURN_S",
     "PollingTurns",
+    "Reason",
     "ReportedVersions",
 ]
 
@@ -38,6 +40,30 @@
 _MAX_VERSIONS = 64
 
 
+class Reason(enum.Enum):
+    """Why a call is made; part of a metric label."""
+
+    # The table hasn't been read since the start.
+    START = "start"
+    # The call before had no change.
+    POLL = "poll"
+    # The call before had changes.
+    CHANGE = "change"
+    # The store has no changes since the known version any more.
+    EXPIRED = "expired"
+    # Rows of another VM arrived during the call before.
+    OVERTAKEN = "overtaken"
+    # The call before didn't return what the leader reports.
+    OVERDUE = "overdue"
+    # Calls fail, or no VM of the domain reaches the store.
+    OUTAGE = "outage"
+    # Whether the store answers, before keys are moved.
+    PROBE = "probe"
+    WRITE = "write"
+    # A read that finds out whether a write took effect.
+    SETTLE = "settle"
+
+
 class ReportedVersions:
     """Versions of rows that the leader reported and the store didn't return.
 
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -17,6 +17,7 @@
 from swiftstile.gateway import budget
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import connections
+from swiftstile.gateway import counted_table
 from swiftstile.gateway import crash_guard
 from swiftstile.gateway import daemon as daemon_lib
 from swiftstile.gateway import decision_log
@@ -175,6 +176,10 @@
             self._peers,
             lambda: self._leadership.is_leader,
             readers.MAX_INDEPENDENT_VMS_FOR_STATE,
+            has_standby=True,
+        )
+        self._state_table = counted_table.CountedTable(
+            "state", adapters.state, self._meters.store_calls
         )
         self._outage = outage.Outage()
         self._turns = store_polling.PollingTurns(self._peers, self._outage)
@@ -185,13 +190,14 @@
             store_readers=self._state_readers,
             outage=self._outage,
             turns=self._turns,
+            store_calls=self._meters.store_calls,
         )
         self._leadership = leadership_lib.Leadership(
-            self._peers, adapters.state, self._state, self._links.is_isolated
+            self._peers, self._state_table, self._state, self._links.is_isolated
         )
         self._succession = succession.Succession(self._leadership, self._maps)
         self._vm_membership = membership.Membership(
-            self._peers, adapters.state, self._state
+            self._peers, self._state_table, self._state
         )
         self._cold_limits = coldstart.ColdLimits(
             self._target_table,
@@ -261,6 +267,7 @@
             readers.READER_WATCH_S,
             self._outage,
             self._turns,
+            store_calls=self._meters.store_calls,
         )
         registry.follower = registrations
         self._operations = operations = follow.TableFollower(
@@ -276,6 +283,7 @@
             turns=self._turns,
             # Its changes have to be in force on all VMs within a time limit.
             announces_changes=True,
+            store_calls=self._meters.store_calls,
         )
         arbiter = arbiter_lib.Arbiter(
             self._peers,
@@ -430,7 +438,7 @@
             self._renewer,
             self._leadership,
             self._succession,
-            self._adapters.state,
+            self._state_table,
             self._state,
             self._adapters.control,
             self._authority,
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -29,6 +29,7 @@
     "advisories": ("swiftstile.upstream.advisories", "{answer}", "kind"),
     "links": ("swiftstile.upstream.links", "{event}", "kind"),
     "forwards": ("swiftstile.forwards", "{request}", "result"),
+    "store_calls": ("swiftstile.store.calls", "{call}", "reason"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
 }
 
--- a/tests/assigner_parts.py
+++ b/tests/assigner_parts.py
@@ -117,6 +117,7 @@
             version=0,
             generation=0,
             generation_seen_at=0.0,
+            store_answered_at=float("-inf"),
             rows={},
         )
         self.key_load = key_load.KeyLoadTable()
--- a/tests/store_site.py
+++ b/tests/store_site.py
@@ -10,6 +10,7 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile import gateway_wiring
 from swiftstile import ids
 from swiftstile import metrics
 from swiftstile import pacing
@@ -168,7 +169,10 @@
         turns = store_polling.PollingTurns(self.peers, shared)
         common = readers.StoreReaders(self.peers, is_leader)
         own = readers.StoreReaders(
-            self.peers, is_leader, readers.MAX_INDEPENDENT_VMS_FOR_STATE
+            self.peers,
+            is_leader,
+            readers.MAX_INDEPENDENT_VMS_FOR_STATE,
+            has_standby=True,
         )
         operations = readers.StoreReaders(self.peers, lambda: False)
         watch_s = readers.READER_WATCH_S
@@ -181,16 +185,18 @@
                 store_readers=own,
                 outage=shared,
                 turns=turns,
+                store_calls=self.meters.store_calls,
             ),
             follow.TableFollower(
                 "registrations",
                 _Table(site.store, row.node, "registrations"),
                 self._apply,
-                0.3,
+                gateway_wiring.REGISTRATIONS_BATCH_S,
                 common,
                 watch_s,
                 shared,
                 turns,
+                store_calls=self.meters.store_calls,
             ),
             follow.TableFollower(
                 "operations",
@@ -201,6 +207,7 @@
                 outage=shared,
                 turns=turns,
                 announces_changes=True,
+                store_calls=self.meters.store_calls,
             ),
         ]
         self.state_readers = own
--- a/tests/unit/test_gateway_key_assigner.py
+++ b/tests/unit/test_gateway_key_assigner.py
@@ -357,3 +357,19 @@
         assert parts.control.kept == []
 
     asyncio.run(scenario())
+
+
+def test_the_store_is_not_probed_right_after_an_answer(monkeypatch):
+    # Moves probed the store up to 16 times a second while it answered the
+    # leader's writes and long polls.
+    parts = assigner_parts.Parts()
+    clock = [1000.0]
+    monkeypatch.setattr("swiftstile.clocks.monotonic", lambda: clock[0])
+    follower = parts.assigner._follower
+    follower.store_answered_at = clock[0]
+    clock[0] += key_assigner.STORE_FRESH_S - 0.01
+    assert asyncio.run(parts.assigner._store_answers())
+    assert parts.table.probes == []
+    clock[0] += 0.02
+    assert asyncio.run(parts.assigner._store_answers())
+    assert len(parts.table.probes) == 1
