Call the store for overdue rows at most twice a second

Cause: where the store answers from a copy that lacks what the leader reports, a reader would have called it anew without a limit.

Change: calls for overdue rows are at least 0.5 s apart. The test has a leader whose version the store never returns.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -154,6 +154,7 @@
         self._step_timeout: asyncio.Timeout | None = None
         # When the long poll in progress began; None while there is none.
         self._long_poll_began_at: float | None = None
+        self._called_anew_at = float("-inf")
         # The next call asks for changes at once and isn't cancelled for rows of
         # a peer, so that a store that stays silent is noticed.
         self._asks_at_once = False
@@ -261,6 +262,9 @@
         began_at = self._long_poll_began_at
         if began_at is None or now - began_at <= min_age_s:
             return False
+        if now - self._called_anew_at < store_polling.CALL_ANEW_INTERVAL_S:
+            return False
+        self._called_anew_at = now
         self._cancel_step()
         self._asks_at_once = True
         return True
--- a/src/swiftstile/gateway/store_polling.py
+++ b/src/swiftstile/gateway/store_polling.py
@@ -9,6 +9,7 @@
 from swiftstile.gateway import reports
 
 __all__ = [
+    "CALL_ANEW_INTERVAL_S",
     "MAP_OVERDUE_S",
     "READER_STAGGER_S",
     "TURN_CHECK_S",
@@ -22,6 +23,9 @@
 # overdue. A slow store answers within 0.25 s, and all VMs of a domain have to
 # have a key map within 1 s: this time, two reports and two fetches.
 MAP_OVERDUE_S = 0.3
+# Minimum interval between calls for overdue rows. The store may answer from a
+# copy that lacks them for a while; each call has a price.
+CALL_ANEW_INTERVAL_S = 0.5
 # The second reader of a domain waits for longer by this time. By then the first
 # one has fetched the rows in most cases, and the leader, which has to answer
 # the readers of all domains, isn't asked again.
--- a/tests/unit/test_gateway_map_catch_up.py
+++ b/tests/unit/test_gateway_map_catch_up.py
@@ -153,6 +153,26 @@
     assert calls <= 4 * 3.0 / 0.25 + 4
 
 
+def test_a_store_that_lacks_reported_rows_is_called_at_intervals(monkeypatch):
+    # A copy of the store that is behind answers at once, without the row.
+    async def scenario():
+        site = store_site.Site(60, 4)
+        await site.write_map()
+        site.start()
+        await asyncio.sleep(5.0)
+        site.leader.map_version += 10
+        begin = clocks.monotonic()
+        await asyncio.sleep(10.0)
+        calls = site.store.calls_between(begin, clocks.monotonic(), "state")
+        site.stop()
+        return calls
+
+    # One reader of each domain calls anew, and then begins a long poll. The
+    # second one may do so, too.
+    limit = 8 * 2 * 10.0 / store_polling.CALL_ANEW_INTERVAL_S
+    assert store_site.run(monkeypatch, scenario) <= limit
+
+
 def _versions(*reported: tuple[int, float]) -> store_polling.ReportedVersions:
     made = store_polling.ReportedVersions()
     for version, at in reported:
