Rows of a followed table in a module of their own

Change: table_rows.py has the rows, the removed ones and the merge, as they were; behaviour is unchanged. The test of the limit of removed rows patches the constant at its new place.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -20,6 +20,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import store_polling
 from swiftstile.gateway import store_versions
+from swiftstile.gateway import table_rows
 
 __all__ = ["TableFollower"]
 
@@ -56,8 +57,6 @@
 # each change would make thousands of calls.
 STARTUP_S = 3.0
 STARTUP_BATCH_S = 0.25
-# Number of removed rows that are remembered for peers that fetch changes.
-MAX_REMOVED_ROWS = 1000
 
 
 class TableFollower:
@@ -84,7 +83,6 @@
         name: Name of the table, for logs.
         rows: Rows by key.
         version: Newest version of the store that was seen.
-        row_version: Newest version of a row of this table.
         store_version: Newest version that the store itself returned to this VM.
         store_answered_at: When the store last answered, without the pause after
             changes.
@@ -118,9 +116,9 @@
         store_calls: metrics.LabelledCounter | None = None,
     ):
         self.name = name
-        self.rows: dict[str, interfaces.Change] = {}
+        self._rows = table_rows.TableRows()
+        self.rows = self._rows.by_key
         self.version = 0
-        self.row_version = 0
         self.store_version = 0
         self.store_answered_at = float("-inf")
         self.contact_at = 0.0
@@ -146,8 +144,6 @@
         # The store answered this VM while no reader reached it.
         self._has_taken_over = False
         self._announces_changes = announces_changes
-        # When the newest row of this table arrived.
-        self._newest_row_at = float("-inf")
         self._started = clocks.monotonic()
         self._freshness = freshness.Freshness(name)
         # Cancels the step in progress.
@@ -158,10 +154,6 @@
         # The next call asks for changes at once and isn't cancelled for rows of
         # a peer, so that a store that stays silent is noticed.
         self._asks_at_once = False
-        # Versions at which rows were removed, by key, oldest first.
-        self._removed: dict[str, int] = {}
-        # `_removed` has all rows that were removed after this version.
-        self._remembers_since = 0
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -423,21 +415,23 @@
         if not self._should_publish(now):
             return None
         if self.failing_since is not None:
-            if now - self._newest_row_at > ANNOUNCE_S:
+            if now - self._rows.newest_at > ANNOUNCE_S:
                 return None
             # Others can fetch these rows here, but may not rely on this VM.
-            return reports.TableStatus(self.row_version, UNRELIABLE_AGE_S)
+            return reports.TableStatus(
+                self._rows.newest_version, UNRELIABLE_AGE_S
+            )
         if self.follows_peers(now):
             return None
         age_s = round(now - self.answered_at, 2)
-        return reports.TableStatus(self.row_version, age_s)
+        return reports.TableStatus(self._rows.newest_version, age_s)
 
     def _should_publish(self, now: float) -> bool:
         """Whether peers rely on this VM's status, or may lack new rows."""
         if self._readers is not None and self._readers.is_large_domain(now):
             return True
         return (
-            self._announces_changes and now - self._newest_row_at <= ANNOUNCE_S
+            self._announces_changes and now - self._rows.newest_at <= ANNOUNCE_S
         )
 
     def _record_peer_coverage(self, now: float) -> None:
@@ -471,13 +465,8 @@
 
     @property
     def newest_change(self) -> int:
-        """Version after which no row changed, or may have changed unseen.
-
-        Rows may have been written and removed before a whole read that changed
-        no row here. A peer that saw them written needs an answer that is as new
-        as that read.
-        """
-        return max(self.row_version, self._remembers_since)
+        """Version after which no row changed, or may have changed unseen."""
+        return self._rows.newest_change
 
     def _record_peer_rows(self, now: float) -> None:
         """Updates `earliest_change_at` for rows that arrive from a peer."""
@@ -490,15 +479,7 @@
 
     def changes_since(self, version: int) -> list[interfaces.Change] | None:
         """Returns the changes after a version; None if they aren't known."""
-        if version < self._remembers_since:
-            return None
-        changed = [row for row in self.rows.values() if row.version > version]
-        removed = [
-            interfaces.Change(key, None, at)
-            for key, at in self._removed.items()
-            if at > version
-        ]
-        return sorted(changed + removed, key=lambda row: row.version)
+        return self._rows.changes_since(version)
 
     def _replace_rows(self, snapshot: interfaces.Snapshot) -> None:
         if snapshot.version < self.version:
@@ -516,15 +497,7 @@
         generation = store_versions.generation_of(snapshot.version)
         if self.is_loaded and generation > self.generation:
             self._begin_generation(snapshot)
-        # Rows may have been written and removed since the last read, unseen
-        # here; peers that saw them have to get all rows.
-        self._remembers_since = max(self._remembers_since, snapshot.version)
-        present = {row.key for row in snapshot.rows}
-        removed = [
-            interfaces.Change(key, None, snapshot.version)
-            for key in self.rows
-            if key not in present
-        ]
+        removed = self._rows.removals_by(snapshot)
         self._record_version(snapshot.version)
         try:
             self._merge_rows(snapshot.rows + removed)
@@ -550,38 +523,13 @@
             received=store_versions.number_of(snapshot.version),
             rows=len(snapshot.rows),
         )
-        self._removed.clear()
+        self._rows.forget_removed()
 
     def _merge_rows(self, changes: list[interfaces.Change]) -> None:
-        newer = []
-        for change in changes:
-            known = self.rows.get(change.key)
-            if known is not None and known.version >= change.version:
-                continue
-            if change.version > self.row_version:
-                self.row_version = change.version
-                self._newest_row_at = clocks.monotonic()
-            if change.value is None:
-                self._remember_removed(change)
-                if known is None:
-                    continue
-                del self.rows[change.key]
-            else:
-                self._removed.pop(change.key, None)
-                self.rows[change.key] = change
-            newer.append(change)
+        newer = self._rows.merge(changes)
         if newer:
             self._apply(newer)
 
-    def _remember_removed(self, change: interfaces.Change) -> None:
-        self._removed.pop(change.key, None)
-        self._removed[change.key] = change.version
-        if len(self._removed) > MAX_REMOVED_ROWS:
-            oldest = next(iter(self._removed))
-            self._remembers_since = max(
-                self._remembers_since, self._removed.pop(oldest)
-            )
-
     def _record_failure(self, error: errors.PlatformError) -> None:
         self._outage.record_failure(self.name)
         if self.failing_since is None:
--- a/tests/unit/test_gateway_readers.py
+++ b/tests/unit/test_gateway_readers.py
@@ -14,6 +14,7 @@
 from swiftstile.gateway import readers
 from swiftstile.gateway import relay
 from swiftstile.gateway import reports
+from swiftstile.gateway import table_rows
 from swiftstile.gateway import transfers
 from swiftstile.peers import messages
 from tests import gateway_builders as builders
@@ -94,7 +95,7 @@
 
 
 def test_old_removals_are_dropped_and_all_rows_are_sent(monkeypatch):
-    monkeypatch.setattr(follow, "MAX_REMOVED_ROWS", 2)
+    monkeypatch.setattr(table_rows, "MAX_REMOVED_ROWS", 2)
     follower = _follower(lambda _: None)
     rows = [(name, b"1", 2) for name in "abcd"]
     follower.accept(_snapshot(2, *rows), True)
