Several VMs at once call the store just after a table is lost

Cause: with one VM at a time from the start, up to six turns in a row found a store that is silent to both readers and 6 of 13 other VMs, while rows that were written at the loss have time limits (2.0 and 1.5 s).

Change: for 1.5 s after the first table is lost, ceil(n/5) VMs have a turn at once, so that each has one within 1 s; then one at a time.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -531,9 +531,10 @@
             self._apply(newer)
 
     def _record_failure(self, error: errors.PlatformError) -> None:
-        self._outage.record_failure(self.name)
+        now = clocks.monotonic()
+        self._outage.record_failure(self.name, now)
         if self.failing_since is None:
-            self.failing_since = clocks.monotonic()
+            self.failing_since = now
             logs.logger.warning("table lost", table=self.name, error=str(error))
 
     def _record_contact(self, sent: float) -> None:
--- a/src/swiftstile/gateway/outage.py
+++ b/src/swiftstile/gateway/outage.py
@@ -24,13 +24,18 @@
 
     def __init__(self):
         self.reached_at = float("-inf")
-        # Used as an ordered set; the first table is the primary.
-        self._failing: dict[str, None] = {}
+        # When calls for each table began to fail, oldest first; the first table
+        # is the primary.
+        self._failing: dict[str, float] = {}
         self._answered = signals.Signal()
 
-    def record_failure(self, table: str) -> None:
+    def record_failure(self, table: str, now: float) -> None:
         """Records that a call for a table failed."""
-        self._failing.setdefault(table)
+        self._failing.setdefault(table, now)
+
+    def failing_s(self, now: float) -> float:
+        """Returns how long some table has been failing, in seconds."""
+        return now - next(iter(self._failing.values()), now)
 
     def record_answer(self, table: str) -> None:
         """Records that a call succeeded, or peers publish a table again."""
--- a/src/swiftstile/gateway/store_polling.py
+++ b/src/swiftstile/gateway/store_polling.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 
 from swiftstile import hashing
 from swiftstile.gateway import gossip
@@ -11,6 +12,7 @@
 
 __all__ = [
     "CALL_ANEW_INTERVAL_S",
+    "FIRST_TURNS_S",
     "MAP_OVERDUE_S",
     "READER_STAGGER_S",
     "TURN_CHECK_S",
@@ -35,6 +37,13 @@
 # within the 1 s in which its recovery has to be noticed miss those that are
 # served in 1 of 32 cases at most.
 TURN_S = 0.2
+# For this long after the first table is lost, several VMs have a turn at once,
+# so that each VM has one: the store may serve VMs other than the readers, and
+# rows that were written at that moment have a time limit. It is one round of
+# turns and 0.5 s, as VMs notice the loss up to two reports apart.
+FIRST_TURNS_S = 1.5
+# Turns in which each VM has one then: those within 1 s.
+_FIRST_TURNS = 5
 # Interval of checks whether it is this VM's turn.
 TURN_CHECK_S = 0.1
 # A VM that reached the store within this time calls it without a turn. It is
@@ -110,8 +119,9 @@
 
     In a domain with many VMs, all of their calls during an outage would cost
     far more than what they find out. The readers go on calling, and one of the
-    other VMs at a time, as the store may reject the readers only. A VM whose
-    call succeeds publishes its status and goes on, and the others follow it.
+    other VMs at a time, as the store may reject the readers only. Just after a
+    table is lost, a fifth of the other VMs calls at a time. A VM whose call
+    succeeds publishes its status and goes on, and the others follow it.
 
     The number of a turn comes from the uptime in the reports of the first
     reader, which all VMs of the domain receive; no clock is shared. VMs that
@@ -125,7 +135,8 @@
     def __init__(self, peers: gossip.Peers, outage: outage_lib.Outage):
         self._peers = peers
         self._outage = outage
-        self._turn = -1
+        # Number of the present turn, and how many VMs have it.
+        self._turn = (-1, 1)
         # Table to call in the present turn, if it is this VM's.
         self._table_to_call: str | None = None
 
@@ -152,21 +163,26 @@
         return True
 
     def _update_turn(self, near: list[reports.Peer], now: float) -> None:
+        # The first VMs are the readers, as this VM isn't one.
+        nodes = [peer.row.node for peer in near[readers.READERS_PER_DOMAIN :]]
+        width = 1
+        if self._outage.failing_s(now) < FIRST_TURNS_S:
+            width = math.ceil((len(nodes) + 1) / _FIRST_TURNS)
         first = near[0]
         uptime_s = first.report.uptime_s + now - first.received_at
         turn = int(uptime_s / TURN_S)
-        if turn == self._turn:
+        if (turn, width) == self._turn:
             return
-        self._turn = turn
-        # The first VMs are the readers, as this VM isn't one.
-        nodes = [peer.row.node for peer in near[readers.READERS_PER_DOMAIN :]]
+        self._turn = (turn, width)
         # VMs with similar names may be rejected together.
         nodes = sorted([*nodes, self._peers.me.node], key=hashing.text_hash)
-        rounds, number = divmod(turn, len(nodes))
-        is_own = nodes[number] == self._peers.me.node
+        rounds, number = divmod(turn, math.ceil(len(nodes) / width))
+        own = nodes.index(self._peers.me.node)
         # Each VM calls another table in the next round.
         self._table_to_call = (
-            self._outage.nth_failing(rounds + number) if is_own else None
+            self._outage.nth_failing(rounds + own)
+            if own // width == number
+            else None
         )
 
     def _live_near(self, now: float) -> list[reports.Peer]:
