Merge following the store: overdue maps from the leader, fewer calls in outages

Cause: readers' long polls that the store drops, and an outage that begins right after a key map was written, left VMs without the newest map for 4.6 to 8 s; they couldn't renew, and grants lapsed.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -11,13 +11,16 @@
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import logs
+from swiftstile import metrics
 from swiftstile import pacing
 from swiftstile.gateway import freshness
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outage as outage_lib
 from swiftstile.gateway import readers
 from swiftstile.gateway import reports
+from swiftstile.gateway import store_polling
 from swiftstile.gateway import store_versions
+from swiftstile.gateway import table_rows
 
 __all__ = ["TableFollower"]
 
@@ -29,12 +32,18 @@
 # responding before they were written knows that it did by then.
 ANNOUNCE_S = WATCH_S + freshness.ANSWER_MARGIN_S
 
+# Age of a status that only says which rows a VM has: no VM relies on it.
+UNRELIABLE_AGE_S = 60.0
+
 # Backoff after failures: the first pause is short, since single answers get
 # lost; the maximum keeps all VMs from flooding a store that recovers.
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4
 # The maximum for VMs that learn of the store's recovery from readers.
 MAX_BACKOFF_WITH_READERS_S = 1.2
+# The maximum for readers in domains where other VMs take turns: with its random
+# variation it is below the 1 s within which the recovery has to be noticed.
+MAX_BACKOFF_WITH_TURNS_S = 0.7
 # Interval of checks whether a peer still publishes a fresh status.
 PEER_CHECK_INTERVAL_S = 0.2
 # Peers' status is trusted for this long after a check, as the next check may be
@@ -48,8 +57,6 @@
 # each change would make thousands of calls.
 STARTUP_S = 3.0
 STARTUP_BATCH_S = 0.25
-# Number of removed rows that are remembered for peers that fetch changes.
-MAX_REMOVED_ROWS = 1000
 
 
 class TableFollower:
@@ -65,15 +72,20 @@
         reader_watch_s: Long-poll timeout where other VMs rely on this one.
         outage: Outage state that this VM's followers share; None for a follower
             on its own.
+        turns: Limits calls while no reader reaches the store; None for no
+            limit.
         announces_changes: Whether to publish new rows to peers also where none
             relies on this VM: a peer whose call stopped responding learns by
             them that it is behind.
+        store_calls: Counts calls by table and reason.
 
     Attributes:
         name: Name of the table, for logs.
         rows: Rows by key.
         version: Newest version of the store that was seen.
-        row_version: Newest version of a row of this table.
+        store_version: Newest version that the store itself returned to this VM.
+        store_answered_at: When the store last answered, without the pause after
+            changes.
         answered_at: When a call last succeeded.
         contact_at: When the last call that succeeded was sent; the rows are at
             least as new as that.
@@ -99,12 +111,16 @@
         store_readers: readers.StoreReaders | None = None,
         reader_watch_s: float = WATCH_S,
         outage: outage_lib.Outage | None = None,
+        turns: store_polling.PollingTurns | None = None,
         announces_changes: bool = False,
+        store_calls: metrics.LabelledCounter | None = None,
     ):
         self.name = name
-        self.rows: dict[str, interfaces.Change] = {}
+        self._rows = table_rows.TableRows()
+        self.rows = self._rows.by_key
         self.version = 0
-        self.row_version = 0
+        self.store_version = 0
+        self.store_answered_at = float("-inf")
         self.contact_at = 0.0
         self.answered_at = 0.0
         self.failing_since: float | None = None
@@ -118,20 +134,26 @@
         self._table = table
         self._apply = apply
         self._batch_s = batch_s
+        self._store_calls = store_calls or metrics.LabelledCounter()
+        # Why the next call is made; set where a step ends.
+        self._next_reason = store_polling.Reason.POLL
         self._readers = store_readers
         self._reader_watch_s = reader_watch_s
         self._outage = outage or outage_lib.Outage()
+        self._turns = turns
+        # The store answered this VM while no reader reached it.
+        self._has_taken_over = False
         self._announces_changes = announces_changes
-        # When the newest row of this table arrived.
-        self._newest_row_at = float("-inf")
         self._started = clocks.monotonic()
         self._freshness = freshness.Freshness(name)
         # Cancels the step in progress.
         self._step_timeout: asyncio.Timeout | None = None
-        # Versions at which rows were removed, by key, oldest first.
-        self._removed: dict[str, int] = {}
-        # `_removed` has all rows that were removed after this version.
-        self._remembers_since = 0
+        # When the long poll in progress began; None while there is none.
+        self._long_poll_began_at: float | None = None
+        self._called_anew_at = float("-inf")
+        # The next call asks for changes at once and isn't cancelled for rows of
+        # a peer, so that a store that stays silent is noticed.
+        self._asks_at_once = False
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -139,9 +161,13 @@
         while True:
             sent = clocks.monotonic()
             if self.follows_peers(sent):
+                self._has_taken_over = False
                 self._record_peer_coverage(sent)
                 await pacing.sleep_aligned(PEER_CHECK_INTERVAL_S)
                 continue
+            if not self._may_call(sent):
+                await self._outage.pause(store_polling.TURN_CHECK_S)
+                continue
             try:
                 is_done = await self._step_unless_overtaken()
             except errors.PlatformError as error:
@@ -157,6 +183,44 @@
                 # called after each of them.
                 await self._outage.pause(pause_s * random.uniform(0.7, 1.3))
 
+    def _may_call(self, now: float) -> bool:
+        """Whether to call the store; records a failure while it isn't."""
+        if not self.waits_for_turns(now):
+            return True
+        if self.failing_since is None:
+            self._record_failure(
+                errors.PlatformUnavailableError(
+                    "no VM of the domain reaches it",
+                    step="follow peers",
+                    peer=self.name,
+                )
+            )
+        return self._turns.may_call(self.name, now)
+
+    def waits_for_turns(self, now: float) -> bool:
+        """Whether this VM calls the store only when it is its turn.
+
+        Not while readers publish a fresh status but don't deliver their rows,
+        nor before the first read: few VMs start during an outage.
+        """
+        if self._turns is None or self._readers is None or not self.is_loaded:
+            return False
+        return (
+            not self._readers.always_reads(now)
+            and self._turns.has_turns(now)
+            and not self.is_substitute(now)
+            and not self.relies_on_peers(now)
+        )
+
+    def is_substitute(self, now: float) -> bool:
+        """Whether this VM follows the store in place of the readers."""
+        max_age_s = self._reader_watch_s + readers.STATUS_MARGIN_S
+        return (
+            self._has_taken_over
+            and self.failing_since is None
+            and now - self.answered_at < max_age_s
+        )
+
     async def _step_unless_overtaken(self) -> bool:
         """Runs a step; returns whether it completed.
 
@@ -171,13 +235,34 @@
         except TimeoutError:
             if not timeout.expired():
                 raise
+            self._next_reason = store_polling.Reason.OVERTAKEN
             return False
         finally:
             self._step_timeout = None
         return True
 
+    def call_anew(self, now: float, min_age_s: float) -> bool:
+        """Replaces a long poll whose answer is overdue by a call without wait.
+
+        Args:
+            now: The time.
+            min_age_s: Younger calls may still be answered, in seconds.
+
+        Returns:
+            Whether a call was replaced.
+        """
+        began_at = self._long_poll_began_at
+        if began_at is None or now - began_at <= min_age_s:
+            return False
+        if now - self._called_anew_at < store_polling.CALL_ANEW_INTERVAL_S:
+            return False
+        self._called_anew_at = now
+        self._cancel_step()
+        self._asks_at_once = True
+        return True
+
     def _cancel_step(self) -> None:
-        if self._step_timeout is not None:
+        if self._step_timeout is not None and not self._asks_at_once:
             self._step_timeout.reschedule(asyncio.get_running_loop().time())
             self._step_timeout = None
 
@@ -186,17 +271,17 @@
             await self._reload()
             return
         asked_at = clocks.monotonic()
-        changes = await self._table.wait_for_changes(
-            self.version, self._watch_s()
-        )
+        changes = await self._ask_for_changes(asked_at)
         if changes is None:
             logs.logger.info(
                 "change history expired, reading the whole table",
                 table=self.name,
                 known=self.version,
             )
+            self._next_reason = store_polling.Reason.EXPIRED
             await self._reload()
             return
+        self._record_store_version(changes.version)
         if changes.version < self.version:
             # A peer's rows arrived first. They include these, and the removal
             # of some of them.
@@ -206,11 +291,29 @@
         self._record_version(changes.version)
         if changes.rows:
             # Changes during the pause come with the next call.
+            self._next_reason = store_polling.Reason.CHANGE
             await asyncio.sleep(self._pause_after_change_s())
 
+    def _record_store_version(self, version: int) -> None:
+        self.store_version = max(self.store_version, version)
+        self.store_answered_at = clocks.monotonic()
+
+    async def _ask_for_changes(self, now: float) -> interfaces.Snapshot | None:
+        watch_s = 0.0 if self._asks_at_once else self._watch_s()
+        self._count_call()
+        self._long_poll_began_at = now if watch_s else None
+        try:
+            return await self._table.wait_for_changes(self.version, watch_s)
+        finally:
+            self._long_poll_began_at = None
+            if not watch_s:
+                self._asks_at_once = False
+
     async def _reload(self) -> None:
         asked_at = self.version
+        self._count_call()
         snapshot = await self._table.read_all()
+        self._record_store_version(snapshot.version)
         if self.is_loaded and asked_at <= snapshot.version < self.version:
             # A peer's rows arrived first, and the store's answer wasn't stale.
             return
@@ -233,10 +336,12 @@
         self._complete_until = now
 
     def _max_backoff_s(self) -> float:
-        store_readers = self._readers
+        store_readers, now = self._readers, clocks.monotonic()
         longest_s = MAX_BACKOFF_WITH_READERS_S
-        if store_readers is None or store_readers.is_reader(clocks.monotonic()):
+        if store_readers is None or store_readers.is_reader(now):
             longest_s = MAX_BACKOFF_S
+            if self._turns is not None and self._turns.has_turns(now):
+                longest_s = MAX_BACKOFF_WITH_TURNS_S
         return self._outage.max_backoff_s(self.name, longest_s)
 
     def _watch_s(self) -> float:
@@ -253,6 +358,17 @@
             return max(self._batch_s, STARTUP_BATCH_S)
         return self._batch_s
 
+    def _count_call(self) -> None:
+        reason = self._next_reason
+        if not self.is_loaded:
+            reason = store_polling.Reason.START
+        elif self.failing_since is not None:
+            reason = store_polling.Reason.OUTAGE
+        elif self._asks_at_once:
+            reason = store_polling.Reason.OVERDUE
+        self._next_reason = store_polling.Reason.POLL
+        self._store_calls.add(f"{self.name}-{reason.value}")
+
     def follows_peers(self, now: float) -> bool:
         """Whether peers publish newer rows, so that the store isn't called."""
         return self.relies_on_peers(now) and not self.is_lagging(now)
@@ -261,9 +377,10 @@
         """Whether peers are responsible for reading the store, and do so."""
         if self._readers is None or not self.is_loaded:
             return False
-        return not self._readers.must_read_store(
-            self.name, self._reader_watch_s, now
-        )
+        arguments = [self.name, self._reader_watch_s, now]
+        if self._turns is not None:
+            arguments.append(self.is_substitute(now))
+        return not self._readers.must_read_store(*arguments)
 
     def is_lagging(self, now: float) -> bool:
         """Whether a row that a peer published is overdue."""
@@ -297,17 +414,24 @@
         """Returns the status to publish to peers; None if there is none."""
         if not self._should_publish(now):
             return None
-        if self.failing_since is not None or self.follows_peers(now):
+        if self.failing_since is not None:
+            if now - self._rows.newest_at > ANNOUNCE_S:
+                return None
+            # Others can fetch these rows here, but may not rely on this VM.
+            return reports.TableStatus(
+                self._rows.newest_version, UNRELIABLE_AGE_S
+            )
+        if self.follows_peers(now):
             return None
         age_s = round(now - self.answered_at, 2)
-        return reports.TableStatus(self.row_version, age_s)
+        return reports.TableStatus(self._rows.newest_version, age_s)
 
     def _should_publish(self, now: float) -> bool:
         """Whether peers rely on this VM's status, or may lack new rows."""
         if self._readers is not None and self._readers.is_large_domain(now):
             return True
         return (
-            self._announces_changes and now - self._newest_row_at <= ANNOUNCE_S
+            self._announces_changes and now - self._rows.newest_at <= ANNOUNCE_S
         )
 
     def _record_peer_coverage(self, now: float) -> None:
@@ -341,13 +465,8 @@
 
     @property
     def newest_change(self) -> int:
-        """Version after which no row changed, or may have changed unseen.
-
-        Rows may have been written and removed before a whole read that changed
-        no row here. A peer that saw them written needs an answer that is as new
-        as that read.
-        """
-        return max(self.row_version, self._remembers_since)
+        """Version after which no row changed, or may have changed unseen."""
+        return self._rows.newest_change
 
     def _record_peer_rows(self, now: float) -> None:
         """Updates `earliest_change_at` for rows that arrive from a peer."""
@@ -360,15 +479,7 @@
 
     def changes_since(self, version: int) -> list[interfaces.Change] | None:
         """Returns the changes after a version; None if they aren't known."""
-        if version < self._remembers_since:
-            return None
-        changed = [row for row in self.rows.values() if row.version > version]
-        removed = [
-            interfaces.Change(key, None, at)
-            for key, at in self._removed.items()
-            if at > version
-        ]
-        return sorted(changed + removed, key=lambda row: row.version)
+        return self._rows.changes_since(version)
 
     def _replace_rows(self, snapshot: interfaces.Snapshot) -> None:
         if snapshot.version < self.version:
@@ -386,15 +497,7 @@
         generation = store_versions.generation_of(snapshot.version)
         if self.is_loaded and generation > self.generation:
             self._begin_generation(snapshot)
-        # Rows may have been written and removed since the last read, unseen
-        # here; peers that saw them have to get all rows.
-        self._remembers_since = max(self._remembers_since, snapshot.version)
-        present = {row.key for row in snapshot.rows}
-        removed = [
-            interfaces.Change(key, None, snapshot.version)
-            for key in self.rows
-            if key not in present
-        ]
+        removed = self._rows.removals_by(snapshot)
         self._record_version(snapshot.version)
         try:
             self._merge_rows(snapshot.rows + removed)
@@ -420,47 +523,25 @@
             received=store_versions.number_of(snapshot.version),
             rows=len(snapshot.rows),
         )
-        self._removed.clear()
+        self._rows.forget_removed()
 
     def _merge_rows(self, changes: list[interfaces.Change]) -> None:
-        newer = []
-        for change in changes:
-            known = self.rows.get(change.key)
-            if known is not None and known.version >= change.version:
-                continue
-            if change.version > self.row_version:
-                self.row_version = change.version
-                self._newest_row_at = clocks.monotonic()
-            if change.value is None:
-                self._remember_removed(change)
-                if known is None:
-                    continue
-                del self.rows[change.key]
-            else:
-                self._removed.pop(change.key, None)
-                self.rows[change.key] = change
-            newer.append(change)
+        newer = self._rows.merge(changes)
         if newer:
             self._apply(newer)
 
-    def _remember_removed(self, change: interfaces.Change) -> None:
-        self._removed.pop(change.key, None)
-        self._removed[change.key] = change.version
-        if len(self._removed) > MAX_REMOVED_ROWS:
-            oldest = next(iter(self._removed))
-            self._remembers_since = max(
-                self._remembers_since, self._removed.pop(oldest)
-            )
-
     def _record_failure(self, error: errors.PlatformError) -> None:
-        self._outage.record_failure(self.name)
+        now = clocks.monotonic()
+        self._outage.record_failure(self.name, now)
         if self.failing_since is None:
-            self.failing_since = clocks.monotonic()
+            self.failing_since = now
             logs.logger.warning("table lost", table=self.name, error=str(error))
 
     def _record_contact(self, sent: float) -> None:
         self.contact_at = sent
-        self.answered_at = clocks.monotonic()
+        if self.failing_since is not None and self._turns is not None:
+            self._has_taken_over = True
+        self.answered_at = self._outage.reached_at = clocks.monotonic()
         self._record_recovery(self.answered_at)
         self._freshness.record_answer(self.answered_at, self._watch_s())
 
--- a/src/swiftstile/gateway/outage.py
+++ b/src/swiftstile/gateway/outage.py
@@ -16,16 +16,26 @@
 
 
 class Outage:
-    """The tables of this VM whose calls fail."""
+    """The tables of this VM whose calls fail.
+
+    Attributes:
+        reached_at: When the store last answered a call of this VM.
+    """
 
     def __init__(self):
-        # Used as an ordered set; the first table is the primary.
-        self._failing: dict[str, None] = {}
+        self.reached_at = float("-inf")
+        # When calls for each table began to fail, oldest first; the first table
+        # is the primary.
+        self._failing: dict[str, float] = {}
         self._answered = signals.Signal()
 
-    def record_failure(self, table: str) -> None:
+    def record_failure(self, table: str, now: float) -> None:
         """Records that a call for a table failed."""
-        self._failing.setdefault(table)
+        self._failing.setdefault(table, now)
+
+    def failing_s(self, now: float) -> float:
+        """Returns how long some table has been failing, in seconds."""
+        return now - next(iter(self._failing.values()), now)
 
     def record_answer(self, table: str) -> None:
         """Records that a call succeeded, or peers publish a table again."""
@@ -33,6 +43,15 @@
             del self._failing[table]
             self._answered.wake()
 
+    def nth_failing(self, number: int) -> str | None:
+        """Returns one of the failing tables, in rotation; None if none fails.
+
+        Args:
+            number: Selects the table; consecutive numbers select each in turn.
+        """
+        tables = list(self._failing)
+        return tables[number % len(tables)] if tables else None
+
     def max_backoff_s(self, table: str, primary_s: float) -> float:
         """Returns the maximum backoff of calls for a table.
 
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -110,6 +110,32 @@
             if _should_ask_peer(follower, now):
                 self._start_fetch(peer.row.address, follower)
 
+    def fetch(
+        self,
+        follower: follow.TableFollower,
+        leader: reports.Peer | None,
+        now: float,
+    ) -> None:
+        """Fetches rows from a near VM that is ahead, or else from the leader.
+
+        Args:
+            follower: The follower that lacks them.
+            leader: The leader, if it is known.
+            now: The time.
+        """
+        near = self._peers.topology.near
+        ahead = [
+            peer
+            for peer in reports.live_peers(near, now)
+            if _has_newer(peer, follower)
+        ]
+        if not ahead and leader is not None:
+            ahead = [leader]
+        if ahead:
+            self._next_peer += 1
+            peer = ahead[self._next_peer % len(ahead)]
+            self._start_fetch(peer.row.address, follower)
+
     def _start_fetch(
         self, address: str, follower: follow.TableFollower
     ) -> None:
@@ -162,7 +188,11 @@
         # Other VMs of the domain may rely on readers, too, and have no newer
         # rows.
         ahead = [p for p in near if _has_newer(p, follower)]
-        candidates = [peer.row.address for peer in ahead or near or with_store]
+        others = ahead or near
+        if not follower.waits_for_turns(now):
+            # Where many VMs take turns, the readers ask on behalf of all.
+            others = others or with_store
+        candidates = [peer.row.address for peer in others]
         if not candidates and not self._peers.by_node:
             candidates = self._seeds
         if not candidates:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -17,6 +17,7 @@
 from swiftstile.gateway import budget
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import connections
+from swiftstile.gateway import counted_table
 from swiftstile.gateway import crash_guard
 from swiftstile.gateway import daemon as daemon_lib
 from swiftstile.gateway import decision_log
@@ -35,6 +36,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import map_catch_up
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
@@ -51,6 +53,7 @@
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import slotplan
 from swiftstile.gateway import speeds
+from swiftstile.gateway import store_polling
 from swiftstile.gateway import succession
 from swiftstile.gateway import suspects
 from swiftstile.gateway import targets
@@ -169,24 +172,32 @@
         self._readers = readers.StoreReaders(
             self._peers, lambda: self._leadership.is_leader
         )
+        self._state_readers = readers.StoreReaders(
+            self._peers,
+            lambda: self._leadership.is_leader,
+            readers.MAX_INDEPENDENT_VMS_FOR_STATE,
+            has_standby=True,
+        )
+        self._state_table = counted_table.CountedTable(
+            "state", adapters.state, self._meters.store_calls
+        )
         self._outage = outage.Outage()
+        self._turns = store_polling.PollingTurns(self._peers, self._outage)
         self._state = follow.TableFollower(
             "state",
             adapters.state,
             self._apply_state,
-            store_readers=readers.StoreReaders(
-                self._peers,
-                lambda: self._leadership.is_leader,
-                readers.MAX_INDEPENDENT_VMS_FOR_STATE,
-            ),
+            store_readers=self._state_readers,
             outage=self._outage,
+            turns=self._turns,
+            store_calls=self._meters.store_calls,
         )
         self._leadership = leadership_lib.Leadership(
-            self._peers, adapters.state, self._state, self._links.is_isolated
+            self._peers, self._state_table, self._state, self._links.is_isolated
         )
         self._succession = succession.Succession(self._leadership, self._maps)
         self._vm_membership = membership.Membership(
-            self._peers, adapters.state, self._state
+            self._peers, self._state_table, self._state
         )
         self._cold_limits = coldstart.ColdLimits(
             self._target_table,
@@ -212,6 +223,7 @@
         )
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
+        self._map_catch_up: map_catch_up.MapCatchUp | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
 
     def build(self) -> daemon_lib.GatewayDaemon:
@@ -254,6 +266,8 @@
             self._readers,
             readers.READER_WATCH_S,
             self._outage,
+            self._turns,
+            store_calls=self._meters.store_calls,
         )
         registry.follower = registrations
         self._operations = operations = follow.TableFollower(
@@ -266,8 +280,10 @@
             store_readers=readers.StoreReaders(self._peers, lambda: False),
             reader_watch_s=readers.READER_WATCH_S,
             outage=self._outage,
+            turns=self._turns,
             # Its changes have to be in force on all VMs within a time limit.
             announces_changes=True,
+            store_calls=self._meters.store_calls,
         )
         arbiter = arbiter_lib.Arbiter(
             self._peers,
@@ -346,6 +362,13 @@
             _seed_addresses(self._settings.vm),
             self._meters,
         )
+        self._map_catch_up = map_catch_up.MapCatchUp(
+            self._peers,
+            self._state,
+            self._state_readers,
+            row_relay,
+            self._own_map_versions,
+        )
         self._daemon = daemon_lib.GatewayDaemon(
             self._node,
             frontend.Frontend(self._settings.vm.listen, handler, self._meters),
@@ -364,6 +387,7 @@
             followers,
             self._readers,
             row_relay,
+            self._map_catch_up,
             links.ControlServer(
                 self._settings.vm.peers,
                 row_relay,
@@ -414,7 +438,7 @@
             self._renewer,
             self._leadership,
             self._succession,
-            self._adapters.state,
+            self._state_table,
             self._state,
             self._adapters.control,
             self._authority,
@@ -429,6 +453,12 @@
         known = config.services_by_name.get(service) if config else None
         return known.health_path if known else "/"
 
+    def _own_map_versions(self) -> dict[ids.ServiceName, int] | None:
+        """Returns the versions that this VM reports as the leader, if it is."""
+        if not self._leadership.is_leader:
+            return None
+        return self._daemon.map_versions()
+
     def _is_leaving(self) -> bool:
         return self._daemon is not None and self._daemon.is_leaving
 
@@ -439,6 +469,7 @@
 
     def _on_report(self, peer: reports.Peer, now: float) -> None:
         self._succession.note_report(peer, now)
+        self._map_catch_up.on_report(peer, now)
         self._daemon.on_report(peer, now)
 
     def _apply_state(self, changes: list[interfaces.Change]) -> None:
