Measure the speed of upstreams that have a queue

An answer counted as a speed sample only if nothing was queued at the upstream. Saturated owners always have a queue, so they were never measured and kept the share of an owner of mean speed. Where placement by load is on, the wait for a slot is divided out instead, by the number of other requests that the arbiter counted when the request was sent.

--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -24,6 +24,7 @@
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits as permits_lib
 from swiftstile.gateway import retries
+from swiftstile.gateway import service_samples
 from swiftstile.gateway import service_times
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
@@ -71,6 +72,7 @@
         links: upstream_links.UpstreamLinks,
         forwarder: forwarding.PeerForwarder,
         meters: metrics.Meters,
+        sampler: service_samples.ServiceTimeSampler,
     ):
         self.config: model.Config | None = None
         self.is_new_config_invalid = False
@@ -89,6 +91,7 @@
         self._links = links
         self._forwarder = forwarder
         self._meters = meters
+        self._sampler = sampler
         self._service_times = service_times.ServiceTimeEstimates()
         self._round_robin = weighted_round_robin.WeightedRoundRobin()
 
@@ -469,17 +472,8 @@
         target.note_answer(now)
         if self._crash_guard.should_remember(call.length or 0):
             self._crash_guard.record_response(call.digest(), now)
-        if response.status < 300 and _is_service_time_only(
-            waiter, target, response
-        ):
-            prior_s = service_times.default_service_time_s(waiter.route)
-            slowdown = _slowdown(response)
-            self._speed_table.add_sample(
-                target.id, took_s / prior_s / slowdown, now
-            )
-            self._service_times.add_sample(
-                waiter.route, waiter.service, took_s / target.slowness
-            )
+        if response.status < 300:
+            self._add_sample(waiter, target, response, took_s, now)
         trace.add(
             decision_log.RequestDecision(
                 id=call.inbound.attempt_id,
@@ -492,6 +486,24 @@
             )
         )
 
+    def _add_sample(self, waiter, target, response, took_s, now) -> None:
+        """Counts an answer as a sample of its upstream's speed."""
+        service_s = self._sampler.service_time_s(
+            took_s,
+            waiter.occupied,
+            target.upstream.slots,
+            response.metadata.load,
+        )
+        if service_s is None:
+            return
+        prior_s = service_times.default_service_time_s(waiter.route)
+        self._speed_table.add_sample(
+            target.id, service_s / prior_s / _slowdown(response), now
+        )
+        self._service_times.add_sample(
+            waiter.route, waiter.service, service_s / target.slowness
+        )
+
     def _record_send(self, call, waiter, target, state, trace) -> None:
         """Records that a request is sent, or forwarded if `target` is None."""
         now = clocks.monotonic()
@@ -588,14 +600,6 @@
         request.writer.output_size = 0
 
 
-def _is_service_time_only(waiter, target, response) -> bool:
-    """Whether the response time was service time only, without queueing."""
-    load = response.metadata.load
-    if load is not None and load.waiting:
-        return False
-    return waiter.occupied < target.upstream.slots
-
-
 def _slowdown(response) -> float:
     """Returns the momentary slowdown that an upstream reported, or 1.
 
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -35,6 +35,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import load_settings
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
@@ -48,6 +49,7 @@
 from swiftstile.gateway import renewal_budget
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
+from swiftstile.gateway import service_samples
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import slotplan
 from swiftstile.gateway import speeds
@@ -213,6 +215,8 @@
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
+        # Live VMs of the own domain, itself included.
+        self._count_domain_vms: collections.abc.Callable[[], int] = lambda: 1
 
     def build(self) -> daemon_lib.GatewayDaemon:
         """Returns the daemon."""
@@ -240,6 +244,7 @@
             ),
             key_owners.count_request,
         )
+        self._count_domain_vms = lambda: gate.admission.vm_count
         self._registry = registry = registry_lib.Registry(
             self._target_table,
             adapters.decode_upstream,
@@ -325,6 +330,7 @@
             self._links,
             forwarder,
             self._meters,
+            service_samples.ServiceTimeSampler(self._is_placed_by_load),
         )
         self._renewer = renewals.GrantRenewer(
             self._maps,
@@ -423,6 +429,11 @@
             self._meters,
         )
 
+    def _is_placed_by_load(self) -> bool:
+        return load_settings.is_on(
+            self._settings.load.placement, self._count_domain_vms()
+        )
+
     def _health_path(self, service: ids.ServiceName) -> str:
         """Returns the path of a service's health check."""
         config = self._handler.config
--- a/tests/unit/test_gateway_stale.py
+++ b/tests/unit/test_gateway_stale.py
@@ -21,6 +21,7 @@
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import service_samples
 from swiftstile.gateway import upstream_links
 from tests import gateway_builders as builders
 
@@ -181,6 +182,7 @@
         links=upstream_links.UpstreamLinks(),
         forwarder=None,
         meters=metrics.Meters(),
+        sampler=service_samples.ServiceTimeSampler(lambda: False),
     )
     made.config = builders.config()
     return made
