VMs that missed a row in an outage of their domain get it later

Cause: readers whose calls fail published versions only for 4.5 s after a row was new, and VMs that wait for turns asked only near VMs that reach the store. A VM that was away meanwhile, or lost its fetch, never got the row.

Change: in domains of more than six VMs, readers publish their versions for as long as calls fail; a VM that waits for turns asks any live near VM that is ahead. If no near VM has published a version for 1 s, as those of earlier builds don't, it asks VMs of other domains that reach the store.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -415,7 +415,8 @@
         if not self._should_publish(now):
             return None
         if self.failing_since is not None:
-            if now - self._rows.newest_at > ANNOUNCE_S:
+            is_new = now - self._rows.newest_at <= ANNOUNCE_S
+            if not is_new and not self._reads_for_turns(now):
                 return None
             # Others can fetch these rows here, but may not rely on this VM.
             return reports.TableStatus(
@@ -426,6 +427,16 @@
         age_s = round(now - self.answered_at, 2)
         return reports.TableStatus(self._rows.newest_version, age_s)
 
+    def _reads_for_turns(self, now: float) -> bool:
+        """Whether VMs that take turns rely on this VM's rows in an outage.
+
+        Only readers ask VMs of other domains then. A VM that missed a row
+        learns of it by the versions that they publish.
+        """
+        if self._turns is None or self._readers is None or not self.is_loaded:
+            return False
+        return self._readers.always_reads(now) and self._turns.has_turns(now)
+
     def _should_publish(self, now: float) -> bool:
         """Whether peers rely on this VM's status, or may lack new rows."""
         if self._readers is not None and self._readers.is_large_domain(now):
--- a/src/swiftstile/gateway/relay.py
+++ b/src/swiftstile/gateway/relay.py
@@ -25,6 +25,10 @@
 # A table is fetched from a peer once calls to the store have failed for this
 # long, which is longer than single lost answers take.
 STORE_TIMEOUT_S = 0.5
+# A VM that waits for its turn to call the store asks VMs of other domains once
+# no VM of its domain has published a version of the table for this long: five
+# reports. VMs of earlier builds don't publish versions during long outages.
+MAX_SILENCE_S = 1.0
 # Interval of fetches while the store doesn't answer.
 RETRY_INTERVAL_S = 0.4
 # Timeout of the first request for a piece of a peer's answer.
@@ -85,6 +89,8 @@
         self._outgoing = transfers.OutgoingRows()
         self._next_peer = 0
         self._fetches: list[_Fetch] = []
+        # When a VM of the domain last published a version, by table.
+        self._published_at: dict[str, float] = {}
 
     async def handle(self, message: messages.Message) -> messages.Message:
         """See base class."""
@@ -178,20 +184,20 @@
     def _choose(self, follower: follow.TableFollower, now: float) -> str | None:
         """Returns the address of a peer to ask, in round-robin order."""
         addresses = {fetch.address for fetch in self._fetches_of(follower.name)}
-        with_store = [
+        live = [
             peer
             for peer in self._peers.live_peers(now)
-            if peer.report.store_unresponsive_s == 0
-            and peer.row.address not in addresses
+            if peer.row.address not in addresses
         ]
-        near = [p for p in with_store if p.row.domain == self._peers.me.domain]
-        # Other VMs of the domain may rely on readers, too, and have no newer
-        # rows.
-        ahead = [p for p in near if _has_newer(p, follower)]
-        others = ahead or near
-        if not follower.waits_for_turns(now):
-            # Where many VMs take turns, the readers ask on behalf of all.
-            others = others or with_store
+        with_store = [p for p in live if p.report.store_unresponsive_s == 0]
+        if follower.waits_for_turns(now):
+            others = self._others_in_turns(follower, live, with_store, now)
+        else:
+            near = self._near(with_store)
+            # Other VMs of the domain may rely on readers, too, and have no
+            # newer rows.
+            ahead = [p for p in near if _has_newer(p, follower)]
+            others = ahead or near or with_store
         candidates = [peer.row.address for peer in others]
         if not candidates and not self._peers.by_node:
             candidates = self._seeds
@@ -200,6 +206,35 @@
         self._next_peer += 1
         return candidates[self._next_peer % len(candidates)]
 
+    def _others_in_turns(
+        self,
+        follower: follow.TableFollower,
+        live: list[reports.Peer],
+        with_store: list[reports.Peer],
+        now: float,
+    ) -> list[reports.Peer]:
+        """Returns the VMs to choose from where VMs take turns.
+
+        The readers ask on behalf of all. They publish what they have though
+        their own calls fail.
+        """
+        name = follower.name
+        near = self._near(live)
+        if any(name in peer.report.tables for peer in near):
+            self._published_at[name] = now
+        ahead = [peer for peer in near if _has_newer(peer, follower)]
+        silent_s = min(
+            now - self._published_at.get(name, float("-inf")),
+            follower.failing_s(now),
+        )
+        if silent_s > MAX_SILENCE_S:
+            return ahead or with_store
+        return ahead or self._near(with_store)
+
+    def _near(self, peers: list[reports.Peer]) -> list[reports.Peer]:
+        """Returns those of a list of VMs that are in this VM's domain."""
+        return [p for p in peers if p.row.domain == self._peers.me.domain]
+
     async def _ask(self, fetch: _Fetch, follower: follow.TableFollower) -> None:
         began = clocks.monotonic()
         address = fetch.address
--- a/tests/unit/test_gateway_store_outage.py
+++ b/tests/unit/test_gateway_store_outage.py
@@ -14,6 +14,7 @@
 from swiftstile.gateway import gossip
 from swiftstile.gateway import outage
 from swiftstile.gateway import readers
+from swiftstile.gateway import relay
 from swiftstile.gateway import reports
 from swiftstile.gateway import store_polling
 from tests import gateway_builders as builders
@@ -187,6 +188,79 @@
     assert worst_s <= limit_s
 
 
+def _time_until_missed_row(monkeypatch, reports_others=True) -> float:
+    """Returns when a VM has a row that it missed, after it is back.
+
+    Args:
+        monkeypatch: Replaces the clock.
+        reports_others: Whether the other VMs of the domain publish versions.
+    """
+
+    async def scenario():
+        site = store_site.Site(30, 2)
+        await site.write_map()
+        site.start()
+        await asyncio.sleep(6.0)
+        near = site.vms[1::2]
+        site.store.rejected = {vm.row.node for vm in near}
+        missing = near[9]
+        await asyncio.sleep(5.0)
+        missing.is_down = True
+        await site.store.write("operations", "config")
+        name = f"config@{site.store.version}"
+        await asyncio.sleep(8.0)
+        assert all(name in vm.seen_at for vm in near if vm is not missing)
+        if not reports_others:
+            for vm in near:
+                for follower in vm.followers.values():
+                    follower.published_status = lambda now: None
+        missing.is_down = False
+        missed_s = await _time_until(lambda: name in missing.seen_at)
+        site.stop()
+        return missed_s
+
+    return store_site.run(monkeypatch, scenario)
+
+
+def test_a_row_missed_in_an_outage_of_the_domain_arrives_later(monkeypatch):
+    # Readers published versions only for a while after a row was new.
+    missed_s = _time_until_missed_row(monkeypatch)
+    assert missed_s <= _NOTICE_S
+
+
+def test_a_missed_row_comes_from_other_domains_if_no_near_vm_publishes(
+    monkeypatch,
+):
+    # VMs of earlier builds stop to publish versions during an outage.
+    missed_s = _time_until_missed_row(monkeypatch, reports_others=False)
+    assert missed_s <= relay.MAX_SILENCE_S + 2 * relay.RETRY_INTERVAL_S
+
+
+def test_a_waiting_vm_fetches_from_near_vms_whose_calls_fail(monkeypatch):
+    # A fetch that a report started may get lost; later ones went only to VMs
+    # that reach the store.
+    async def scenario():
+        site = store_site.Site(30, 2)
+        await site.write_map()
+        site.start()
+        await asyncio.sleep(6.0)
+        near = site.vms[1::2]
+        site.store.rejected = {vm.row.node for vm in near}
+        missing = near[9]
+        await asyncio.sleep(5.0)
+        # Reports start no fetches.
+        missing.relay.on_report = lambda peer, now: None
+        await site.store.write("operations", "config")
+        name = f"config@{site.store.version}"
+        arrived_s = await _time_until(lambda: name in missing.seen_at)
+        site.stop()
+        return arrived_s
+
+    # The readers fetch the row, publish it, and the VM asks after this time.
+    limit_s = 2 * relay.RETRY_INTERVAL_S + 2 * store_site.NEAR_TICK_S
+    assert store_site.run(monkeypatch, scenario) <= limit_s
+
+
 def test_turns_go_on_when_vms_of_the_domain_are_killed(monkeypatch):
     async def scenario():
         site = await _steady()
