Slow answers of the store aren't abandoned repeatedly

Cause: a long poll counted as overdue from its start. Over a narrow link, where an answer takes longer than the limit of 0.3 s to arrive, every other answer was abandoned and requested again.

Change: no further long poll is replaced until a call has succeeded, and later ones are given the time that the last answer to a call without wait took in addition. The time of the last byte isn't known to the follower.

--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -151,6 +151,11 @@
         # When the long poll in progress began; None while there is none.
         self._long_poll_began_at: float | None = None
         self._called_anew_at = float("-inf")
+        # A long poll was replaced, and no call has succeeded since.
+        self._has_unanswered_call = False
+        # How long the last answer to a call without wait took: over a narrow
+        # link an answer arrives slowly and isn't overdue yet.
+        self._answer_s = 0.0
         # The next call asks for changes at once and isn't cancelled for rows of
         # a peer, so that a store that stays silent is noticed.
         self._asks_at_once = False
@@ -244,6 +249,10 @@
     def call_anew(self, now: float, min_age_s: float) -> bool:
         """Replaces a long poll whose answer is overdue by a call without wait.
 
+        Not before the call that replaced an earlier one has succeeded, and not
+        while an answer may be arriving as slowly as to that call: its bytes
+        would be sent in vain.
+
         Args:
             now: The time.
             min_age_s: Younger calls may still be answered, in seconds.
@@ -252,11 +261,14 @@
             Whether a call was replaced.
         """
         began_at = self._long_poll_began_at
-        if began_at is None or now - began_at <= min_age_s:
+        if began_at is None or self._has_unanswered_call:
+            return False
+        if now - began_at <= min_age_s + self._answer_s:
             return False
         if now - self._called_anew_at < store_polling.CALL_ANEW_INTERVAL_S:
             return False
         self._called_anew_at = now
+        self._has_unanswered_call = True
         self._cancel_step()
         self._asks_at_once = True
         return True
@@ -303,7 +315,11 @@
         self._count_call()
         self._long_poll_began_at = now if watch_s else None
         try:
-            return await self._table.wait_for_changes(self.version, watch_s)
+            changes = await self._table.wait_for_changes(self.version, watch_s)
+            self._has_unanswered_call = False
+            if not watch_s:
+                self._answer_s = clocks.monotonic() - now
+            return changes
         finally:
             self._long_poll_began_at = None
             if not watch_s:
--- a/tests/unit/test_gateway_map_catch_up.py
+++ b/tests/unit/test_gateway_map_catch_up.py
@@ -10,6 +10,8 @@
 import pytest
 
 from swiftstile import clocks
+from swiftstile.gateway import follow
+from swiftstile.gateway import interfaces
 from swiftstile.gateway import store_polling
 from swiftstile.gateway import store_versions
 from tests import store_site
@@ -187,6 +189,80 @@
     assert store_site.run(monkeypatch, scenario) <= limit
 
 
+class _NarrowTable(interfaces.StateTable):
+    """A table with a row more at any time, whose answers arrive slowly.
+
+    Attributes:
+        answer_s: Time until an answer has arrived.
+        calls: Number of calls.
+        answers: Number of answers that arrived.
+    """
+
+    def __init__(self):
+        self.answer_s = 0.0
+        self.calls = self.answers = 0
+
+    async def read_all(self) -> interfaces.Snapshot:
+        return interfaces.Snapshot([], 1)
+
+    async def wait_for_changes(self, after, wait_s):
+        self.calls += 1
+        await asyncio.sleep(0.05 + self.answer_s)
+        self.answers += 1
+        row = interfaces.Change("keys/lookups", b"x", after + 1)
+        return interfaces.Snapshot([row], after + 1)
+
+    async def write(self, conditions, writes) -> int:
+        raise NotImplementedError
+
+
+def test_slow_answers_are_not_abandoned_again_and_again(monkeypatch):
+    # Over a narrow link an answer takes longer than rows may be missing. Every
+    # other one was abandoned, and its bytes were sent in vain.
+    async def scenario():
+        table = _NarrowTable()
+        follower = follow.TableFollower("state", table, lambda changes: None)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(4.0)
+        table.answer_s = 0.5
+        table.calls = table.answers = 0
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            follower.call_anew(clocks.monotonic(), store_polling.MAP_OVERDUE_S)
+        task.cancel()
+        return table.calls - table.answers
+
+    # The first one, and the one in progress at the end.
+    assert store_site.run(monkeypatch, scenario) <= 2
+
+
+def test_a_silent_call_is_replaced_though_answers_were_slow(monkeypatch):
+    async def scenario():
+        table = _NarrowTable()
+        follower = follow.TableFollower("state", table, lambda changes: None)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(4.0)
+        table.answer_s = 0.5
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            follower.call_anew(clocks.monotonic(), store_polling.MAP_OVERDUE_S)
+        table.answer_s = 1000.0
+        began = clocks.monotonic()
+        # The call in progress is answered; the one after it isn't.
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            if follower.call_anew(
+                clocks.monotonic(), store_polling.MAP_OVERDUE_S
+            ):
+                break
+        task.cancel()
+        return clocks.monotonic() - began
+
+    # The answer in progress, and the time of an answer more than the limit.
+    limit_s = 0.55 + 0.55 + store_polling.MAP_OVERDUE_S + 0.2
+    assert store_site.run(monkeypatch, scenario) <= limit_s
+
+
 def _versions(*reported: tuple[int, float]) -> store_polling.ReportedVersions:
     made = store_polling.ReportedVersions()
     for version, at in reported:
