--- a/src/swiftstile/gateway/follow.py
+++ b/src/swiftstile/gateway/follow.py
@@ -151,6 +151,11 @@
         # When the long poll in progress began; None while there is none.
         self._long_poll_began_at: float | None = None
         self._called_anew_at = float("-inf")
+        # A long poll was replaced, and no call has succeeded since.
+        self._has_unanswered_call = False
+        # How long the last answer to a call without wait took: over a narrow
+        # link an answer arrives slowly and isn't overdue yet.
+        self._answer_s = 0.0
         # The next call asks for changes at once and isn't cancelled for rows of
         # a peer, so that a store that stays silent is noticed.
         self._asks_at_once = False
@@ -244,6 +249,10 @@
     def call_anew(self, now: float, min_age_s: float) -> bool:
         """Replaces a long poll whose answer is overdue by a call without wait.
 
+        Not before the call that replaced an earlier one has succeeded, and not
+        while an answer may be arriving as slowly as to that call: its bytes
+        would be sent in vain.
+
         Args:
             now: The time.
             min_age_s: Younger calls may still be answered, in seconds.
@@ -252,11 +261,14 @@
             Whether a call was replaced.
         """
         began_at = self._long_poll_began_at
-        if began_at is None or now - began_at <= min_age_s:
+        if began_at is None or self._has_unanswered_call:
+            return False
+        if now - began_at <= min_age_s + self._answer_s:
             return False
         if now - self._called_anew_at < store_polling.CALL_ANEW_INTERVAL_S:
             return False
         self._called_anew_at = now
+        self._has_unanswered_call = True
         self._cancel_step()
         self._asks_at_once = True
         return True
@@ -303,7 +315,11 @@
         self._count_call()
         self._long_poll_began_at = now if watch_s else None
         try:
-            return await self._table.wait_for_changes(self.version, watch_s)
+            changes = await self._table.wait_for_changes(self.version, watch_s)
+            self._has_unanswered_call = False
+            if not watch_s:
+                self._answer_s = clocks.monotonic() - now
+            return changes
         finally:
             self._long_poll_began_at = None
             if not watch_s:
@@ -415,7 +431,8 @@
         if not self._should_publish(now):
             return None
         if self.failing_since is not None:
-            if now - self._rows.newest_at > ANNOUNCE_S:
+            is_new = now - self._rows.newest_at <= ANNOUNCE_S
+            if not is_new and not self._reads_for_turns(now):
                 return None
             # Others can fetch these rows here, but may not rely on this VM.
             return reports.TableStatus(
@@ -426,6 +443,16 @@
         age_s = round(now - self.answered_at, 2)
         return reports.TableStatus(self._rows.newest_version, age_s)
 
+    def _reads_for_turns(self, now: float) -> bool:
+        """Whether VMs that take turns rely on this VM's rows in an outage.
+
+        Only readers ask VMs of other domains then. A VM that missed a row
+        learns of it by the versions that they publish.
+        """
+        if self._turns is None or self._readers is None or not self.is_loaded:
+            return False
+        return self._readers.always_reads(now) and self._turns.has_turns(now)
+
     def _should_publish(self, now: float) -> bool:
         """Whether peers rely on this VM's status, or may lack new rows."""
         if self._readers is not None and self._readers.is_large_domain(now):
@@ -541,6 +568,12 @@
         self.contact_at = sent
         if self.failing_since is not None and self._turns is not None:
             self._has_taken_over = True
+            if self.waits_for_turns(clocks.monotonic()):
+                logs.logger.info(
+                    "store followed in place of the readers",
+                    table=self.name,
+                    turn=self._turns.number,
+                )
         self.answered_at = self._outage.reached_at = clocks.monotonic()
         self._record_recovery(self.answered_at)
         self._freshness.record_answer(self.answered_at, self._watch_s())
