Full upstreams that reset connections aren't taken for a partition

Cause: trials after a single failure or the report of another VM, and the confirmations each second with strong evidence, are more frequent than the confirmations before, and one reset health check counted as no answer. Failures of the trials counted as failures of the VM's requests.

Change: a health check that is reset at once is sent up to three times; the trial of a connection that stays open starts if there is no answer within 80 ms; a new connection that delivers data meanwhile refutes the suspicion. After the report of another VM or a single failure nothing is concluded, and failures of the trial are dropped, unless requests of this VM failed. The limit beyond which a confirmation counts as paused grows by the time of these checks.

--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -23,9 +23,25 @@
 _TRIED_AT_ONCE = 2
 # Time after which more upstreams are tried: many round trips.
 _FIRST_TRY_S = 0.08
+# Health checks of an upstream that resets them at once. If full upstreams reset
+# two thirds of the connections, single checks of six of them all fail in 9% of
+# the cases, three checks of each in 0.1%.
+_CHECKS = 3
 # If a timeout ends later than this, the process was paused, and its timeouts
 # say nothing about the network.
 _STALL_S = 0.25
+# The last of several checks may take the time to connect and to be answered.
+_JUDGED_WITHIN_S = (
+    2 * connections.CONNECT_TIMEOUT_S
+    + _CHECKS * (_FIRST_TRY_S + _CHECK_INTERVAL_S)
+    + _STALL_S
+)
+
+# Suspicions that don't prove more than one failure of this VM's own requests.
+_SUSPICIONS_BY_OTHERS = (
+    upstream_links.Suspicion.PEER,
+    upstream_links.Suspicion.ONE_FAILURE,
+)
 
 # Whether an upstream at an address can be reached.
 _Check = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
@@ -94,26 +110,35 @@
             return
         if suspicion is upstream_links.Suspicion.SILENCE:
             # Where connections live and deliver nothing, new ones may open.
-            check = self._answers
+            check = self._answers_a_check
         else:
             check = self._works
         is_reached = await self._any_passes(sampled, check)
+        # A request's new connection that delivered data shows the same.
+        is_reached |= self._links.proven_at > began
         ended = clocks.monotonic()
         logs.logger.info(
             "upstreams tried",
             why=suspicion.value,
             reached=is_reached,
             took_ms=clocks.milliseconds(ended - began),
+            own_failures=self._links.had_own_failures,
             data_age_ms=self._links.data_age_ms(ended),
         )
         if is_reached:
             self._links.refute(ended, suspicion)
             return
-        if ended - began > 2 * connections.CONNECT_TIMEOUT_S + _STALL_S:
+        if ended - began > _JUDGED_WITHIN_S:
             logs.logger.info(
                 "links not judged after a pause", for_s=round(ended - began, 3)
             )
             return
+        if (
+            suspicion in _SUSPICIONS_BY_OTHERS
+            and not self._links.had_own_failures
+        ):
+            self._links.leave_undecided()
+            return
         self._links.record_partition(ended)
         self._notify()
 
@@ -148,17 +173,36 @@
         that the server, or a cut, resets later.
         """
         began = clocks.monotonic()
-        answers = asyncio.create_task(self._answers(address))
-        stays_open = asyncio.create_task(
-            self._pool.opens(address, connections.CONNECT_TIMEOUT_S)
-        )
+        answers = asyncio.create_task(self._answers_a_check(address))
+        stays_open = None
         try:
+            done, _ = await asyncio.wait([answers], timeout=_FIRST_TRY_S)
+            if done and answers.result():
+                return True
+            stays_open = asyncio.create_task(
+                self._pool.opens(address, connections.CONNECT_TIMEOUT_S)
+            )
             if await answers:
                 return True
             return await stays_open and self._links.received_at > began
         finally:
             answers.cancel()
-            stays_open.cancel()
+            if stays_open is not None:
+                stays_open.cancel()
+
+    async def _answers_a_check(self, address: str) -> bool:
+        """Returns whether one of several health checks is answered.
+
+        Further ones are sent only if an upstream resets them at once.
+        """
+        for _ in range(_CHECKS):
+            began = clocks.monotonic()
+            if await self._answers(address):
+                return True
+            if clocks.monotonic() - began > _FIRST_TRY_S:
+                return False
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+        return False
 
     async def _answers(self, address: str) -> bool:
         target = self._target_table.at_address(address)
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -99,6 +99,9 @@
 
     Attributes:
         received_at: When data last arrived from any upstream.
+        proven_at: When the newest connection was opened that delivered data.
+        had_own_failures: Whether requests of this VM had failed, or were left
+            without data, when the last confirmation began.
     """
 
     def __init__(self, meters: metrics.Meters | None = None):
@@ -107,8 +110,15 @@
         # arrived, by address.
         self._open_failed_at: dict[str, float] = {}
         self._broken_at: dict[str, float] = {}
-        # When the newest connection was opened that delivered data.
-        self._proven_at = float("-inf")
+        self.proven_at = float("-inf")
+        self.had_own_failures = False
+        # The failures, their number in a row, and since when requests waited
+        # as the confirmation began.
+        self._evidence_before: tuple[dict[str, float], int, float | None] = (
+            {},
+            0,
+            None,
+        )
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
         self._failed_in_a_row = 0
@@ -158,7 +168,7 @@
         self._waiting_since = None
         if self._broken_at:
             self._broken_at.clear()
-        if opened_at > self._proven_at:
+        if opened_at > self.proven_at:
             self._record_proof(opened_at)
         since = self._partitioned_since
         if since is not None and opened_at >= since:
@@ -191,7 +201,7 @@
 
     def _record_proof(self, opened_at: float) -> None:
         """Records that a connection opened at a time works."""
-        self._proven_at = opened_at
+        self.proven_at = opened_at
         self._failed_in_a_row = 0
         self._open_failed_at = {
             address: at
@@ -282,6 +292,17 @@
         """Records that upstreams are being tried to confirm a suspicion."""
         self._meters.links.add("suspected")
         self._confirmation_began_at = now
+        since = self._waiting_since
+        self._evidence_before = (
+            dict(self._open_failed_at),
+            self._failed_in_a_row,
+            since,
+        )
+        self.had_own_failures = (
+            bool(self._open_failed_at or self._broken_at)
+            or since is not None
+            and now - since > SILENCE_S
+        )
         self._put_off_confirmations(now, suspicion)
 
     def refute(
@@ -297,6 +318,18 @@
         self._broken_at.clear()
         self._waiting_since = None
 
+    def leave_undecided(self) -> None:
+        """Drops failures seen while upstreams were tried.
+
+        They would count as failures of this VM's requests.
+        """
+        (
+            self._open_failed_at,
+            self._failed_in_a_row,
+            self._waiting_since,
+        ) = self._evidence_before
+        self._failing_since = min(self._open_failed_at.values(), default=0.0)
+
     def _put_off_confirmations(self, now: float, suspicion: Suspicion) -> None:
         """Sets when the next suspicion may be confirmed.
 
