The limiter of a rate stays while it reaches no upstream

Cause: limiters were selected like arbiters, among the VMs that reach upstreams. Tokens need no upstream, and a limiter that is replaced starts with a full limit, which the former one may have issued already.

Change: limiters are selected among all VMs of the domain that are likely to answer, arbiters among those of them that reach upstreams.

Result: unit tests of an isolated domain and of two isolated VMs, which failed before, select the same limiter everywhere.

--- a/src/swiftstile/gateway/arbiter_selection.py
+++ b/src/swiftstile/gateway/arbiter_selection.py
@@ -68,7 +68,8 @@
         """Returns the VM that issues the tokens of a rate-limited upstream.
 
         Unlike an arbiter, it isn't replaced while it leaves permit requests
-        without a reply: two VMs would each issue the whole limit.
+        without a reply: two VMs would each issue the whole limit. For the same
+        reason it stays while it reaches no upstream, as tokens need none.
 
         Args:
             target: The upstream.
@@ -84,8 +85,11 @@
             if row is None or row is self._peers.me:
                 return None, row is not None
             return self._peers.by_node.get(row.node), False
+        domain = target.upstream.failure_domain
         return self._select(
-            target.upstream.failure_domain, subject, now, lambda peer: True
+            self._peers.reachable(domain, now),
+            domain == self._peers.me.domain and not self._is_leaving(),
+            subject,
         )
 
     def arbiter_in_domain(
@@ -93,6 +97,8 @@
     ) -> tuple[reports.Peer | None, bool]:
         """Returns the arbiter of an upstream or a service in a domain.
 
+        A VM that reaches no upstream can't tell how loaded one is.
+
         Args:
             domain: The domain.
             subject: Name of the upstream or service.
@@ -102,28 +108,37 @@
             The arbiter, or None if no peer of the domain can be asked; and
             whether this VM is the arbiter instead.
         """
+        is_near = (
+            domain == self._peers.me.domain
+            and not self._is_leaving()
+            and not self._is_isolated(now)
+        )
         return self._select(
-            domain, subject, now, lambda peer: not self.is_avoided(peer, now)
+            self._peers.connected(domain, now),
+            is_near,
+            subject,
+            lambda peer: not self.is_avoided(peer, now),
         )
 
     def _select(
         self,
-        domain: ids.FailureDomain,
+        peers: list[reports.Peer],
+        is_near: bool,
         subject: str,
-        now: float,
-        is_eligible: collections.abc.Callable[[reports.Peer], bool],
+        is_eligible: collections.abc.Callable[
+            [reports.Peer], bool
+        ] = lambda peer: True,
     ) -> tuple[reports.Peer | None, bool]:
         """Returns the eligible VM of highest affinity, or whether it is me.
 
-        A VM that reaches no upstream can't tell how loaded one is.
+        Args:
+            peers: The peers to select from.
+            is_near: Whether this VM may be selected, too.
+            subject: Name of the upstream or service that is hashed.
+            is_eligible: Whether a peer may be selected. Those that may not
+                still count for the bandwidth that is wanted.
         """
         me = self._peers.me
-        peers = self._peers.connected(domain, now)
-        is_near = (
-            domain == me.domain
-            and not self._is_leaving()
-            and not self._is_isolated(now)
-        )
         most_mbps = max(
             [peer.row.link_mbps for peer in peers] + [me.link_mbps] * is_near,
             default=0.0,
--- a/tests/unit/test_forward_selection.py
+++ b/tests/unit/test_forward_selection.py
@@ -170,6 +170,49 @@
     assert selector.arbiter_in_domain("d-2", "u-1", _NOW)[0] is not None
 
 
+def _target(domain: str) -> targets.Target:
+    upstream = builders.upstream("u-1", failure_domain=domain)
+    return builders.target_table(upstream).by_id[upstream.id]
+
+
+class _NoLimits:
+    """No upstream is cold."""
+
+    def is_limited(self, _target, _now: float) -> bool:
+        return False
+
+
+def test_the_limiter_stays_when_its_domain_loses_its_upstreams():
+    """It needs none to issue tokens; a second limiter issues them again."""
+    target = _target("d-1")
+    limiters = set()
+    for peers in (_peers(0, 60, set()), _peers_of_isolated_domain(60)):
+        selector = arbiter_selection.ArbiterSelector(
+            peers, lambda: False, _NoLimits()
+        )
+        peer, is_me = selector.limiter_of(target, target.id, _NOW)
+        assert not is_me
+        limiters.add(peer and peer.row.node)
+    assert len(limiters) == 1 and None not in limiters
+
+
+@pytest.mark.parametrize("isolated", [False, True])
+def test_an_isolated_vm_is_limiter_as_the_others_see_it(isolated):
+    """It asked another VM for tokens, which saw it as the limiter."""
+    target = _target(_DOMAINS[0])
+    limiters = set()
+    for me in (0, 3):
+        selector = arbiter_selection.ArbiterSelector(
+            _peers(me, 6, {0, 3} if isolated else set()),
+            lambda: False,
+            _NoLimits(),
+            lambda _now: isolated,
+        )
+        peer, is_me = selector.limiter_of(target, target.id, _NOW)
+        limiters.add(f"vm-{me}" if is_me else peer and peer.row.node)
+    assert len(limiters) == 1 and None not in limiters
+
+
 @pytest.mark.parametrize("vms", [60, 200])
 def test_a_domain_that_reports_to_be_isolated_is_not_asked(vms):
     """Its VMs refuse: three that are asked may all be of such a domain."""
