Give extra sends to returning callers where upstreams reject with free slots

The retry budget (0.2 of the requests) went to whichever request an upstream rejected first, so that it was used up by first attempts, whose callers come back anyway, and nothing was left for callers without a retry.

The VM that answers a caller states in PermitRelease how long the caller was told to wait, and PermitReply states how often a caller was rejected before. With [load] returning_callers, an attempt of a returning caller may be rejected by up to four sends, and first attempts get only what later attempts don't need by the measured fraction of rejected sends. Switched off, decisions are as before.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -153,6 +153,11 @@
             besides the deadline.
         is_for_peer: Whether another VM will send it, so that upstreams that
             want no requests of this VM may be used.
+        rejections: How often its caller was rejected before, as far as known.
+        returned_after_s: Time from its caller's first attempt to this one; 0
+            for a first attempt.
+        told_retry_s: Retry-After that its caller was given when an upstream
+            rejected it.
     """
 
     _sequence = itertools.count()
@@ -182,6 +187,9 @@
         self.domain: ids.FailureDomain | None = None
         self.max_wait_s: float | None = None
         self.is_for_peer = False
+        self.rejections = 0
+        self.returned_after_s = 0.0
+        self.told_retry_s: float | None = None
         self.sequence = next(self._sequence)
 
     @property
@@ -242,6 +250,7 @@
         drain_s: float,
         limits: coldstart.SendLimits = coldstart.UNLIMITED,
         rate_limits: ratelimits.RateLimits = ratelimits.UNLIMITED,
+        retry_tracker: caller_retries.RetryTracker | None = None,
     ):
         self._target_table = target_table
         self._rate_limits = rate_limits
@@ -252,7 +261,7 @@
         # Start of the current uninterrupted period in which requests that can
         # still be in time have been waiting, by what they queue for.
         self._contention_started: dict[QueueKey, float] = {}
-        self._retry_tracker = caller_retries.RetryTracker()
+        self._retry_tracker = retry_tracker or caller_retries.RetryTracker()
         self.vm_count = 1
 
     def __len__(self) -> int:
@@ -646,7 +655,7 @@
         spread = 1 + random.uniform(0, RETRY_JITTER)
         owner = None if waiter.awaited is None else waiter.awaited.id
         if waiter.max_wait_s is None:
-            self._retry_tracker.expect_retry(waiter, now + base_s * spread)
+            self._retry_tracker.expect_retry(waiter, now + base_s * spread, now)
         is_ownerless = waiter.owner is not None and owner is None
         return Rejection(base_s * spread, wait_s, owner, is_ownerless)
 
--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -12,6 +12,7 @@
 from swiftstile import metrics
 from swiftstile import pacing
 from swiftstile.gateway import admission
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
@@ -69,6 +70,7 @@
         target_table: The upstreams.
         is_leaving: Returns whether this VM is shutting down.
         meters: Counts permits.
+        retry_tracker: Recognises callers that come back.
     """
 
     def __init__(
@@ -78,7 +80,9 @@
         target_table: targets.TargetTable,
         is_leaving,
         meters: metrics.Meters,
+        retry_tracker: caller_retries.RetryTracker | None = None,
     ):
+        self._retry_tracker = retry_tracker or caller_retries.RetryTracker()
         self._peers = peers
         self._gate = gate
         self._target_table = target_table
@@ -157,7 +161,7 @@
         name = (request.run, request.number)
         decided = self._gate.start_acquire(waiter)
         if isinstance(decided, admission.Rejection):
-            self._send_rejection(peer, request.number, decided)
+            self._send_rejection(peer, request.number, waiter, decided)
             return
         permit = self._permits[name] = _Permit(waiter)
         if isinstance(decided, targets.Target):
@@ -183,6 +187,21 @@
         if message.slowdown_percent is not None:
             permit.target.note_slowdown(message.slowdown_percent / 100, now)
 
+    def expect_return(self, caller: permit_messages.RejectedCaller) -> None:
+        """Records a caller that an upstream rejected and that will retry."""
+        self._retry_tracker.expect_caller(
+            caller_retries.TurnedAway(
+                caller.service,
+                caller.key,
+                caller.objective_ms,
+                caller.retry_after_ms / 1000,
+                caller.left_ms / 1000,
+                caller.age_ms / 1000,
+                caller.rejections,
+            ),
+            clocks.monotonic(),
+        )
+
     def end_permit(self, peer: reports.Peer, number: int) -> None:
         """Ends the permit of a request that ended or no longer waits."""
         self._end((reports.short_run(peer.row.incarnation), number))
@@ -204,7 +223,7 @@
         error = future.exception()
         if error is not None:
             del self._permits[name]
-            self._send_rejection(peer, name[1], error.rejection)
+            self._send_rejection(peer, name[1], permit.waiter, error.rejection)
             return
         permit.target = future.result()
         self._send_status(peer, name[1], permit)
@@ -218,14 +237,19 @@
                 ),
             )
             return
+        waiter = permit.waiter
         reply = permit_messages.PermitReply(
-            number, permit_messages.PermitStatus.GRANTED, permit.waiter.occupied
+            number,
+            permit_messages.PermitStatus.GRANTED,
+            waiter.occupied,
+            rejections=waiter.rejections,
+            returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
         )
-        if permit.waiter.domain is not None:
+        if waiter.domain is not None:
             reply.upstream = permit.target.id
         self._send(peer, reply)
 
-    def _send_rejection(self, peer, number: int, overload) -> None:
+    def _send_rejection(self, peer, number: int, waiter, overload) -> None:
         self._meters.permits.add("refused")
         self._send(
             peer,
@@ -234,6 +258,8 @@
                 permit_messages.PermitStatus.REFUSED,
                 retry_after_ms=clocks.milliseconds(overload.retry_after_s),
                 wait_ms=clocks.milliseconds(overload.wait_s),
+                rejections=waiter.rejections,
+                returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
             ),
         )
 
@@ -274,6 +300,7 @@
         else now + request.caller_timeout_ms / 1000,
     )
     waiter.is_for_peer = True
+    waiter.rejections = request.rejections
     if request.max_wait_ms is not None:
         waiter.max_wait_s = request.max_wait_ms / 1000
     return waiter
--- a/src/swiftstile/gateway/budget.py
+++ b/src/swiftstile/gateway/budget.py
@@ -9,11 +9,19 @@
 
 from swiftstile import ids
 
-__all__ = ["RetryBudget"]
+__all__ = ["ReturnReserve", "RetryBudget"]
 
 # Fraction of the bound that is used, because the platform's windows slide and
 # count requests slightly earlier or later than this VM does.
 SAFETY_FACTOR = 0.7
+# Weight of one send in the estimate of how many sends upstreams reject. A VM
+# sends 7 to 30 requests/s to a service, so that a change is known within half
+# a second.
+REJECTED_SEND_WEIGHT = 1 / 8
+# The estimate is capped here, as no number of sends helps beyond it.
+MAX_REJECTED_FRACTION = 0.9
+# Callers that retry a second time are known for this long after one did.
+RETRIES_KNOWN_S = 60.0
 
 
 class RetryBudget:
@@ -32,6 +40,8 @@
         self._vms = 1
         self._requests_by_service: dict[ids.ServiceName, collections.deque] = {}
         self._retries_by_service: dict[ids.ServiceName, collections.deque] = {}
+        # Those of the retries that were for callers that had returned.
+        self._returned_by_service: dict[ids.ServiceName, collections.deque] = {}
 
     def set_vm_count(self, count: int) -> None:
         """Sets how many VMs share the allowance."""
@@ -41,19 +51,97 @@
         """Records a caller's request for a service."""
         self._window(self._requests_by_service, service, now).append(now)
 
-    def can_spend(self, service: ids.ServiceName, now: float) -> bool:
-        """Whether one more retry is allowed."""
+    def can_spend(
+        self,
+        service: ids.ServiceName,
+        now: float,
+        reserved_ratio: float = 0.0,
+    ) -> bool:
+        """Whether one more retry is allowed.
+
+        Args:
+            service: The service.
+            now: The time.
+            reserved_ratio: Retries per request that are left to callers that
+                return. Retries that these have spent count towards it.
+        """
         requests = len(self._window(self._requests_by_service, service, now))
         retries = len(self._window(self._retries_by_service, service, now))
         bound = self._ratio * requests + self._allowance / self._vms
-        return retries + 1 <= SAFETY_FACTOR * bound
+        reserved = 0.0
+        if reserved_ratio:
+            spent = len(self._window(self._returned_by_service, service, now))
+            reserved = max(0.0, reserved_ratio * requests - spent)
+        return retries + 1 <= SAFETY_FACTOR * bound - reserved
+
+    def spend(
+        self, service: ids.ServiceName, now: float, is_returning: bool = False
+    ) -> None:
+        """Records one retry.
 
-    def spend(self, service: ids.ServiceName, now: float) -> None:
-        """Records one retry."""
+        Args:
+            service: The service.
+            now: The time.
+            is_returning: Whether its caller had been rejected before.
+        """
         self._window(self._retries_by_service, service, now).append(now)
+        if is_returning:
+            self._window(self._returned_by_service, service, now).append(now)
 
     def _window(self, by_service, service, now) -> collections.deque:
         times = by_service.setdefault(service, collections.deque())
         while times and times[0] <= now - self._window_s:
             times.popleft()
         return times
+
+
+class ReturnReserve:
+    """Estimates how much of the retry budget returning callers need.
+
+    Designed for upstreams that reject half of all sends for some seconds
+    although they have free slots. One extra send then serves a request with the
+    same probability at any attempt, but only a caller's last attempt is lost
+    without it, so the budget is left to these as long as it is scarce.
+    """
+
+    def __init__(self):
+        self._rejected_by_service: dict[ids.ServiceName, float] = {}
+        self._second_retry_at: dict[ids.ServiceName, float] = {}
+
+    def note_send(self, service: ids.ServiceName, is_rejected: bool) -> None:
+        """Records whether an upstream with free slots rejected a request."""
+        known = self._rejected_by_service.get(service, 0.0)
+        known += REJECTED_SEND_WEIGHT * (is_rejected - known)
+        self._rejected_by_service[service] = known
+
+    def note_caller(
+        self, service: ids.ServiceName, rejections: int, now: float
+    ) -> None:
+        """Records how often the caller of a request was rejected before it."""
+        if rejections > 1:
+            self._second_retry_at[service] = now
+
+    def is_last_attempt(
+        self, service: ids.ServiceName, rejections: int, now: float
+    ) -> bool:
+        """Whether a caller probably won't retry again."""
+        second_retry_at = self._second_retry_at.get(service, -RETRIES_KNOWN_S)
+        has_two_retries = now - second_retry_at < RETRIES_KNOWN_S
+        return rejections >= (2 if has_two_retries else 1)
+
+    def ratio_for_later(
+        self, service: ids.ServiceName, rejections: int
+    ) -> float:
+        """Returns the retries per request that later attempts need.
+
+        Of all requests, p ** (n + 1) return for the n + 1st time, p is rejected
+        again, and each of these needs 1 / (1 - p) sends on average.
+
+        Args:
+            service: The service.
+            rejections: How often the caller was rejected before.
+        """
+        fraction = min(
+            MAX_REJECTED_FRACTION, self._rejected_by_service.get(service, 0.0)
+        )
+        return fraction ** (rejections + 2) / (1 - fraction)
--- a/src/swiftstile/gateway/caller_retries.py
+++ b/src/swiftstile/gateway/caller_retries.py
@@ -5,19 +5,60 @@
 has the same key, arrives at the given retry time and has the same deadline.
 This matters for overloaded owners: there, half of the attempts are retries, and
 they would take slots from requests that can still be answered in time.
+
+Where `is_enabled` is on, requests without a key are recognised as well, by
+service, objective and deadline. They may then get extra sends (`retries.py`).
 """
 
 import collections
+import collections.abc
+
+import msgspec
 
+from swiftstile import clocks
 from swiftstile import ids
+from swiftstile import metrics
 
-__all__ = ["RetryTracker"]
+__all__ = ["RetryTracker", "TurnedAway"]
 
 # How far a caller's deadline may differ between two attempts, in seconds: it is
 # sent in whole milliseconds, and the one-way latency of each attempt varies.
 DEADLINE_TOLERANCE_S = 0.008
 # How much earlier and later than the retry time a retry may arrive.
 MAX_EARLY_S, MAX_LATE_S = 0.01, 0.06
+# Callers wait at most this fraction of the time that they have left, whatever
+# they are told.
+MAX_WAIT_FRACTION = 1 / 3
+
+# Service, key, and objective in milliseconds; the last is 0 if there is a key.
+_Name = tuple[ids.ServiceName, int | None, int]
+
+
+def never_enabled() -> bool:
+    """The default of `is_enabled`: retries without a key aren't tracked."""
+    return False
+
+
+class TurnedAway(msgspec.Struct):
+    """A caller whose request an upstream rejected; times are relative to now.
+
+    Attributes:
+        service: The service.
+        key: Key of the request, if it has one.
+        objective_ms: Latency objective of its route.
+        retry_after_s: How long the caller was told to wait.
+        left_s: Time until the caller gives up.
+        age_s: Time since its first attempt arrived.
+        rejections: How often it was rejected, this time included.
+    """
+
+    service: ids.ServiceName
+    key: int | None
+    objective_ms: int
+    retry_after_s: float
+    left_s: float
+    age_s: float
+    rejections: int
 
 
 class _ExpectedRetry:
@@ -27,41 +68,100 @@
         retry_at: When it is expected.
         gives_up_at: Deadline of the caller.
         arrived: When its first attempt arrived.
+        rejections: How often the caller was rejected.
     """
 
-    __slots__ = ("arrived", "retry_at", "gives_up_at")
+    __slots__ = ("arrived", "rejections", "retry_at", "gives_up_at")
 
-    def __init__(self, retry_at: float, gives_up_at: float, arrived: float):
+    def __init__(
+        self,
+        retry_at: float,
+        gives_up_at: float,
+        arrived: float,
+        rejections: int,
+    ):
         self.retry_at = retry_at
         self.gives_up_at = gives_up_at
         self.arrived = arrived
+        self.rejections = rejections
 
 
 class RetryTracker:
-    """Expected retries of one VM's callers, by service and key."""
+    """Expected retries of one VM's callers, by service and key.
+
+    Args:
+        is_enabled: Whether callers that return are treated differently from
+            others.
+        meters: Counts recognised callers.
+    """
 
-    def __init__(self):
-        self._by_key: dict[
-            tuple[ids.ServiceName, int], collections.deque[_ExpectedRetry]
-        ] = {}
+    def __init__(
+        self,
+        is_enabled: collections.abc.Callable[[], bool] = never_enabled,
+        meters: metrics.Meters | None = None,
+    ):
+        self._is_enabled = is_enabled
+        self._meters = meters
+        self._by_key: dict[_Name, collections.deque[_ExpectedRetry]] = {}
         self._swept_at = 0.0
 
-    def expect_retry(self, waiter, retry_at: float) -> None:
-        """Records that a request was rejected with a retry time."""
-        if waiter.key is None or waiter.gives_up_at is None:
+    def expect_retry(
+        self, waiter, retry_at: float, now: float | None = None
+    ) -> None:
+        """Records that a request was rejected with a retry time.
+
+        Args:
+            waiter: The request.
+            retry_at: When its caller was told to retry.
+            now: The time; None if the caller waits as long as it was told.
+        """
+        if waiter.gives_up_at is None:
+            return
+        if not self._is_enabled():
+            if waiter.key is None:
+                return
+        elif now is not None:
+            longest_s = MAX_WAIT_FRACTION * (waiter.gives_up_at - now)
+            retry_at = min(retry_at, now + longest_s)
+        self._expect(
+            _name(waiter),
+            _ExpectedRetry(
+                retry_at,
+                waiter.gives_up_at,
+                waiter.arrived,
+                waiter.rejections + 1,
+            ),
+        )
+
+    def expect_caller(self, caller: TurnedAway, now: float) -> None:
+        """Records that an upstream rejected a caller's request."""
+        if not self._is_enabled():
             return
-        name = (waiter.service, waiter.key)
-        expected = self._by_key.setdefault(name, collections.deque())
-        expected.append(
-            _ExpectedRetry(retry_at, waiter.gives_up_at, waiter.arrived)
+        wait_s = min(caller.retry_after_s, MAX_WAIT_FRACTION * caller.left_s)
+        objective_ms = caller.objective_ms if caller.key is None else 0
+        self._expect(
+            (caller.service, caller.key, objective_ms),
+            _ExpectedRetry(
+                now + wait_s,
+                now + caller.left_s,
+                now - caller.age_s,
+                caller.rejections,
+            ),
         )
 
+    def _expect(self, name: _Name, entry: _ExpectedRetry) -> None:
+        self._by_key.setdefault(name, collections.deque()).append(entry)
+
     def match_retry(self, waiter, now: float) -> None:
-        """Sets a retry's arrival time to that of its first attempt."""
+        """Sets a retry's arrival time to that of its first attempt.
+
+        Where returning callers are treated differently, it also gets the number
+        of its rejections.
+        """
         self._sweep(now)
-        if waiter.key is None or waiter.gives_up_at is None:
+        if waiter.gives_up_at is None:
             return
-        expected = self._by_key.get((waiter.service, waiter.key), ())
+        expected = self._by_key.get(_name(waiter), ())
         matches = [entry for entry in expected if _matches(entry, waiter, now)]
         if not matches:
             return
@@ -70,6 +170,11 @@
             key=lambda entry: abs(entry.gives_up_at - waiter.gives_up_at),
         )
         expected.remove(best)
+        if self._is_enabled():
+            waiter.rejections = max(waiter.rejections, best.rejections)
+            waiter.returned_after_s = max(0.0, waiter.arrived - best.arrived)
+            if self._meters is not None:
+                self._meters.returning.add("recognised")
         waiter.arrived = min(waiter.arrived, best.arrived)
 
     def _sweep(self, now: float) -> None:
@@ -89,6 +194,13 @@
                 del self._by_key[name]
 
 
+def _name(waiter) -> _Name:
+    if waiter.key is not None:
+        return waiter.service, waiter.key, 0
+    objective_ms = clocks.milliseconds(waiter.route.objective_s)
+    return waiter.service, None, objective_ms
+
+
 def _matches(entry: _ExpectedRetry, waiter, now: float) -> bool:
     is_due = -MAX_EARLY_S <= now - entry.retry_at <= MAX_LATE_S
     return (
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -60,6 +60,11 @@
         data_age_ms: Time since any upstream delivered data to this VM; of
             requests that weren't served only.
         decided_by: The VM that refused a slot, if it wasn't this one.
+        rejections: How often the caller was rejected before this attempt, as
+            far as known.
+        returned_after_ms: Time from the caller's first attempt to this one.
+        extra_send: Whether it is sent again because an upstream with free slots
+            rejected it.
     """
 
     id: str
@@ -87,6 +92,9 @@
     backoff_ms: int = 0
     data_age_ms: int = 0
     decided_by: str = ""
+    rejections: int = 0
+    returned_after_ms: int = 0
+    extra_send: bool = False
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -1,6 +1,7 @@
 """Handles one request from its arrival to its response."""
 
 import asyncio
+import collections.abc
 
 from aiohttp import web_request
 from aiohttp import web_response
@@ -12,6 +13,7 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
 from swiftstile.gateway import caller_requests
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import crash_guard
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
@@ -71,6 +73,9 @@
         links: upstream_links.UpstreamLinks,
         forwarder: forwarding.PeerForwarder,
         meters: metrics.Meters,
+        prefers_returning: collections.abc.Callable[
+            [], bool
+        ] = caller_retries.never_enabled,
     ):
         self.config: model.Config | None = None
         self.is_new_config_invalid = False
@@ -80,7 +85,9 @@
         self._target_table = target_table
         self._owners = key_owners
         self._budget = retry_budget
-        self._retries = retries.RetryPolicy(retry_budget, target_table, meters)
+        self._retries = retries.RetryPolicy(
+            retry_budget, target_table, meters, prefers_returning
+        )
         self._speed_table = speed_table
         self._log = log
         self._store = store
@@ -350,6 +357,7 @@
                         error, waiter, state
                     ) from error
             else:
+                self._retries.note_accepted(waiter)
                 self._record_response(
                     call, waiter, target, response, sent, trace
                 )
@@ -504,7 +512,9 @@
                 service=waiter.service,
                 upstream="" if target is None else target.id,
                 attempt=state.sends,
-                waited_ms=clocks.milliseconds(now - waiter.arrived),
+                waited_ms=clocks.milliseconds(
+                    now - waiter.arrived - waiter.returned_after_s
+                ),
                 left_ms=clocks.milliseconds(call.deadline - now),
                 key=call.inbound.key,
                 config=config.version if config else 0,
@@ -515,6 +525,9 @@
                 data_age_ms=self._links.data_age_ms(now)
                 if target is None
                 else 0,
+                rejections=waiter.rejections,
+                returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
+                extra_send=state.is_extra,
                 **_stated_fields(target, now),
             )
         )
@@ -540,6 +553,7 @@
                 queued=self._permits.queued,
                 data_age_ms=self._links.data_age_ms(now),
                 decided_by=getattr(error, "decided_by", ""),
+                rejections=error.rejections,
                 **_stated_fields(target, now),
             )
         )
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -37,11 +37,14 @@
             will; 502 and 504 guarantee nothing.
         reason: Short name for logs and counters.
         retry_after_s: Value of Retry-After; None to omit the header.
+        rejections: How often the caller was rejected before this attempt, as
+            far as known.
     """
 
     status: typing.ClassVar[int] = 500
     reason: typing.ClassVar[str] = "internal"
     retry_after_s: float | None = None
+    rejections: int = 0
 
     @property
     def promises_not_run(self) -> bool:
--- a/src/swiftstile/gateway/permit_messages.py
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -17,6 +17,7 @@
     "PermitReply",
     "PermitRequest",
     "PermitStatus",
+    "RejectedCaller",
 ]
 
 
@@ -47,6 +48,8 @@
         service: The service; empty if `upstream` is named.
         excluded: Upstreams that already rejected or failed the request.
         max_wait_ms: Longest wait for a slot; until the request expires if None.
+        rejections: How often its caller was rejected before, as far as the
+            requesting VM knows.
     """
 
     run: str
@@ -63,6 +66,7 @@
     service: ids.ServiceName = ids.ServiceName("")
     excluded: list[model.UpstreamId] = []
     max_wait_ms: int | None = None
+    rejections: int = 0
 
 
 class PermitReply(msgspec.Struct, array_like=True, tag=2):
@@ -75,6 +79,9 @@
         retry_after_ms: Time after which to retry, if rejected.
         wait_ms: Actual or expected wait, if rejected.
         upstream: Upstream of the granted slot, if any upstream was requested.
+        rejections: How often the caller was rejected before this attempt.
+        returned_after_ms: Time from the caller's first attempt to this one; 0
+            for a first attempt.
     """
 
     number: int
@@ -83,6 +90,30 @@
     retry_after_ms: int = 0
     wait_ms: int = 0
     upstream: model.UpstreamId = model.UpstreamId("")
+    rejections: int = 0
+    returned_after_ms: int = 0
+
+
+class RejectedCaller(msgspec.Struct, array_like=True):
+    """A caller that was told to retry because upstreams rejected its request.
+
+    Attributes:
+        service: The service.
+        key: Key of the request, if it has one.
+        objective_ms: Latency objective of its route.
+        retry_after_ms: How long the caller was told to wait.
+        left_ms: Time until the caller gives up.
+        age_ms: Time since the caller's first attempt arrived.
+        rejections: How often the caller was rejected, this time included.
+    """
+
+    service: ids.ServiceName
+    key: int | None
+    objective_ms: int
+    retry_after_ms: int
+    left_ms: int
+    age_ms: int
+    rejections: int
 
 
 class PermitRelease(msgspec.Struct, array_like=True, tag=3):
@@ -94,12 +125,14 @@
         penalty_ms: Remaining penalty of the upstream of the last request.
         slowdown_percent: Current service time there in percent of the usual, as
             reported in its answer; None if not reported.
+        rejected: The caller of the last request, if it was told to retry.
     """
 
     run: str
     ended: list[int]
     penalty_ms: int = 0
     slowdown_percent: int | None = None
+    rejected: RejectedCaller | None = None
 
 
 # Content of a permit datagram.
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -253,19 +253,44 @@
     def release(self, waiter: admission.Waiter, target: targets.Target) -> None:
         """Releases the slot of a request that is no longer at the target."""
         number = self._number_by_waiter.pop(waiter.sequence, None)
+        now = clocks.monotonic()
+        rejected = _rejected_caller(waiter, now)
         if number is None:
             self._gate.release(waiter, target)
+            if rejected is not None:
+                self._arbiter.expect_return(rejected)
             return
         target.note_permit_ended(waiter.sequence)
         if waiter.owner is not None:
-            self._send_release(number)
+            self._send_release(number, rejected=rejected)
             return
+        if rejected is not None and waiter.domain != self._peers.me.domain:
+            # The caller's next attempt asks the arbiter of the home domain
+            # first.
+            self._report_rejected(rejected, now)
+            rejected = None
         # Report the penalty and slowdown of the upstream to its arbiter.
-        now = clocks.monotonic()
         self._send_release(
-            number, target.penalty_left_s(now), target.reported_slowdown(now)
+            number,
+            target.penalty_left_s(now),
+            target.reported_slowdown(now),
+            rejected,
         )
 
+    def _report_rejected(
+        self, caller: permit_messages.RejectedCaller, now: float
+    ) -> None:
+        """Tells the home domain's arbiter of a caller that will retry."""
+        arbiter, is_me = self._selector.arbiter_in_domain(
+            self._peers.me.domain, caller.service, now
+        )
+        if is_me:
+            self._arbiter.expect_return(caller)
+        elif arbiter is not None:
+            run = reports.short_run(self._peers.me.incarnation)
+            message = permit_messages.PermitRelease(run, [], rejected=caller)
+            self._peers.send_permit(arbiter, self._encoder.encode(message))
+
     @property
     def queued(self) -> int:
         """Requests that wait for a slot that this VM assigns."""
@@ -299,6 +324,7 @@
                 return None
             if target is not None:
                 self._rate_limits.note_reply(target)
+            _note_return(waiter, reply)
             if reply.status is permit_messages.PermitStatus.REFUSED:
                 error = _rejected_error(reply, target)
                 error.decided_by = arbiter.row.node
@@ -398,6 +424,7 @@
             request.excluded = sorted(
                 waiter.excluded | self._backing_off(waiter.service, now)
             )
+        request.rejections = waiter.rejections
         if waiter.max_wait_s is not None:
             request.max_wait_ms = clocks.milliseconds(waiter.max_wait_s)
         self._peers.send_permit(arbiter, self._encoder.encode(request))
@@ -420,6 +447,7 @@
         number: int,
         penalty_s: float = 0.0,
         slowdown: float | None = None,
+        rejected: permit_messages.RejectedCaller | None = None,
     ) -> None:
         """Reports that a request ended, or no longer waits.
 
@@ -427,6 +455,7 @@
             number: Number of the permit request.
             penalty_s: Remaining penalty of its upstream, in seconds.
             slowdown: Current over usual service time there, if known.
+            rejected: Its caller, if it was told to retry.
         """
         arbiter = self._arbiter_by_number.pop(number)
         ended = self._ended_by_node.setdefault(
@@ -439,6 +468,7 @@
             list(ended),
             clocks.milliseconds(penalty_s),
             None if slowdown is None else round(100 * slowdown),
+            rejected,
         )
         self._peers.send_permit(arbiter, self._encoder.encode(message))
 
@@ -461,14 +491,45 @@
             # The sender isn't registered here yet, or this is from its
             # previous run.
             return
-        if isinstance(message, permit_messages.PermitRelease) and message.ended:
-            self._arbiter.note_upstream_state(peer, message)
+        if isinstance(message, permit_messages.PermitRelease):
+            if message.ended:
+                self._arbiter.note_upstream_state(peer, message)
+            if message.rejected is not None:
+                self._arbiter.expect_return(message.rejected)
         for number in message.ended:
             self._arbiter.end_permit(peer, number)
         if isinstance(message, permit_messages.PermitRequest):
             self._arbiter.handle_request(peer, message)
 
 
+def _note_return(
+    waiter: admission.Waiter, reply: permit_messages.PermitReply
+) -> None:
+    """Applies what an arbiter knows of earlier attempts of the caller."""
+    if reply.rejections <= waiter.rejections:
+        return
+    waiter.rejections = reply.rejections
+    waiter.returned_after_s = reply.returned_after_ms / 1000
+    waiter.arrived -= waiter.returned_after_s
+
+
+def _rejected_caller(
+    waiter: admission.Waiter, now: float
+) -> permit_messages.RejectedCaller | None:
+    """Returns the caller of a request, if an upstream rejected it for good."""
+    if waiter.told_retry_s is None or waiter.gives_up_at is None:
+        return None
+    return permit_messages.RejectedCaller(
+        waiter.service,
+        waiter.key,
+        clocks.milliseconds(waiter.route.objective_s),
+        clocks.milliseconds(waiter.told_retry_s),
+        clocks.milliseconds(waiter.gives_up_at - now),
+        clocks.milliseconds(now - waiter.arrived),
+        waiter.rejections + 1,
+    )
+
+
 def _rejected_error(
     reply: permit_messages.PermitReply, target: targets.Target | None
 ) -> outcomes.RejectedError:
--- a/src/swiftstile/gateway/retries.py
+++ b/src/swiftstile/gateway/retries.py
@@ -1,14 +1,21 @@
 """Decides whether a request is sent again, and what its caller is told.
 
 Pure decision code but for the time, and the random part of Retry-After.
+
+Where `is_enabled` is on, callers that return after a rejection get the extra
+sends that the retry budget allows, and others only what these don't need: with
+55% of the sends rejected at random and one retry of the caller, an extra send
+on the first attempt saves half as many callers as one on the second.
 """
 
+import collections.abc
 import random
 
 from swiftstile import clocks
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import exchange
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
@@ -20,6 +27,11 @@
 # being moved. Such a send runs nothing, and only the key's next owner can serve
 # the request.
 MAX_MISDIRECTED = 3
+# Maximum sends of a returning caller's attempt that upstreams with free slots
+# may reject. They run nothing, so they don't count as attempts; at 55%
+# rejected, 91 of 100 attempts are accepted within four. More would mostly be
+# wasted on upstreams that reject everything.
+MAX_REJECTED = 4
 # Maximum upstreams that are tried when connections to them fail.
 MAX_UNREACHABLE = 4
 # Retry-After when upstreams rejected the request for lack of slots.
@@ -38,13 +50,18 @@
             forwarded it.
         misdirected: Sends that upstreams rejected as misdirected.
         unreachable: Upstreams to which no connection opened.
+        rejected: Sends that upstreams with free slots rejected.
         may_have_run: Whether a send may have run.
+        is_extra: Whether the next send follows a rejection by an upstream with
+            free slots.
     """
 
     def __init__(self, sends: int):
         self.sends = sends
         self.misdirected = 0
         self.unreachable = 0
+        self.rejected = 0
+        self.is_extra = False
         self.may_have_run = False
 
 
@@ -55,6 +72,7 @@
         retry_budget: Limits the repetitions of this VM.
         target_table: The upstreams.
         meters: Counts repetitions that the budget prevents.
+        is_enabled: Whether callers that return have priority.
     """
 
     def __init__(
@@ -62,10 +80,19 @@
         retry_budget: budget.RetryBudget,
         target_table: targets.TargetTable,
         meters: metrics.Meters,
+        is_enabled: collections.abc.Callable[
+            [], bool
+        ] = caller_retries.never_enabled,
     ):
         self._budget = retry_budget
         self._target_table = target_table
         self._meters = meters
+        self._is_enabled = is_enabled
+        self._reserve = budget.ReturnReserve()
+
+    def note_accepted(self, waiter: admission.Waiter) -> None:
+        """Records that an upstream ran a request."""
+        self._reserve.note_send(waiter.service, is_rejected=False)
 
     def may_retry(
         self,
@@ -84,6 +111,12 @@
             state: Its sends so far.
             now: The time.
         """
+        is_free_rejection = self._is_enabled() and _is_free_rejection(error)
+        if is_free_rejection:
+            state.rejected += 1
+            self._reserve.note_send(waiter.service, is_rejected=True)
+        self._reserve.note_caller(waiter.service, waiter.rejections, now)
+        state.is_extra = False
         if not call.can_resend or now + waiter.expected_s > call.deadline:
             return False
         pause_s = self._owner_backoff_s(error, waiter, now)
@@ -101,14 +134,57 @@
         if isinstance(error, outcomes.MisdirectedError):
             if state.misdirected > MAX_MISDIRECTED:
                 return False
-        elif state.sends >= waiter.route.max_attempts:
+        elif self._is_last_send(waiter, state):
             return False
-        if not self._budget.can_spend(waiter.service, now):
+        reserved_ratio = self._reserved_ratio(error, waiter, now)
+        if not self._budget.can_spend(waiter.service, now, reserved_ratio):
             self._meters.refusals.add("retry-budget")
+            if is_free_rejection and reserved_ratio:
+                self._meters.returning.add("told-to-return")
             return False
-        self._budget.spend(waiter.service, now)
+        self._budget.spend(waiter.service, now, waiter.rejections > 0)
+        if is_free_rejection:
+            state.is_extra = True
+            is_first = waiter.rejections == 0
+            self._meters.returning.add(
+                "extra-send-first" if is_first else "extra-send"
+            )
         return True
 
+    def _is_last_send(self, waiter: admission.Waiter, state: SendState) -> bool:
+        """Whether a request was sent as often as one attempt may be."""
+        if not waiter.rejections or not self._is_enabled():
+            return state.sends >= waiter.route.max_attempts
+        return (
+            state.rejected >= MAX_REJECTED
+            or state.sends - state.rejected >= waiter.route.max_attempts
+        )
+
+    def _reserved_ratio(self, error, waiter, now: float) -> float:
+        """Returns the retries per request that are left to other callers.
+
+        Requests that an upstream certainly didn't run leave them, as their
+        callers can retry; others have no second chance.
+        """
+        if (
+            not self._is_enabled()
+            or not isinstance(error, outcomes.NotRunError)
+            or isinstance(error, outcomes.MisdirectedError)
+        ):
+            return 0.0
+        is_last = self._reserve.is_last_attempt(
+            waiter.service, waiter.rejections, now
+        )
+        pause_s = FREE_SLOT_RETRY_AFTER[1] * waiter.route.objective_s
+        if (
+            waiter.gives_up_at is not None
+            and now + pause_s + waiter.expected_s > waiter.gives_up_at
+        ):
+            is_last = True
+        if is_last:
+            return 0.0
+        return self._reserve.ratio_for_later(waiter.service, waiter.rejections)
+
     def final_error(
         self,
         error: outcomes.GatewayError,
@@ -120,6 +196,7 @@
         If an earlier send may have run, the outcome is unknown, even if the
         last send certainly didn't run.
         """
+        error.rejections = waiter.rejections
         if state.may_have_run and error.promises_not_run:
             return outcomes.UnknownOutcomeError(
                 f"an earlier send may have run; {error}",
@@ -128,6 +205,8 @@
             )
         if isinstance(error, outcomes.NotRunError):
             error.retry_after_s = self._retry_after_s(error, waiter)
+            if self._is_enabled():
+                waiter.told_retry_s = error.retry_after_s
         return error
 
     def _retry_after_s(
@@ -151,3 +230,12 @@
         if waiter.owner is None or target is None:
             return 0.0
         return target.backoff_left_s(now)
+
+
+def _is_free_rejection(error: outcomes.GatewayError) -> bool:
+    """Whether an upstream rejected a request although it had free slots."""
+    return (
+        isinstance(error, outcomes.NotRunError)
+        and not isinstance(error, outcomes.MisdirectedError)
+        and error.had_free_slot
+    )
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -15,6 +15,7 @@
 from swiftstile.gateway import arbiter_selection
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import connections
 from swiftstile.gateway import crash_guard
@@ -35,6 +36,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import load_settings
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
@@ -210,6 +212,17 @@
             lambda: self._state.contact_at,
             lambda: self._state.generation,
         )
+        self._retry_tracker = caller_retries.RetryTracker(
+            self._is_on(settings.load.returning_callers), self._meters
+        )
+        self._controller = admission.AdmissionController(
+            self._target_table,
+            self._node.domain,
+            self._drain_s,
+            self._cold_limits,
+            self._rate_limiter,
+            self._retry_tracker,
+        )
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
@@ -231,13 +244,7 @@
             self._leadership.can_write,
         )
         gate = gate_lib.Gate(
-            admission.AdmissionController(
-                self._target_table,
-                self._node.domain,
-                self._drain_s,
-                self._cold_limits,
-                self._rate_limiter,
-            ),
+            self._controller,
             key_owners.count_request,
         )
         self._registry = registry = registry_lib.Registry(
@@ -275,6 +282,7 @@
             self._target_table,
             self._is_leaving,
             self._meters,
+            self._retry_tracker,
         )
         pool = connections.ConnectionPool(self._settings.vm.host, self._links)
         client = exchange.UpstreamClient(
@@ -325,6 +333,7 @@
             self._links,
             forwarder,
             self._meters,
+            self._is_on(self._settings.load.returning_callers),
         )
         self._renewer = renewals.GrantRenewer(
             self._maps,
@@ -429,6 +438,12 @@
         known = config.services_by_name.get(service) if config else None
         return known.health_path if known else "/"
 
+    def _is_on(
+        self, switch: load_settings.Switch
+    ) -> collections.abc.Callable[[], bool]:
+        """Returns a function that states whether a mechanism is active."""
+        return lambda: load_settings.is_on(switch, self._controller.vm_count)
+
     def _is_leaving(self) -> bool:
         return self._daemon is not None and self._daemon.is_leaving
 
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -29,6 +29,7 @@
     "advisories": ("swiftstile.upstream.advisories", "{answer}", "kind"),
     "links": ("swiftstile.upstream.links", "{event}", "kind"),
     "forwards": ("swiftstile.forwards", "{request}", "result"),
+    "returning": ("swiftstile.returning.callers", "{request}", "kind"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
 }
 
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -11,6 +11,7 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import arbiter_selection
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
@@ -87,10 +88,19 @@
         selector = arbiter_selection.ArbiterSelector(
             self.peers, lambda: self.is_leaving, self.limits
         )
+        self.prefers_returning = False
+        self.retry_tracker = caller_retries.RetryTracker(
+            lambda: self.prefers_returning, self.meters
+        )
         self.rate_limiter = ratelimits.RateLimiter(self.peers, selector)
         self.gate = gate_lib.Gate(
             admission.AdmissionController(
-                self.targets, domain, 2.0, self.limits, self.rate_limiter
+                self.targets,
+                domain,
+                2.0,
+                self.limits,
+                self.rate_limiter,
+                self.retry_tracker,
             ),
             self.demand.append,
         )
@@ -100,6 +110,7 @@
             self.targets,
             lambda: self.is_leaving,
             self.meters,
+            self.retry_tracker,
         )
         self.permits = permits.PermitClient(
             self.peers,
@@ -180,7 +191,9 @@
 
 def _is_kind(kind: int):
     """Returns a predicate for datagrams of one kind, by their tag."""
-    return lambda data, to: data[:1] == b"p" and data[2] == kind
+    return lambda data, to: (
+        data[:1] == b"p" and msgspec.msgpack.decode(data[1:])[0] == kind
+    )
 
 
 _REQUEST, _REPLY, _RELEASE = 1, 2, 3
@@ -612,3 +625,56 @@
             far.permits.release(waiter, target)
 
     _run(scenario)
+
+
+async def _reject_and_return(first: _Vm, second: _Vm, make_waiter):
+    """Lets an upstream reject a caller, which returns to another VM."""
+    waiter = make_waiter(first)
+    waiter.gives_up_at = waiter.arrived + 1.5
+    target = await first.permits.acquire(waiter)
+    waiter.told_retry_s = 0.05
+    first.permits.release(waiter, target)
+    await asyncio.sleep(0.055)
+    back = make_waiter(second)
+    back.gives_up_at = waiter.gives_up_at
+    target = await second.permits.acquire(back)
+    second.permits.release(back, target)
+    return waiter, back
+
+
+@pytest.mark.parametrize("is_enabled", [False, True])
+def test_arbiters_recognise_callers_that_upstreams_rejected(is_enabled):
+    async def scenario(_network, arbiter, near, far):
+        arbiter.prefers_returning = is_enabled
+        # It travels by the release if another VM granted the slot.
+        for first, second in ((far, near), (arbiter, far), (far, arbiter)):
+            earlier, back = await _reject_and_return(
+                first, second, lambda vm: vm.waiter()
+            )
+            assert back.rejections == int(is_enabled)
+            if is_enabled:
+                assert back.arrived == pytest.approx(earlier.arrived, abs=0.01)
+                assert back.returned_after_s >= 0.05
+
+    _run(scenario, near=1, far=2)
+
+
+def test_the_home_arbiter_recognises_callers_without_key():
+    # Guards against a record at the other domain's arbiter, which the caller's
+    # next attempt doesn't ask first.
+    async def scenario(_network, home, away, farther):
+        away.prefers_returning = farther.prefers_returning = True
+        selector = away.permits._selector
+        _, is_away = selector.arbiter_in_domain(
+            builders.AWAY, builders.LOOKUPS, clocks.monotonic()
+        )
+        first = farther if is_away else away
+        second = away if is_away else farther
+        # All upstreams are in the other domain, whose arbiter doesn't track.
+        _, back = await _reject_and_return(first, second, _any_waiter)
+        assert back.rejections == 0
+        keeper = away if is_away else farther
+        entries = keeper.retry_tracker._by_key.values()
+        assert sum(map(len, entries)) == 1
+
+    _run(scenario, near=1, far=2)
