Reserve capacity for callers that an arbiter rejected

Callers of a saturated owner came back at times that had nothing to do with its capacity, and were rejected again. Other callers that return after lack of slots go after first attempts that can be in time.

Switched off, nothing changes.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -16,6 +16,7 @@
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import model
 from swiftstile.gateway import ratelimits
+from swiftstile.gateway import retry_schedule
 from swiftstile.gateway import targets
 
 __all__ = [
@@ -86,12 +87,14 @@
         owner: The only upstream that could have served it; None if it has no
             key or its key has no owner.
         is_ownerless: Whether its key has no reachable owner.
+        is_reserved: Whether capacity is reserved at the time of the retry.
     """
 
     retry_after_s: float
     wait_s: float
     owner: model.UpstreamId | None
     is_ownerless: bool = False
+    is_reserved: bool = False
 
 
 class _Group(typing.NamedTuple):
@@ -156,6 +159,7 @@
         rejections: How often its caller was rejected before, as far as known.
         returned_after_s: Time from its caller's first attempt to this one; 0
             for a first attempt.
+        turn: Its place among requests of its priority.
         told_retry_s: Retry-After that its caller was given when an upstream
             rejected it.
     """
@@ -189,6 +193,7 @@
         self.is_for_peer = False
         self.rejections = 0
         self.returned_after_s = 0.0
+        self.turn = caller_retries.Turn.NORMAL
         self.told_retry_s: float | None = None
         self.sequence = next(self._sequence)
 
@@ -225,11 +230,17 @@
         margin_s = min(LATENESS_MARGIN * work_s, MAX_MARGIN_OF_SLACK * slack_s)
         return now + work_s + margin_s > self.objective_at
 
-    def rank(self, now: float) -> tuple[bool, int, float, int]:
+    @property
+    def is_reserved(self) -> bool:
+        """Whether it returned at a time that was reserved for it."""
+        return self.turn is caller_retries.Turn.RESERVED
+
+    def rank(self, now: float) -> tuple[bool, int, int, float, int]:
         """Returns its sort key in the queue; the lowest goes first."""
         return (
             self.is_late(now),
             self.route.priority,
+            self.turn,
             self.arrived,
             self.sequence,
         )
@@ -251,6 +262,7 @@
         limits: coldstart.SendLimits = coldstart.UNLIMITED,
         rate_limits: ratelimits.RateLimits = ratelimits.UNLIMITED,
         retry_tracker: caller_retries.RetryTracker | None = None,
+        schedule: retry_schedule.RetrySchedule | None = None,
     ):
         self._target_table = target_table
         self._rate_limits = rate_limits
@@ -262,6 +274,9 @@
         # still be in time have been waiting, by what they queue for.
         self._contention_started: dict[QueueKey, float] = {}
         self._retry_tracker = retry_tracker or caller_retries.RetryTracker()
+        self._schedule = schedule or retry_schedule.RetrySchedule(
+            caller_retries.never_enabled
+        )
         self.vm_count = 1
 
     def __len__(self) -> int:
@@ -278,7 +293,11 @@
         """
         if waiter.owner is not None:
             waiter.awaited = waiter.owner.target(now)
-        self._retry_tracker.match_retry(waiter, now)
+        reserved_at = self._retry_tracker.match_retry(waiter, now)
+        if reserved_at is not None and not self._schedule.consume(
+            waiter.queue_key, reserved_at, now
+        ):
+            waiter.turn = caller_retries.Turn.NORMAL
         if not self._is_preceded(waiter, now):
             target = self.select_target(waiter, now)
             if target is not None:
@@ -286,7 +305,11 @@
                 return target
         wait_s = self.expected_wait_s(waiter, now)
         limit_s = self._max_wait_s(waiter, now)
-        if waiter.max_wait_s is not None:
+        if waiter.is_reserved:
+            limit_s = waiter.deadline - now - waiter.expected_s
+        elif self._schedule.is_enabled:
+            wait_s += self._reserved_wait_s(waiter, wait_s, now)
+        if waiter.max_wait_s is not None and not waiter.is_reserved:
             limit_s = min(limit_s, waiter.max_wait_s)
         if wait_s > limit_s:
             return self._rejection(
@@ -652,12 +675,50 @@
         if excess_s == _INFINITY:
             excess_s = NO_TARGET_RETRY_AFTER_S
         base_s = max(MIN_RETRY_AFTER * waiter.route.objective_s, excess_s)
-        spread = 1 + random.uniform(0, RETRY_JITTER)
+        retry_s = base_s * (1 + random.uniform(0, RETRY_JITTER))
+        reserved_at = self._reserve(waiter, now)
+        is_reserved = reserved_at is not None
+        if is_reserved:
+            retry_s = reserved_at - now
         owner = None if waiter.awaited is None else waiter.awaited.id
         if waiter.max_wait_s is None:
-            self._retry_tracker.expect_retry(waiter, now + base_s * spread, now)
+            self._retry_tracker.expect_retry(
+                waiter, now + retry_s, now, is_reserved
+            )
         is_ownerless = waiter.owner is not None and owner is None
-        return Rejection(base_s * spread, wait_s, owner, is_ownerless)
+        return Rejection(retry_s, wait_s, owner, is_ownerless, is_reserved)
+
+    def _reserve(self, waiter: Waiter, now: float) -> float | None:
+        """Reserves a time for a rejected caller; None if none is left."""
+        if (
+            not self._schedule.is_enabled
+            or waiter.gives_up_at is None
+            or waiter.max_wait_s is not None
+            or waiter.queue_key is None
+            or not waiter.is_centrally_decided
+        ):
+            return None
+        return self._schedule.reserve(
+            waiter.queue_key,
+            caller_retries.return_bounds(waiter, now),
+            self._capacity_per_s(waiter, now),
+            now,
+        )
+
+    def _reserved_wait_s(
+        self, waiter: Waiter, wait_s: float, now: float
+    ) -> float:
+        """Returns how much longer a request waits for reserved ones."""
+        if wait_s == _INFINITY or waiter.queue_key is None:
+            return 0.0
+        due = self._schedule.due(waiter.queue_key, now + wait_s, now)
+        return due / self._capacity_per_s(waiter, now) if due else 0.0
+
+    def _capacity_per_s(self, waiter: Waiter, now: float) -> float:
+        return retry_schedule.capacity_per_s(
+            (target.upstream.slots, waiter.expected_s * target.slow_factor(now))
+            for target in self._candidates(waiter, now)
+        )
 
 
 def _random_sample(pool: list[targets.Target]) -> list[targets.Target]:
--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -244,6 +244,7 @@
             waiter.occupied,
             rejections=waiter.rejections,
             returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
+            is_reserved=waiter.is_reserved,
         )
         if waiter.domain is not None:
             reply.upstream = permit.target.id
@@ -260,6 +261,7 @@
                 wait_ms=clocks.milliseconds(overload.wait_s),
                 rejections=waiter.rejections,
                 returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
+                is_reserved=overload.is_reserved,
             ),
         )
 
--- a/src/swiftstile/gateway/caller_retries.py
+++ b/src/swiftstile/gateway/caller_retries.py
@@ -12,14 +12,22 @@
 
 import collections
 import collections.abc
+import enum
 
 import msgspec
 
 from swiftstile import clocks
 from swiftstile import ids
 from swiftstile import metrics
+from swiftstile.gateway import retry_schedule
 
-__all__ = ["RetryTracker", "TurnedAway"]
+__all__ = [
+    "RetryTracker",
+    "Turn",
+    "TurnedAway",
+    "never_enabled",
+    "return_bounds",
+]
 
 # How far a caller's deadline may differ between two attempts, in seconds: it is
 # sent in whole milliseconds, and the one-way latency of each attempt varies.
@@ -29,6 +37,12 @@
 # Callers wait at most this fraction of the time that they have left, whatever
 # they are told.
 MAX_WAIT_FRACTION = 1 / 3
+# A rejected caller comes back after this fraction of its objective at the
+# earliest.
+MIN_RETURN_OBJECTIVES = 0.05
+# Spare time of a reserved retry before its objective, in mean service times.
+# Service times vary by half.
+IN_TIME_MARGIN = 0.6
 
 # Service, key, and objective in milliseconds; the last is 0 if there is a key.
 _Name = tuple[ids.ServiceName, int | None, int]
@@ -39,6 +53,18 @@
     return False
 
 
+class Turn(enum.IntEnum):
+    """Order of requests of one priority that can be in time."""
+
+    # It returned at the time that was reserved for it.
+    RESERVED = 0
+    NORMAL = 1
+    # It was rejected for lack of slots, and no time was left to reserve. First
+    # attempts go before it, as they would otherwise get less than half of the
+    # capacity, and most answers to such callers are late.
+    RETURNED = 2
+
+
 class TurnedAway(msgspec.Struct):
     """A caller whose request an upstream rejected; times are relative to now.
 
@@ -69,9 +95,16 @@
         gives_up_at: Deadline of the caller.
         arrived: When its first attempt arrived.
         rejections: How often the caller was rejected.
+        turn: When it goes if it returns as told.
     """
 
-    __slots__ = ("arrived", "rejections", "retry_at", "gives_up_at")
+    __slots__ = (
+        "arrived",
+        "gives_up_at",
+        "rejections",
+        "retry_at",
+        "turn",
+    )
 
     def __init__(
         self,
@@ -79,11 +112,13 @@
         gives_up_at: float,
         arrived: float,
         rejections: int,
+        turn: Turn,
     ):
         self.retry_at = retry_at
         self.gives_up_at = gives_up_at
         self.arrived = arrived
         self.rejections = rejections
+        self.turn = turn
 
 
 class RetryTracker:
@@ -106,7 +141,11 @@
         self._swept_at = 0.0
 
     def expect_retry(
-        self, waiter, retry_at: float, now: float | None = None
+        self,
+        waiter,
+        retry_at: float,
+        now: float | None = None,
+        is_reserved: bool = False,
     ) -> None:
         """Records that a request was rejected with a retry time.
 
@@ -114,6 +153,7 @@
             waiter: The request.
             retry_at: When its caller was told to retry.
             now: The time; None if the caller waits as long as it was told.
+            is_reserved: Whether that time is reserved for it.
         """
         if waiter.gives_up_at is None:
             return
@@ -130,6 +170,7 @@
                 waiter.gives_up_at,
                 waiter.arrived,
                 waiter.rejections + 1,
+                Turn.RESERVED if is_reserved else Turn.RETURNED,
             ),
         )
 
@@ -146,25 +187,29 @@
                 now + caller.left_s,
                 now - caller.age_s,
                 caller.rejections,
+                Turn.NORMAL,
             ),
         )
 
     def _expect(self, name: _Name, entry: _ExpectedRetry) -> None:
         self._by_key.setdefault(name, collections.deque()).append(entry)
 
-    def match_retry(self, waiter, now: float) -> None:
+    def match_retry(self, waiter, now: float) -> float | None:
         """Sets a retry's arrival time to that of its first attempt.
 
         Where returning callers are treated differently, it also gets the number
-        of its rejections.
+        of its rejections and its turn.
+
+        Returns:
+            The time that was reserved for the retry, if any.
         """
         self._sweep(now)
         if waiter.gives_up_at is None:
-            return
+            return None
         expected = self._by_key.get(_name(waiter), ())
         matches = [entry for entry in expected if _matches(entry, waiter, now)]
         if not matches:
-            return
+            return None
         best = min(
             matches,
             key=lambda entry: abs(entry.gives_up_at - waiter.gives_up_at),
@@ -172,10 +217,12 @@
         expected.remove(best)
         if self._is_enabled():
             waiter.rejections = max(waiter.rejections, best.rejections)
+            waiter.turn = best.turn
             waiter.returned_after_s = max(0.0, waiter.arrived - best.arrived)
             if self._meters is not None:
                 self._meters.returning.add("recognised")
         waiter.arrived = min(waiter.arrived, best.arrived)
+        return best.retry_at if best.turn is Turn.RESERVED else None
 
     def _sweep(self, now: float) -> None:
         """Removes expected retries that are overdue."""
@@ -207,3 +254,16 @@
         is_due
         and abs(entry.gives_up_at - waiter.gives_up_at) <= DEADLINE_TOLERANCE_S
     )
+
+
+def return_bounds(waiter, now: float) -> retry_schedule.Bounds:
+    """Returns when the caller of a rejected request may come back in time."""
+    work_s = waiter.service_time_s
+    margin_s = IN_TIME_MARGIN * work_s
+    return retry_schedule.Bounds(
+        now + MIN_RETURN_OBJECTIVES * waiter.route.objective_s,
+        min(
+            now + MAX_WAIT_FRACTION * (waiter.gives_up_at - now),
+            waiter.objective_at - work_s - margin_s,
+        ),
+    )
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -63,6 +63,8 @@
         rejections: How often the caller was rejected before this attempt, as
             far as known.
         returned_after_ms: Time from the caller's first attempt to this one.
+        reserved: Whether the caller returned at a time that was reserved for
+            it, or whether Retry-After is a reservation, if refused.
         extra_send: Whether it is sent again because an upstream with free slots
             rejected it.
     """
@@ -94,6 +96,7 @@
     decided_by: str = ""
     rejections: int = 0
     returned_after_ms: int = 0
+    reserved: bool = False
     extra_send: bool = False
 
 
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -527,6 +527,7 @@
                 else 0,
                 rejections=waiter.rejections,
                 returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
+                reserved=waiter.is_reserved,
                 extra_send=state.is_extra,
                 **_stated_fields(target, now),
             )
@@ -554,6 +555,9 @@
                 data_age_ms=self._links.data_age_ms(now),
                 decided_by=getattr(error, "decided_by", ""),
                 rejections=error.rejections,
+                reserved=getattr(
+                    getattr(error, "rejection", None), "is_reserved", False
+                ),
                 **_stated_fields(target, now),
             )
         )
--- a/src/swiftstile/gateway/permit_messages.py
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -82,6 +82,8 @@
         rejections: How often the caller was rejected before this attempt.
         returned_after_ms: Time from the caller's first attempt to this one; 0
             for a first attempt.
+        is_reserved: Whether the caller returned at a time that was reserved for
+            it, if granted; whether the time of its retry is, if rejected.
     """
 
     number: int
@@ -92,6 +94,7 @@
     upstream: model.UpstreamId = model.UpstreamId("")
     rejections: int = 0
     returned_after_ms: int = 0
+    is_reserved: bool = False
 
 
 class RejectedCaller(msgspec.Struct, array_like=True):
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -32,6 +32,7 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import arbiter_selection
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import domain_search
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
@@ -506,6 +507,9 @@
     waiter: admission.Waiter, reply: permit_messages.PermitReply
 ) -> None:
     """Applies what an arbiter knows of earlier attempts of the caller."""
+    is_granted = reply.status is permit_messages.PermitStatus.GRANTED
+    if is_granted and reply.is_reserved:
+        waiter.turn = caller_retries.Turn.RESERVED
     if reply.rejections <= waiter.rejections:
         return
     waiter.rejections = reply.rejections
@@ -537,5 +541,6 @@
         reply.retry_after_ms / 1000,
         reply.wait_ms / 1000,
         None if target is None else target.id,
+        is_reserved=reply.is_reserved,
     )
     return gate_lib.rejected_error(overload)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -50,6 +50,7 @@
 from swiftstile.gateway import renewal_budget
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
+from swiftstile.gateway import retry_schedule
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import slotplan
 from swiftstile.gateway import speeds
@@ -222,6 +223,9 @@
             self._cold_limits,
             self._rate_limiter,
             self._retry_tracker,
+            retry_schedule.RetrySchedule(
+                self._is_on(settings.load.returning_callers), self._meters
+            ),
         )
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
--- a/tests/keyed_load_simulation.py
+++ b/tests/keyed_load_simulation.py
@@ -3,8 +3,8 @@
 An arbiter decides for all VMs, as in `permits.py`. Permit requests and
 responses, the lookups themselves and reports of their end take the latency
 between failure domains. Owners run `slots` requests concurrently, each owner at
-its own speed, and queue others in order. Rejected callers retry once at the
-time they were given. A simulation is determined by its seed.
+its own speed, and queue others in order. Rejected callers retry once or more
+at the time they were given. A simulation is determined by its seed.
 """
 
 import collections
@@ -12,6 +12,8 @@
 import random
 
 from swiftstile.gateway import admission
+from swiftstile.gateway import caller_retries
+from swiftstile.gateway import retry_schedule
 from tests import event_clock
 from tests import gateway_builders as builders
 
@@ -33,6 +35,8 @@
         slots: Concurrent requests of an owner.
         duration_s: Duration of arrivals.
         seed: Random seed of arrivals and service times.
+        max_retries: How often a caller retries.
+        has_reservations: Whether capacity is reserved for rejected callers.
     """
 
     speeds: tuple[float, ...] = (0.5, 1.0, 1.0, 1.5)
@@ -48,6 +52,8 @@
     slots: int = 2
     duration_s: float = 20.0
     seed: int = 1
+    max_retries: int = 1
+    has_reservations: bool = False
 
 
 @dataclasses.dataclass
@@ -57,7 +63,10 @@
     Attributes:
         in_time: Responses within the objective, counted from the first attempt.
         late: Later responses.
-        rejected: Callers that were rejected twice, or too late to retry.
+        rejected: Callers that were rejected after their last retry, or too late
+            to retry.
+        rejected_twice: Callers that were rejected at least twice.
+        first_in_time: Responses in time to first attempts.
         retried: Callers that retried after a rejection.
         rejection_waits_s: Times that requests waited until their rejection.
     """
@@ -65,6 +74,8 @@
     in_time: int = 0
     late: int = 0
     rejected: int = 0
+    rejected_twice: int = 0
+    first_in_time: int = 0
     retried: int = 0
     rejection_waits_s: list[float] = dataclasses.field(default_factory=list)
 
@@ -115,7 +126,15 @@
             self._owners[spec.id] = _Owner(speed, load.slots)
             self._targets.by_id[spec.id].slowness = 1.0 / speed
         self._controller = admission.AdmissionController(
-            self._targets, builders.HOME, 2.0
+            self._targets,
+            builders.HOME,
+            2.0,
+            retry_tracker=caller_retries.RetryTracker(
+                lambda: load.has_reservations
+            ),
+            schedule=retry_schedule.RetrySchedule(
+                lambda: load.has_reservations
+            ),
         )
         self._callers: dict[int, _Caller] = {}
         self.result = Result()
@@ -196,10 +215,11 @@
         self.result.rejection_waits_s.append(now - waiter.arrived)
         left_s = caller.first_at + caller.wait_s - now
         back_s = min(rejection.retry_after_s, left_s / 3)
-        if caller.retries or left_s < 0.05:
+        self.result.rejected_twice += caller.retries == 1
+        if caller.retries == load.max_retries or left_s < 0.05:
             self.result.rejected += 1
             return
-        caller.retries = 1
+        caller.retries += 1
         self.result.retried += 1
         self._clock.schedule(
             now + load.latency_s + back_s, self._arrive_at_arbiter, caller
@@ -235,6 +255,7 @@
         took_s = now + self._load.latency_s - caller.first_at
         if took_s <= self._load.objective_s:
             self.result.in_time += 1
+            self.result.first_in_time += caller.retries == 0
         elif took_s <= caller.wait_s:
             self.result.late += 1
         else:
