--- a/src/swiftstile/gateway/caller_retries.py
+++ b/src/swiftstile/gateway/caller_retries.py
@@ -13,6 +13,7 @@
 import collections
 import collections.abc
 import enum
+import math
 
 import msgspec
 
@@ -44,8 +45,13 @@
 # Service times vary by half.
 IN_TIME_MARGIN = 0.6
 
-# Service, key, and objective in milliseconds; the last is 0 if there is a key.
-_Name = tuple[ids.ServiceName, int | None, int]
+# Expected retries without a key are looked up by deadlines of this resolution,
+# in seconds, as a service may have hundreds of them.
+_DEADLINE_BUCKET_S = 0.1
+
+# Service, key, and if there is no key, objective in milliseconds and bucket of
+# the deadline; 0 otherwise.
+_Name = tuple[ids.ServiceName, int | None, int, int]
 
 
 def never_enabled() -> bool:
@@ -164,7 +170,7 @@
             longest_s = MAX_WAIT_FRACTION * (waiter.gives_up_at - now)
             retry_at = min(retry_at, now + longest_s)
         self._expect(
-            _name(waiter),
+            _name(waiter, waiter.gives_up_at),
             _ExpectedRetry(
                 retry_at,
                 waiter.gives_up_at,
@@ -179,12 +185,16 @@
         if not self._is_enabled():
             return
         wait_s = min(caller.retry_after_s, MAX_WAIT_FRACTION * caller.left_s)
-        objective_ms = caller.objective_ms if caller.key is None else 0
+        gives_up_at = now + caller.left_s
+        name = caller.service, caller.key, 0, 0
+        if caller.key is None:
+            bucket = _deadline_bucket(gives_up_at)
+            name = caller.service, None, caller.objective_ms, bucket
         self._expect(
-            (caller.service, caller.key, objective_ms),
+            name,
             _ExpectedRetry(
                 now + wait_s,
-                now + caller.left_s,
+                gives_up_at,
                 now - caller.age_s,
                 caller.rejections,
                 Turn.NORMAL,
@@ -206,15 +216,23 @@
         self._sweep(now)
         if waiter.gives_up_at is None:
             return None
-        expected = self._by_key.get(_name(waiter), ())
-        matches = [entry for entry in expected if _matches(entry, waiter, now)]
+        names = {
+            _name(waiter, waiter.gives_up_at + tolerance_s)
+            for tolerance_s in (-DEADLINE_TOLERANCE_S, DEADLINE_TOLERANCE_S)
+        }
+        matches = [
+            (name, entry)
+            for name in names
+            for entry in self._by_key.get(name, ())
+            if _matches(entry, waiter, now)
+        ]
         if not matches:
             return None
-        best = min(
+        name, best = min(
             matches,
-            key=lambda entry: abs(entry.gives_up_at - waiter.gives_up_at),
+            key=lambda match: abs(match[1].gives_up_at - waiter.gives_up_at),
         )
-        expected.remove(best)
+        self._by_key[name].remove(best)
         if self._is_enabled():
             waiter.rejections = max(waiter.rejections, best.rejections)
             waiter.turn = best.turn
@@ -241,11 +259,17 @@
                 del self._by_key[name]
 
 
-def _name(waiter) -> _Name:
+def _name(waiter, gives_up_at: float) -> _Name:
+    """Returns under which name a request with a deadline is expected."""
     if waiter.key is not None:
-        return waiter.service, waiter.key, 0
+        return waiter.service, waiter.key, 0, 0
     objective_ms = clocks.milliseconds(waiter.route.objective_s)
-    return waiter.service, None, objective_ms
+    bucket = _deadline_bucket(gives_up_at)
+    return waiter.service, None, objective_ms, bucket
+
+
+def _deadline_bucket(gives_up_at: float) -> int:
+    return math.floor(gives_up_at / _DEADLINE_BUCKET_S)
 
 
 def _matches(entry: _ExpectedRetry, waiter, now: float) -> bool:
--- a/src/swiftstile/gateway/retry_schedule.py
+++ b/src/swiftstile/gateway/retry_schedule.py
@@ -116,8 +116,7 @@
                 bounds.earliest, start + length_s * (count + 0.5) / max(1, most)
             )
             if count < most and at <= bounds.latest:
-                bucket = min(math.floor(at / BUCKET_S), first + buckets - 1)
-                times_by_bucket.setdefault(bucket, []).append(at)
+                times_by_bucket.setdefault(_bucket(at), []).append(at)
                 self._meters.returning.add("reserved")
                 return at
             group += 1
@@ -125,12 +124,13 @@
 
     def due(self, name: _Name, until: float, now: float) -> int:
         """Returns how many reservations are due by a time and not used."""
-        if name not in self._times_by_bucket:
+        times_by_bucket = self._times_by_bucket.get(name)
+        if not times_by_bucket:
             return 0
         return sum(
             now - LAPSE_S < at <= until
-            for times in self._times_by_bucket[name].values()
-            for at in times
+            for bucket in range(_bucket(now - LAPSE_S), _bucket(until) + 1)
+            for at in times_by_bucket.get(bucket, ())
         )
 
     def consume(self, name: _Name, at: float, now: float) -> bool:
@@ -140,22 +140,21 @@
             Whether it hadn't lapsed.
         """
         self._sweep(now)
-        times_by_bucket = self._times_by_bucket.get(name, {})
-        for times in times_by_bucket.values():
-            if at in times:
-                times.remove(at)
-                is_valid = now <= at + LAPSE_S
-                kind = "used" if is_valid else "lapsed"
-                self._meters.returning.add(f"reservation-{kind}")
-                return is_valid
-        return False
+        times = self._times_by_bucket.get(name, {}).get(_bucket(at), [])
+        if at not in times:
+            return False
+        times.remove(at)
+        is_valid = now <= at + LAPSE_S
+        kind = "used" if is_valid else "lapsed"
+        self._meters.returning.add(f"reservation-{kind}")
+        return is_valid
 
     def _sweep(self, now: float) -> None:
         """Removes reservations that lapsed."""
         if now - self._swept_at < LAPSE_S:
             return
         self._swept_at = now
-        lapsed_bucket = math.floor((now - LAPSE_S) / BUCKET_S)
+        lapsed_bucket = _bucket(now - LAPSE_S)
         for name, times_by_bucket in list(self._times_by_bucket.items()):
             for bucket in list(times_by_bucket):
                 if bucket < lapsed_bucket:
@@ -164,3 +163,7 @@
                         self._meters.returning.add("reservation-lapsed", lapsed)
             if not times_by_bucket:
                 del self._times_by_bucket[name]
+
+
+def _bucket(at: float) -> int:
+    return math.floor(at / BUCKET_S)
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -123,6 +123,7 @@
     status: int
     body: bytes
     echoed: str
+    retry_after_s: float = 0.0
 
 
 class Callers:
@@ -144,7 +145,12 @@
         await self._session.close()
 
     async def call(
-        self, path: str = "", key: int | None = None, gateway=None, body=b""
+        self,
+        path: str = "",
+        key: int | None = None,
+        gateway=None,
+        body=b"",
+        deadline_ms: int = 3000,
     ) -> Outcome:
         is_read = self._random.random() < 0.6
         path = path or ("/read/x" if is_read else "/write/x")
@@ -156,7 +162,7 @@
         headers = {
             "Host": "a.example",
             "X-Attempt-Id": attempt,
-            "X-Deadline-Ms": "3000",
+            "X-Deadline-Ms": str(deadline_ms),
             "X-Shard-Key": str(key),
         }
         outcome = Outcome(attempt, method, 0, b"", attempt)
@@ -171,6 +177,9 @@
             ) as answer:
                 outcome.body = await answer.read()
                 outcome.status = answer.status
+                outcome.retry_after_s = float(
+                    answer.headers.get("Retry-After", 0.0)
+                )
                 outcome.echoed = answer.headers.get("X-Attempt-Id", attempt)
         except (aiohttp.ClientError, TimeoutError, OSError):
             outcome.status = 0
@@ -257,8 +266,10 @@
         gateways: int,
         seed: int = 1,
         has_narrow_links: bool = False,
+        settings: str = "",
     ):
         self._has_narrow_links = has_narrow_links
+        self._extra_settings = settings
         self._links = contextlib.AsyncExitStack()
         self.store = users_standins.Store()
         self.cluster = users_standins.Cluster(self.store)
@@ -303,6 +314,8 @@
             link = narrow_link.NarrowLink(endpoint)
             endpoint = (await self._links.enter_async_context(link)).address
         gateway = Gateway(number, host, endpoint, self._folder)
+        with gateway.settings.open("a") as settings:
+            settings.write(self._extra_settings)
         await gateway.start()
         self.gateways.append(gateway)
 
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -331,6 +331,8 @@
     Attributes:
         limit_per_s: Rate limit that it states in its answers, if any.
         announces_exit: Whether it says in its answers that it is leaving.
+        rejections_left: How many requests it rejects although it has free
+            slots.
         backoff_s: If set, it rejects all requests and wants none of the same VM
             for so long.
         arrivals: All requests that reached its current run, run or not.
@@ -359,6 +361,7 @@
         self.delayed_grant_share = 0.0
         self.limit_per_s: float | None = None
         self.announces_exit = False
+        self.rejections_left = 0
         self.backoff_s: float | None = None
         self.arrivals: list[Arrival] = []
         # Number of starts; no state is kept across restarts.
@@ -535,6 +538,13 @@
         if expected != self.name or not_held:
             headers |= {"X-Not-Executed": "1", "X-Instance-Id": self.name}
             return web.Response(status=421, headers=headers)
+        if self.rejections_left:
+            self.rejections_left -= 1
+            headers |= {
+                "X-Not-Executed": "1",
+                "X-Instance-Load": f"0,0,{self.slots}",
+            }
+            return web.Response(status=503, headers=headers)
         if self.backoff_s is not None:
             return self._reject(headers)
         if self.waiting >= _QUEUE_LIMIT:
--- a/tests/unit/test_gateway_retry_schedule.py
+++ b/tests/unit/test_gateway_retry_schedule.py
@@ -212,3 +212,16 @@
     results = _results(objective_s, wait_s, max_retries, part, True)
     in_time = _sum(results, "in_time")
     assert _sum(results, "first_in_time") >= 0.5 * in_time
+
+
+def test_if_switched_off_callers_get_what_they_got_before():
+    # The figures are those of the commit before reservations, 2a7d396.
+    before = {1.3: (722, 102, 213, 298), 2.0: (697, 157, 804, 954)}
+    for part, expected in before.items():
+        result = keyed_load_simulation.KeyedSimulation(
+            keyed_load_simulation.KeyedLoad(
+                per_s=part * 400 / 3, duration_s=6.0
+            )
+        ).run()
+        counts = (result.in_time, result.late, result.rejected, result.retried)
+        assert counts == expected
--- a/tests/unit/test_gateway_returning_callers.py
+++ b/tests/unit/test_gateway_returning_callers.py
@@ -341,3 +341,30 @@
         msgspec.msgpack.encode(old), type=permit_messages.Message
     )
     assert decoded.rejected is None
+
+
+class _OldReply(msgspec.Struct, array_like=True, tag=2):
+    """A reply as builds without this part send and read it."""
+
+    number: int
+    status: permit_messages.PermitStatus
+    occupied: int = 0
+    retry_after_ms: int = 0
+    wait_ms: int = 0
+    upstream: str = ""
+
+
+def test_replies_pass_between_old_and_new_builds():
+    granted = permit_messages.PermitStatus.GRANTED
+    new = permit_messages.PermitReply(
+        3, granted, 1, rejections=1, returned_after_ms=80, is_reserved=True
+    )
+    encoded = msgspec.msgpack.encode(new)
+    assert msgspec.msgpack.decode(encoded, type=permit_messages.Message) == new
+    old = msgspec.msgpack.decode(encoded, type=_OldReply)
+    assert old == _OldReply(3, granted, 1)
+    decoded = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(old), type=permit_messages.Message
+    )
+    assert decoded == permit_messages.PermitReply(3, granted, 1)
+    assert decoded.rejections == 0 and not decoded.is_reserved
