--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -17,6 +17,7 @@
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
 from swiftstile.gateway import permit_messages
+from swiftstile.gateway import rejected_callers
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
 
@@ -190,15 +191,7 @@
     def expect_return(self, caller: permit_messages.RejectedCaller) -> None:
         """Records a caller that an upstream rejected and that will retry."""
         self._retry_tracker.expect_caller(
-            caller_retries.TurnedAway(
-                caller.service,
-                caller.key,
-                caller.objective_ms,
-                caller.retry_after_ms / 1000,
-                caller.left_ms / 1000,
-                caller.age_ms / 1000,
-                caller.rejections,
-            ),
+            rejected_callers.turned_away(caller),
             clocks.monotonic(),
         )
 
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -32,7 +32,6 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import arbiter_selection
-from swiftstile.gateway import caller_retries
 from swiftstile.gateway import domain_search
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
@@ -40,6 +39,7 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import permit_messages
 from swiftstile.gateway import ratelimits
+from swiftstile.gateway import rejected_callers
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
 
@@ -255,7 +255,7 @@
         """Releases the slot of a request that is no longer at the target."""
         number = self._number_by_waiter.pop(waiter.sequence, None)
         now = clocks.monotonic()
-        rejected = _rejected_caller(waiter, now)
+        rejected = rejected_callers.describe(waiter, now)
         if number is None:
             self._gate.release(waiter, target)
             if rejected is not None:
@@ -325,7 +325,7 @@
                 return None
             if target is not None:
                 self._rate_limits.note_reply(target)
-            _note_return(waiter, reply)
+            rejected_callers.note_return(waiter, reply)
             if reply.status is permit_messages.PermitStatus.REFUSED:
                 error = _rejected_error(reply, target)
                 error.decided_by = arbiter.row.node
@@ -503,37 +503,6 @@
             self._arbiter.handle_request(peer, message)
 
 
-def _note_return(
-    waiter: admission.Waiter, reply: permit_messages.PermitReply
-) -> None:
-    """Applies what an arbiter knows of earlier attempts of the caller."""
-    is_granted = reply.status is permit_messages.PermitStatus.GRANTED
-    if is_granted and reply.is_reserved:
-        waiter.turn = caller_retries.Turn.RESERVED
-    if reply.rejections <= waiter.rejections:
-        return
-    waiter.rejections = reply.rejections
-    waiter.returned_after_s = reply.returned_after_ms / 1000
-    waiter.arrived -= waiter.returned_after_s
-
-
-def _rejected_caller(
-    waiter: admission.Waiter, now: float
-) -> permit_messages.RejectedCaller | None:
-    """Returns the caller of a request, if an upstream rejected it for good."""
-    if waiter.told_retry_s is None or waiter.gives_up_at is None:
-        return None
-    return permit_messages.RejectedCaller(
-        waiter.service,
-        waiter.key,
-        clocks.milliseconds(waiter.route.objective_s),
-        clocks.milliseconds(waiter.told_retry_s),
-        clocks.milliseconds(waiter.gives_up_at - now),
-        clocks.milliseconds(now - waiter.arrived),
-        waiter.rejections + 1,
-    )
-
-
 def _rejected_error(
     reply: permit_messages.PermitReply, target: targets.Target | None
 ) -> outcomes.RejectedError:
