Requests wait for an owner without capacity while reservations are due

An owner that drains, is cold or backs off is no candidate, but the time until it takes requests is finite. With a reservation due by then, the wait was divided by a capacity of 0, so that the request failed with an internal error. Reservations add no wait there now.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -712,7 +712,10 @@
         if wait_s == _INFINITY or waiter.queue_key is None:
             return 0.0
         due = self._schedule.due(waiter.queue_key, now + wait_s, now)
-        return due / self._capacity_per_s(waiter, now) if due else 0.0
+        per_s = self._capacity_per_s(waiter, now)
+        # An owner that drains, is cold or backs off has no capacity, although
+        # the time until it has some is known.
+        return due / per_s if per_s > 0 else 0.0
 
     def _capacity_per_s(self, waiter: Waiter, now: float) -> float:
         return retry_schedule.capacity_per_s(
--- a/tests/unit/test_gateway_retry_schedule.py
+++ b/tests/unit/test_gateway_retry_schedule.py
@@ -7,6 +7,7 @@
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import caller_retries
+from swiftstile.gateway import coldstart
 from swiftstile.gateway import retry_schedule
 from tests import gateway_builders as builders
 from tests import keyed_load_simulation
@@ -82,7 +83,7 @@
     assert not schedule._times_by_bucket
 
 
-def _overloaded(is_enabled: bool):
+def _overloaded(is_enabled: bool, limits=coldstart.UNLIMITED):
     """Returns admission control with a saturated owner, and the owner."""
     table = builders.target_table(builders.upstream())
     target = table.by_id["u-1"]
@@ -92,6 +93,7 @@
         table,
         builders.HOME,
         2.0,
+        limits,
         retry_tracker=tracker,
         schedule=_schedule(is_enabled),
     )
@@ -225,3 +227,37 @@
         ).run()
         counts = (result.in_time, result.late, result.rejected, result.retried)
         assert counts == expected
+
+
+class _Blocked(type(coldstart.UNLIMITED)):
+    """Limits that let this VM send nothing to a cold upstream."""
+
+    def is_blocked(self, target, now) -> bool:
+        return now < target.cold_until
+
+
+def _drain(target) -> None:
+    target.announced_leaving_at = -5.0
+
+
+def _make_cold(target) -> None:
+    target.cold_until = 0.5
+
+
+def _back_off(target) -> None:
+    target.backoff_until = 0.5
+
+
+@pytest.mark.parametrize("change", [_drain, _make_cold, _back_off])
+def test_requests_wait_for_an_owner_without_capacity_and_with_reservations(
+    change,
+):
+    # Guards against a division by the capacity of no upstreams.
+    controller, target = _overloaded(is_enabled=True, limits=_Blocked())
+    while controller.offer(_caller(target, 0.0, 0.85), 0.0) is None:
+        pass
+    assert controller._schedule.due((builders.LOOKUPS, "u-1"), 1.0, 0.0)
+    change(target)
+    waiter = _caller(target, 0.1, 2.0)
+    waiter.owner = builders.FixedOwner(target, ready_in_s=0.4)
+    assert controller.offer(waiter, 0.1) is None
