A repeated permit request isn't taken for the caller's return

The reply that rejects a request may be lost. The request is then repeated after some 50 ms, which may be the time that its caller was told, and was recognised as the caller's return: it used the reservation and counted as rejected once more. A request that arrived before half of the caller's wait had passed no longer matches.

--- a/src/swiftstile/gateway/caller_retries.py
+++ b/src/swiftstile/gateway/caller_retries.py
@@ -47,6 +47,9 @@
 # A rejected caller comes back after this fraction of its objective at the
 # earliest.
 MIN_RETURN_OBJECTIVES = 0.05
+# A request that arrived before this fraction of the caller's wait is a repeated
+# permit request, not the caller's return.
+MIN_RETURN_FRACTION = 0.5
 # Spare time of a reserved retry before its objective, in mean service times.
 # Service times vary by half.
 IN_TIME_MARGIN = 0.6
@@ -108,11 +111,13 @@
         arrived: When its first attempt arrived.
         rejections: How often the caller was rejected.
         turn: When it goes if it returns as told.
+        rejected_at: A request that arrived before this isn't the retry.
     """
 
     __slots__ = (
         "arrived",
         "gives_up_at",
+        "rejected_at",
         "rejections",
         "retry_at",
         "turn",
@@ -125,12 +130,14 @@
         arrived: float,
         rejections: int,
         turn: Turn,
+        rejected_at: float,
     ):
         self.retry_at = retry_at
         self.gives_up_at = gives_up_at
         self.arrived = arrived
         self.rejections = rejections
         self.turn = turn
+        self.rejected_at = rejected_at
 
 
 class RetryTracker:
@@ -169,12 +176,16 @@
         """
         if waiter.gives_up_at is None:
             return
+        rejected_at = waiter.arrived
         if not self._is_enabled():
             if waiter.key is None:
                 return
         elif now is not None:
             longest_s = MAX_WAIT_FRACTION * (waiter.gives_up_at - now)
             retry_at = min(retry_at, now + longest_s)
+            # The arrival of a repeated permit request is estimated later by
+            # what its message takes longer than the first one.
+            rejected_at = now + MIN_RETURN_FRACTION * (retry_at - now)
         self._expect(
             _name(waiter, waiter.gives_up_at),
             _ExpectedRetry(
@@ -183,6 +194,7 @@
                 waiter.arrived,
                 waiter.rejections + 1,
                 Turn.RESERVED if is_reserved else Turn.RETURNED,
+                rejected_at,
             ),
         )
 
@@ -204,6 +216,8 @@
                 now - caller.age_s,
                 caller.rejections,
                 Turn.NORMAL,
+                # The message about the rejection may have been delayed.
+                now - caller.age_s,
             ),
         )
 
@@ -252,6 +266,10 @@
         tolerance_s = DEADLINE_TOLERANCE_S
         if waiter.key is not None and self._is_enabled():
             tolerance_s = KEYED_DEADLINE_TOLERANCE_S
+        if waiter.arrived < entry.rejected_at:
+            # A repeated permit request of the attempt that was rejected, as the
+            # reply was lost.
+            return False
         is_due = (
             now >= entry.retry_at - MAX_EARLY_S
             and now <= entry.retry_at + self._max_late_s(waiter.key)
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -678,3 +678,27 @@
         assert sum(map(len, entries)) == 1
 
     _run(scenario, near=1, far=2)
+
+
+def test_a_repeated_request_after_a_lost_refusal_is_not_the_callers_return():
+    # Guards against a caller that is never served because its reservation was
+    # used by the repeated permit request.
+    async def scenario(network, arbiter, far):
+        arbiter.prefers_returning = True
+        builders.occupy(arbiter.targets.by_id["u-1"], 40, clocks.monotonic())
+        lost = []
+
+        def lose_first_refusal(data, to):
+            lost.append(_is_kind(_REPLY)(data, to))
+            return sum(lost) == 1 and lost[-1]
+
+        network.lose = lose_first_refusal
+        waiter = far.waiter(timeout_s=0.12)
+        waiter.gives_up_at = waiter.deadline
+        with pytest.raises(outcomes.RejectedError):
+            await far.permits.acquire(waiter)
+        assert sum(lost) == 2
+        assert waiter.rejections == 0
+        assert arbiter.meters.returning.get("recognised") == 0
+
+    _run(scenario)
--- a/tests/unit/test_gateway_returning_callers.py
+++ b/tests/unit/test_gateway_returning_callers.py
@@ -397,3 +397,17 @@
     bounds = retry_schedule.Bounds(10.0, 11.0)
     at = schedule.reserve("u-1", bounds, 12.5, 10.0)
     assert schedule.consume("u-1", at, at + 0.25)
+
+
+def test_a_repeated_permit_request_is_not_taken_for_the_return():
+    # Guards against a caller that loses its reservation, and counts as
+    # rejected once more, because the reply with the rejection was lost.
+    tracker = caller_retries.RetryTracker(lambda: True)
+    tracker.expect_retry(_rejected_waiter(10.0, 1.0, 7), 10.1, 10.02, True)
+    # The arbiter takes the time that the request states as its arrival.
+    repeated = _rejected_waiter(10.0, 1.0, 7)
+    assert tracker.match_retry(repeated, 10.12) is None
+    assert repeated.rejections == 0
+    back = _rejected_waiter(10.13, 0.87, 7)
+    assert tracker.match_retry(back, 10.13) == 10.1
+    assert back.rejections == 1
