Callers count as retrying twice only if a tenth of those returning do

One request that was rejected twice made a VM believe for 60 s that callers have two retries, so that others lost the preference at their last attempt. It now takes a tenth of the returning requests of the last 10 s.

--- a/src/swiftstile/gateway/budget.py
+++ b/src/swiftstile/gateway/budget.py
@@ -20,8 +20,10 @@
 REJECTED_SEND_WEIGHT = 1 / 8
 # The estimate is capped here, as no number of sends helps beyond it.
 MAX_REJECTED_FRACTION = 0.9
-# Callers that retry a second time are known for this long after one did.
-RETRIES_KNOWN_S = 60.0
+# Callers count as retrying twice if this part of the returning requests of this
+# period, in seconds, were rejected twice. Single callers may retry more often
+# than the others.
+MIN_SECOND_RETRIES, RETRIES_KNOWN_S = 0.1, 10.0
 # Period in which returning callers are counted, in seconds. They return within
 # 0.2 s, and a VM gets 7 to 30 requests/s for a service.
 RETURNS_WINDOW_S = 2.0
@@ -115,7 +117,6 @@
 
     def __init__(self):
         self._rejected_by_service: dict[ids.ServiceName, float] = {}
-        self._second_retry_at: dict[ids.ServiceName, float] = {}
         # Since when upstreams have been rejecting with free slots.
         self._began_at: dict[ids.ServiceName, float] = {}
         # Time and rejections of each attempt that was sent.
@@ -139,17 +140,17 @@
             service, collections.deque()
         )
         attempts.append((now, rejections))
-        while attempts[0][0] <= now - RETURNS_WINDOW_S:
+        while attempts[0][0] <= now - RETRIES_KNOWN_S:
             attempts.popleft()
-        if rejections > 1:
-            self._second_retry_at[service] = now
 
     def is_last_attempt(
         self, service: ids.ServiceName, rejections: int, now: float
     ) -> bool:
         """Whether a caller probably won't retry again."""
-        second_retry_at = self._second_retry_at.get(service, -RETRIES_KNOWN_S)
-        has_two_retries = now - second_retry_at < RETRIES_KNOWN_S
+        recent = self._attempts_since(service, now - RETRIES_KNOWN_S)
+        returning = sum(known > 0 for known in recent)
+        twice = sum(known > 1 for known in recent)
+        has_two_retries = twice > 0 and twice >= MIN_SECOND_RETRIES * returning
         return rejections >= (2 if has_two_retries else 1)
 
     def ratio_for_later(
@@ -183,11 +184,14 @@
         self, service: ids.ServiceName, rejections: int, since: float
     ) -> float:
         """Returns the part of the attempts that had more rejections."""
-        recent = [
-            known
-            for at, known in self._attempts_by_service.get(service, ())
-            if at > since
-        ]
+        recent = self._attempts_since(service, since)
         if not recent:
             return 0.0
         return sum(known > rejections for known in recent) / len(recent)
+
+    def _attempts_since(
+        self, service: ids.ServiceName, since: float
+    ) -> list[int]:
+        """Returns the rejections of the callers of recent attempts."""
+        attempts = self._attempts_by_service.get(service, ())
+        return [rejections for at, rejections in attempts if at > since]
--- a/tests/unit/test_gateway_returning_callers.py
+++ b/tests/unit/test_gateway_returning_callers.py
@@ -245,6 +245,20 @@
     assert parts.extra_sends(rejections=1) == 0
 
 
+@pytest.mark.parametrize(("twice", "has_two_retries"), [(1, False), (3, True)])
+def test_some_returning_callers_show_whether_callers_retry_twice(
+    twice, has_two_retries
+):
+    # Guards against a single caller that retries twice, after which all others
+    # would lose their last attempt for a minute.
+    reserve = budget.ReturnReserve()
+    for number in range(20):
+        reserve.note_caller(builders.LOOKUPS, 1 + (number < twice), 0.0)
+    for now, expected in ((9.9, not has_two_retries), (10.1, True)):
+        is_last = reserve.is_last_attempt(builders.LOOKUPS, 1, now)
+        assert is_last == expected
+
+
 @pytest.mark.parametrize(
     ("gives_up_at", "domain"), [(None, builders.HOME), (2.0, None)]
 )
