Callers that return without a reservation go no later than first attempts

A caller that an arbiter rejected without a reservation went behind first attempts when it returned as told, so that it was worse off for being recognised. Turn.RETURNED is gone: only reserved retries go before others. The rest go by the arrival of their retry, as first attempts do.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -202,6 +202,11 @@
         """Time by which a response meets the objective."""
         return self.arrived + self.route.objective_s
 
+    @property
+    def attempted_at(self) -> float:
+        """When its caller made this attempt, which may be a retry."""
+        return self.arrived + self.returned_after_s
+
     @property
     def is_centrally_decided(self) -> bool:
         """Whether one VM decides for all requests that compete with it."""
@@ -241,7 +246,7 @@
             self.is_late(now),
             self.route.priority,
             self.turn,
-            self.arrived,
+            self.attempted_at,
             self.sequence,
         )
 
--- a/src/swiftstile/gateway/caller_retries.py
+++ b/src/swiftstile/gateway/caller_retries.py
@@ -73,11 +73,10 @@
 
     # It returned at the time that was reserved for it.
     RESERVED = 0
+    # A first attempt, or a caller that returned without a reservation. They go
+    # by the arrival of this attempt: by that of the first one, few first
+    # attempts would be served at several times the capacity.
     NORMAL = 1
-    # It was rejected for lack of slots, and no time was left to reserve. First
-    # attempts go before it, as they would otherwise get less than half of the
-    # capacity, and most answers to such callers are late.
-    RETURNED = 2
 
 
 class TurnedAway(msgspec.Struct):
@@ -193,7 +192,7 @@
                 waiter.gives_up_at,
                 waiter.arrived,
                 waiter.rejections + 1,
-                Turn.RESERVED if is_reserved else Turn.RETURNED,
+                Turn.RESERVED if is_reserved else Turn.NORMAL,
                 rejected_at,
             ),
         )
--- a/src/swiftstile/gateway/retry_schedule.py
+++ b/src/swiftstile/gateway/retry_schedule.py
@@ -22,9 +22,8 @@
 __all__ = ["Bounds", "RetrySchedule", "capacity_per_s"]
 
 # Part of the capacity that may be reserved. At several times the capacity most
-# requests come from rejected callers, and first attempts that can be in time
-# have to keep half of the capacity; with 0.5, they got 0.47 of it at twice the
-# capacity.
+# requests come from rejected callers, so that first attempts would get little
+# of it without this limit.
 MAX_RESERVED_SHARE = 0.3
 # Reservations are counted in buckets of this length, or in groups of buckets
 # that hold at least one. Shorter than the service times of the deployments
--- a/tests/unit/test_gateway_retry_schedule.py
+++ b/tests/unit/test_gateway_retry_schedule.py
@@ -261,3 +261,16 @@
     waiter = _caller(target, 0.1, 2.0)
     waiter.owner = builders.FixedOwner(target, ready_in_s=0.4)
     assert controller.offer(waiter, 0.1) is None
+
+
+def test_callers_that_return_as_told_never_go_after_first_attempts():
+    # Guards against callers that are worse off because they were recognised:
+    # without a reservation, a caller goes by the arrival of its retry.
+    controller, target = _overloaded(is_enabled=True)
+    tracker = controller._retry_tracker
+    tracker.expect_retry(_caller(target, 0.0, 0.85), 0.25, 0.01)
+    returned = _caller(target, 0.25, 0.6)
+    tracker.match_retry(returned, 0.25)
+    assert returned.rejections == 1 and not returned.is_reserved
+    first = _caller(target, 0.26, 2.0)
+    assert returned.rank(0.26) < first.rank(0.26)
