Reservations hold for one send, and replaced upstreams are no rejections

A request that used its reservation kept its turn when it was offered again after an upstream had rejected it, so that one reservation could take two slots. The reservation of a returning caller was looked up by the time of its retry, which floating-point arithmetic or the limit of a third of the time left may change; the reserved time itself is now kept. A replaced upstream counted as one that rejects with free slots, although others take the request at once.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -298,6 +298,8 @@
         """
         if waiter.owner is not None:
             waiter.awaited = waiter.owner.target(now)
+        # A reservation holds for one send.
+        waiter.turn = caller_retries.Turn.NORMAL
         reserved_at = self._retry_tracker.match_retry(waiter, now)
         if reserved_at is not None and not self._schedule.consume(
             waiter.queue_key, reserved_at, now
@@ -688,7 +690,7 @@
         owner = None if waiter.awaited is None else waiter.awaited.id
         if waiter.max_wait_s is None:
             self._retry_tracker.expect_retry(
-                waiter, now + retry_s, now, is_reserved
+                waiter, now + retry_s, now, reserved_at
             )
         is_ownerless = waiter.owner is not None and owner is None
         return Rejection(retry_s, wait_s, owner, is_ownerless, is_reserved)
--- a/src/swiftstile/gateway/caller_retries.py
+++ b/src/swiftstile/gateway/caller_retries.py
@@ -109,7 +109,7 @@
         gives_up_at: Deadline of the caller.
         arrived: When its first attempt arrived.
         rejections: How often the caller was rejected.
-        turn: When it goes if it returns as told.
+        reserved_at: The time that is reserved for it, if any.
         rejected_at: A request that arrived before this isn't the retry.
     """
 
@@ -118,8 +118,8 @@
         "gives_up_at",
         "rejected_at",
         "rejections",
+        "reserved_at",
         "retry_at",
-        "turn",
     )
 
     def __init__(
@@ -128,14 +128,14 @@
         gives_up_at: float,
         arrived: float,
         rejections: int,
-        turn: Turn,
+        reserved_at: float | None,
         rejected_at: float,
     ):
         self.retry_at = retry_at
         self.gives_up_at = gives_up_at
         self.arrived = arrived
         self.rejections = rejections
-        self.turn = turn
+        self.reserved_at = reserved_at
         self.rejected_at = rejected_at
 
 
@@ -163,7 +163,7 @@
         waiter,
         retry_at: float,
         now: float | None = None,
-        is_reserved: bool = False,
+        reserved_at: float | None = None,
     ) -> None:
         """Records that a request was rejected with a retry time.
 
@@ -171,7 +171,7 @@
             waiter: The request.
             retry_at: When its caller was told to retry.
             now: The time; None if the caller waits as long as it was told.
-            is_reserved: Whether that time is reserved for it.
+            reserved_at: The time that is reserved for it, if any.
         """
         if waiter.gives_up_at is None:
             return
@@ -192,7 +192,7 @@
                 waiter.gives_up_at,
                 waiter.arrived,
                 waiter.rejections + 1,
-                Turn.RESERVED if is_reserved else Turn.NORMAL,
+                reserved_at,
                 rejected_at,
             ),
         )
@@ -214,7 +214,7 @@
                 gives_up_at,
                 now - caller.age_s,
                 caller.rejections,
-                Turn.NORMAL,
+                None,
                 # The message about the rejection may have been delayed.
                 now - caller.age_s,
             ),
@@ -254,12 +254,13 @@
         self._by_key[name].remove(best)
         if self._is_enabled():
             waiter.rejections = max(waiter.rejections, best.rejections)
-            waiter.turn = best.turn
+            if best.reserved_at is not None:
+                waiter.turn = Turn.RESERVED
             waiter.returned_after_s = max(0.0, waiter.arrived - best.arrived)
             if self._meters is not None:
                 self._meters.returning.add("recognised")
         waiter.arrived = min(waiter.arrived, best.arrived)
-        return best.retry_at if best.turn is Turn.RESERVED else None
+        return best.reserved_at
 
     def _matches(self, entry: _ExpectedRetry, waiter, now: float) -> bool:
         tolerance_s = DEADLINE_TOLERANCE_S
--- a/src/swiftstile/gateway/rejected_callers.py
+++ b/src/swiftstile/gateway/rejected_callers.py
@@ -16,8 +16,12 @@
 ) -> None:
     """Applies what an arbiter knows of earlier attempts of the caller."""
     is_granted = reply.status is permit_messages.PermitStatus.GRANTED
-    if is_granted and reply.is_reserved:
-        waiter.turn = caller_retries.Turn.RESERVED
+    is_reserved = is_granted and reply.is_reserved
+    waiter.turn = (
+        caller_retries.Turn.RESERVED
+        if is_reserved
+        else caller_retries.Turn.NORMAL
+    )
     if reply.rejections <= waiter.rejections:
         return
     waiter.rejections = reply.rejections
--- a/src/swiftstile/gateway/retries.py
+++ b/src/swiftstile/gateway/retries.py
@@ -252,6 +252,8 @@
     """Whether an upstream rejected a request although it had free slots."""
     return (
         isinstance(error, outcomes.NotRunError)
-        and not isinstance(error, outcomes.MisdirectedError)
+        and not isinstance(
+            error, outcomes.MisdirectedError | outcomes.ReplacedError
+        )
         and error.had_free_slot
     )
--- a/tests/unit/test_gateway_retry_schedule.py
+++ b/tests/unit/test_gateway_retry_schedule.py
@@ -274,3 +274,27 @@
     assert returned.rejections == 1 and not returned.is_reserved
     first = _caller(target, 0.26, 2.0)
     assert returned.rank(0.26) < first.rank(0.26)
+
+
+def test_a_request_that_is_offered_again_has_no_reservation_any_more():
+    # Guards against a reservation that takes two slots, as an upstream rejected
+    # the request that used it.
+    controller, target = _overloaded(is_enabled=True)
+    waiter = _caller(target, 0.0, 0.85)
+    waiter.turn = caller_retries.Turn.RESERVED
+    controller.offer(waiter, 0.0)
+    assert not waiter.is_reserved
+
+
+def test_a_caller_that_waits_for_less_than_its_reservation_uses_it():
+    # Guards against a reservation that is looked up by the time at which its
+    # caller returns, which may be earlier or rounded.
+    controller, target = _overloaded(is_enabled=True)
+    now = 0.1 + 0.2
+    waiter = _caller(target, now, 0.85)
+    waiter.awaited = target
+    at = controller._reserve(waiter, now)
+    controller._retry_tracker.expect_retry(waiter, now + (at - now), now, at)
+    returned = _caller(target, at, now + 0.85 - at)
+    controller.offer(returned, at)
+    assert returned.is_reserved
--- a/tests/unit/test_gateway_returning_callers.py
+++ b/tests/unit/test_gateway_returning_callers.py
@@ -448,7 +448,7 @@
     # Guards against a caller that loses its reservation, and counts as
     # rejected once more, because the reply with the rejection was lost.
     tracker = caller_retries.RetryTracker(lambda: True)
-    tracker.expect_retry(_rejected_waiter(10.0, 1.0, 7), 10.1, 10.02, True)
+    tracker.expect_retry(_rejected_waiter(10.0, 1.0, 7), 10.1, 10.02, 10.1)
     # The arbiter takes the time that the request states as its arrival.
     repeated = _rejected_waiter(10.0, 1.0, 7)
     assert tracker.match_retry(repeated, 10.12) is None
@@ -456,3 +456,14 @@
     back = _rejected_waiter(10.13, 0.87, 7)
     assert tracker.match_retry(back, 10.13) == 10.1
     assert back.rejections == 1
+
+
+def test_a_replaced_upstream_is_no_rejection_with_free_slots():
+    # Guards against requests that are rejected because an upstream restarted:
+    # another one takes them at once.
+    parts = _Parts(is_enabled=True)
+    error = outcomes.ReplacedError("replaced", step="send", peer="u-1")
+    error.had_free_slot = True
+    assert parts.extra_sends(rejections=0, error=error) == 1
+    assert not parts.meters.returning.by_label()
+    assert not parts.policy._reserve._rejected_by_service
