--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -160,7 +160,7 @@
         returned_after_s: Time from its caller's first attempt to this one; 0
             for a first attempt.
         turn: Its place among requests of its priority.
-        told_retry_s: Retry-After that its caller was given when an upstream
+        announced_retry_s: Retry-After that its caller was given when an upstream
             rejected it.
     """
 
@@ -194,7 +194,7 @@
         self.rejections = 0
         self.returned_after_s = 0.0
         self.turn = caller_retries.Turn.NORMAL
-        self.told_retry_s: float | None = None
+        self.announced_retry_s: float | None = None
         self.sequence = next(self._sequence)
 
     @property
--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -191,7 +191,7 @@
     def expect_return(self, caller: permit_messages.RejectedCaller) -> None:
         """Records a caller that an upstream rejected and that will retry."""
         self._retry_tracker.expect_caller(
-            rejected_callers.turned_away(caller),
+            rejected_callers.rejected_attempt(caller),
             clocks.monotonic(),
         )
 
--- a/src/swiftstile/gateway/caller_retries.py
+++ b/src/swiftstile/gateway/caller_retries.py
@@ -25,7 +25,7 @@
 __all__ = [
     "RetryTracker",
     "Turn",
-    "TurnedAway",
+    "RejectedAttempt",
     "never_enabled",
     "return_bounds",
 ]
@@ -79,7 +79,7 @@
     NORMAL = 1
 
 
-class TurnedAway(msgspec.Struct):
+class RejectedAttempt(msgspec.Struct):
     """A caller whose request an upstream rejected; times are relative to now.
 
     Attributes:
@@ -197,7 +197,7 @@
             ),
         )
 
-    def expect_caller(self, caller: TurnedAway, now: float) -> None:
+    def expect_caller(self, caller: RejectedAttempt, now: float) -> None:
         """Records that an upstream rejected a caller's request."""
         if not self._is_enabled():
             return
--- a/src/swiftstile/gateway/rejected_callers.py
+++ b/src/swiftstile/gateway/rejected_callers.py
@@ -8,7 +8,7 @@
 from swiftstile.gateway import caller_retries
 from swiftstile.gateway import permit_messages
 
-__all__ = ["describe", "note_return", "turned_away"]
+__all__ = ["describe", "note_return", "rejected_attempt"]
 
 
 def note_return(
@@ -33,24 +33,24 @@
     waiter: admission.Waiter, now: float
 ) -> permit_messages.RejectedCaller | None:
     """Returns the caller of a request, if an upstream rejected it for good."""
-    if waiter.told_retry_s is None or waiter.gives_up_at is None:
+    if waiter.announced_retry_s is None or waiter.gives_up_at is None:
         return None
     return permit_messages.RejectedCaller(
         waiter.service,
         waiter.key,
         clocks.milliseconds(waiter.route.objective_s),
-        clocks.milliseconds(waiter.told_retry_s),
+        clocks.milliseconds(waiter.announced_retry_s),
         clocks.milliseconds(waiter.gives_up_at - now),
         clocks.milliseconds(now - waiter.arrived),
         waiter.rejections + 1,
     )
 
 
-def turned_away(
+def rejected_attempt(
     caller: permit_messages.RejectedCaller,
-) -> caller_retries.TurnedAway:
+) -> caller_retries.RejectedAttempt:
     """Returns a caller that a message describes, with times in seconds."""
-    return caller_retries.TurnedAway(
+    return caller_retries.RejectedAttempt(
         caller.service,
         caller.key,
         caller.objective_ms,
--- a/src/swiftstile/gateway/retries.py
+++ b/src/swiftstile/gateway/retries.py
@@ -222,7 +222,7 @@
         if isinstance(error, outcomes.NotRunError):
             error.retry_after_s = self._retry_after_s(error, waiter)
             if self._is_enabled():
-                waiter.told_retry_s = error.retry_after_s
+                waiter.announced_retry_s = error.retry_after_s
         return error
 
     def _retry_after_s(
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -632,7 +632,7 @@
     waiter = make_waiter(first)
     waiter.gives_up_at = waiter.arrived + 1.5
     target = await first.permits.acquire(waiter)
-    waiter.told_retry_s = 0.05
+    waiter.announced_retry_s = 0.05
     first.permits.release(waiter, target)
     await asyncio.sleep(0.055)
     back = make_waiter(second)
--- a/tests/unit/test_gateway_returning_callers.py
+++ b/tests/unit/test_gateway_returning_callers.py
@@ -318,7 +318,7 @@
     return waiter
 
 
-def _turned_away(**changes) -> caller_retries.TurnedAway:
+def _rejected_attempt(**changes) -> caller_retries.RejectedAttempt:
     fields = {
         "service": builders.LOOKUPS,
         "key": None,
@@ -328,13 +328,13 @@
         "age_s": 0.1,
         "rejections": 1,
     }
-    return caller_retries.TurnedAway(**(fields | changes))
+    return caller_retries.RejectedAttempt(**(fields | changes))
 
 
 @pytest.mark.parametrize("key", [None, 7])
 def test_callers_that_upstreams_rejected_are_recognised(key):
     tracker = caller_retries.RetryTracker(lambda: True, metrics.Meters())
-    tracker.expect_caller(_turned_away(key=key), 10.0)
+    tracker.expect_caller(_rejected_attempt(key=key), 10.0)
     other = _rejected_waiter(10.1, 2.0, key)
     tracker.match_retry(other, 10.1)
     assert other.rejections == 0
@@ -358,8 +358,8 @@
 
 def test_if_switched_off_requests_without_key_are_not_tracked():
     tracker = caller_retries.RetryTracker()
-    tracker.expect_caller(_turned_away(), 10.0)
-    tracker.expect_caller(_turned_away(key=7), 10.0)
+    tracker.expect_caller(_rejected_attempt(), 10.0)
+    tracker.expect_caller(_rejected_attempt(key=7), 10.0)
     tracker.expect_retry(_rejected_waiter(10.0, 2.0), 10.1, 10.0)
     assert not tracker._by_key
 
