Admission split into waiters, target selection and the controller

Waiters and their order are in waiters.py, the choice of targets and the estimate of their rate in target_selection.py; admission.py keeps the queue. The test that removes sampling patches target_selection, and the ablation mechanisms name the new modules.

--- a/tests/unit/test_gateway_load.py
+++ b/tests/unit/test_gateway_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from swiftstile.gateway import admission
+from swiftstile.gateway import target_selection
 from tests import load_simulation
 
 # One failure domain of the enlarged site hbrt-gw: 25 VMs and 17 certifiers with
@@ -32,7 +32,7 @@
 ):
     # Without sampling, each VM chooses the best of all upstreams by counts that
     # are 0.25 s old.
-    monkeypatch.setattr(admission, "MAX_VMS_WITHOUT_SAMPLING", 1000)
+    monkeypatch.setattr(target_selection, "MAX_VMS_WITHOUT_SAMPLING", 1000)
     assert _share_in_time(per_s) < most
 
 
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -106,19 +106,19 @@
     ),
     _mechanism(
         "late with a reserve, not by the mean work",
-        "admission",
+        "waiters",
         "LATENESS_MARGIN, MAX_MARGIN_OF_SLACK = 0.6, 0.5",
         "LATENESS_MARGIN, MAX_MARGIN_OF_SLACK = 0.0, 0.5",
     ),
     _mechanism(
         "late lookups go to idle slots only",
-        "admission",
+        "target_selection",
         "if waiter.owner is not None and waiter.is_late(now):",
         "if False:",
     ),
     _mechanism(
         "late requests after those in time",
-        "admission",
+        "waiters",
         "            self.is_late(now),\n            self.route.priority,",
         "            False,\n            self.route.priority,",
     ),
@@ -189,13 +189,13 @@
     ),
     _mechanism(
         "home first",
-        "admission",
+        "target_selection",
         "CROSS_DOMAIN_COST = 0.2",
         "CROSS_DOMAIN_COST = 0.0",
     ),
     _mechanism(
         "large bodies stay home",
-        "admission",
+        "target_selection",
         "CROSS_DOMAIN_COST_LARGE = 0.75",
         "CROSS_DOMAIN_COST_LARGE = 0.2",
     ),
