Queue limits and fair shares decide by measured rates

Under overload, late requests waited for half of their objective before their rejection, and one organisation could take the shares of all others.

PermitRequest has a group and PermitReply the figures of a rejection, both appended.

--- a/src/swiftstile/explain.py
+++ b/src/swiftstile/explain.py
@@ -39,6 +39,7 @@
     "process stood still": "",
     "moves wait for the store": "service",
     "release unanswered": "upstream",
+    "queue contention": "queue",
 }
 # Key maps are written by the leader only, but apply to all VMs.
 _LEADER_EVENTS = frozenset(
@@ -125,6 +126,7 @@
     first = decisions[0]
     arrived_ms = first.get("at_ms", 0) - first.get("waited_ms", 0)
     vms = {line.get("vm") for line in decisions}
+    deciding = {line.get("decided_by") for line in decisions}
     upstreams = {line.get("upstream") for line in decisions}
     newest: dict[tuple, Change] = {}
     for line in changes:
@@ -135,6 +137,11 @@
             _CHANGE_EVENTS[event] == "upstream" and detail not in upstreams
         )
         is_relevant_vm = line.get("vm") in vms or event in _LEADER_EVENTS
+        if _CHANGE_EVENTS[event] == "queue":
+            # The queue may be at the VM that decided for this one.
+            is_relevant_vm = line.get("vm") in vms | deciding
+            owner = str(detail).rpartition("/")[2]
+            is_other_upstream = bool(owner) and owner not in upstreams
         if age_s < 0 or is_other_upstream or not is_relevant_vm:
             continue
         key = (line.get("vm"), event, detail)
--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -10,8 +10,13 @@
 import typing
 
 from swiftstile import ids
+from swiftstile import metrics
 from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
+from swiftstile.gateway import contention
+from swiftstile.gateway import fair_shares
+from swiftstile.gateway import load_rules
+from swiftstile.gateway import queue_limits
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import target_selection
 from swiftstile.gateway import targets
@@ -33,10 +38,6 @@
 # Waits up to this fraction of the objective are allowed in any case (unless the
 # deadline is nearer), so that no request is rejected for estimation noise.
 MIN_WAIT_FRACTION = 0.25
-# Late requests are rejected once requests that can still be in time have waited
-# for the same targets for this long without a break, in objectives. Rejecting
-# them later than this doesn't serve more requests.
-CONTENTION_PERIOD = 0.5
 # A request with less than this fraction of its expected service time left is
 # rejected.
 MIN_TIME_LEFT_FRACTION = 0.6
@@ -49,6 +50,7 @@
 _INFINITY = float("inf")
 
 # Names of the other modules of admission that callers use from here.
+CONTENTION_PERIOD = contention.CONTENTION_PERIOD
 MAX_QUEUED_AT_TARGET = target_selection.MAX_QUEUED_AT_TARGET
 CROSS_DOMAIN_COST = target_selection.CROSS_DOMAIN_COST
 CROSS_DOMAIN_COST_LARGE = target_selection.CROSS_DOMAIN_COST_LARGE
@@ -77,15 +79,19 @@
         drain_s: float,
         limits: coldstart.SendLimits = coldstart.UNLIMITED,
         rate_limits: ratelimits.RateLimits = ratelimits.UNLIMITED,
+        rules: load_rules.LoadRules | None = None,
     ):
         self._selector = target_selection.TargetSelector(
             target_table, domain, drain_s, limits, rate_limits
         )
         self._waiters: dict[int, waiters.Waiter] = {}
-        # Start of the current uninterrupted period in which requests that can
-        # still be in time have been waiting, by what they queue for.
-        self._contention_started: dict[waiters.QueueKey, float] = {}
+        self._contention = contention.ContentionPeriods()
         self._retry_tracker = caller_retries.RetryTracker()
+        self._rules = rules or load_rules.LoadRules(
+            queue_limits.QueueLimits(),
+            fair_shares.FairShares(),
+            metrics.LabelledCounter(),
+        )
 
     @property
     def vm_count(self) -> int:
@@ -111,45 +117,85 @@
         if waiter.owner is not None:
             waiter.awaited = waiter.owner.target(now)
         self._retry_tracker.match_retry(waiter, now)
+        self._rules.note_arrived(waiter, now)
         if not self._is_preceded(waiter, now):
-            target = self.select_target(waiter, now)
+            target = self._select(waiter, now, {})
             if target is not None:
                 self._selector.note_sent(target, now)
+                self._rules.note_sent(waiter, now)
                 return target
+        if self._rules.has_limits and self._rules.queue_name(waiter):
+            capacity = self._selector.capacity(waiter, now)
+            if capacity is not None:
+                return self._offer_within_limits(waiter, capacity, now)
         wait_s = self.expected_wait_s(waiter, now)
         limit_s = self._max_wait_s(waiter, now)
         if waiter.max_wait_s is not None:
             limit_s = min(limit_s, waiter.max_wait_s)
         if wait_s > limit_s:
+            self._rules.note_rejected(waiter, now)
             return self._rejection(
                 waiter,
-                self._retry_in_s(waiter, wait_s, limit_s, now),
+                self._selector.retry_in_s(waiter, wait_s, limit_s, now),
                 wait_s,
                 now,
             )
+        self._put(waiter, now)
+        return None
+
+    def _put(self, waiter: waiters.Waiter, now: float) -> None:
+        self._rules.note_queued(waiter, now)
         self._waiters[waiter.sequence] = waiter
         if waiter.awaited is not None:
             waiter.awaited.waiting += 1
-        return None
-
-    def _retry_in_s(
-        self, waiter: waiters.Waiter, wait_s: float, limit_s: float, now: float
-    ) -> float:
-        """Returns the earliest time at which a retry may succeed, in seconds.
 
-        A queue is short enough for the request once it can wait for the rest.
-        Where no upstream takes requests, none does before the end of the wait.
-        """
-        if wait_s < _INFINITY and not self._selector.candidates(waiter, now):
-            return wait_s
-        return wait_s - limit_s
+    def _offer_within_limits(
+        self,
+        waiter: waiters.Waiter,
+        capacity: target_selection.Capacity,
+        now: float,
+    ) -> waiters.Rejection | None:
+        """Rejects a request that won't be served in time, or queues it."""
+        position = self._rules.position_of(waiter, self._waiters.values(), now)
+        figures = self._rules.figures(
+            waiter, position, capacity, self._deciding_vms(waiter), now
+        )
+        if not figures.is_hopeless:
+            waiter.is_deferred = figures.is_late
+            self._put(waiter, now)
+            return None
+        self._rules.note_hopeless(waiter, figures, now)
+        wait_s = (figures.ahead + 1) / figures.per_s
+        return self._rejection(
+            waiter, max(0.0, wait_s - figures.limit_s), wait_s, now
+        )._replace(figures=figures)
+
+    def _deciding_vms(self, waiter: waiters.Waiter) -> int:
+        return 1 if waiter.is_centrally_decided else self.vm_count
+
+    def _select(
+        self,
+        waiter: waiters.Waiter,
+        now: float,
+        groups: target_selection.Groups,
+    ) -> targets.Target | None:
+        """Returns a target that a request may be sent to, within its share."""
+        most = MAX_QUEUED_AT_TARGET
+        if self._rules.is_divided(waiter, now):
+            capacity = self._selector.capacity(waiter, now)
+            if capacity is not None:
+                most = self._rules.max_beyond_slots(
+                    waiter, capacity.slots, self.vm_count, most, now
+                )
+        return self._selector.select(waiter, now, groups, most)
 
     def remove(self, waiter: waiters.Waiter) -> None:
         """Removes a request from the queue, if it is queued."""
         if self._waiters.pop(waiter.sequence, None) is None:
             return
+        self._rules.note_removed(waiter)
         if not self._waiters:
-            self._contention_started.clear()
+            self._contention.clear()
         if waiter.awaited is not None:
             waiter.awaited.waiting -= 1
             waiter.awaited = None
@@ -165,7 +211,7 @@
             now: The current time.
             only: Restricts the scan to the requests that queue for this.
         """
-        assigned, rejected = [], []
+        assigned, rejected, left = [], [], []
         # What requests that can still be in time keep waiting for.
         contested: set[waiters.QueueKey] = set()
         groups: target_selection.Groups = {}
@@ -174,15 +220,19 @@
             for waiter in self._waiters.values()
             if only is None or waiter.queue_key == only
         ]
-        for waiter in sorted(scanned, key=lambda entry: entry.rank(now)):
+        self._rules.sweep(now)
+        scanned.sort(key=lambda entry: entry.rank(now))
+        scanned = self._rules.order(scanned, now)
+        for waiter in scanned:
             if (
                 waiter.deadline - now
                 < MIN_TIME_LEFT_FRACTION * waiter.expected_s
             ):
                 rejected.append((waiter, self._reject_queued(waiter, now)))
                 continue
-            target = self._selector.select(waiter, now, groups)
+            target = self._select(waiter, now, groups)
             if target is not None:
+                self._rules.note_sent(waiter, now)
                 self.remove(waiter)
                 # Counted temporarily, so that later requests of this scan see
                 # the slot as taken.
@@ -191,40 +241,47 @@
                 groups.pop((waiter.service, waiter.domain), None)
                 assigned.append(Assignment(waiter, target))
                 continue
-            if self._has_no_owner_in_time(waiter, now):
+            if waiter.has_no_owner_in_time(now):
                 rejected.append((waiter, self._reject_queued(waiter, now)))
                 continue
             if waiter.queue_key is None:
                 continue
+            left.append(waiter)
+            if self._rules.has_limits:
+                continue
             if not waiter.is_late(now):
                 contested.add(waiter.queue_key)
             elif self._is_starved(waiter, contested, now):
                 rejected.append((waiter, self._reject_queued(waiter, now)))
-        self._update_contention(contested, only, now)
+        if self._rules.has_limits:
+            rejected.extend(self._reject_hopeless(left, now))
+        self._contention.update(contested, only, now)
         for assignment in assigned:
             assignment.target.in_flight -= 1
         return assigned, rejected
 
-    @staticmethod
-    def _has_no_owner_in_time(waiter: waiters.Waiter, now: float) -> bool:
-        """Whether its key won't have an owner before its deadline."""
-        if waiter.owner is None or waiter.owner.target(now) is not None:
-            return False
-        return waiter.owner.ready_in_s(now) > waiter.deadline - now
-
-    def _update_contention(
-        self,
-        contested: set[waiters.QueueKey],
-        only: waiters.QueueKey | None,
-        now: float,
-    ) -> None:
-        """Updates the start times of periods of contention."""
-        kept = {
-            key: since
-            for key, since in self._contention_started.items()
-            if key in contested or (only is not None and key != only)
-        }
-        self._contention_started = dict.fromkeys(contested, now) | kept
+    def _reject_hopeless(
+        self, ordered: list[waiters.Waiter], now: float
+    ) -> list[tuple[waiters.Waiter, waiters.Rejection]]:
+        """Rejects queued requests that newer ones overtake for too long."""
+        rejected = []
+        capacities: dict[tuple, target_selection.Capacity | None] = {}
+        for waiter, position in self._rules.positions(ordered):
+            name = self._rules.queue_name(waiter)
+            if name not in capacities:
+                capacities[name] = self._selector.capacity(waiter, now)
+            capacity = capacities[name]
+            if capacity is None:
+                continue
+            figures = self._rules.figures(
+                waiter, position, capacity, self._deciding_vms(waiter), now
+            )
+            if self._rules.is_hopeless_in_queue(figures):
+                figures = figures._replace(is_queued=True)
+                self._rules.note_hopeless(waiter, figures, now)
+                rejection = self._reject_queued(waiter, now)
+                rejected.append((waiter, rejection._replace(figures=figures)))
+        return rejected
 
     def _reject_queued(
         self, waiter: waiters.Waiter, now: float
@@ -278,6 +335,12 @@
 
     def _is_preceded(self, waiter: waiters.Waiter, now: float) -> bool:
         """Whether a competing request in the queue goes first."""
+        if self._rules.is_divided(waiter, now):
+            # The next scan sends it, if it is due.
+            return any(
+                waiters.compete(other, waiter)
+                for other in self._waiters.values()
+            )
         rank = waiter.rank(now)
         return any(
             waiters.compete(other, waiter) and other.rank(now) < rank
@@ -307,8 +370,7 @@
 
     def _is_contended(self, waiter: waiters.Waiter, now: float) -> bool:
         """Whether requests that can be in time have long been competing."""
-        since = self._contention_started.get(waiter.queue_key, now)
-        return now - since >= CONTENTION_PERIOD * waiter.route.objective_s
+        return self._contention.is_long(waiter, now)
 
     def _rejection(
         self, waiter, excess_s: float, wait_s: float, now: float
--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -12,6 +12,7 @@
 from swiftstile import metrics
 from swiftstile import pacing
 from swiftstile.gateway import admission
+from swiftstile.gateway import fair_groups
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
@@ -234,6 +235,9 @@
                 permit_messages.PermitStatus.REFUSED,
                 retry_after_ms=clocks.milliseconds(overload.retry_after_s),
                 wait_ms=clocks.milliseconds(overload.wait_s),
+                figures=[]
+                if overload.figures is None
+                else overload.figures.encode(),
             ),
         )
 
@@ -274,6 +278,7 @@
         else now + request.caller_timeout_ms / 1000,
     )
     waiter.is_for_peer = True
+    waiter.group = fair_groups.parse(request.group)
     if request.max_wait_ms is not None:
         waiter.max_wait_s = request.max_wait_ms / 1000
     return waiter
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -60,6 +60,7 @@
         data_age_ms: Time since any upstream delivered data to this VM; of
             requests that weren't served only.
         decided_by: The VM that refused a slot, if it wasn't this one.
+        rule: The queue limit that rejected the request, with its figures.
     """
 
     id: str
@@ -87,6 +88,7 @@
     backoff_ms: int = 0
     data_age_ms: int = 0
     decided_by: str = ""
+    rule: str = ""
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -540,11 +540,18 @@
                 queued=self._permits.queued,
                 data_age_ms=self._links.data_age_ms(now),
                 decided_by=getattr(error, "decided_by", ""),
+                rule=_rule(error),
                 **_stated_fields(target, now),
             )
         )
 
 
+def _rule(error: outcomes.GatewayError) -> str:
+    """Returns the queue limit that rejected a request, with its figures."""
+    figures = getattr(getattr(error, "rejection", None), "figures", None)
+    return "" if figures is None else figures.text()
+
+
 def _stated_fields(
     target: targets.Target | None, now: float
 ) -> dict[str, float]:
--- /dev/null
+++ b/src/swiftstile/gateway/load_rules.py
@@ -0,0 +1,333 @@
+"""Applies queue limits and fair shares to the queues of one VM.
+
+Combines `queue_limits.py`, which predicts waits, and `fair_shares.py`, which
+orders requests. Pure decision code: it takes the current time as an argument
+and reports changes of contention through a callback.
+"""
+
+import collections
+import collections.abc
+import typing
+
+from swiftstile import logs
+from swiftstile import metrics
+from swiftstile.gateway import fair_shares
+from swiftstile.gateway import queue_limits
+from swiftstile.gateway import target_selection
+from swiftstile.gateway import wait_figures
+from swiftstile.gateway import waiters
+
+__all__ = ["LoadRules", "QueueName", "log_contention"]
+
+# A queue counts as contended for this long after its last rejection. Longer
+# than the gaps between rejections of a small queue at 1.1 times its capacity,
+# and shorter than the 3 s in which service has to be normal again.
+CONTENTION_HOLD_S = 1.0
+
+# What a request queues for, and the only failure domain that may serve it.
+QueueName = tuple
+_NAME_LENGTH = 3
+
+
+class _Position(typing.NamedTuple):
+    """Requests that go before one, in all and of its kind."""
+
+    ahead: int
+    ahead_of_kind: int
+
+
+class LoadRules:
+    """Decides on waiting requests by measured rates and shares.
+
+    Args:
+        limits: Predicts waits.
+        shares: Orders requests by shares.
+        counter: Counts decisions by rule.
+        on_contention: Called with the name of a queue, and whether it is
+            contended, when that changes.
+    """
+
+    def __init__(
+        self,
+        limits: queue_limits.QueueLimits,
+        shares: fair_shares.FairShares,
+        counter: metrics.LabelledCounter,
+        on_contention: collections.abc.Callable[
+            [QueueName, bool], None
+        ] = lambda *_: None,
+    ):
+        self._limits = limits
+        self._shares = shares
+        self._counter = counter
+        self._on_contention = on_contention
+        self._contended_until: dict[QueueName, float] = {}
+        self._name_by_sequence: dict[int, QueueName] = {}
+
+    @property
+    def has_limits(self) -> bool:
+        """Whether queue limits apply."""
+        return self._limits.is_enabled()
+
+    @property
+    def has_shares(self) -> bool:
+        """Whether fair shares apply."""
+        return self._shares.is_enabled()
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether any of these rules apply."""
+        return self.has_limits or self.has_shares
+
+    @staticmethod
+    def queue_name(waiter: waiters.Waiter) -> QueueName | None:
+        """Returns the name of a request's queue; None if it has none."""
+        key = waiter.queue_key
+        return None if key is None else (*key, waiter.domain)
+
+    def _meter_name(self, name: QueueName, waiter: waiters.Waiter) -> tuple:
+        if self.has_shares:
+            return (*name, waiter.group.organisation)
+        return name
+
+    def is_contended(self, name: QueueName, now: float) -> bool:
+        """Whether requests of a queue were rejected recently."""
+        return now < self._contended_until.get(name, 0.0)
+
+    def is_divided(self, waiter: waiters.Waiter, now: float) -> bool:
+        """Whether a request's queue is in the order of shares."""
+        name = self.queue_name(waiter)
+        return (
+            name is not None
+            and self.has_shares
+            and self.is_contended(name, now)
+        )
+
+    def note_arrived(self, waiter: waiters.Waiter, now: float) -> None:
+        """Records an arrival."""
+        name = self.queue_name(waiter)
+        if name is None:
+            return
+        if self.has_shares:
+            self._shares.note_arrived(name, waiter.group, now)
+        if self.is_enabled:
+            meter_name = self._meter_name(name, waiter)
+            self._limits.note_arrived(meter_name, waiter, now)
+
+    def note_queued(self, waiter: waiters.Waiter, now: float) -> None:
+        """Records that a request is put into its queue."""
+        name = self.queue_name(waiter)
+        if name is None or not self.is_enabled:
+            return
+        meter_name = self._meter_name(name, waiter)
+        self._name_by_sequence[waiter.sequence] = meter_name
+        self._limits.note_queued(meter_name, now)
+        if meter_name != name:
+            self._limits.note_queued(name, now)
+
+    def note_removed(self, waiter: waiters.Waiter) -> None:
+        """Records that a request left its queue."""
+        meter_name = self._name_by_sequence.pop(waiter.sequence, None)
+        if meter_name is None:
+            return
+        self._limits.note_removed(meter_name)
+        if len(meter_name) > _NAME_LENGTH:
+            self._limits.note_removed(meter_name[:_NAME_LENGTH])
+
+    def note_sent(self, waiter: waiters.Waiter, now: float) -> None:
+        """Records a send; call it before `note_removed`."""
+        name = self.queue_name(waiter)
+        if name is None or not self.is_enabled:
+            return
+        queued = self._name_by_sequence.get(waiter.sequence)
+        meter_name = queued or self._meter_name(name, waiter)
+        for entry in {meter_name, meter_name[:_NAME_LENGTH]}:
+            self._limits.note_sent(entry, now, queued is not None)
+        if self.has_shares:
+            self._shares.note_sent(name, waiter, now)
+
+    def note_rejected(self, waiter: waiters.Waiter, now: float) -> None:
+        """Records that a request was rejected because its queue is full."""
+        name = self.queue_name(waiter)
+        if name is None or not self.is_enabled:
+            return
+        if name not in self._contended_until:
+            self._on_contention(name, True)
+        self._contended_until[name] = now + CONTENTION_HOLD_S
+
+    def sweep(self, now: float) -> None:
+        """Ends contention and removes state that is no longer used."""
+        for name, until in list(self._contended_until.items()):
+            if now >= until:
+                del self._contended_until[name]
+                self._on_contention(name, False)
+        self._limits.sweep(now)
+        self._shares.sweep(now)
+
+    def order(
+        self, waiting: list[waiters.Waiter], now: float
+    ) -> list[waiters.Waiter]:
+        """Returns waiting requests in the order in which they get slots.
+
+        Args:
+            waiting: Requests of any queues, in the order of their ranks.
+            now: The time.
+        """
+        if not self.has_shares or not self._contended_until:
+            return waiting
+        by_queue = collections.defaultdict(list)
+        for waiter in waiting:
+            by_queue[self.queue_name(waiter)].append(waiter)
+        ordered = []
+        for name, entries in by_queue.items():
+            if name is not None and self.is_contended(name, now):
+                entries = self._shares.order(name, entries, now)
+            ordered.extend(entries)
+        return ordered
+
+    def max_beyond_slots(
+        self,
+        waiter: waiters.Waiter,
+        slots: int,
+        vm_count: int,
+        most: int,
+        now: float,
+    ) -> int:
+        """Returns how many requests a target may have beyond its slots.
+
+        Where several VMs decide, an organisation beyond its share uses only
+        idle slots. The place in the queue of a target is left to requests
+        within their shares, also those of other VMs, which thus displace it.
+
+        Args:
+            waiter: The request.
+            slots: Slots of all targets of its queue.
+            vm_count: Number of VMs that decide.
+            most: The value for a request within its share.
+            now: The time.
+        """
+        if waiter.is_centrally_decided or not self.is_divided(waiter, now):
+            return most
+        name = self.queue_name(waiter)
+        if self._shares.is_borrowing(name, waiter, slots, vm_count, now):
+            return 0
+        return most
+
+    def positions(
+        self, ordered: list[waiters.Waiter]
+    ) -> collections.abc.Iterator[tuple[waiters.Waiter, _Position]]:
+        """Yields requests in order, with their positions."""
+        ahead: collections.Counter = collections.Counter()
+        for waiter in ordered:
+            name = self.queue_name(waiter)
+            if name is None:
+                yield waiter, _Position(0, 0)
+                continue
+            meter_name = self._meter_name(name, waiter)
+            kind = (*meter_name, waiter.group.kind)
+            # The names have different lengths, so they can't be equal.
+            yield waiter, _Position(ahead[meter_name], ahead[kind])
+            ahead[meter_name] += 1
+            ahead[kind] += 1
+
+    def position_of(
+        self,
+        waiter: waiters.Waiter,
+        queued: collections.abc.Iterable[waiters.Waiter],
+        now: float,
+    ) -> _Position:
+        """Returns the position that an arriving request would have."""
+        rank = waiter.rank(now)
+        ahead = of_kind = 0
+        for other in queued:
+            if not waiters.compete(other, waiter):
+                continue
+            if self.has_shares:
+                if other.group.organisation != waiter.group.organisation:
+                    continue
+                of_kind += other.group.kind == waiter.group.kind
+            ahead += other.rank(now) < rank
+        return _Position(ahead, of_kind)
+
+    def figures(
+        self,
+        waiter: waiters.Waiter,
+        position: _Position,
+        capacity: target_selection.Capacity,
+        vm_count: int,
+        now: float,
+    ) -> wait_figures.Figures:
+        """Returns the figures on which the decision on a request rests.
+
+        Args:
+            waiter: The request, which has a queue.
+            position: Its position.
+            capacity: What the targets of its queue can take.
+            vm_count: Number of VMs that decide on this queue.
+            now: The time.
+        """
+        name = self.queue_name(waiter)
+        prior = capacity.per_s / vm_count
+        guaranteed_s = None
+        if self.has_shares:
+            guaranteed_s = self._guaranteed_wait_s(
+                name, waiter, position, prior, now
+            )
+            prior /= self._shares.active_count(name, now)
+        figures = self._limits.figures(
+            self._meter_name(name, waiter),
+            waiter,
+            position.ahead,
+            prior,
+            now,
+            guaranteed_s,
+        )
+        if waiter.max_wait_s is not None:
+            limit_s = min(figures.limit_s, waiter.max_wait_s)
+            figures = figures._replace(limit_s=limit_s)
+        return figures
+
+    def _guaranteed_wait_s(
+        self,
+        name: QueueName,
+        waiter: waiters.Waiter,
+        position: _Position,
+        prior_per_s: float,
+        now: float,
+    ) -> float | None:
+        """Returns the wait of a request whose group is due, if it is.
+
+        An organisation that had less than others shares the next slots with
+        those of which the same is true. Its own measured rate would be that of
+        few requests.
+        """
+        per_s = self._limits.rate_per_s(name, prior_per_s, now)
+        is_kind_due = self._shares.is_kind_due(name, waiter, now)
+        ahead = position.ahead_of_kind if is_kind_due else position.ahead
+        sharing = self._shares.competing_organisations(name, waiter, ahead)
+        if sharing is None:
+            if ahead or not is_kind_due:
+                return None
+            # The next slot of its organisation goes to its kind.
+            sharing = self._shares.active_count(name, now)
+        return (ahead + 1) * sharing / per_s
+
+    def is_hopeless_in_queue(self, figures: wait_figures.Figures) -> bool:
+        """Whether a request that was accepted won't be served in time."""
+        return self._limits.is_hopeless_in_queue(figures)
+
+    def note_hopeless(
+        self, waiter: waiters.Waiter, figures: wait_figures.Figures, now: float
+    ) -> None:
+        """Records that a request is rejected because of these figures."""
+        self._counter.add(figures.rule.label)
+        self.note_rejected(waiter, now)
+
+
+def log_contention(name: QueueName, is_contended: bool) -> None:
+    """Logs that a queue becomes contended, or no longer is."""
+    service, owner = name[0], name[1]
+    logs.logger.info(
+        "queue contention",
+        queue=f"{service}/{owner or ''}",
+        is_contended=is_contended,
+    )
--- a/src/swiftstile/gateway/permit_messages.py
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -47,6 +47,8 @@
         service: The service; empty if `upstream` is named.
         excluded: Upstreams that already rejected or failed the request.
         max_wait_ms: Longest wait for a slot; until the request expires if None.
+        group: Its organisation and kind (`fair_groups.GroupId.encode`); empty
+            from a build without groups.
     """
 
     run: str
@@ -63,6 +65,7 @@
     service: ids.ServiceName = ids.ServiceName("")
     excluded: list[model.UpstreamId] = []
     max_wait_ms: int | None = None
+    group: str = ""
 
 
 class PermitReply(msgspec.Struct, array_like=True, tag=2):
@@ -75,6 +78,7 @@
         retry_after_ms: Time after which to retry, if rejected.
         wait_ms: Actual or expected wait, if rejected.
         upstream: Upstream of the granted slot, if any upstream was requested.
+        figures: What a rejection rests on (`wait_figures.Figures.encode`).
     """
 
     number: int
@@ -83,6 +87,7 @@
     retry_after_ms: int = 0
     wait_ms: int = 0
     upstream: model.UpstreamId = model.UpstreamId("")
+    figures: list[int] = []
 
 
 class PermitRelease(msgspec.Struct, array_like=True, tag=3):
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -41,6 +41,7 @@
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
+from swiftstile.gateway import wait_figures
 
 __all__ = ["PermitClient"]
 
@@ -400,6 +401,7 @@
             )
         if waiter.max_wait_s is not None:
             request.max_wait_ms = clocks.milliseconds(waiter.max_wait_s)
+        request.group = waiter.group.encode()
         self._peers.send_permit(arbiter, self._encoder.encode(request))
         self._meters.permits.add("asked")
 
@@ -476,5 +478,6 @@
         reply.retry_after_ms / 1000,
         reply.wait_ms / 1000,
         None if target is None else target.id,
+        figures=wait_figures.decode(reply.figures),
     )
     return gate_lib.rejected_error(overload)
--- a/src/swiftstile/gateway/target_selection.py
+++ b/src/swiftstile/gateway/target_selection.py
@@ -59,11 +59,13 @@
 
     Attributes:
         per_s: Requests/s, estimated from speeds and rate limits.
+        slots: Concurrent requests.
         elsewhere: Requests that wait for them at other VMs.
         excess: Requests at them beyond their slots.
     """
 
     per_s: float
+    slots: int
     elsewhere: int
     excess: int
 
@@ -99,7 +101,11 @@
         self.vm_count = 1
 
     def select(
-        self, waiter: waiters.Waiter, now: float, groups: Groups
+        self,
+        waiter: waiters.Waiter,
+        now: float,
+        groups: Groups,
+        most_beyond: int = MAX_QUEUED_AT_TARGET,
     ) -> targets.Target | None:
         """Returns the available target with the earliest expected response.
 
@@ -107,6 +113,7 @@
             waiter: The request.
             now: The current time.
             groups: Groups computed during the same scan of the queue.
+            most_beyond: Maximum requests of a target beyond its slots.
         """
         best, best_s = None, waiter.deadline - now
         best_full_s = _INFINITY
@@ -118,7 +125,7 @@
             response_s += self._domain_penalty_s(waiter, target)
             if target.is_penalised(now):
                 response_s += waiter.expected_s
-            if ahead >= self._max_beyond_slots(waiter, now):
+            if ahead >= min(most_beyond, self._max_beyond_slots(waiter, now)):
                 best_full_s = min(best_full_s, response_s)
             elif waiter.owner is not None or response_s < best_s:
                 best, best_s = target, response_s
@@ -269,7 +276,7 @@
         candidates = self.candidates(waiter, now)
         if not candidates:
             return None
-        rate, elsewhere, excess = 0.0, 0, 0
+        rate, total_slots, elsewhere, excess = 0.0, 0, 0, 0
         for target in candidates:
             slots = target.upstream.slots
             target_rate = min(
@@ -281,9 +288,22 @@
                     target_rate, self._rate_limits.rate_per_s(target, now)
                 )
             rate += target_rate
+            total_slots += slots
             elsewhere += target.waiting_elsewhere(now)
             excess += max(0, target.occupied(now) - slots)
-        return Capacity(rate, elsewhere, excess)
+        return Capacity(rate, total_slots, elsewhere, excess)
+
+    def retry_in_s(
+        self, waiter: waiters.Waiter, wait_s: float, limit_s: float, now: float
+    ) -> float:
+        """Returns the earliest time at which a retry may succeed, in seconds.
+
+        A queue is short enough for the request once it can wait for the rest.
+        Where no upstream takes requests, none does before the end of the wait.
+        """
+        if wait_s < _INFINITY and not self.candidates(waiter, now):
+            return wait_s
+        return wait_s - limit_s
 
     def ready_in_s(self, waiter: waiters.Waiter, now: float) -> float:
         """Returns the expected time until a target exists, in seconds."""
--- a/src/swiftstile/gateway/waiters.py
+++ b/src/swiftstile/gateway/waiters.py
@@ -8,8 +8,10 @@
 import typing
 
 from swiftstile import ids
+from swiftstile.gateway import fair_groups
 from swiftstile.gateway import model
 from swiftstile.gateway import targets
+from swiftstile.gateway import wait_figures
 
 __all__ = ["OwnerLookup", "QueueKey", "Rejection", "Waiter", "compete"]
 
@@ -34,12 +36,15 @@
         owner: The only upstream that could have served it; None if it has no
             key or its key has no owner.
         is_ownerless: Whether its key has no reachable owner.
+        figures: What the decision of a queue limit rests on; None for other
+            rules.
     """
 
     retry_after_s: float
     wait_s: float
     owner: model.UpstreamId | None
     is_ownerless: bool = False
+    figures: wait_figures.Figures | None = None
 
 
 class OwnerLookup(abc.ABC):
@@ -75,6 +80,9 @@
             besides the deadline.
         is_for_peer: Whether another VM will send it, so that upstreams that
             want no requests of this VM may be used.
+        group: Its organisation and kind.
+        is_deferred: Whether it was accepted to be served after the requests
+            that can be in time, as it would be late in any case.
     """
 
     _sequence = itertools.count()
@@ -104,6 +112,8 @@
         self.domain: ids.FailureDomain | None = None
         self.max_wait_s: float | None = None
         self.is_for_peer = False
+        self.group = fair_groups.group_of(route)
+        self.is_deferred = False
         self.sequence = next(self._sequence)
 
     @property
@@ -132,12 +142,22 @@
         slowness = 1.0 if self.awaited is None else self.awaited.slowness
         return self.expected_s * slowness
 
-    def is_late(self, now: float) -> bool:
-        """Whether a response would probably miss the objective."""
+    def slack_s(self, now: float) -> float:
+        """Returns how long it can wait until it counts as late, in seconds."""
         work_s = self.service_time_s
         slack_s = max(0.0, self.route.objective_s - work_s)
         margin_s = min(LATENESS_MARGIN * work_s, MAX_MARGIN_OF_SLACK * slack_s)
-        return now + work_s + margin_s > self.objective_at
+        return self.objective_at - (now + work_s + margin_s)
+
+    def is_late(self, now: float) -> bool:
+        """Whether a response would probably miss the objective."""
+        return self.is_deferred or self.slack_s(now) < 0
+
+    def has_no_owner_in_time(self, now: float) -> bool:
+        """Whether its key won't have an owner before its deadline."""
+        if self.owner is None or self.owner.target(now) is not None:
+            return False
+        return self.owner.ready_in_s(now) > self.deadline - now
 
     def rank(self, now: float) -> tuple[bool, int, float, int]:
         """Returns its sort key in the queue; the lowest goes first."""
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -21,6 +21,7 @@
 from swiftstile.gateway import daemon as daemon_lib
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
+from swiftstile.gateway import fair_shares
 from swiftstile.gateway import follow
 from swiftstile.gateway import forward_listener
 from swiftstile.gateway import forward_selection
@@ -35,12 +36,15 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import load_rules
+from swiftstile.gateway import load_settings
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
 from swiftstile.gateway import outage
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits
+from swiftstile.gateway import queue_limits
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
@@ -210,6 +214,7 @@
             lambda: self._state.contact_at,
             lambda: self._state.generation,
         )
+        self._admission: admission.AdmissionController | None = None
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
@@ -230,16 +235,15 @@
             self._drain_s,
             self._leadership.can_write,
         )
-        gate = gate_lib.Gate(
-            admission.AdmissionController(
-                self._target_table,
-                self._node.domain,
-                self._drain_s,
-                self._cold_limits,
-                self._rate_limiter,
-            ),
-            key_owners.count_request,
+        self._admission = admission.AdmissionController(
+            self._target_table,
+            self._node.domain,
+            self._drain_s,
+            self._cold_limits,
+            self._rate_limiter,
+            self._load_rules(),
         )
+        gate = gate_lib.Gate(self._admission, key_owners.count_request)
         self._registry = registry = registry_lib.Registry(
             self._target_table,
             adapters.decode_upstream,
@@ -393,6 +397,19 @@
         )
         return self._daemon
 
+    def _load_rules(self) -> load_rules.LoadRules:
+        load = self._settings.load
+        return load_rules.LoadRules(
+            queue_limits.QueueLimits(lambda: self._is_on(load.queue_limits)),
+            fair_shares.FairShares(lambda: self._is_on(load.fair_shares)),
+            self._meters.queue_limits,
+            load_rules.log_contention,
+        )
+
+    def _is_on(self, switch: load_settings.Switch) -> bool:
+        """Whether a mechanism of section [load] is active now."""
+        return load_settings.is_on(switch, self._admission.vm_count)
+
     def _make_key_assigner(
         self, service: ids.ServiceName
     ) -> key_assigner.KeyAssigner:
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -82,6 +82,7 @@
         self.advisories = LabelledCounter()
         self.links = LabelledCounter()
         self.forwards = LabelledCounter()
+        self.queue_limits = LabelledCounter()
 
     def count_http(
         self, kind: str, response: aiohttp.ClientResponse, sent: int
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -29,6 +29,7 @@
     "advisories": ("swiftstile.upstream.advisories", "{answer}", "kind"),
     "links": ("swiftstile.upstream.links", "{event}", "kind"),
     "forwards": ("swiftstile.forwards", "{request}", "result"),
+    "queue_limits": ("swiftstile.queue.limits", "{request}", "rule"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
 }
 
--- a/tests/keyed_load_simulation.py
+++ b/tests/keyed_load_simulation.py
@@ -14,6 +14,7 @@
 from swiftstile.gateway import admission
 from tests import event_clock
 from tests import gateway_builders as builders
+from tests import load_builders
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +34,7 @@
         slots: Concurrent requests of an owner.
         duration_s: Duration of arrivals.
         seed: Random seed of arrivals and service times.
+        has_queue_limits, has_fair_shares: Whether these rules apply.
     """
 
     speeds: tuple[float, ...] = (0.5, 1.0, 1.0, 1.5)
@@ -48,6 +50,8 @@
     slots: int = 2
     duration_s: float = 20.0
     seed: int = 1
+    has_queue_limits: bool = False
+    has_fair_shares: bool = False
 
 
 @dataclasses.dataclass
@@ -115,7 +119,12 @@
             self._owners[spec.id] = _Owner(speed, load.slots)
             self._targets.by_id[spec.id].slowness = 1.0 / speed
         self._controller = admission.AdmissionController(
-            self._targets, builders.HOME, 2.0
+            self._targets,
+            builders.HOME,
+            2.0,
+            rules=load_builders.rules(
+                load.has_queue_limits, load.has_fair_shares
+            ),
         )
         self._callers: dict[int, _Caller] = {}
         self.result = Result()
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -8,14 +8,63 @@
 import collections
 import dataclasses
 import random
+import typing
 
+from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import coldstart
+from swiftstile.gateway import fair_shares
 from swiftstile.gateway import gossip
+from swiftstile.gateway import load_rules
+from swiftstile.gateway import queue_limits
 from tests import event_clock
 from tests import gateway_builders as builders
 
 
+@dataclasses.dataclass(frozen=True)
+class Stream:
+    """Requests of one kind.
+
+    Attributes:
+        organisation: Host of its route.
+        per_s: Requests/s.
+        kind: Name of its route.
+        priority: Priority of its route.
+        from_s, until_s: Period of its arrivals.
+        vms: VMs at which its requests arrive; all if empty.
+        timeout: Timeout of its route, in objectives.
+        retries: How often its callers return after a rejection.
+    """
+
+    organisation: str
+    per_s: float
+    kind: str = "r-1"
+    priority: int = 2
+    from_s: float = 0.0
+    until_s: float = 1e9
+    vms: tuple[int, ...] = ()
+    timeout: float = 1.5
+    retries: int = 0
+
+
+class Outcome(typing.NamedTuple):
+    """What the caller of one attempt got.
+
+    Attributes:
+        stream: The stream of the request.
+        arrived: When it arrived.
+        took_s: Time until its answer or rejection.
+        served: Whether it was served.
+        is_in_time: Whether the answer met the objective.
+    """
+
+    stream: Stream
+    arrived: float
+    took_s: float
+    served: bool
+    is_in_time: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class Load:
     """Parameters of a simulation.
@@ -37,6 +86,8 @@
         queue_length: Queue length of an upstream; it doesn't answer requests
             beyond that.
         seed: Random seed of arrivals and service times.
+        streams: Replace the requests of `per_s` if not empty.
+        has_queue_limits, has_fair_shares: Whether these rules apply.
     """
 
     vms: int = 25
@@ -54,6 +105,9 @@
     latency_s: float = 0.0005
     queue_length: int = 1000
     seed: int = 1
+    streams: tuple[Stream, ...] = ()
+    has_queue_limits: bool = False
+    has_fair_shares: bool = False
 
 
 @dataclasses.dataclass
@@ -65,6 +119,7 @@
     rejected: int = 0
     unanswered: int = 0
     waits: list[float] = dataclasses.field(default_factory=list)
+    outcomes: list[Outcome] = dataclasses.field(default_factory=list)
     sends_by_upstream: dict[str, list[float]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
@@ -120,7 +175,15 @@
             {builders.LOOKUPS: builders.service(cold_per_s=load.cold_per_s)}
         )
         self.controller = admission.AdmissionController(
-            self.target_table, builders.HOME, 2.0, limits
+            self.target_table,
+            builders.HOME,
+            2.0,
+            limits,
+            rules=load_rules.LoadRules(
+                queue_limits.QueueLimits(lambda: load.has_queue_limits),
+                fair_shares.FairShares(lambda: load.has_fair_shares),
+                metrics.LabelledCounter(),
+            ),
         )
         self.controller.vm_count = load.vms
 
@@ -150,11 +213,15 @@
         self._vms = [
             _Vm(f"vm-{i}", specs, speeds, load) for i in range(load.vms)
         ]
+        self._stream_by_waiter: dict[int, tuple[Stream, int]] = {}
         self.result = Result()
 
     def run(self) -> Result:
         random.seed(self._load.seed)
-        self._clock.schedule(0.0, self._arrive)
+        if not self._load.streams:
+            self._clock.schedule(0.0, self._arrive)
+        for stream in self._load.streams:
+            self._clock.schedule(stream.from_s, self._arrive_in, stream)
         for number, vm in enumerate(self._vms):
             offset = self._load.report_interval_s * number / len(self._vms)
             self._clock.schedule(offset, self._report, vm)
@@ -185,10 +252,73 @@
         waiter.domain = builders.HOME
         self._clock.schedule(now + load.latency_s, self._offer, vm, waiter)
 
+    def _arrive_in(self, now: float, stream: Stream) -> None:
+        load = self._load
+        if now >= min(load.duration_s, stream.until_s):
+            return
+        self._clock.schedule(
+            now + self._random.expovariate(stream.per_s),
+            self._arrive_in,
+            stream,
+        )
+        self._enter(now, stream, stream.retries, now + self._timeout_s(stream))
+
+    def _timeout_s(self, stream: Stream) -> float:
+        return stream.timeout * self._load.objective_s
+
+    def _enter(
+        self, now: float, stream: Stream, retries: int, deadline: float
+    ) -> None:
+        """Lets an attempt of a caller arrive at a VM."""
+        load = self._load
+        entry = self._random.choice(stream.vms or range(load.vms))
+        vm = self._vms[0 if load.has_arbiter else entry]
+        waiter = admission.Waiter(
+            builders.route(
+                name=stream.kind,
+                host=stream.organisation,
+                priority=stream.priority,
+                objective_s=load.objective_s,
+                timeout_s=self._timeout_s(stream),
+            ),
+            builders.LOOKUPS,
+            None,
+            now,
+            deadline,
+            load.service_s,
+        )
+        self._stream_by_waiter[waiter.sequence] = stream, retries
+        if load.has_arbiter:
+            waiter.domain = builders.HOME
+            now += load.latency_s
+        self._clock.schedule(now, self._offer, vm, waiter)
+
+    def _reject(self, now: float, waiter, rejection) -> None:
+        self.result.rejected += 1
+        known = self._stream_by_waiter.pop(waiter.sequence, None)
+        if known is None:
+            return
+        stream, retries = known
+        self._note_outcome(now, waiter, stream, False)
+        left_s = waiter.deadline - now
+        if retries and left_s > self._load.service_s:
+            back_s = min(rejection.retry_after_s, left_s / 3)
+            self._clock.schedule(
+                now + back_s, self._enter, stream, retries - 1, waiter.deadline
+            )
+
+    def _note_outcome(self, now: float, waiter, stream, served: bool) -> None:
+        is_in_time = served and now <= waiter.objective_at
+        self.result.outcomes.append(
+            Outcome(
+                stream, waiter.arrived, now - waiter.arrived, served, is_in_time
+            )
+        )
+
     def _offer(self, now: float, vm, waiter) -> None:
         decided = vm.controller.offer(waiter, now)
         if isinstance(decided, admission.Rejection):
-            self.result.rejected += 1
+            self._reject(now, waiter, decided)
         elif decided is not None:
             self._send(now, vm, waiter, decided)
 
@@ -236,6 +366,9 @@
             self.result.in_time += 1
         else:
             self.result.late += 1
+        known = self._stream_by_waiter.pop(waiter.sequence, None)
+        if known is not None:
+            self._note_outcome(now, waiter, known[0], True)
         self._start(now, upstream)
         if self._load.has_arbiter:
             self._clock.schedule(
@@ -250,7 +383,8 @@
 
     def _dispatch(self, now: float, vm) -> None:
         assigned, rejected = vm.controller.dispatch(now)
-        self.result.rejected += len(rejected)
+        for waiter, rejection in rejected:
+            self._reject(now, waiter, rejection)
         for waiter, target in assigned:
             self._send(now, vm, waiter, target)
 
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -180,7 +180,11 @@
 
 def _is_kind(kind: int):
     """Returns a predicate for datagrams of one kind, by their tag."""
-    return lambda data, to: data[:1] == b"p" and data[2] == kind
+
+    def is_kind(data, to):
+        return data[:1] == b"p" and msgspec.msgpack.decode(data[1:])[0] == kind
+
+    return is_kind
 
 
 _REQUEST, _REPLY, _RELEASE = 1, 2, 3
