--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -181,7 +181,9 @@
     ) -> targets.Target | None:
         """Returns a target that a request may be sent to, within its share."""
         most = MAX_QUEUED_AT_TARGET
-        if self._rules.is_divided(waiter, now):
+        # Where one VM decides, the order of the queue is enough.
+        is_shared = not waiter.is_centrally_decided
+        if is_shared and self._rules.is_divided(waiter, now):
             capacity = self._selector.capacity(waiter, now)
             if capacity is not None:
                 most = self._rules.max_beyond_slots(
@@ -253,7 +255,9 @@
                 contested.add(waiter.queue_key)
             elif self._is_starved(waiter, contested, now):
                 rejected.append((waiter, self._reject_queued(waiter, now)))
-        if self._rules.has_limits:
+        if self._rules.has_limits and only is None:
+            # Not with each released slot: predictions take several times as
+            # long as the rest of a scan, and change more slowly.
             rejected.extend(self._reject_hopeless(left, now))
         self._contention.update(contested, only, now)
         for assignment in assigned:
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -138,3 +138,32 @@
     assert lines.dropped > 0
     os.close(reading)
     os.close(writing)
+
+
+def test_contention_of_the_deciding_vm_precedes_a_refusal(tmp_path):
+    # The queue is at the arbiter, and not at the VM that refused the caller.
+    log = tmp_path / "all.log"
+    _log(
+        log,
+        _state(
+            20, "queue contention", "vm-9", queue="s/u-1", is_contended=True
+        ),
+        _state(
+            21, "queue contention", "vm-9", queue="s/u-2", is_contended=True
+        ),
+        _state(
+            22, "queue contention", "vm-3", queue="s/u-1", is_contended=True
+        ),
+        _decision(
+            0,
+            "refused",
+            upstream="u-1",
+            decided_by="vm-9",
+            rule="arrival-late: 3 ahead at 20.0/s",
+        ),
+    )
+    trace = explain.find("a1", [log])
+    assert [(c.vm, c.fields["queue"]) for c in trace.changes] == [
+        ("vm-9", "s/u-1")
+    ]
+    assert "rule arrival-late: 3 ahead" in explain.render(trace)
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -15,6 +15,7 @@
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import permit_messages
 from swiftstile.gateway import permits
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import targets
@@ -616,3 +617,27 @@
             far.permits.release(waiter, target)
 
     _run(scenario)
+
+
+def test_an_arbiter_learns_the_group_of_a_request_of_another_vm():
+    # Without a group, all requests of other VMs would share one part.
+    async def scenario(_network, arbiter, far):
+        waiter = far.waiter(host="b.example", name="orders")
+        await far.permits.acquire(waiter)
+        assert [entry.group for entry in arbiter.demand] == [waiter.group]
+
+    _run(scenario)
+
+
+def test_messages_of_builds_with_and_without_groups_are_understood():
+    new = permit_messages.PermitRequest(
+        "r", 1, "u-1", 0, 1, 1, 1, 1, None, None, [], group="0123456789abcdef"
+    )
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(new))
+    decoder = msgspec.msgpack.Decoder(permit_messages.Message)
+    old = decoder.decode(msgspec.msgpack.encode(fields[:-1]))
+    assert old.group == ""
+    later = decoder.decode(
+        msgspec.msgpack.encode([*fields, "of a later build"])
+    )
+    assert later == new
