Queue limits and fair shares are off by default

The settings default to off; on is for trials. The test of defaults covers each option instead of comparing the struct with itself.

--- a/src/swiftstile/gateway/load_settings.py
+++ b/src/swiftstile/gateway/load_settings.py
@@ -27,6 +27,10 @@
 class LoadSettings(msgspec.Struct, frozen=True):
     """Section [load]: decisions under heavy load.
 
+    Queue limits and fair shares are off by default: with 200 waiting requests
+    they take up to 35% of a core, and they reject too many requests below the
+    capacity. `on` is for trials.
+
     Attributes:
         placement: Places keys by the load and speed of their owners, and not
             only by the number of slots.
@@ -39,8 +43,8 @@
 
     placement: Switch = Switch.AUTO
     returning_callers: Switch = Switch.AUTO
-    queue_limits: Switch = Switch.AUTO
-    fair_shares: Switch = Switch.AUTO
+    queue_limits: Switch = Switch.OFF
+    fair_shares: Switch = Switch.OFF
     fast_signal: Switch = Switch.AUTO
 
 
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -57,10 +57,24 @@
 
 
 def test_load_decisions_are_automatic_unless_set(tmp_path):
-    assert _load(tmp_path, _GOOD).load == load_settings.LoadSettings()
-    loaded = _load(tmp_path, _GOOD + "\n[load]\nfair_shares = off\n").load
-    assert loaded.fair_shares is load_settings.Switch.OFF
+    loaded = _load(tmp_path, _GOOD).load
     assert loaded.placement is load_settings.Switch.AUTO
+    assert loaded.returning_callers is load_settings.Switch.AUTO
+    assert loaded.fast_signal is load_settings.Switch.AUTO
+    loaded = _load(tmp_path, _GOOD + "\n[load]\nplacement = off\n").load
+    assert loaded.placement is load_settings.Switch.OFF
+    assert loaded.fast_signal is load_settings.Switch.AUTO
+
+
+def test_queue_limits_and_fair_shares_are_off_unless_set(tmp_path):
+    # By default, they rejected requests below capacity in large domains.
+    loaded = _load(tmp_path, _GOOD).load
+    assert loaded.queue_limits is load_settings.Switch.OFF
+    assert loaded.fair_shares is load_settings.Switch.OFF
+    text = _GOOD + "\n[load]\nfair_shares = on\nqueue_limits = auto\n"
+    loaded = _load(tmp_path, text).load
+    assert loaded.fair_shares is load_settings.Switch.ON
+    assert loaded.queue_limits is load_settings.Switch.AUTO
 
 
 @pytest.mark.parametrize(
