--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -13,6 +13,7 @@
 from swiftstile import pacing
 from swiftstile.gateway import admission
 from swiftstile.gateway import caller_retries
+from swiftstile.gateway import fair_groups
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import model
@@ -255,6 +256,9 @@
                 rejections=waiter.rejections,
                 returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
                 is_reserved=overload.is_reserved,
+                figures=[]
+                if overload.figures is None
+                else overload.figures.encode(),
             ),
         )
 
@@ -296,6 +300,7 @@
     )
     waiter.is_for_peer = True
     waiter.rejections = request.rejections
+    waiter.group = fair_groups.parse(request.group)
     if request.max_wait_ms is not None:
         waiter.max_wait_s = request.max_wait_ms / 1000
     return waiter
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -67,6 +67,7 @@
             it, or whether Retry-After is a reservation, if refused.
         extra_send: Whether it is sent again because an upstream with free slots
             rejected it.
+        rule: The queue limit that rejected the request, with its figures.
     """
 
     id: str
@@ -98,6 +99,7 @@
     returned_after_ms: int = 0
     reserved: bool = False
     extra_send: bool = False
+    rule: str = ""
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/permit_messages.py
+++ b/src/swiftstile/gateway/permit_messages.py
@@ -50,6 +50,8 @@
         max_wait_ms: Longest wait for a slot; until the request expires if None.
         rejections: How often its caller was rejected before, as far as the
             requesting VM knows.
+        group: Its organisation and kind (`fair_groups.GroupId.encode`); empty
+            from a build without groups.
     """
 
     run: str
@@ -67,6 +69,7 @@
     excluded: list[model.UpstreamId] = []
     max_wait_ms: int | None = None
     rejections: int = 0
+    group: str = ""
 
 
 class PermitReply(msgspec.Struct, array_like=True, tag=2):
@@ -84,6 +87,7 @@
             for a first attempt.
         is_reserved: Whether the caller returned at a time that was reserved for
             it, if granted; whether the time of its retry is, if rejected.
+        figures: What a rejection rests on (`wait_figures.Figures.encode`).
     """
 
     number: int
@@ -95,6 +99,7 @@
     rejections: int = 0
     returned_after_ms: int = 0
     is_reserved: bool = False
+    figures: list[int] = []
 
 
 class RejectedCaller(msgspec.Struct, array_like=True):
--- a/src/swiftstile/gateway/permits.py
+++ b/src/swiftstile/gateway/permits.py
@@ -42,6 +42,7 @@
 from swiftstile.gateway import rejected_callers
 from swiftstile.gateway import reports
 from swiftstile.gateway import targets
+from swiftstile.gateway import wait_figures
 
 __all__ = ["PermitClient"]
 
@@ -428,6 +429,7 @@
         request.rejections = waiter.rejections
         if waiter.max_wait_s is not None:
             request.max_wait_ms = clocks.milliseconds(waiter.max_wait_s)
+        request.group = waiter.group.encode()
         self._peers.send_permit(arbiter, self._encoder.encode(request))
         self._meters.permits.add("asked")
 
@@ -511,5 +513,6 @@
         reply.wait_ms / 1000,
         None if target is None else target.id,
         is_reserved=reply.is_reserved,
+        figures=wait_figures.decode(reply.figures),
     )
     return gate_lib.rejected_error(overload)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -22,6 +22,7 @@
 from swiftstile.gateway import daemon as daemon_lib
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
+from swiftstile.gateway import fair_shares
 from swiftstile.gateway import follow
 from swiftstile.gateway import forward_listener
 from swiftstile.gateway import forward_selection
@@ -36,6 +37,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import load_rules
 from swiftstile.gateway import load_settings
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
@@ -43,6 +45,7 @@
 from swiftstile.gateway import outage
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits
+from swiftstile.gateway import queue_limits
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
@@ -226,6 +229,7 @@
             retry_schedule.RetrySchedule(
                 self._is_on(settings.load.returning_callers), self._meters
             ),
+            self._load_rules(),
         )
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
@@ -247,10 +251,7 @@
             self._drain_s,
             self._leadership.can_write,
         )
-        gate = gate_lib.Gate(
-            self._controller,
-            key_owners.count_request,
-        )
+        gate = gate_lib.Gate(self._controller, key_owners.count_request)
         self._registry = registry = registry_lib.Registry(
             self._target_table,
             adapters.decode_upstream,
@@ -406,6 +407,15 @@
         )
         return self._daemon
 
+    def _load_rules(self) -> load_rules.LoadRules:
+        load = self._settings.load
+        return load_rules.LoadRules(
+            queue_limits.QueueLimits(self._is_on(load.queue_limits)),
+            fair_shares.FairShares(self._is_on(load.fair_shares)),
+            self._meters.queue_limits,
+            load_rules.log_contention,
+        )
+
     def _make_key_assigner(
         self, service: ids.ServiceName
     ) -> key_assigner.KeyAssigner:
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -30,6 +30,7 @@
     "links": ("swiftstile.upstream.links", "{event}", "kind"),
     "forwards": ("swiftstile.forwards", "{request}", "result"),
     "returning": ("swiftstile.returning.callers", "{request}", "kind"),
+    "queue_limits": ("swiftstile.queue.limits", "{request}", "rule"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
 }
 
--- a/tests/keyed_load_simulation.py
+++ b/tests/keyed_load_simulation.py
@@ -16,6 +16,7 @@
 from swiftstile.gateway import retry_schedule
 from tests import event_clock
 from tests import gateway_builders as builders
+from tests import load_builders
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +38,7 @@
         seed: Random seed of arrivals and service times.
         max_retries: How often a caller retries.
         has_reservations: Whether capacity is reserved for rejected callers.
+        has_queue_limits, has_fair_shares: Whether these rules apply.
     """
 
     speeds: tuple[float, ...] = (0.5, 1.0, 1.0, 1.5)
@@ -54,6 +56,8 @@
     seed: int = 1
     max_retries: int = 1
     has_reservations: bool = False
+    has_queue_limits: bool = False
+    has_fair_shares: bool = False
 
 
 @dataclasses.dataclass
@@ -135,6 +139,9 @@
             schedule=retry_schedule.RetrySchedule(
                 lambda: load.has_reservations
             ),
+            rules=load_builders.rules(
+                load.has_queue_limits, load.has_fair_shares
+            ),
         )
         self._callers: dict[int, _Caller] = {}
         self.result = Result()
--- a/tests/unit/test_gateway_retry_schedule.py
+++ b/tests/unit/test_gateway_retry_schedule.py
@@ -11,6 +11,7 @@
 from swiftstile.gateway import retry_schedule
 from tests import gateway_builders as builders
 from tests import keyed_load_simulation
+from tests import load_builders
 
 _OWNER = (builders.LOOKUPS, "u-1")
 # Capacity of an owner of two slots, at 0.16 s per request.
@@ -83,7 +84,9 @@
     assert not schedule._times_by_bucket
 
 
-def _overloaded(is_enabled: bool, limits=coldstart.UNLIMITED):
+def _overloaded(
+    is_enabled: bool, limits=coldstart.UNLIMITED, has_queue_limits=False
+):
     """Returns admission control with a saturated owner, and the owner."""
     table = builders.target_table(builders.upstream())
     target = table.by_id["u-1"]
@@ -96,6 +99,7 @@
         limits,
         retry_tracker=tracker,
         schedule=_schedule(is_enabled),
+        rules=load_builders.rules(has_queue_limits, has_shares=False),
     )
     return controller, target
 
@@ -106,9 +110,15 @@
     return waiter
 
 
-def test_a_caller_that_returns_as_reserved_goes_before_first_attempts():
-    # Guards against a second rejection of the same caller.
-    controller, target = _overloaded(is_enabled=True)
+@pytest.mark.parametrize("has_queue_limits", [False, True])
+def test_a_caller_that_returns_as_reserved_goes_before_first_attempts(
+    has_queue_limits,
+):
+    # Guards against a second rejection of the same caller, also by a queue
+    # limit.
+    controller, target = _overloaded(
+        is_enabled=True, has_queue_limits=has_queue_limits
+    )
     rejected = None
     for _ in range(40):
         waiter = _caller(target, 0.0, 0.85)
@@ -144,7 +154,7 @@
     for _ in range(40):
         decided = controller.offer(_caller(target, 0.0, 0.85), 0.0)
     assert not decided.is_reserved
-    assert not controller._schedule._times_by_bucket
+    assert not controller._reservations.schedule._times_by_bucket
 
 
 @functools.cache
@@ -256,7 +266,7 @@
     controller, target = _overloaded(is_enabled=True, limits=_Blocked())
     while controller.offer(_caller(target, 0.0, 0.85), 0.0) is None:
         pass
-    assert controller._schedule.due((builders.LOOKUPS, "u-1"), 1.0, 0.0)
+    assert controller._reservations.schedule.due((builders.LOOKUPS, "u-1"), 1.0, 0.0)
     change(target)
     waiter = _caller(target, 0.1, 2.0)
     waiter.owner = builders.FixedOwner(target, ready_in_s=0.4)
@@ -267,7 +277,7 @@
     # Guards against callers that are worse off because they were recognised:
     # without a reservation, a caller goes by the arrival of its retry.
     controller, target = _overloaded(is_enabled=True)
-    tracker = controller._retry_tracker
+    tracker = controller._reservations.retry_tracker
     tracker.expect_retry(_caller(target, 0.0, 0.85), 0.25, 0.01)
     returned = _caller(target, 0.25, 0.6)
     tracker.match_retry(returned, 0.25)
@@ -293,8 +303,8 @@
     now = 0.1 + 0.2
     waiter = _caller(target, now, 0.85)
     waiter.awaited = target
-    at = controller._reserve(waiter, now)
-    controller._retry_tracker.expect_retry(waiter, now + (at - now), now, at)
+    at = controller._reservations.reserve(waiter, now)
+    controller._reservations.retry_tracker.expect_retry(waiter, now + (at - now), now, at)
     returned = _caller(target, at, now + 0.85 - at)
     controller.offer(returned, at)
     assert returned.is_reserved
