Fair shares judge a queue as a whole until it is contended

An undivided queue now goes by its own meter and position, arrivals count in both meters, and a divided queue counts only organisations that have requests waiting.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -270,7 +270,7 @@
         """Rejects queued requests that newer ones overtake for too long."""
         rejected = []
         capacities: dict[tuple, target_selection.Capacity | None] = {}
-        for waiter, position in self._rules.positions(ordered):
+        for waiter, position in self._rules.positions(ordered, now):
             name = self._rules.queue_name(waiter)
             if name not in capacities:
                 capacities[name] = self._selector.capacity(waiter, now)
--- a/src/swiftstile/gateway/fair_shares.py
+++ b/src/swiftstile/gateway/fair_shares.py
@@ -135,17 +135,6 @@
         kinds = entry.used_by_kind
         kinds.setdefault(group.kind, _Decayed(now)).add(work_s, now)
 
-    def active_count(self, queue: tuple, now: float) -> int:
-        """Returns the number of organisations that used a queue recently."""
-        state = self._queues.get(queue)
-        if state is None:
-            return 1
-        recent = (
-            now - entry.seen_at < TIME_CONSTANT_S
-            for entry in state.by_organisation.values()
-        )
-        return max(1, sum(recent))
-
     def is_kind_due(
         self, queue: tuple, waiter: waiters.Waiter, now: float
     ) -> bool:
@@ -159,7 +148,11 @@
         return used.get(waiter.group.kind, 0.0) < floor
 
     def competing_organisations(
-        self, queue: tuple, waiter: waiters.Waiter, ahead: int
+        self,
+        queue: tuple,
+        waiter: waiters.Waiter,
+        ahead: int,
+        waiting: collections.abc.Set[str],
     ) -> int | None:
         """Returns how many organisations share the next slots.
 
@@ -167,6 +160,7 @@
             queue: Name of the queue.
             waiter: A request.
             ahead: Requests of its organisation that go before it.
+            waiting: Organisations that have requests waiting, or its own.
 
         Returns:
             The number of organisations that had less than the others, with its
@@ -182,7 +176,8 @@
             return None
         behind = sum(
             other.virtual < state.virtual
-            for other in state.by_organisation.values()
+            for key, other in state.by_organisation.items()
+            if key in waiting
         )
         return max(1, behind)
 
--- a/src/swiftstile/gateway/load_rules.py
+++ b/src/swiftstile/gateway/load_rules.py
@@ -26,7 +26,6 @@
 
 # What a request queues for, and the only failure domain that may serve it.
 QueueName = tuple
-_NAME_LENGTH = 3
 
 
 class _Position(typing.NamedTuple):
@@ -61,7 +60,11 @@
         self._counter = counter
         self._on_contention = on_contention
         self._contended_until: dict[QueueName, float] = {}
-        self._name_by_sequence: dict[int, QueueName] = {}
+        self._names_by_sequence: dict[int, tuple[tuple, ...]] = {}
+        # Organisations that have requests waiting, by queue.
+        self._waiting: dict[QueueName, collections.Counter[str]] = (
+            collections.defaultdict(collections.Counter)
+        )
 
     @property
     def has_limits(self) -> bool:
@@ -84,11 +87,32 @@
         key = waiter.queue_key
         return None if key is None else (*key, waiter.domain)
 
-    def _meter_name(self, name: QueueName, waiter: waiters.Waiter) -> tuple:
+    def _meter_names(
+        self, name: QueueName, waiter: waiters.Waiter
+    ) -> tuple[tuple, ...]:
+        """Returns the meters of a request: of its queue and organisation."""
         if self.has_shares:
+            return name, (*name, waiter.group.organisation)
+        return (name,)
+
+    def _judged_by(
+        self, name: QueueName, waiter: waiters.Waiter, now: float
+    ) -> tuple:
+        """Returns the meter by which a request is judged.
+
+        An organisation has a part of its own only while the queue is divided.
+        """
+        if self.has_shares and self.is_contended(name, now):
             return (*name, waiter.group.organisation)
         return name
 
+    def _dividing(
+        self, name: QueueName, waiter: waiters.Waiter
+    ) -> collections.abc.Set[str]:
+        """Returns the organisations that want slots, with the request's."""
+        waiting = self._waiting.get(name, {})
+        return waiting.keys() | {waiter.group.organisation}
+
     def is_contended(self, name: QueueName, now: float) -> bool:
         """Whether requests of a queue were rejected recently."""
         return now < self._contended_until.get(name, 0.0)
@@ -110,37 +134,41 @@
         if self.has_shares:
             self._shares.note_arrived(name, waiter.group, now)
         if self.is_enabled:
-            meter_name = self._meter_name(name, waiter)
-            self._limits.note_arrived(meter_name, waiter, now)
+            for meter_name in self._meter_names(name, waiter):
+                self._limits.note_arrived(meter_name, waiter, now)
 
     def note_queued(self, waiter: waiters.Waiter, now: float) -> None:
         """Records that a request is put into its queue."""
         name = self.queue_name(waiter)
         if name is None or not self.is_enabled:
             return
-        meter_name = self._meter_name(name, waiter)
-        self._name_by_sequence[waiter.sequence] = meter_name
-        self._limits.note_queued(meter_name, now)
-        if meter_name != name:
-            self._limits.note_queued(name, now)
+        names = self._meter_names(name, waiter)
+        self._names_by_sequence[waiter.sequence] = names
+        for meter_name in names:
+            self._limits.note_queued(meter_name, now)
+        self._waiting[name][waiter.group.organisation] += 1
 
     def note_removed(self, waiter: waiters.Waiter) -> None:
         """Records that a request left its queue."""
-        meter_name = self._name_by_sequence.pop(waiter.sequence, None)
-        if meter_name is None:
+        names = self._names_by_sequence.pop(waiter.sequence, ())
+        if not names:
             return
-        self._limits.note_removed(meter_name)
-        if len(meter_name) > _NAME_LENGTH:
-            self._limits.note_removed(meter_name[:_NAME_LENGTH])
+        for meter_name in names:
+            self._limits.note_removed(meter_name)
+        waiting = self._waiting[names[0]]
+        waiting[waiter.group.organisation] -= 1
+        if not waiting[waiter.group.organisation]:
+            del waiting[waiter.group.organisation]
+        if not waiting:
+            del self._waiting[names[0]]
 
     def note_sent(self, waiter: waiters.Waiter, now: float) -> None:
         """Records a send; call it before `note_removed`."""
         name = self.queue_name(waiter)
         if name is None or not self.is_enabled:
             return
-        queued = self._name_by_sequence.get(waiter.sequence)
-        meter_name = queued or self._meter_name(name, waiter)
-        for entry in {meter_name, meter_name[:_NAME_LENGTH]}:
+        queued = self._names_by_sequence.get(waiter.sequence)
+        for entry in queued or self._meter_names(name, waiter):
             self._limits.note_sent(entry, now, queued is not None)
         if self.has_shares:
             self._shares.note_sent(name, waiter, now)
@@ -213,7 +241,7 @@
         return most
 
     def positions(
-        self, ordered: list[waiters.Waiter]
+        self, ordered: list[waiters.Waiter], now: float
     ) -> collections.abc.Iterator[tuple[waiters.Waiter, _Position]]:
         """Yields requests in order, with their positions."""
         ahead: collections.Counter = collections.Counter()
@@ -222,7 +250,7 @@
             if name is None:
                 yield waiter, _Position(0, 0)
                 continue
-            meter_name = self._meter_name(name, waiter)
+            meter_name = self._judged_by(name, waiter, now)
             kind = (*meter_name, waiter.group.kind)
             # The names have different lengths, so they can't be equal.
             yield waiter, _Position(ahead[meter_name], ahead[kind])
@@ -237,11 +265,12 @@
     ) -> _Position:
         """Returns the position that an arriving request would have."""
         rank = waiter.rank(now)
+        is_divided = self.is_divided(waiter, now)
         ahead = of_kind = 0
         for other in queued:
             if not waiters.compete(other, waiter):
                 continue
-            if self.has_shares:
+            if is_divided:
                 if other.group.organisation != waiter.group.organisation:
                     continue
                 of_kind += other.group.kind == waiter.group.kind
@@ -268,13 +297,13 @@
         name = self.queue_name(waiter)
         prior = capacity.per_s / vm_count
         guaranteed_s = None
-        if self.has_shares:
+        if self.is_divided(waiter, now):
             guaranteed_s = self._guaranteed_wait_s(
                 name, waiter, position, prior, now
             )
-            prior /= self._shares.active_count(name, now)
+            prior /= len(self._dividing(name, waiter))
         figures = self._limits.figures(
-            self._meter_name(name, waiter),
+            self._judged_by(name, waiter, now),
             waiter,
             position.ahead,
             prior,
@@ -303,12 +332,15 @@
         per_s = self._limits.rate_per_s(name, prior_per_s, now)
         is_kind_due = self._shares.is_kind_due(name, waiter, now)
         ahead = position.ahead_of_kind if is_kind_due else position.ahead
-        sharing = self._shares.competing_organisations(name, waiter, ahead)
+        dividing = self._dividing(name, waiter)
+        sharing = self._shares.competing_organisations(
+            name, waiter, ahead, dividing
+        )
         if sharing is None:
             if ahead or not is_kind_due:
                 return None
             # The next slot of its organisation goes to its kind.
-            sharing = self._shares.active_count(name, now)
+            sharing = len(dividing)
         return (ahead + 1) * sharing / per_s
 
     def is_hopeless_in_queue(self, figures: wait_figures.Figures) -> bool:
--- a/tests/unit/test_gateway_fair_shares.py
+++ b/tests/unit/test_gateway_fair_shares.py
@@ -8,6 +8,7 @@
 
 from swiftstile.gateway import fair_groups
 from swiftstile.gateway import fair_shares
+from swiftstile.gateway import target_selection
 from tests import gateway_builders as builders
 from tests import load_builders
 from tests import load_simulation
@@ -161,3 +162,16 @@
     assert changes == [True]
     rules.sweep(1.6)
     assert changes == [True, False]
+
+
+def test_only_organisations_that_wait_divide_a_contended_queue():
+    rules = load_builders.rules(True, True)
+    for number in range(12):
+        rules.note_arrived(builders.waiter(0.0, host=f"o-{number}"), 0.0)
+    waiter = builders.waiter(0.0, host="o-1")
+    rules.note_rejected(builders.waiter(0.0, host="o-0"), 0.0)
+    capacity = target_selection.Capacity(24.0, 3, 0, 0)
+    position = rules.position_of(waiter, [], 0.0)
+    assert rules.figures(waiter, position, capacity, 1, 0.0).per_s == 24.0
+    rules.note_queued(builders.waiter(0.0, host="o-2"), 0.0)
+    assert rules.figures(waiter, position, capacity, 1, 0.0).per_s == 12.0
