Merge returning callers, and queue limits and fair shares, off by default

Cause: upstreams that reject with free slots, and callers that are refused again; requests that wait 0.3 s for a refusal.

--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -60,6 +60,14 @@
         data_age_ms: Time since any upstream delivered data to this VM; of
             requests that weren't served only.
         decided_by: The VM that refused a slot, if it wasn't this one.
+        rejections: How often the caller was rejected before this attempt, as
+            far as known.
+        returned_after_ms: Time from the caller's first attempt to this one.
+        reserved: Whether the caller returned at a time that was reserved for
+            it, or whether Retry-After is a reservation, if refused.
+        extra_send: Whether it is sent again because an upstream with free slots
+            rejected it.
+        rule: The queue limit that rejected the request, with its figures.
     """
 
     id: str
@@ -87,6 +95,11 @@
     backoff_ms: int = 0
     data_age_ms: int = 0
     decided_by: str = ""
+    rejections: int = 0
+    returned_after_ms: int = 0
+    reserved: bool = False
+    extra_send: bool = False
+    rule: str = ""
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -1,6 +1,7 @@
 """Handles one request from its arrival to its response."""
 
 import asyncio
+import collections.abc
 
 from aiohttp import web_request
 from aiohttp import web_response
@@ -12,6 +13,7 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
 from swiftstile.gateway import caller_requests
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import crash_guard
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
@@ -73,6 +75,9 @@
         forwarder: forwarding.PeerForwarder,
         meters: metrics.Meters,
         sampler: service_samples.ServiceTimeSampler,
+        prefers_returning: collections.abc.Callable[
+            [], bool
+        ] = caller_retries.never_enabled,
     ):
         self.config: model.Config | None = None
         self.is_new_config_invalid = False
@@ -82,7 +87,9 @@
         self._target_table = target_table
         self._owners = key_owners
         self._budget = retry_budget
-        self._retries = retries.RetryPolicy(retry_budget, target_table, meters)
+        self._retries = retries.RetryPolicy(
+            retry_budget, target_table, meters, prefers_returning
+        )
         self._speed_table = speed_table
         self._log = log
         self._store = store
@@ -353,6 +360,7 @@
                         error, waiter, state
                     ) from error
             else:
+                self._retries.note_accepted(waiter, state, clocks.monotonic())
                 self._record_response(
                     call, waiter, target, response, sent, trace
                 )
@@ -518,7 +526,9 @@
                 service=waiter.service,
                 upstream="" if target is None else target.id,
                 attempt=state.sends,
-                waited_ms=clocks.milliseconds(now - waiter.arrived),
+                waited_ms=clocks.milliseconds(
+                    now - waiter.arrived - waiter.returned_after_s
+                ),
                 left_ms=clocks.milliseconds(call.deadline - now),
                 key=call.inbound.key,
                 config=config.version if config else 0,
@@ -529,6 +539,10 @@
                 data_age_ms=self._links.data_age_ms(now)
                 if target is None
                 else 0,
+                rejections=waiter.rejections,
+                returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
+                reserved=waiter.is_reserved,
+                extra_send=state.is_extra,
                 **_stated_fields(target, now),
             )
         )
@@ -554,11 +568,22 @@
                 queued=self._permits.queued,
                 data_age_ms=self._links.data_age_ms(now),
                 decided_by=getattr(error, "decided_by", ""),
+                rejections=error.rejections,
+                reserved=getattr(
+                    getattr(error, "rejection", None), "is_reserved", False
+                ),
+                rule=_rule(error),
                 **_stated_fields(target, now),
             )
         )
 
 
+def _rule(error: outcomes.GatewayError) -> str:
+    """Returns the queue limit that rejected a request, with its figures."""
+    figures = getattr(getattr(error, "rejection", None), "figures", None)
+    return "" if figures is None else figures.text()
+
+
 def _stated_fields(
     target: targets.Target | None, now: float
 ) -> dict[str, float]:
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -15,6 +15,7 @@
 from swiftstile.gateway import arbiter_selection
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import connections
 from swiftstile.gateway import counted_table
@@ -22,6 +23,7 @@
 from swiftstile.gateway import daemon as daemon_lib
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
+from swiftstile.gateway import fair_shares
 from swiftstile.gateway import follow
 from swiftstile.gateway import forward_listener
 from swiftstile.gateway import forward_selection
@@ -36,6 +38,7 @@
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
+from swiftstile.gateway import load_rules
 from swiftstile.gateway import load_settings
 from swiftstile.gateway import map_catch_up
 from swiftstile.gateway import measurements
@@ -44,6 +47,7 @@
 from swiftstile.gateway import outage
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits
+from swiftstile.gateway import queue_limits
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
@@ -51,6 +55,7 @@
 from swiftstile.gateway import renewal_budget
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
+from swiftstile.gateway import retry_schedule
 from swiftstile.gateway import service_samples
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import slotplan
@@ -223,12 +228,25 @@
             lambda: self._state.contact_at,
             lambda: self._state.generation,
         )
+        self._retry_tracker = caller_retries.RetryTracker(
+            self._is_on(settings.load.returning_callers), self._meters
+        )
+        self._controller = admission.AdmissionController(
+            self._target_table,
+            self._node.domain,
+            self._drain_s,
+            self._cold_limits,
+            self._rate_limiter,
+            self._retry_tracker,
+            retry_schedule.RetrySchedule(
+                self._is_on(settings.load.returning_callers), self._meters
+            ),
+            self._load_rules(),
+        )
         self._registry: registry_lib.Registry | None = None
         self._operations: follow.TableFollower | None = None
         self._map_catch_up: map_catch_up.MapCatchUp | None = None
         self._daemon: daemon_lib.GatewayDaemon | None = None
-        # Live VMs of the own domain, itself included.
-        self._count_domain_vms: collections.abc.Callable[[], int] = lambda: 1
 
     def build(self) -> daemon_lib.GatewayDaemon:
         """Returns the daemon."""
@@ -256,7 +274,7 @@
             ),
             key_owners.count_request,
         )
-        self._count_domain_vms = lambda: gate.admission.vm_count
+        gate = gate_lib.Gate(self._controller, key_owners.count_request)
         self._registry = registry = registry_lib.Registry(
             self._target_table,
             adapters.decode_upstream,
@@ -296,6 +314,7 @@
             self._target_table,
             self._is_leaving,
             self._meters,
+            self._retry_tracker,
         )
         pool = connections.ConnectionPool(self._settings.vm.host, self._links)
         client = exchange.UpstreamClient(
@@ -346,7 +365,10 @@
             self._links,
             forwarder,
             self._meters,
-            service_samples.ServiceTimeSampler(self._is_placed_by_load),
+            service_samples.ServiceTimeSampler(
+                self._is_on(self._settings.load.placement)
+            ),
+            self._is_on(self._settings.load.returning_callers),
         )
         self._renewer = renewals.GrantRenewer(
             self._maps,
@@ -423,6 +445,15 @@
         )
         return self._daemon
 
+    def _load_rules(self) -> load_rules.LoadRules:
+        load = self._settings.load
+        return load_rules.LoadRules(
+            queue_limits.QueueLimits(self._is_on(load.queue_limits)),
+            fair_shares.FairShares(self._is_on(load.fair_shares)),
+            self._meters.queue_limits,
+            load_rules.log_contention,
+        )
+
     def _make_key_assigner(
         self, service: ids.ServiceName
     ) -> key_assigner.KeyAssigner:
@@ -453,11 +484,6 @@
             self._meters,
         )
 
-    def _is_placed_by_load(self) -> bool:
-        return load_settings.is_on(
-            self._settings.load.placement, self._count_domain_vms()
-        )
-
     def _health_path(self, service: ids.ServiceName) -> str:
         """Returns the path of a service's health check."""
         config = self._handler.config
@@ -470,6 +496,12 @@
             return None
         return self._daemon.map_versions()
 
+    def _is_on(
+        self, switch: load_settings.Switch
+    ) -> collections.abc.Callable[[], bool]:
+        """Returns a function that states whether a mechanism is active."""
+        return lambda: load_settings.is_on(switch, self._controller.vm_count)
+
     def _is_leaving(self) -> bool:
         return self._daemon is not None and self._daemon.is_leaving
 
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -83,6 +83,8 @@
         self.links = LabelledCounter()
         self.forwards = LabelledCounter()
         self.store_calls = LabelledCounter()
+        self.returning = LabelledCounter()
+        self.queue_limits = LabelledCounter()
 
     def count_http(
         self, kind: str, response: aiohttp.ClientResponse, sent: int
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -30,6 +30,8 @@
     "links": ("swiftstile.upstream.links", "{event}", "kind"),
     "forwards": ("swiftstile.forwards", "{request}", "result"),
     "store_calls": ("swiftstile.store.calls", "{call}", "reason"),
+    "returning": ("swiftstile.returning.callers", "{request}", "kind"),
+    "queue_limits": ("swiftstile.queue.limits", "{request}", "rule"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
 }
 
--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -11,10 +11,12 @@
 from swiftstile.gateway import admission
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import arbiter_selection
+from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import permit_messages
 from swiftstile.gateway import permits
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import targets
@@ -87,10 +89,19 @@
         selector = arbiter_selection.ArbiterSelector(
             self.peers, lambda: self.is_leaving, self.limits
         )
+        self.prefers_returning = False
+        self.retry_tracker = caller_retries.RetryTracker(
+            lambda: self.prefers_returning, self.meters
+        )
         self.rate_limiter = ratelimits.RateLimiter(self.peers, selector)
         self.gate = gate_lib.Gate(
             admission.AdmissionController(
-                self.targets, domain, 2.0, self.limits, self.rate_limiter
+                self.targets,
+                domain,
+                2.0,
+                self.limits,
+                self.rate_limiter,
+                self.retry_tracker,
             ),
             self.demand.append,
         )
@@ -100,6 +111,7 @@
             self.targets,
             lambda: self.is_leaving,
             self.meters,
+            self.retry_tracker,
         )
         self.permits = permits.PermitClient(
             self.peers,
@@ -180,7 +192,11 @@
 
 def _is_kind(kind: int):
     """Returns a predicate for datagrams of one kind, by their tag."""
-    return lambda data, to: data[:1] == b"p" and data[2] == kind
+
+    def is_kind(data, to):
+        return data[:1] == b"p" and msgspec.msgpack.decode(data[1:])[0] == kind
+
+    return is_kind
 
 
 _REQUEST, _REPLY, _RELEASE = 1, 2, 3
@@ -612,3 +628,104 @@
             far.permits.release(waiter, target)
 
     _run(scenario)
+
+
+async def _reject_and_return(first: _Vm, second: _Vm, make_waiter):
+    """Lets an upstream reject a caller, which returns to another VM."""
+    waiter = make_waiter(first)
+    waiter.gives_up_at = waiter.arrived + 1.5
+    target = await first.permits.acquire(waiter)
+    waiter.announced_retry_s = 0.05
+    first.permits.release(waiter, target)
+    await asyncio.sleep(0.055)
+    back = make_waiter(second)
+    back.gives_up_at = waiter.gives_up_at
+    target = await second.permits.acquire(back)
+    second.permits.release(back, target)
+    return waiter, back
+
+
+@pytest.mark.parametrize("is_enabled", [False, True])
+def test_arbiters_recognise_callers_that_upstreams_rejected(is_enabled):
+    async def scenario(_network, arbiter, near, far):
+        arbiter.prefers_returning = is_enabled
+        # It travels by the release if another VM granted the slot.
+        for first, second in ((far, near), (arbiter, far), (far, arbiter)):
+            earlier, back = await _reject_and_return(
+                first, second, lambda vm: vm.waiter()
+            )
+            assert back.rejections == int(is_enabled)
+            if is_enabled:
+                assert back.arrived == pytest.approx(earlier.arrived, abs=0.01)
+                assert back.returned_after_s >= 0.05
+
+    _run(scenario, near=1, far=2)
+
+
+def test_the_home_arbiter_recognises_callers_without_key():
+    # Guards against a record at the other domain's arbiter, which the caller's
+    # next attempt doesn't ask first.
+    async def scenario(_network, home, away, farther):
+        away.prefers_returning = farther.prefers_returning = True
+        selector = away.permits._selector
+        _, is_away = selector.arbiter_in_domain(
+            builders.AWAY, builders.LOOKUPS, clocks.monotonic()
+        )
+        first = farther if is_away else away
+        second = away if is_away else farther
+        # All upstreams are in the other domain, whose arbiter doesn't track.
+        _, back = await _reject_and_return(first, second, _any_waiter)
+        assert back.rejections == 0
+        keeper = away if is_away else farther
+        entries = keeper.retry_tracker._by_key.values()
+        assert sum(map(len, entries)) == 1
+
+    _run(scenario, near=1, far=2)
+
+
+def test_a_repeated_request_after_a_lost_refusal_is_not_the_callers_return():
+    # Guards against a caller that is never served because its reservation was
+    # used by the repeated permit request.
+    async def scenario(network, arbiter, far):
+        arbiter.prefers_returning = True
+        builders.occupy(arbiter.targets.by_id["u-1"], 40, clocks.monotonic())
+        lost = []
+
+        def lose_first_refusal(data, to):
+            lost.append(_is_kind(_REPLY)(data, to))
+            return sum(lost) == 1 and lost[-1]
+
+        network.lose = lose_first_refusal
+        waiter = far.waiter(timeout_s=0.12)
+        waiter.gives_up_at = waiter.deadline
+        with pytest.raises(outcomes.RejectedError):
+            await far.permits.acquire(waiter)
+        assert sum(lost) == 2
+        assert waiter.rejections == 0
+        assert arbiter.meters.returning.get("recognised") == 0
+
+    _run(scenario)
+
+
+def test_an_arbiter_learns_the_group_of_a_request_of_another_vm():
+    # Without a group, all requests of other VMs would share one part.
+    async def scenario(_network, arbiter, far):
+        waiter = far.waiter(host="b.example", name="orders")
+        await far.permits.acquire(waiter)
+        assert [entry.group for entry in arbiter.demand] == [waiter.group]
+
+    _run(scenario)
+
+
+def test_messages_of_builds_with_and_without_groups_are_understood():
+    new = permit_messages.PermitRequest(
+        "r", 1, "u-1", 0, 1, 1, 1, 1, None, None, [], group="0123456789abcdef"
+    )
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(new))
+    decoder = msgspec.msgpack.Decoder(permit_messages.Message)
+    old = decoder.decode(msgspec.msgpack.encode(fields[:-1]))
+    assert old.group == ""
+    later = decoder.decode(
+        msgspec.msgpack.encode([*fields, "of a later build"])
+    )
+    assert later == new
