Probes with a limited wait don't count as overload

Rejected probes of other domains and of rate-limited upstreams made queues contended, and requests that were offered again counted twice. Only requests without a limited wait count now, once for each queue; a probe counts when it is sent, as otherwise less would seem to arrive than is served.

--- a/src/swiftstile/gateway/load_rules.py
+++ b/src/swiftstile/gateway/load_rules.py
@@ -127,15 +127,25 @@
         )
 
     def note_arrived(self, waiter: waiters.Waiter, now: float) -> None:
-        """Records an arrival."""
+        """Records an arrival, once for each request and queue.
+
+        Requests with a limited wait look for a free slot before they go on to
+        another domain or VM. They count as arrivals only once they are sent.
+        """
         name = self.queue_name(waiter)
-        if name is None:
+        if name is not None and waiter.max_wait_s is None:
+            self._count_arrival(name, waiter, now)
+
+    def _count_arrival(
+        self, name: QueueName, waiter: waiters.Waiter, now: float
+    ) -> None:
+        if not self.is_enabled or name in waiter.arrived_at:
             return
+        waiter.arrived_at.add(name)
         if self.has_shares:
             self._shares.note_arrived(name, waiter.group, now)
-        if self.is_enabled:
-            for meter_name in self._meter_names(name, waiter):
-                self._limits.note_arrived(meter_name, waiter, now)
+        for meter_name in self._meter_names(name, waiter):
+            self._limits.note_arrived(meter_name, waiter, now)
 
     def note_queued(self, waiter: waiters.Waiter, now: float) -> None:
         """Records that a request is put into its queue."""
@@ -167,6 +177,7 @@
         name = self.queue_name(waiter)
         if name is None or not self.is_enabled:
             return
+        self._count_arrival(name, waiter, now)
         queued = self._names_by_sequence.get(waiter.sequence)
         for entry in queued or self._meter_names(name, waiter):
             self._limits.note_sent(entry, now, queued is not None)
@@ -174,9 +185,13 @@
             self._shares.note_sent(name, waiter, now)
 
     def note_rejected(self, waiter: waiters.Waiter, now: float) -> None:
-        """Records that a request was rejected because its queue is full."""
+        """Records that a request was rejected because its queue is full.
+
+        A request with a limited wait says nothing about the queue: it would
+        have been accepted with a longer one.
+        """
         name = self.queue_name(waiter)
-        if name is None or not self.is_enabled:
+        if name is None or not self.is_enabled or waiter.max_wait_s is not None:
             return
         if name not in self._contended_until:
             self._on_contention(name, True)
@@ -355,7 +370,8 @@
         self, waiter: waiters.Waiter, figures: wait_figures.Figures, now: float
     ) -> None:
         """Records that a request is rejected because of these figures."""
-        self._counter.add(figures.rule.label)
+        if waiter.max_wait_s is None:
+            self._counter.add(figures.rule.label)
         self.note_rejected(waiter, now)
 
 
--- a/src/swiftstile/gateway/waiters.py
+++ b/src/swiftstile/gateway/waiters.py
@@ -83,6 +83,7 @@
         group: Its organisation and kind.
         is_deferred: Whether it was accepted to be served after the requests
             that can be in time, as it would be late in any case.
+        arrived_at: Names of the queues that counted its arrival.
     """
 
     _sequence = itertools.count()
@@ -114,6 +115,7 @@
         self.is_for_peer = False
         self.group = fair_groups.group_of(route)
         self.is_deferred = False
+        self.arrived_at: set[tuple] = set()
         self.sequence = next(self._sequence)
 
     @property
