A VM without waiting requests goes by what waits elsewhere

Where several VMs decide, a request at a VM with nothing waiting was judged by a part of the rate (wait 0.3 s instead of 0.1 s with six VMs at 20/s). Its wait is now (elsewhere + excess + 1) / capacity.

--- a/src/swiftstile/gateway/load_rules.py
+++ b/src/swiftstile/gateway/load_rules.py
@@ -314,7 +314,12 @@
         is_overloaded = self._limits.is_overloaded(
             name, prior, self.is_contended(name, now), now
         )
-        guaranteed_s = None
+        guaranteed_s = idle_wait_s = None
+        if vm_count > 1 and capacity.per_s and not self.is_divided(waiter, now):
+            # A part of the rate per VM would be too little, as some VMs have
+            # nothing waiting.
+            ahead = capacity.elsewhere + capacity.excess
+            idle_wait_s = (ahead + 1) / capacity.per_s
         if self.is_divided(waiter, now):
             guaranteed_s = self._guaranteed_wait_s(
                 name, waiter, position, prior, now
@@ -328,6 +333,7 @@
             now,
             guaranteed_s,
             is_overloaded,
+            idle_wait_s,
         )
         if waiter.max_wait_s is not None:
             limit_s = min(figures.limit_s, waiter.max_wait_s)
--- a/src/swiftstile/gateway/queue_limits.py
+++ b/src/swiftstile/gateway/queue_limits.py
@@ -12,6 +12,7 @@
 """
 
 import collections.abc
+import functools
 import math
 
 from swiftstile.gateway import wait_figures
@@ -236,6 +237,7 @@
         now: float,
         guaranteed_wait_s: float | None = None,
         is_overloaded: bool = True,
+        idle_wait_s: float | None = None,
     ) -> wait_figures.Figures:
         """Returns the figures for a request that arrives or waits.
 
@@ -249,27 +251,34 @@
             is_overloaded: Whether more requests arrive than are served. If not,
                 the queue empties soon: a request may wait until its deadline
                 allows no more, and newer ones overtake it only for a moment.
+            idle_wait_s: Its wait if nothing waits at this VM, where other VMs
+                use the same targets; None where this VM decides for all.
         """
         meter = self._meter(queue, now)
         per_s = meter.served.per_s(prior_per_s)
         is_late = waiter.is_late(now)
         if not is_overloaded:
             wait_s = (ahead + 1) / per_s if per_s > 0 else _INFINITY
+            if idle_wait_s is not None and not meter.waiting:
+                wait_s = idle_wait_s
             return wait_figures.Figures(
                 is_late, ahead, per_s, 0.0, wait_s, _possible_s(waiter, now)
             )
-        figures = self._predict(meter, waiter, ahead, per_s, is_late, now)
+        predict = functools.partial(
+            self._predict, meter, waiter, ahead, per_s, now, idle_wait_s
+        )
+        figures = predict(is_late)
         if guaranteed_wait_s is not None and not is_late:
             wait_s = min(figures.wait_s, guaranteed_wait_s)
             figures = figures._replace(wait_s=wait_s)
         if figures.is_hopeless and not is_late and may_be_late(waiter):
             # It would be late, but may be worth serving.
-            figures = self._predict(meter, waiter, ahead, per_s, True, now)
+            figures = predict(True)
         return figures
 
     @staticmethod
     def _predict(
-        meter: _QueueMeter, waiter, ahead: int, per_s: float, is_late, now
+        meter: _QueueMeter, waiter, ahead, per_s, now, idle_wait_s, is_late
     ) -> wait_figures.Figures:
         overtaking = meter.overtaking_per_s(waiter.route.priority, is_late)
         left_per_s = per_s - overtaking
@@ -277,6 +286,8 @@
         if not ahead and not meter.waiting:
             # Nothing waits, so the next slot that becomes free is its own.
             wait_s = 1 / per_s if per_s > 0 else _INFINITY
+            if idle_wait_s is not None:
+                wait_s = idle_wait_s
         return wait_figures.Figures(
             is_late,
             ahead,
--- a/tests/unit/test_gateway_queue_limits.py
+++ b/tests/unit/test_gateway_queue_limits.py
@@ -8,6 +8,7 @@
 
 from swiftstile.gateway import admission
 from swiftstile.gateway import queue_limits
+from swiftstile.gateway import target_selection
 from swiftstile.gateway import wait_figures
 from tests import gateway_builders as builders
 from tests import load_builders
@@ -206,3 +207,32 @@
         # One of 100 more, for bursts beyond the capacity.
         most = load_builders.rejected_fraction(off, priority) + 0.01
         assert load_builders.rejected_fraction(load, priority) <= most
+
+
+@pytest.mark.parametrize("upstreams", [1, 6])
+@pytest.mark.parametrize("level", [0.5, 0.7])
+def test_several_deciding_vms_reject_nothing_below_capacity(level, upstreams):
+    # With nothing waiting at a VM, a request was judged by a sixth of the rate
+    # although the other VMs had nothing waiting either.
+    stream = load_simulation.Stream("a", level * 20.0 * upstreams)
+    load = load_builders.small_site(
+        6,
+        (stream,),
+        upstreams=upstreams,
+        duration_s=60.0,
+        has_queue_limits=True,
+    )
+    off = dataclasses.replace(load, has_queue_limits=False)
+    # One of 200 more, for bursts beyond the capacity.
+    most = load_builders.rejected_fraction(off) + 0.005
+    assert load_builders.rejected_fraction(load) <= most
+
+
+def test_a_vm_without_waiting_requests_goes_by_those_elsewhere():
+    rules = load_builders.rules(True, False)
+    waiter = builders.waiter()
+    position = rules.position_of(waiter, [], 0.0)
+    idle = target_selection.Capacity(20.0, 3, 0, 1)
+    assert rules.figures(waiter, position, idle, 6, 0.0).wait_s == 0.1
+    busy = target_selection.Capacity(20.0, 3, 8, 1)
+    assert rules.figures(waiter, position, busy, 6, 0.0).wait_s == 0.5
