Queue limits spare the first of a queue, and Retry-After covers overtaking

A request stayed deferred when it was offered again, the first of a queue was rejected although the next slot was its own, Retry-After ignored requests that overtake, and requests starved under shares alone didn't make their queue contended.

--- a/src/swiftstile/gateway/admission.py
+++ b/src/swiftstile/gateway/admission.py
@@ -114,6 +114,7 @@
             A target if the request may be sent now, a rejection if it couldn't
             be served in time, or None if it was put into the queue.
         """
+        waiter.is_deferred = False
         if waiter.owner is not None:
             waiter.awaited = waiter.owner.target(now)
         self._retry_tracker.match_retry(waiter, now)
@@ -165,7 +166,10 @@
             self._put(waiter, now)
             return None
         self._rules.note_hopeless(waiter, figures, now)
-        wait_s = (figures.ahead + 1) / figures.per_s
+        wait_s = figures.wait_s
+        if wait_s == _INFINITY:
+            # Newer requests take all slots for now, but not for long.
+            wait_s = (figures.ahead + 1) / figures.per_s
         return self._rejection(
             waiter, max(0.0, wait_s - figures.limit_s), wait_s, now
         )._replace(figures=figures)
@@ -254,6 +258,7 @@
             if not waiter.is_late(now):
                 contested.add(waiter.queue_key)
             elif self._is_starved(waiter, contested, now):
+                self._rules.note_rejected(waiter, now)
                 rejected.append((waiter, self._reject_queued(waiter, now)))
         if self._rules.has_limits and only is None:
             # Not with each released slot: predictions take several times as
@@ -267,13 +272,18 @@
     def _reject_hopeless(
         self, ordered: list[waiters.Waiter], now: float
     ) -> list[tuple[waiters.Waiter, waiters.Rejection]]:
-        """Rejects queued requests that newer ones overtake for too long."""
+        """Rejects queued requests that newer ones overtake for too long.
+
+        The first of a queue gets the next slot, so that only its deadline ends
+        its wait.
+        """
         rejected = []
         capacities: dict[tuple, target_selection.Capacity | None] = {}
         for waiter, position in self._rules.positions(ordered, now):
             name = self._rules.queue_name(waiter)
             if name not in capacities:
                 capacities[name] = self._selector.capacity(waiter, now)
+                continue
             capacity = capacities[name]
             if capacity is None:
                 continue
