--- a/src/swiftstile/gateway/arbiter.py
+++ b/src/swiftstile/gateway/arbiter.py
@@ -27,6 +27,8 @@
 # A permit that was never released expires this long after its request does.
 EXPIRY_MARGIN_S = 0.1
 _SWEEP_INTERVAL_S = 0.25
+# A rejection states no longer wait than this, which stands for none in sight.
+MAX_STATED_WAIT_S = 3600.0
 
 
 class _Permit:
@@ -252,7 +254,10 @@
                 number,
                 permit_messages.PermitStatus.REFUSED,
                 retry_after_ms=clocks.milliseconds(overload.retry_after_s),
-                wait_ms=clocks.milliseconds(overload.wait_s),
+                # Infinite while no upstream takes requests.
+                wait_ms=clocks.milliseconds(
+                    min(overload.wait_s, MAX_STATED_WAIT_S)
+                ),
                 rejections=waiter.rejections,
                 returned_after_ms=clocks.milliseconds(waiter.returned_after_s),
                 is_reserved=overload.is_reserved,
