--- a/tests/unit/test_gateway_permits.py
+++ b/tests/unit/test_gateway_permits.py
@@ -327,6 +327,21 @@
     _run(scenario)
 
 
+def test_an_arbiter_that_knows_of_no_upstream_in_service_refuses_at_once():
+    # The wait is infinite then, which stopped the reply: after three requests
+    # without one, the VM took the arbiter for unresponsive.
+    async def scenario(_network, arbiter, far):
+        now = clocks.monotonic()
+        for target in arbiter.targets.by_id.values():
+            target.mark_leaving(now, now - 60.0)
+        with pytest.raises(outcomes.RejectedError) as caught:
+            await far.permits.acquire(_any_waiter(far))
+        assert caught.value.decided_by == arbiter.name
+        assert far.meters.permits.get("arbiter-silent") == 0
+
+    _run(scenario)
+
+
 def test_a_vm_decides_itself_if_a_services_arbiter_is_unresponsive():
     async def scenario(network, _arbiter, far):
         network.lose = _is_kind(_REPLY)
