Logs tell how exchanges without an answer ended

Lines told of an exchange only if its connection broke before an answer and a check found the upstream gone, so that an abandoned exchange, a timeout and a check without result looked the same: nothing.

Each exchange that may have run a request and wasn't answered is now a decision `unanswered` with the digest, the run of the upstream as registered, the time since the send and how it ended; `no crash found` says why a broken connection isn't counted; refusals name the digest. `swiftstile explain` takes a digest, and `swiftstile.exchanges.unanswered` counts by end. No logic changes.

--- a/src/swiftstile/commandline/diagnostics.py
+++ b/src/swiftstile/commandline/diagnostics.py
@@ -53,7 +53,10 @@
 def _add_explain(commands) -> None:
     text = "show the trace of one request from the log files of any VMs"
     command = commands.add_parser("explain", help=text, description=text)
-    command.add_argument("request", help="id that the caller gave the attempt")
+    command.add_argument(
+        "request",
+        help="id that the caller gave the attempt, or digest of a request",
+    )
     command.add_argument("file", type=pathlib.Path, nargs="+", help="log file")
     command.add_argument("--json", action="store_true", help="print JSON")
     command.set_defaults(run=_explain)
--- a/src/swiftstile/explain.py
+++ b/src/swiftstile/explain.py
@@ -1,5 +1,7 @@
 """Reconstructs the trace of one request from the logs of any VMs.
 
+A request is named by the id of one attempt, or by its digest, which all of its
+attempts have in common; then only what concerns crashes of upstreams is listed.
 A trace lists the log entries of the request in order of time. The state changes
 in force when the request arrived precede them: the latest change of each kind
 on the same VM, with its age. Lines in another format are ignored.
@@ -62,7 +64,7 @@
     """The log entries and state changes that concern one request.
 
     Attributes:
-        id: Id of the attempt.
+        id: Id of the attempt, or digest of the request.
         decisions: Log entries of the request, in order of time.
         changes: State changes in force when it arrived, oldest first.
         dropped: Number of log lines that were dropped, over all files.
@@ -78,7 +80,7 @@
     """Builds the trace of a request.
 
     Args:
-        request_id: Id that the caller gave the attempt.
+        request_id: Id that the caller gave the attempt, or the digest.
         files: Logs of any VMs.
 
     Raises:
@@ -86,7 +88,7 @@
     """
     decisions, changes, dropped = [], [], 0
     for line in _lines(files):
-        if line.get("id") == request_id:
+        if request_id in (line.get("id"), line.get("request")):
             decisions.append(line)
         elif line.get("event") == _DROPPED_EVENT:
             dropped += int(line.get("count", 0))
@@ -98,7 +100,7 @@
             step="explain",
             peer=", ".join(map(str, files)),
         )
-    decisions.sort(key=lambda line: line.get("at_ms", 0))
+    decisions.sort(key=_decided_at_ms)
     return RequestTrace(
         request_id, decisions, _in_force(decisions, changes), dropped
     )
@@ -124,7 +126,7 @@
 def _in_force(decisions, changes) -> list[Change]:
     """Returns the latest change of each kind before the request arrived."""
     first = decisions[0]
-    arrived_ms = first.get("at_ms", 0) - first.get("waited_ms", 0)
+    arrived_ms = _decided_at_ms(first) - first.get("waited_ms", 0)
     vms = {line.get("vm") for line in decisions}
     deciding = {line.get("decided_by") for line in decisions}
     upstreams = {line.get("upstream") for line in decisions}
@@ -153,6 +155,12 @@
     return sorted(newest.values(), key=lambda change: -change.age_s)
 
 
+def _decided_at_ms(line) -> float:
+    """Returns the time of a decision, in milliseconds since the epoch."""
+    at_ms = line.get("at_ms")
+    return _at_ms(line) if at_ms is None else at_ms
+
+
 def _at_ms(line) -> float:
     try:
         timestamp = datetime.datetime.fromisoformat(str(line.get("time")))
@@ -175,9 +183,9 @@
             f"  {_text(change.fields)}"
         )
     lines.append("decisions:")
-    arrived_ms = trace.decisions[0].get("at_ms", 0)
+    arrived_ms = _decided_at_ms(trace.decisions[0])
     for line in trace.decisions:
-        after_ms = line.get("at_ms", 0) - arrived_ms
+        after_ms = round(_decided_at_ms(line) - arrived_ms)
         lines.append(
             f"  {after_ms:+9d} ms  {line.get('vm', '')}  {line.get('event')}"
             f"  {_text(_fields(line))}"
--- a/src/swiftstile/gateway/crash_guard.py
+++ b/src/swiftstile/gateway/crash_guard.py
@@ -124,6 +124,7 @@
             step="look for suspects",
         )
         error.retry_after_s = self._suspect_table.rejected_for_s(digest, now)
+        error.request = digest.hex()
         return error
 
     async def has_crashed(self, target: targets.Target) -> bool:
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -36,7 +36,8 @@
         id: The caller's id of the attempt.
         vm: The VM that decided.
         at_ms: Time in milliseconds since the Unix epoch.
-        event: `sent`, `answered`, `refused`, `failed` or `abandoned`.
+        event: `sent`, `answered`, `unanswered`, `refused`, `failed` or
+            `abandoned`.
         route: Name of the route.
         service: The service selected by the route's traffic split.
         upstream: The upstream that it was or would have been sent to.
@@ -68,6 +69,10 @@
         extra_send: Whether it is sent again because an upstream with free slots
             rejected it.
         rule: The queue limit that rejected the request, with its figures.
+        request: Digest of the request, if it is relevant to crashes.
+        upstream_run: Start of the upstream's run as registered when the request
+            was sent, of exchanges without an answer.
+        sent_ms: Time since the request was sent, of these.
     """
 
     id: str
@@ -100,6 +105,9 @@
     reserved: bool = False
     extra_send: bool = False
     rule: str = ""
+    request: str = ""
+    upstream_run: int = 0
+    sent_ms: int = 0
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -9,6 +9,7 @@
 
 from swiftstile import clocks
 from swiftstile import ids
+from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
@@ -30,6 +31,7 @@
 from swiftstile.gateway import service_times
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
+from swiftstile.gateway import unanswered
 from swiftstile.gateway import upstream_links
 from swiftstile.gateway import weighted_round_robin
 
@@ -349,6 +351,9 @@
                     state.unreachable += 1
                     continue
                 self._update_target(error, waiter, target, state, call, now)
+                how = unanswered.how_ended(error)
+                if how is not None:
+                    self._record_unanswered(call, upstream, sent, how, trace)
                 may_resend = await self._check_for_crash(
                     error, call, target, upstream, sent, now
                 )
@@ -359,6 +364,15 @@
                     raise self._retries.final_error(
                         error, waiter, state
                     ) from error
+            except asyncio.CancelledError:
+                self._record_unanswered(
+                    call,
+                    upstream,
+                    sent,
+                    unanswered.ExchangeEnd.ABANDONED,
+                    trace,
+                )
+                raise
             else:
                 self._retries.note_accepted(waiter, state, clocks.monotonic())
                 self._record_response(
@@ -432,10 +446,14 @@
             sent: When the request was sent.
             broken_at: When the exchange ended.
         """
-        is_broken = getattr(error, "is_connection_broken", False)
-        if not is_broken or not await self._crash_guard.has_crashed(target):
+        if not getattr(error, "is_connection_broken", False):
             return True
         digest = call.digest()
+        if not await self._crash_guard.has_crashed(target):
+            logs.logger.info(
+                "no crash found", request=digest.hex(), upstream=target.id
+            )
+            return True
         self._crash_guard.record_crash(
             digest, upstream, broken_at - sent, broken_at
         )
@@ -547,6 +565,36 @@
             )
         )
 
+    def _record_unanswered(
+        self,
+        call: exchange.Call,
+        upstream: model.Upstream,
+        sent: float,
+        how: unanswered.ExchangeEnd,
+        trace: decision_log.RequestTrace,
+    ) -> None:
+        """Records an exchange without an answer.
+
+        Args:
+            call: The request.
+            upstream: The upstream, as registered when the request was sent.
+            sent: When it was sent.
+            how: How the exchange ended.
+            trace: The trace of the request.
+        """
+        self._meters.unanswered.add(how.value)
+        trace.add(
+            decision_log.RequestDecision(
+                id=call.inbound.attempt_id,
+                event="unanswered",
+                request=call.digest().hex(),
+                upstream=upstream.id,
+                upstream_run=upstream.started_ms,
+                reason=how.value,
+                sent_ms=clocks.milliseconds(clocks.monotonic() - sent),
+            )
+        )
+
     def _record_error(self, inbound, route, error, arrived, trace) -> None:
         now = clocks.monotonic()
         target = self._target_table.by_id.get(error.peer)
@@ -573,6 +621,7 @@
                     getattr(error, "rejection", None), "is_reserved", False
                 ),
                 rule=_rule(error),
+                request=getattr(error, "request", ""),
                 **_stated_fields(target, now),
             )
         )
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -150,9 +150,14 @@
 
 
 class CrashingRequestError(RejectedError):
-    """Upstreams crashed while they had this request; it isn't sent again."""
+    """Upstreams crashed while they had this request; it isn't sent again.
+
+    Attributes:
+        request: Digest of the request.
+    """
 
     reason = "crashes-upstreams"
+    request = ""
 
 
 class UnknownOutcomeError(GatewayError):
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -78,6 +78,7 @@
         self.ownership = LabelledCounter()
         self.permits = LabelledCounter()
         self.crashes = LabelledCounter()
+        self.unanswered = LabelledCounter()
         self.rows = LabelledCounter()
         self.advisories = LabelledCounter()
         self.links = LabelledCounter()
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -33,6 +33,7 @@
     "returning": ("swiftstile.returning.callers", "{request}", "kind"),
     "queue_limits": ("swiftstile.queue.limits", "{request}", "rule"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
+    "unanswered": ("swiftstile.exchanges.unanswered", "{exchange}", "how"),
 }
 
 
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -167,3 +167,19 @@
         ("vm-9", "s/u-1")
     ]
     assert "rule arrival-late: 3 ahead" in explain.render(trace)
+
+
+def test_a_digest_selects_what_all_vms_know_of_a_request(tmp_path):
+    log = tmp_path / "vm-1.log"
+    _log(
+        log,
+        _state(31, "request suspected of a crash", request="d1", crashes=1),
+        _decision(500, "unanswered", request="d1", reason="caller-left"),
+        _decision(600, "unanswered", request="d2", reason="timed-out"),
+    )
+    trace = explain.find("d1", [log])
+    assert [line["event"] for line in trace.decisions] == [
+        "unanswered",
+        "request suspected of a crash",
+    ]
+    assert "+500 ms" in explain.render(trace)
--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -76,6 +76,7 @@
         _links=upstream_links.UpstreamLinks(),
         _needs_other_vm=lambda _: False,
         _record_send=lambda *_: None,
+        _record_unanswered=lambda *_: None,
         _update_target=lambda *_: None,
         _retries=types.SimpleNamespace(
             may_retry=lambda *_: False, final_error=lambda error, *_: error
