--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -90,8 +90,8 @@
     return crashers
 
 
-def _crashes_after_limit(site: gateways.Site, end: float) -> dict[str, int]:
-    """Returns crashes after the time limit, by path.
+def _begun_after_limit(site: gateways.Site, end: float) -> dict[str, int]:
+    """Returns requests that began after the time limit, by path.
 
     Contains only requests whose time limit has passed.
     """
@@ -100,12 +100,13 @@
         if len(times) >= _CRASHES:
             limit = times[_CRASHES - 1] + _STABLE_WINDOW_S
             if limit < end:
-                later[path] = sum(at > limit for at in times)
+                begun = site.cluster.begun_by_path[path]
+                later[path] = sum(at > limit for at in begun)
     return later
 
 
 def _check(site: gateways.Site, crashers, end: float) -> None:
-    later = _crashes_after_limit(site, end)
+    later = _begun_after_limit(site, end)
     assert later, "no request crashed three servers"
     assert max(later.values()) <= _MAX_LATER, site.cluster.crashes_by_path
     for one in crashers:
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -8,6 +8,7 @@
 import base64
 import contextlib
 import dataclasses
+import enum
 import json
 import random
 
@@ -225,8 +226,28 @@
         )
 
 
-# Time until a server that a request crashed is restarted.
-CRASH_DOWNTIME_S = 2.0
+class CrashKind(enum.Enum):
+    """What a server does when a request crashes it."""
+
+    # Its process ends, and with it all connections.
+    EXITS = "exits"
+    # Connections stay open, and new ones are accepted; nothing is answered.
+    FALLS_SILENT = "falls-silent"
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashPlan:
+    """How requests for crashing paths crash the servers that run them.
+
+    Attributes:
+        kind: What the server does.
+        after_s: Least and most time from the start of a request to the crash.
+        downtime_s: Time until the server is back under the same id.
+    """
+
+    kind: CrashKind = CrashKind.EXITS
+    after_s: tuple[float, float] = (0.0, 0.0)
+    downtime_s: float = 2.0
 
 
 @dataclasses.dataclass
@@ -265,8 +286,9 @@
     Attributes:
         runs: All requests that servers began to run.
         violations: Violated guarantees, as messages.
-        crashing_paths: Paths of requests that crash the server that runs them;
-            it restarts under the same id after `CRASH_DOWNTIME_S`.
+        crashing_paths: Paths of requests that crash the server that runs them.
+        crash_plan: How they do.
+        begun_by_path: Times at which servers began such requests, by path.
         crashes_by_path: Times of these crashes, by path.
         links: Links of the VMs to the servers.
     """
@@ -277,9 +299,11 @@
         self.runs: list[Run] = []
         self.violations: list[str] = []
         self.crashing_paths: set[str] = set()
+        self.crash_plan = CrashPlan()
+        self.begun_by_path: dict[str, list[float]] = {}
         self.crashes_by_path: dict[str, list[float]] = {}
         self.links = link_cuts.Links()
-        self._restarts: set[asyncio.Task] = set()
+        self._crashes: set[asyncio.Task] = set()
 
     async def start(self, service: str, zone: str, **changes) -> "Server":
         name = f"i-{len(self.by_id):04d}"
@@ -298,12 +322,28 @@
             self.violations.append(f"{run.attempt} ran twice: {ran[0]} {run}")
         self.runs.append(run)
 
-    def record_crash(self, server: "Server", path: str) -> None:
-        """Records a crash caused by a request and schedules the restart."""
-        self.crashes_by_path.setdefault(path, []).append(_now())
-        task = asyncio.create_task(server.restart(CRASH_DOWNTIME_S))
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
+    def begin_crashing_request(self, server: "Server", path: str) -> None:
+        """Records the start of a request that will crash its server."""
+        self.begun_by_path.setdefault(path, []).append(_now())
+        server.crashing.append(path)
+        task = asyncio.create_task(self._crash(server, path))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
+    async def _crash(self, server: "Server", path: str) -> None:
+        plan, incarnation = self.crash_plan, server.incarnation
+        if plan.after_s[1]:
+            await asyncio.sleep(random.uniform(*plan.after_s))
+        if server.incarnation != incarnation or not server.is_serving:
+            return
+        for crashing in server.crashing:
+            self.crashes_by_path.setdefault(crashing, []).append(_now())
+        if plan.kind is CrashKind.FALLS_SILENT:
+            server.is_silent = True
+            await asyncio.sleep(plan.downtime_s)
+            await server.restart(0.0)
+        else:
+            await server.restart(plan.downtime_s)
 
     def check_grant(self, server: "Server", first: int, last: int, now: float):
         for other in self.by_id.values():
@@ -319,7 +359,7 @@
                 )
 
     async def close(self) -> None:
-        for task in list(self._restarts):
+        for task in list(self._crashes):
             task.cancel()
         for server in self.by_id.values():
             await server.stop()
@@ -335,6 +375,8 @@
             slots.
         backoff_s: If set, it rejects all requests and wants none of the same VM
             for so long.
+        is_silent: Whether it answers nothing, though connections stay open.
+        crashing: Paths of the requests in progress that will crash it.
         arrivals: All requests that reached its current run, run or not.
         listener: Where it listens.
     """
@@ -363,6 +405,8 @@
         self.announces_exit = False
         self.rejections_left = 0
         self.backoff_s: float | None = None
+        self.is_silent = False
+        self.crashing: list[str] = []
         self.arrivals: list[Arrival] = []
         # Number of starts; no state is kept across restarts.
         self.incarnation = 1
@@ -376,6 +420,11 @@
         self.listener: asyncio.Server | None = None
         self._is_restarting = False
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether it runs and answers."""
+        return self.is_up and not self.is_silent
+
     async def start(self) -> None:
         app = web.Application(client_max_size=1 << 26)
         app.router.add_post("/swiftstile/grant", self._grant)
@@ -428,8 +477,9 @@
         self.held_until = [0.0] * KEYS
         self.fences = [0] * KEYS
         self.limit_per_s = self.backoff_s = None
-        self.announces_exit = False
+        self.announces_exit = self.is_silent = False
         self.arrivals = []
+        self.crashing = []
         self.running = self.waiting = 0
         self._working.clear()
         await self.start()
@@ -454,6 +504,7 @@
 
     async def _grant(self, request: web.Request) -> web.Response:
         call = await request.json()
+        await self._wait_if_silent()
         arrived = _now()
         if random.random() < self.delayed_grant_share:
             asyncio.get_running_loop().call_later(
@@ -485,6 +536,7 @@
 
     async def _release(self, request: web.Request) -> web.Response:
         call = await request.json()
+        await self._wait_if_silent()
         if self.cluster.links.loses_answers(request.remote):
             await asyncio.sleep(3600)
         keys = range(call["from"], call["to"] + 1)
@@ -497,6 +549,11 @@
             )
         return web.Response(headers={"X-Handover": "0123456789abcdef"})
 
+    async def _wait_if_silent(self) -> None:
+        """Waits for ever while it answers nothing."""
+        if self.is_silent:
+            await asyncio.sleep(3600)
+
     def _statements(self) -> dict[str, str]:
         """Returns the headers in which it states its condition."""
         headers = {}
@@ -519,7 +576,9 @@
         arrival = Arrival(_now(), request.headers.get("X-Attempt-Id", ""))
         self.arrivals.append(arrival)
         headers = {"X-Attempt-Id": arrival.attempt} | self._statements()
+        await self._wait_if_silent()
         answer = await self._respond(request, headers)
+        await self._wait_if_silent()
         if self.cluster.links.loses_answers(request.remote):
             await asyncio.sleep(3600)
         arrival.answered_at = _now()
@@ -580,7 +639,7 @@
         self._working.append(key)
         attempt = headers["X-Attempt-Id"]
         if request.path in self.cluster.crashing_paths:
-            self.cluster.record_crash(self, request.path)
+            self.cluster.begin_crashing_request(self, request.path)
             await asyncio.sleep(3600)
         self.cluster.record_run(
             Run(attempt, request.method, key, self.name, _now())
