Crashes count for all exchanges of a process, whoever waits for them

Cause: the only evidence was an exchange that a handler's task waited for until its connection broke. An exchange that the caller left was forgotten, and so was one whose caller left while the check of the broken connection was running, as that check was awaited by the task. Evidence: of 23 exchanges of one request 14 ended as caller-left and none of these was counted, and two of nine that broke have no further line.

Exchanges without an answer now stay in UnansweredExchanges until it is known what became of the process that had them. CrashDetector owns the checks. A closed unused connection, a refused one and another VM's report are evidence as well; a request that stays without an answer again and again is followed up by a health check. Data on a connection that is older than the exchange, or data later than it without a new run, shows that the process outlived it.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -95,6 +95,10 @@
             now: The time.
         """
 
+    @abc.abstractmethod
+    def on_closed(self, address: str, now: float) -> None:
+        """Called when the peer closed or reset an unused connection."""
+
 
 class _Unobserved(LinkObserver):
     """Ignores everything."""
@@ -118,6 +122,9 @@
     def on_broken(self, address: str, is_proven: bool, now: float) -> None:
         """See base class."""
 
+    def on_closed(self, address: str, now: float) -> None:
+        """See base class."""
+
 
 _UNOBSERVED = _Unobserved()
 
@@ -217,6 +224,8 @@
             is_broken = is_in_use or not self._has_received
         if is_broken:
             self._note_broken()
+        if self.is_usable and not is_in_use:
+            self._observer.on_closed(self.peer, clocks.monotonic())
         self.is_usable = False
         if self._parser is not None and exc is None:
             try:
--- /dev/null
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -0,0 +1,298 @@
+"""Finds out which requests were in progress when an upstream's process ended.
+
+The end of a process shows in several ways: a connection breaks or is refused,
+or another VM reports the crash. Whichever comes first counts for all exchanges
+without an answer that the process may have had, also those that the caller left
+or that timed out.
+"""
+
+import asyncio
+import collections.abc
+
+from swiftstile import clocks
+from swiftstile import logs
+from swiftstile import metrics
+from swiftstile.gateway import causes
+from swiftstile.gateway import connections
+from swiftstile.gateway import fingerprint
+from swiftstile.gateway import suspects
+from swiftstile.gateway import targets
+from swiftstile.gateway import unanswered
+
+__all__ = ["CrashDetector"]
+
+# A request that isn't answered again and again is followed up this long after
+# an exchange, as it may crash the upstream only after its caller has left.
+FOLLOW_UP_S = unanswered.AFTEREFFECT_S + 0.05
+# Maximum follow-ups that wait at the same time.
+MAX_FOLLOW_UPS = 32
+
+_Check = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
+
+
+class CrashDetector(connections.LinkObserver):
+    """Attributes ends of upstreams' processes to exchanges without an answer.
+
+    Args:
+        suspect_table: Gets the suspects.
+        target_table: The upstreams.
+        answers: Returns whether an upstream at an address answers a health
+            check.
+        refuses_connections: Returns whether an address refuses connections.
+        reaches_another: Returns whether this VM reaches any upstream but the
+            one at an address.
+        meters: Counts what became of exchanges.
+    """
+
+    def __init__(
+        self,
+        suspect_table: suspects.SuspectTable,
+        target_table: targets.TargetTable,
+        answers: _Check,
+        refuses_connections: _Check,
+        reaches_another: _Check,
+        meters: metrics.Meters,
+    ):
+        self._suspect_table = suspect_table
+        self._target_table = target_table
+        self._answers = answers
+        self._refuses_connections = refuses_connections
+        self._reaches_another = reaches_another
+        self._meters = meters
+        self._exchanges = unanswered.UnansweredExchanges(self._note_outlived)
+        self._checks: dict[targets.Target, asyncio.Task[bool]] = {}
+        self._follow_ups: set[asyncio.Task[None]] = set()
+
+    def may_open(self) -> bool:
+        """See base class."""
+        return True
+
+    def on_opened(self, address: str, now: float) -> None:
+        """See base class."""
+
+    def on_open_failed(self, address: str, now: float) -> None:
+        """See base class."""
+
+    def on_sent(self, address: str, now: float) -> None:
+        """See base class."""
+
+    def on_received(self, address: str, opened_at: float, now: float) -> None:
+        """See base class."""
+        self._exchanges.on_received(address, opened_at, now)
+
+    def on_broken(self, address: str, is_proven: bool, now: float) -> None:
+        """See base class."""
+
+    def on_closed(self, address: str, now: float) -> None:
+        """See base class.
+
+        A process that ends closes all connections, unused ones as well.
+        """
+        since = now - unanswered.AFTEREFFECT_S
+        if self._exchanges.has_ended(address, since):
+            for target in self._exchanges.ended_targets():
+                if target.upstream.address == address:
+                    self.check(target, now)
+
+    def begin(self, target: targets.Target, now: float) -> unanswered.Exchange:
+        """Returns a new exchange, whose request is about to be sent."""
+        return self._exchanges.begin(target, now)
+
+    def discard(self, exchange: unanswered.Exchange) -> None:
+        """Drops an exchange that was answered, or whose request didn't run."""
+        self._exchanges.discard(exchange)
+
+    def record_end(
+        self,
+        exchange: unanswered.Exchange,
+        digest: fingerprint.Digest,
+        how: unanswered.ExchangeEnd,
+        now: float,
+    ) -> None:
+        """Records that an exchange ended without an answer."""
+        target = exchange.target
+        self._exchanges.expire(now)
+        self._exchanges.end(exchange, digest, how, now)
+        if target.leaving_since is not None:
+            self._discard_of(target)
+        elif exchange.is_run_ended:
+            self._attribute(target, unanswered.Evidence.REGISTERED, now)
+        elif how is not unanswered.ExchangeEnd.BROKEN and (
+            self._exchanges.is_repeated(digest)
+            or self._suspect_table.crashes(digest) > 0
+        ):
+            self._follow_up(exchange)
+
+    def _follow_up(self, exchange: unanswered.Exchange) -> None:
+        """Finds out soon whether the upstream outlives a request."""
+        if len(self._follow_ups) >= MAX_FOLLOW_UPS:
+            self._meters.crashes.add("not-followed-up")
+            return
+        task = asyncio.create_task(self._check_later(exchange))
+        self._follow_ups.add(task)
+        task.add_done_callback(self._follow_ups.discard)
+
+    async def _check_later(self, exchange: unanswered.Exchange) -> None:
+        await asyncio.sleep(FOLLOW_UP_S)
+        if exchange not in self._exchanges or exchange.served_at is not None:
+            return
+        # The answer, if any, is noted like other data.
+        if not await self._answers(exchange.target.upstream.address):
+            await self.check(exchange.target, None)
+
+    def on_unreachable(self, target: targets.Target) -> None:
+        """Called when no connection to an upstream could be opened."""
+        if target in self._exchanges.ended_targets():
+            self.check(target, None)
+
+    def on_reported(
+        self, reported: list[suspects.SuspectReport], now: float
+    ) -> None:
+        """Called with the suspects that another VM reports."""
+        ended_targets = self._exchanges.ended_targets()
+        if not ended_targets:
+            return
+        age_ms_by_crash = {
+            crash: age_ms
+            for report in reported
+            for crash, (age_ms, _) in report.crashes.items()
+        }
+        for target in ended_targets:
+            started_ms = target.upstream.started_ms
+            crash = causes.crash_id(target.id, started_ms)
+            if crash in age_ms_by_crash:
+                at = now - age_ms_by_crash[crash] / 1000
+                self._attribute(target, unanswered.Evidence.REPORTED, now, at)
+
+    def check(
+        self, target: targets.Target, at: float | None
+    ) -> asyncio.Task[bool]:
+        """Starts to check whether an upstream's process has ended.
+
+        The check goes on if the caller of a request leaves meanwhile.
+
+        Args:
+            target: The upstream.
+            at: When a connection to it broke; None if none did.
+
+        Returns:
+            The task, whose result is whether it crashed.
+        """
+        task = self._checks.get(target)
+        if task is None:
+            task = asyncio.create_task(self._check(target, at))
+            self._checks[target] = task
+            task.add_done_callback(lambda _: self._checks.pop(target, None))
+        return task
+
+    async def _check(self, target: targets.Target, at: float | None) -> bool:
+        """Returns whether an upstream has crashed, and records suspects if so.
+
+        A planned exit isn't a crash. An unreachable upstream may be partitioned
+        from this VM; only a refused connection shows that nothing runs there,
+        and only if connections to other upstreams aren't refused as well.
+        """
+        address = target.upstream.address
+        is_down = (
+            target.leaving_since is None
+            and await self._refuses_connections(address)
+            and await self._reaches_another(address)
+        )
+        if target.leaving_since is not None:
+            self._discard_of(target)
+            return False
+        if not is_down:
+            self._meters.crashes.add("still-up")
+            logs.logger.info(
+                "upstream still listens or can't be checked",
+                upstream=target.id,
+            )
+            return False
+        evidence = unanswered.Evidence.BROKEN
+        if at is None:
+            evidence = unanswered.Evidence.REFUSED
+        self._attribute(target, evidence, clocks.monotonic(), at)
+        return True
+
+    def _attribute(
+        self,
+        target: targets.Target,
+        evidence: unanswered.Evidence,
+        now: float,
+        at: float | None = None,
+    ) -> None:
+        """Records the suspects of the end of an upstream's process.
+
+        Args:
+            target: The upstream.
+            evidence: What shows that it has ended.
+            now: The time.
+            at: When it ended, if known.
+        """
+        end = unanswered.EndOfRun(
+            target, evidence, now, at, self._successor(target)
+        )
+        attribution = self._exchanges.settle(end)
+        for exchange in attribution.suspects:
+            self._record_suspect(exchange, evidence, attribution.at, now)
+        for exchange in attribution.others:
+            self._log_uncounted(exchange, "sent after the crash")
+
+    def _successor(self, target: targets.Target) -> targets.Target | None:
+        """Returns the next run of an upstream at the same address, if known."""
+        current = self._target_table.by_id.get(target.id)
+        if current is None or current is target:
+            return None
+        is_same = current.upstream.address == target.upstream.address
+        return current if is_same else None
+
+    def _record_suspect(
+        self,
+        exchange: unanswered.Exchange,
+        evidence: unanswered.Evidence,
+        at: float,
+        now: float,
+    ) -> None:
+        digest, table = exchange.digest, self._suspect_table
+        crash = causes.crash_id(exchange.target.id, exchange.started_ms)
+        counted = table.record_crash(
+            digest,
+            crash,
+            at - exchange.sent_at,
+            at,
+        )
+        self._meters.crashes.add("suspected" if counted else "known-crash")
+        logs.logger.info(
+            "request suspected of a crash",
+            request=digest.hex(),
+            upstream=exchange.target.id,
+            started_ms=exchange.started_ms,
+            ended=exchange.how.value,
+            evidence=evidence.value,
+            sent_ms=clocks.milliseconds(at - exchange.sent_at),
+            found_ms=clocks.milliseconds(now - at),
+            is_counted=counted,
+            crashes=table.crashes(digest),
+            weight=round(table.weight(digest), 2),
+            is_cause=digest in table.identified_causes(),
+        )
+
+    def _note_outlived(self, exchange: unanswered.Exchange, now: float) -> None:
+        """Records that an upstream's process outlived a request."""
+        self._log_uncounted(exchange, "outlived")
+
+    def _discard_of(self, target: targets.Target) -> None:
+        for exchange in self._exchanges.discard_of(target):
+            self._log_uncounted(exchange, "planned exit")
+
+    def _log_uncounted(
+        self, exchange: unanswered.Exchange, reason: str
+    ) -> None:
+        """Tells why an exchange without an answer isn't part of a crash."""
+        self._meters.crashes.add(reason.replace(" ", "-"))
+        logs.logger.info(
+            "exchange not counted",
+            request=exchange.digest.hex(),
+            upstream=exchange.target.id,
+            reason=reason,
+        )
--- a/src/swiftstile/gateway/crash_guard.py
+++ b/src/swiftstile/gateway/crash_guard.py
@@ -1,24 +1,15 @@
 """Protects upstreams from requests that crash them.
 
-Detects whether an upstream crashed when an exchange broke, and applies the
-resulting decisions of `suspects.py`.
+Applies the decisions of `suspects.py`.
 """
 
-import asyncio
-import collections.abc
-
-from swiftstile import clocks
 from swiftstile import logs
 from swiftstile import metrics
-from swiftstile.gateway import causes
-from swiftstile.gateway import connections
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import gossip
-from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import sharing
 from swiftstile.gateway import suspects as suspects_lib
-from swiftstile.gateway import targets
 
 __all__ = ["CrashGuard"]
 
@@ -31,14 +22,11 @@
 
 
 class CrashGuard:
-    """Detects crashes and rejects the requests that cause them.
+    """Rejects the requests that crash upstreams.
 
     Args:
         suspect_table: Suspects that are known to all VMs.
         peers: The other VMs.
-        pool: Opens connections to upstreams.
-        reaches_another: Returns whether this VM reaches any upstream but the
-            one at an address.
         started: When the process started, on the monotonic clock.
         meters: Counts suspects and rejections.
     """
@@ -47,21 +35,14 @@
         self,
         suspect_table: suspects_lib.SuspectTable,
         peers: gossip.Peers,
-        pool: connections.ConnectionPool,
-        reaches_another: collections.abc.Callable[
-            [str], collections.abc.Awaitable[bool]
-        ],
         started: float,
         meters: metrics.Meters,
     ):
         self._suspect_table = suspect_table
         self._peers = peers
-        self._pool = pool
-        self._reaches_another = reaches_another
         self._meters = meters
         self._started = started
         self._is_informed = False
-        self._checks_by_address: dict[str, asyncio.Task[bool]] = {}
 
     @property
     def has_suspects(self) -> bool:
@@ -127,63 +108,6 @@
         error.request = digest.hex()
         return error
 
-    async def has_crashed(self, target: targets.Target) -> bool:
-        """Returns whether an upstream whose connection broke has crashed.
-
-        A planned exit isn't a crash. An unreachable upstream may be partitioned
-        from this VM; only a refused connection shows that nothing runs there,
-        and only if connections to other upstreams aren't refused as well.
-        """
-        if target.leaving_since is not None:
-            return False
-        address = target.upstream.address
-        check = self._checks_by_address.get(address)
-        if check is None:
-            check = asyncio.create_task(self._is_down(address))
-            self._checks_by_address[address] = check
-            check.add_done_callback(
-                lambda _: self._checks_by_address.pop(address, None)
-            )
-        is_refused = await asyncio.shield(check)
-        if not is_refused:
-            self._meters.crashes.add("still-up")
-        return is_refused and target.leaving_since is None
-
-    async def _is_down(self, address: str) -> bool:
-        if not await self._pool.refuses_connections(address):
-            return False
-        return await self._reaches_another(address)
-
-    def record_crash(
-        self,
-        digest: fingerprint.Digest,
-        upstream: model.Upstream,
-        sent_s: float,
-        at: float,
-    ) -> None:
-        """Records that an upstream crashed while it had a request.
-
-        Args:
-            digest: The request.
-            upstream: The upstream, as registered when the request was sent.
-            sent_s: Time from sending the request to the crash, in seconds.
-            at: Time of the crash.
-        """
-        crash = causes.crash_id(upstream.id, upstream.started_ms)
-        counted = self._suspect_table.record_crash(digest, crash, sent_s, at)
-        self._meters.crashes.add("suspected" if counted else "known-crash")
-        logs.logger.info(
-            "request suspected of a crash",
-            request=digest.hex(),
-            upstream=upstream.id,
-            started_ms=upstream.started_ms,
-            sent_ms=clocks.milliseconds(sent_s),
-            is_counted=counted,
-            crashes=self._suspect_table.crashes(digest),
-            weight=round(self._suspect_table.weight(digest), 2),
-            is_cause=digest in self._suspect_table.identified_causes(),
-        )
-
     def may_resend(self, digest: fingerprint.Digest) -> bool:
         """Whether a request whose upstream crashed may be sent to another."""
         return (
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -14,6 +14,7 @@
 from swiftstile.gateway import authority
 from swiftstile.gateway import budget
 from swiftstile.gateway import coldstart
+from swiftstile.gateway import crash_detector
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import follow
 from swiftstile.gateway import forward_listener
@@ -87,6 +88,7 @@
         cold_limits: coldstart.ColdLimits,
         rate_limiter: ratelimits.RateLimiter,
         suspect_table: suspects.SuspectTable,
+        detector: crash_detector.CrashDetector,
         advisory_table: advisories.AdvisoryTable,
         links: upstream_links.UpstreamLinks,
         prober: link_probes.LinkProber,
@@ -124,6 +126,7 @@
         self._cold_limits = cold_limits
         self._rate_limiter = rate_limiter
         self._suspect_table = suspect_table
+        self._crash_detector = detector
         self._advisories = advisory_table
         self._links = links
         self._prober = prober
@@ -314,6 +317,9 @@
             self._suspect_table.receive(
                 peer.report.suspicions, peer.received_at
             )
+            self._crash_detector.on_reported(
+                peer.report.suspicions, peer.received_at
+            )
         if peer.report.advisories:
             self._advisories.receive(peer.report.advisories, peer.received_at)
         if peer.is_partitioned and peer.row.domain == self._node.domain:
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -51,6 +51,8 @@
         first_part: Start of a streamed body that was read before sending.
         caller: Identity or address of the caller.
         is_probe: Whether it is sent to test if it still crashes upstreams.
+        sent_at: When it was sent to the present upstream; None if it wasn't
+            yet.
     """
 
     method: str
@@ -65,6 +67,7 @@
     first_part: bytes = b""
     caller: str = ""
     is_probe: bool = False
+    sent_at: float | None = None
 
     def digest(self) -> fingerprint.Digest:
         """Returns a digest that recognises repetitions of the request."""
@@ -144,6 +147,7 @@
                 have run.
         """
         address = target.upstream.address
+        call.sent_at = None
         try:
             connection = await self._pool.acquire(address, call.is_idempotent)
         except errors.PeerUnavailableError as error:
@@ -220,6 +224,7 @@
             raise outcomes.UpstreamUnreachableError(
                 str(error), step="send", peer=target.id
             ) from error
+        call.sent_at = sent_at
         return await while_sending_body(
             call,
             connection,
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -9,12 +9,12 @@
 
 from swiftstile import clocks
 from swiftstile import ids
-from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import budget
 from swiftstile.gateway import caller_requests
 from swiftstile.gateway import caller_retries
+from swiftstile.gateway import crash_detector
 from swiftstile.gateway import crash_guard
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import exchange
@@ -73,6 +73,7 @@
         store: follow.TableFollower,
         operations: follow.TableFollower,
         guard: crash_guard.CrashGuard,
+        detector: crash_detector.CrashDetector,
         links: upstream_links.UpstreamLinks,
         forwarder: forwarding.PeerForwarder,
         meters: metrics.Meters,
@@ -97,6 +98,7 @@
         self._store = store
         self._operations = operations
         self._crash_guard = guard
+        self._crash_detector = detector
         self._links = links
         self._forwarder = forwarder
         self._meters = meters
@@ -339,11 +341,15 @@
                     ) from error
             state.sends += 1
             self._record_send(call, waiter, target, state, trace)
-            sent, upstream = clocks.monotonic(), target.upstream
+            sent = clocks.monotonic()
+            sending = self._crash_detector.begin(target, sent)
             try:
                 response = await self._client.send(call, target)
             except outcomes.GatewayError as error:
                 now = clocks.monotonic()
+                self._record_end(
+                    call, sending, unanswered.how_ended(error), now, trace
+                )
                 if self._links.is_partitioned and isinstance(
                     error, outcomes.NotSentError
                 ):
@@ -351,11 +357,8 @@
                     state.unreachable += 1
                     continue
                 self._update_target(error, waiter, target, state, call, now)
-                how = unanswered.how_ended(error)
-                if how is not None:
-                    self._record_unanswered(call, upstream, sent, how, trace)
                 may_resend = await self._check_for_crash(
-                    error, call, target, upstream, sent, now
+                    error, call, target, now
                 )
                 now = clocks.monotonic()
                 if not may_resend or not self._retries.may_retry(
@@ -365,18 +368,18 @@
                         error, waiter, state
                     ) from error
             except asyncio.CancelledError:
-                self._record_unanswered(
+                self._record_end(
                     call,
-                    upstream,
-                    sent,
+                    sending,
                     unanswered.ExchangeEnd.ABANDONED,
+                    clocks.monotonic(),
                     trace,
                 )
                 raise
             else:
                 self._retries.note_accepted(waiter, state, clocks.monotonic())
                 self._record_response(
-                    call, waiter, target, response, sent, trace
+                    call, waiter, target, response, sending, trace
                 )
                 return response
             finally:
@@ -431,7 +434,7 @@
                 raise self._retries.final_error(error, waiter, state) from error
 
     async def _check_for_crash(
-        self, error, call, target, upstream, sent: float, broken_at: float
+        self, error, call, target, broken_at: float
     ) -> bool:
         """Returns whether a request may be sent to another upstream.
 
@@ -441,23 +444,16 @@
             error: How the exchange ended.
             call: The request.
             target: The upstream.
-            upstream: Its registration when the request was sent; it may have
-                registered again since.
-            sent: When the request was sent.
             broken_at: When the exchange ended.
         """
+        if isinstance(error, outcomes.UpstreamUnreachableError):
+            self._crash_detector.on_unreachable(target)
         if not getattr(error, "is_connection_broken", False):
             return True
-        digest = call.digest()
-        if not await self._crash_guard.has_crashed(target):
-            logs.logger.info(
-                "no crash found", request=digest.hex(), upstream=target.id
-            )
+        check = self._crash_detector.check(target, broken_at)
+        if not await asyncio.shield(check):
             return True
-        self._crash_guard.record_crash(
-            digest, upstream, broken_at - sent, broken_at
-        )
-        return self._crash_guard.may_resend(digest)
+        return self._crash_guard.may_resend(call.digest())
 
     def _update_target(self, error, waiter, target, state, call, now) -> None:
         """Updates the state of the target after a failed send."""
@@ -490,14 +486,16 @@
                 waiter.excluded.add(target.id)
 
     def _record_response(
-        self, call, waiter, target, response, sent, trace
+        self, call, waiter, target, response, sending, trace
     ) -> None:
         now = clocks.monotonic()
-        took_s = now - sent
+        took_s = now - sending.sent_at
         self._meters.sends.add("answered")
         target.note_answer(now)
-        if self._crash_guard.should_remember(call.length or 0):
-            self._crash_guard.record_response(call.digest(), now)
+        if response.body is None:
+            self._watch_stream(call, response, sending, trace)
+        else:
+            self._record_whole_response(call, sending, now)
         if response.status < 300:
             self._add_sample(waiter, target, response, took_s, now)
         trace.add(
@@ -512,6 +510,31 @@
             )
         )
 
+    def _record_whole_response(self, call, sending, now: float) -> None:
+        self._crash_detector.discard(sending)
+        if self._crash_guard.should_remember(call.length or 0):
+            self._crash_guard.record_response(call.digest(), now)
+
+    def _watch_stream(self, call, response, sending, trace) -> None:
+        """Counts a response that is streamed as an answer once it is whole."""
+        finish = response.finish
+
+        def finish_exchange(is_whole: bool) -> None:
+            finish(is_whole)
+            now = clocks.monotonic()
+            if is_whole:
+                self._record_whole_response(call, sending, now)
+            else:
+                self._record_end(
+                    call,
+                    sending,
+                    unanswered.ExchangeEnd.INVALID,
+                    now,
+                    trace,
+                )
+
+        response.finish = finish_exchange
+
     def _add_sample(self, waiter, target, response, took_s, now) -> None:
         """Counts an answer as a sample of its upstream's speed."""
         service_s = self._sampler.service_time_s(
@@ -565,35 +588,41 @@
             )
         )
 
-    def _record_unanswered(
+    def _record_end(
         self,
         call: exchange.Call,
-        upstream: model.Upstream,
-        sent: float,
-        how: unanswered.ExchangeEnd,
+        sending: unanswered.Exchange,
+        how: unanswered.ExchangeEnd | None,
+        now: float,
         trace: decision_log.RequestTrace,
     ) -> None:
-        """Records an exchange without an answer.
+        """Records the end of an exchange without an answer.
 
         Args:
             call: The request.
-            upstream: The upstream, as registered when the request was sent.
-            sent: When it was sent.
-            how: How the exchange ended.
+            sending: The exchange.
+            how: How it ended; None if the request certainly didn't run.
+            now: When it ended.
             trace: The trace of the request.
         """
+        if how is None or call.sent_at is None:
+            self._crash_detector.discard(sending)
+            return
+        digest = call.digest()
+        sending.sent_at = call.sent_at
         self._meters.unanswered.add(how.value)
         trace.add(
             decision_log.RequestDecision(
                 id=call.inbound.attempt_id,
                 event="unanswered",
-                request=call.digest().hex(),
-                upstream=upstream.id,
-                upstream_run=upstream.started_ms,
+                request=digest.hex(),
+                upstream=sending.target.id,
+                upstream_run=sending.started_ms,
                 reason=how.value,
-                sent_ms=clocks.milliseconds(clocks.monotonic() - sent),
+                sent_ms=clocks.milliseconds(now - call.sent_at),
             )
         )
+        self._crash_detector.record_end(sending, digest, how, now)
 
     def _record_error(self, inbound, route, error, arrived, trace) -> None:
         now = clocks.monotonic()
--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -162,7 +162,7 @@
         others = upstream_sampling.sample(
             self._target_table, other_than={address}
         )
-        return await self._any_passes(others, self._answers)
+        return await self._any_passes(others, self.answers)
 
     async def _works(self, address: str) -> bool:
         """Returns whether new connections to an upstream work.
@@ -197,14 +197,15 @@
         """
         for _ in range(_CHECKS):
             began = clocks.monotonic()
-            if await self._answers(address):
+            if await self.answers(address):
                 return True
             if clocks.monotonic() - began > _FIRST_TRY_S:
                 return False
             await asyncio.sleep(_CHECK_INTERVAL_S)
         return False
 
-    async def _answers(self, address: str) -> bool:
+    async def answers(self, address: str) -> bool:
+        """Returns whether a health check on a new connection is answered."""
         target = self._target_table.at_address(address)
         if target is None:
             return False
@@ -246,7 +247,7 @@
         ]
         count = min(_TRIED_AT_ONCE, len(addresses))
         tried = random.sample(addresses, count)
-        await asyncio.gather(*map(self._answers, tried))
+        await asyncio.gather(*map(self.answers, tried))
         if self._links.end_if_regained(len(addresses), clocks.monotonic()):
             self._on_regained()
             return
--- a/src/swiftstile/gateway/unanswered.py
+++ b/src/swiftstile/gateway/unanswered.py
@@ -1,10 +1,48 @@
-"""Exchanges with upstreams that end without a whole answer."""
+"""Exchanges with upstreams that have no answer, until their fate is known.
 
+Pure decision code without I/O. A process of an upstream may end when nobody
+waits for it any more: the caller left, or the exchange timed out. An exchange
+therefore stays here after its end until its upstream's process is known to have
+ended, which makes the request a suspect, or to have outlived it.
+
+Data on a connection proves that the process lived from when the connection was
+opened until the data arrived. No clock or registration of the upstream is
+needed for that.
+"""
+
+import collections.abc
 import enum
+import typing
 
+from swiftstile.gateway import fingerprint
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import targets
 
-__all__ = ["ExchangeEnd", "how_ended"]
+__all__ = [
+    "Attribution",
+    "EndOfRun",
+    "Evidence",
+    "Exchange",
+    "ExchangeEnd",
+    "UnansweredExchanges",
+    "how_ended",
+]
+
+# An upstream may still work on a request for some time after the exchange
+# ended, and crash. If it lives longer, it has outlived the request.
+AFTEREFFECT_S = 0.5
+# Requests that were sent longer after the first one without a sign of life were
+# sent to a process that had already ended.
+ONSET_S = 1.0
+# A request that was sent within this time before a new run became known may
+# have been sent to it.
+REGISTRATION_LAG_S = 1.5
+# How long the fate of an exchange may remain unknown: until the registration of
+# the upstream's next run arrives, also in most outages of the store.
+RETENTION_S = 15.0
+# Maximum exchanges that are kept after their end, in total; the oldest are
+# dropped first.
+MAX_ENDED = 1024
 
 
 class ExchangeEnd(enum.Enum):
@@ -17,6 +55,58 @@
     INVALID = "invalid-answer"
 
 
+class Evidence(enum.Enum):
+    """What shows that the process of an upstream has ended."""
+
+    # The time is known.
+    BROKEN = "connection-broken"
+    REPORTED = "reported-by-a-vm"
+    # It isn't; no later process is listening yet, or one may be.
+    REFUSED = "connection-refused"
+    REGISTERED = "registration"
+
+
+class EndOfRun(typing.NamedTuple):
+    """The end of an upstream's process.
+
+    Attributes:
+        target: The upstream.
+        evidence: What shows it.
+        found_at: When that was found.
+        at: When the process ended, if known.
+        successor: The upstream's next run at the same address, if known.
+    """
+
+    target: targets.Target
+    evidence: Evidence
+    found_at: float
+    at: float | None = None
+    successor: targets.Target | None = None
+
+    @property
+    def latest_send_at(self) -> float:
+        """Latest time at which the process may have got a request."""
+        if self.at is not None:
+            return self.at
+        if self.evidence is Evidence.REFUSED:
+            return self.found_at
+        return self.found_at - REGISTRATION_LAG_S
+
+
+class Attribution(typing.NamedTuple):
+    """Exchanges with a process that ended.
+
+    Attributes:
+        suspects: Those whose requests may have ended it.
+        others: Those whose requests were sent to it later.
+        at: Estimated time at which it stopped working.
+    """
+
+    suspects: list["Exchange"]
+    others: list["Exchange"]
+    at: float
+
+
 def how_ended(error: outcomes.GatewayError) -> ExchangeEnd | None:
     """Returns how an exchange ended, given the error of the send.
 
@@ -29,3 +119,255 @@
     if getattr(error, "is_connection_broken", False):
         return ExchangeEnd.BROKEN
     return ExchangeEnd.INVALID
+
+
+class Exchange:
+    """One request that was sent to one upstream.
+
+    Attributes:
+        target: The upstream.
+        started_ms: Start of its run, as registered when the request was sent.
+        sent_at: When the request was sent.
+        digest: The request; None while the exchange is in progress.
+        how: How it ended; None while it is in progress.
+        ended_at: When it ended; infinite while it is in progress.
+        alive_at: Latest time at which the process that got the request is known
+            to have lived.
+        served_at: When its address first delivered data after the exchange had
+            no effect any more; None if it didn't.
+        is_run_uncertain: Whether the upstream restarted about when the request
+            was sent, so that it may have been sent to either run or to none.
+        is_run_ended: Whether that process has ended while it is in progress.
+    """
+
+    __slots__ = (
+        "alive_at",
+        "digest",
+        "ended_at",
+        "how",
+        "is_run_ended",
+        "is_run_uncertain",
+        "sent_at",
+        "served_at",
+        "started_ms",
+        "target",
+    )
+
+    def __init__(self, target: targets.Target, now: float):
+        self.target = target
+        self.started_ms = target.upstream.started_ms
+        self.sent_at = now
+        self.digest: fingerprint.Digest | None = None
+        self.how: ExchangeEnd | None = None
+        self.ended_at = float("inf")
+        self.alive_at = float("-inf")
+        self.served_at: float | None = None
+        self.is_run_ended = self.is_run_uncertain = False
+
+    def record_data(self, opened_at: float, now: float) -> None:
+        """Records that its address delivered data.
+
+        Args:
+            opened_at: When the connection was opened.
+            now: The time.
+        """
+        if opened_at <= self.sent_at:
+            self.alive_at = now
+        if self.served_at is None and now > self.ended_at + AFTEREFFECT_S:
+            self.served_at = now
+
+    def is_outlived(self, now: float) -> bool:
+        """Whether the upstream's process outlived the request.
+
+        Data on a later connection may be from a new run, which becomes known
+        soon.
+        """
+        return self.alive_at > self.ended_at + AFTEREFFECT_S or (
+            self.served_at is not None
+            and not self.is_run_uncertain
+            and now - self.served_at > REGISTRATION_LAG_S
+        )
+
+    def move_to(self, target: targets.Target) -> None:
+        """Counts it for another run at the same address."""
+        self.target, self.started_ms = target, target.upstream.started_ms
+        self.is_run_uncertain = True
+
+    @property
+    def shows_life(self) -> bool:
+        """Whether the process is known to have lived after the send."""
+        return self.alive_at >= self.sent_at
+
+
+class UnansweredExchanges:
+    """Exchanges in progress, and ended ones whose fate is unknown.
+
+    Args:
+        on_outlived: Called with an exchange and the time when the upstream's
+            process has outlived it.
+    """
+
+    def __init__(
+        self,
+        on_outlived: collections.abc.Callable[["Exchange", float], None],
+    ):
+        self._on_outlived = on_outlived
+        self._by_address: dict[str, dict[Exchange, None]] = {}
+        # Ended exchanges, the oldest first.
+        self._ended: dict[Exchange, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._ended)
+
+    def __contains__(self, exchange: Exchange) -> bool:
+        """Whether an exchange has ended and its fate is unknown."""
+        return exchange in self._ended
+
+    def begin(self, target: targets.Target, now: float) -> Exchange:
+        """Returns a new exchange, whose request is about to be sent."""
+        exchange = Exchange(target, now)
+        address = target.upstream.address
+        self._by_address.setdefault(address, {})[exchange] = None
+        return exchange
+
+    def discard(self, exchange: Exchange) -> None:
+        """Drops an exchange that was answered, or whose request didn't run."""
+        self._ended.pop(exchange, None)
+        address = exchange.target.upstream.address
+        exchanges = self._by_address.get(address, {})
+        exchanges.pop(exchange, None)
+        if not exchanges:
+            self._by_address.pop(address, None)
+
+    def end(
+        self,
+        exchange: Exchange,
+        digest: fingerprint.Digest,
+        how: ExchangeEnd,
+        now: float,
+    ) -> None:
+        """Records that an exchange ended without an answer."""
+        exchange.digest, exchange.how, exchange.ended_at = digest, how, now
+        self._ended[exchange] = None
+        while len(self._ended) > MAX_ENDED:
+            self.discard(next(iter(self._ended)))
+
+    def is_repeated(self, digest: fingerprint.Digest) -> bool:
+        """Whether a request has several exchanges whose fate is unknown."""
+        count = 0
+        for exchange in self._ended:
+            count += exchange.digest == digest
+            if count > 1:
+                return True
+        return False
+
+    def on_received(self, address: str, opened_at: float, now: float) -> None:
+        """Records that data arrived on a connection opened at a time."""
+        exchanges = self._by_address.get(address)
+        if not exchanges:
+            return
+        outlived = []
+        for exchange in exchanges:
+            exchange.record_data(opened_at, now)
+            if exchange.is_outlived(now):
+                outlived.append(exchange)
+        for exchange in outlived:
+            self.discard(exchange)
+            self._on_outlived(exchange, now)
+
+    def has_ended(self, address: str, since: float) -> bool:
+        """Whether an exchange with an address ended since a time."""
+        return any(
+            since <= exchange.ended_at < float("inf")
+            for exchange in self._by_address.get(address, ())
+        )
+
+    def ended_targets(self) -> set[targets.Target]:
+        """Returns the upstreams of ended exchanges whose fate is unknown."""
+        return {exchange.target for exchange in self._ended}
+
+    def settle(self, end: EndOfRun) -> Attribution:
+        """Removes and returns the ended exchanges with a process that ended.
+
+        Those that can't have reached that process any more are left, for the
+        upstream's next run.
+        """
+        address = end.target.upstream.address
+        exchanges = [
+            exchange
+            for exchange in self._by_address.get(address, ())
+            if exchange.target is end.target
+        ]
+        earlier = []
+        for exchange in exchanges:
+            if exchange.is_outlived(end.found_at):
+                self.discard(exchange)
+                self._on_outlived(exchange, end.found_at)
+                continue
+            if end.at is not None and exchange.served_at is not None:
+                # It outlived the request, or ended before; then the
+                # registration of the run between will tell.
+                continue
+            if exchange.sent_at <= end.latest_send_at:
+                exchange.is_run_ended = True
+                earlier.append(exchange)
+            elif end.successor is not None:
+                exchange.move_to(end.successor)
+        ended = [one for one in earlier if one.how is not None]
+        for exchange in ended:
+            self.discard(exchange)
+        return _attribute(ended, end)
+
+    def discard_of(self, target: targets.Target) -> list[Exchange]:
+        """Removes and returns the ended exchanges with an upstream."""
+        ended = [one for one in self._ended if one.target is target]
+        for exchange in ended:
+            self.discard(exchange)
+        return ended
+
+    def expire(self, now: float) -> None:
+        """Drops exchanges that were outlived.
+
+        So are those that weren't followed by a new run for long.
+        """
+        expired = [
+            exchange
+            for exchange in self._ended
+            if exchange.is_outlived(now)
+            or now - exchange.ended_at > RETENTION_S
+        ]
+        for exchange in expired:
+            self.discard(exchange)
+            if exchange.is_outlived(now) or not exchange.is_run_uncertain:
+                self._on_outlived(exchange, now)
+
+
+def _attribute(ended: list[Exchange], end: EndOfRun) -> Attribution:
+    """Returns which exchanges the end of a process may go back to.
+
+    If a process stops answering, further requests to it aren't answered either.
+    """
+    onset = min(
+        (
+            one.sent_at
+            for one in ended
+            if not one.shows_life and not one.is_run_uncertain
+        ),
+        default=float("inf"),
+    )
+    suspects, others = [], []
+    for one in ended:
+        if one.is_run_uncertain:
+            is_plausible = one.shows_life
+        else:
+            is_plausible = one.sent_at <= onset + ONSET_S
+        is_suspect = one.how is ExchangeEnd.BROKEN or is_plausible
+        (suspects if is_suspect else others).append(one)
+    at = end.at
+    if at is None or any(one.how is ExchangeEnd.TIMED_OUT for one in suspects):
+        # It had stopped answering before.
+        at = max(
+            (max(one.sent_at, one.alive_at) for one in suspects),
+            default=end.found_at,
+        )
+    return Attribution(suspects, others, at)
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -186,6 +186,9 @@
         else:
             self._note_open_failed(address, now)
 
+    def on_closed(self, address: str, now: float) -> None:
+        """See base class."""
+
     def _note_open_failed(self, address: str, now: float) -> None:
         if not self._open_failed_at:
             self._failing_since = now
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -19,6 +19,7 @@
 from swiftstile.gateway import coldstart
 from swiftstile.gateway import connections
 from swiftstile.gateway import counted_table
+from swiftstile.gateway import crash_detector
 from swiftstile.gateway import crash_guard
 from swiftstile.gateway import daemon as daemon_lib
 from swiftstile.gateway import decision_log
@@ -37,6 +38,7 @@
 from swiftstile.gateway import key_load
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
+from swiftstile.gateway import link_observers
 from swiftstile.gateway import link_probes
 from swiftstile.gateway import load_rules
 from swiftstile.gateway import load_settings
@@ -275,6 +277,7 @@
             key_owners.count_request,
         )
         gate = gate_lib.Gate(self._controller, key_owners.count_request)
+
         self._registry = registry = registry_lib.Registry(
             self._target_table,
             adapters.decode_upstream,
@@ -316,7 +319,18 @@
             self._meters,
             self._retry_tracker,
         )
-        pool = connections.ConnectionPool(self._settings.vm.host, self._links)
+        detector = crash_detector.CrashDetector(
+            self._suspect_table,
+            self._target_table,
+            lambda address: prober.answers(address),
+            lambda address: pool.refuses_connections(address),
+            lambda address: prober.reaches_another(address),
+            self._meters,
+        )
+        pool = connections.ConnectionPool(
+            self._settings.vm.host,
+            link_observers.ObserverChain(self._links, detector),
+        )
         client = exchange.UpstreamClient(
             pool, adapters.dialect, self._advisories, self._drain_s
         )
@@ -357,11 +371,10 @@
             crash_guard.CrashGuard(
                 self._suspect_table,
                 self._peers,
-                pool,
-                prober.reaches_another,
                 self._started,
                 self._meters,
             ),
+            detector,
             self._links,
             forwarder,
             self._meters,
@@ -428,6 +441,7 @@
             self._cold_limits,
             self._rate_limiter,
             self._suspect_table,
+            detector,
             self._advisories,
             self._links,
             prober,
--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -15,7 +15,6 @@
 from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import causes
-from swiftstile.gateway import connections
 from swiftstile.gateway import crash_guard as crash_guard_lib
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import gossip
@@ -76,7 +75,8 @@
         _links=upstream_links.UpstreamLinks(),
         _needs_other_vm=lambda _: False,
         _record_send=lambda *_: None,
-        _record_unanswered=lambda *_: None,
+        _crash_detector=types.SimpleNamespace(begin=lambda *_: None),
+        _record_end=lambda *_: None,
         _update_target=lambda *_: None,
         _retries=types.SimpleNamespace(
             may_retry=lambda *_: False, final_error=lambda error, *_: error
@@ -115,18 +115,9 @@
     assert _run_handler(crash_guard, permits, is_probe=True).sent == 1
 
 
-async def _reaches_another(_address: str) -> bool:
-    return True
-
-
 def _guard(peers: gossip.Peers, started: float) -> crash_guard_lib.CrashGuard:
     return crash_guard_lib.CrashGuard(
-        suspects.SuspectTable(),
-        peers,
-        connections.ConnectionPool(),
-        _reaches_another,
-        started,
-        metrics.Meters(),
+        suspects.SuspectTable(), peers, started, metrics.Meters()
     )
 
 
