A new run of an upstream shows that the one before has ended

An upstream that falls silent keeps its connections open: exchanges time out, nothing is refused, and when it is back it answers.

Registrations of a new run, and the removal of an upstream that wasn't known to be leaving, are evidence now. Requests that were sent long after the first one without a sign of life are no suspects, as the process had ended before; nor does a planned exit count. Requests sent shortly before the registration may have reached the new run and are kept for it.

--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -1,9 +1,9 @@
 """Finds out which requests were in progress when an upstream's process ended.
 
 The end of a process shows in several ways: a connection breaks or is refused,
-or another VM reports the crash. Whichever comes first counts for all exchanges
-without an answer that the process may have had, also those that the caller left
-or that timed out.
+another VM reports the crash, or a new run registers. Whichever comes first
+counts for all exchanges without an answer that the process may have had, also
+those that the caller left or that timed out.
 """
 
 import asyncio
@@ -113,7 +113,7 @@
         target = exchange.target
         self._exchanges.expire(now)
         self._exchanges.end(exchange, digest, how, now)
-        if target.leaving_since is not None:
+        if target.is_planned_exit:
             self._discard_of(target)
         elif exchange.is_run_ended:
             self._attribute(target, unanswered.Evidence.REGISTERED, now)
@@ -145,6 +145,20 @@
         if target in self._exchanges.ended_targets():
             self.check(target, None)
 
+    def on_registrations(self, now: float) -> None:
+        """Called after registrations of upstreams have changed.
+
+        A new run under the same id, or the removal of an upstream that wasn't
+        leaving, shows that its process has ended, also if it stopped answering
+        without closing its connections.
+        """
+        self._exchanges.expire(now)
+        for target in self._exchanges.ended_targets():
+            if target.is_planned_exit:
+                self._discard_of(target)
+            elif target.has_ended:
+                self._attribute(target, unanswered.Evidence.REGISTERED, now)
+
     def on_reported(
         self, reported: list[suspects.SuspectReport], now: float
     ) -> None:
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -59,6 +59,8 @@
         is_unregistered: Whether its registration has been removed.
         is_replaced: Whether another server runs at its address, so that it has
             ended.
+        has_vanished: Whether its registration was removed, or its address used
+            again, before it was known to be leaving.
         cold_until: End of its cold time, as it reported or after the end of an
             evacuation.
         next_cold_send_at: Earliest time of this VM's next send while it is
@@ -82,6 +84,7 @@
         self.drain_started_at: float | None = None
         self.is_unregistered = False
         self.is_replaced = False
+        self.has_vanished = False
         self.cold_until = now + upstream.cold_s
         self.next_cold_send_at = 0.0
         self.rate_limit = stated_limits.StatedLimit()
@@ -140,9 +143,25 @@
             self.left_at, self.drain_started_at = now, known_since
         self._update_leaving_since()
 
+    def mark_ended(self, now: float, known_since: float) -> None:
+        """Marks it as ended; see `mark_leaving` for the arguments."""
+        self.has_vanished |= self.leaving_since is None
+        self.mark_leaving(now, known_since)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether its process is known to have ended."""
+        return self.is_replaced or self.has_vanished
+
+    @property
+    def is_planned_exit(self) -> bool:
+        """Whether it was known to be leaving before it ended."""
+        return self.leaving_since is not None and not self.has_vanished
+
     def mark_ready(self) -> None:
         """Marks it as registered and ready."""
         self.left_at = self.drain_started_at = None
+        self.has_vanished = False
         self._update_leaving_since()
 
     def set_evacuated(self, since: float | None) -> None:
@@ -381,7 +400,7 @@
     def mark_replaced(self, target: Target, now: float) -> None:
         """Marks a target as ended: another server runs at its address."""
         target.is_replaced = True
-        target.mark_leaving(now, now)
+        target.mark_ended(now, now)
 
     def _replace_at(self, upstream: model.Upstream, now: float) -> None:
         for other in self.by_id.values():
@@ -399,9 +418,7 @@
         target = self.by_id.get(upstream)
         if target is not None:
             target.is_unregistered = True
-            target.mark_leaving(
-                now, now if known_since is None else known_since
-            )
+            target.mark_ended(now, now if known_since is None else known_since)
 
     def remove_departed(self, now: float, keep_s: float) -> list[Target]:
         """Removes targets that left more than `keep_s` ago; returns them."""
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -278,10 +278,14 @@
         )
         gate = gate_lib.Gate(self._controller, key_owners.count_request)
 
+        def on_registrations() -> None:
+            detector.on_registrations(clocks.monotonic())
+            gate.dispatch()
+
         self._registry = registry = registry_lib.Registry(
             self._target_table,
             adapters.decode_upstream,
-            gate.dispatch,
+            on_registrations,
             self._meters,
         )
         registrations = follow.TableFollower(
