Requests that upstreams outlive aren't causes, and complete evidence is one

An exchange that the upstream's process outlived now speaks against the request. All VMs merge these events as a sketch of 64 bits, so that relays and repetitions change nothing. A crash after the caller left may have any cause: each outlived exchange outweighs one; a crash during the exchange weighs more. With that, five crashes in all, of which one isn't explained by another cause and none is outweighed, make a cause. After four the time to contradict is 1 s.

--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -274,6 +274,8 @@
             crash,
             at - exchange.sent_at,
             at,
+            now,
+            exchange.how is unanswered.ExchangeEnd.ABANDONED,
         )
         self._meters.crashes.add("suspected" if counted else "known-crash")
         logs.logger.info(
@@ -288,11 +290,13 @@
             is_counted=counted,
             crashes=table.crashes(digest),
             weight=round(table.weight(digest), 2),
+            outlived=round(table.outlived(digest), 1),
             is_cause=digest in table.identified_causes(),
         )
 
     def _note_outlived(self, exchange: unanswered.Exchange, now: float) -> None:
         """Records that an upstream's process outlived a request."""
+        self._suspect_table.record_outlived(exchange.digest, now)
         self._log_uncounted(exchange, "outlived")
 
     def _discard_of(self, target: targets.Target) -> None:
@@ -309,4 +313,5 @@
             request=exchange.digest.hex(),
             upstream=exchange.target.id,
             reason=reason,
+            outlived=round(self._suspect_table.outlived(exchange.digest), 1),
         )
--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from swiftstile.gateway import causes
+from swiftstile.gateway import event_sketch
 from swiftstile.gateway import fingerprint
 
 __all__ = ["SuspectReport", "SuspectTable", "Verdict"]
@@ -26,6 +27,8 @@
 # answered it recently has time to report this. There is no such delay after
 # causes.CERTAIN_CRASHES.
 CONTRADICTION_PERIOD_S = 2.0
+# The same for a suspect of more crashes than it takes to be a cause.
+SHORT_CONTRADICTION_PERIOD_S = 1.0
 # A cause isn't sent to any upstream for this long after its last crash; then
 # one VM probes it. The first value applies up to causes.MIN_CRASHES, when it
 # may still be an ordinary request.
@@ -37,6 +40,9 @@
 WEAK_SUSPECT_TTL_S = 60.0
 # Maximum answered requests that are remembered.
 MAX_ANSWERED = 4096
+# Maximum requests whose outlived exchanges are remembered, and for how long
+# after the last one.
+MAX_OUTLIVED, OUTLIVED_TTL_S = 1024, 30.0
 # Maximum suspects; those of the fewest crashes are dropped first.
 MAX_SUSPECTS = 512
 # Maximum crashes that are stored for one suspect.
@@ -70,11 +76,16 @@
         crashes: Age of each of its crashes, and the time from sending it to the
             crash, in milliseconds.
         answered_ms: Age of its last response; None if it wasn't answered.
+        outlived: Sketch of the times that upstreams outlived it since its first
+            crash (`event_sketch`).
+        abandoned: Those of the crashes that came after its caller had left.
     """
 
     digest: fingerprint.Digest
     crashes: dict[causes.CrashId, tuple[int, int]]
     answered_ms: int | None = None
+    outlived: int = 0
+    abandoned: list[causes.CrashId] = msgspec.field(default_factory=list)
 
     @property
     def is_urgent(self) -> bool:
@@ -94,10 +105,12 @@
     Attributes:
         at: Time of the crash, on the monotonic clock.
         sent_s: Time from sending the request to the crash, in seconds.
+        is_abandoned: Whether the caller had left before.
     """
 
     at: float
     sent_s: float
+    is_abandoned: bool = False
 
 
 class _Suspect:
@@ -109,6 +122,7 @@
         "cause_since",
         "changed_at",
         "max_crashes",
+        "outlived",
         "probed_at",
     )
 
@@ -120,6 +134,7 @@
         # Highest number of crashes it was a suspect of, including crashes that
         # a response has cleared since.
         self.max_crashes = 0
+        self.outlived = 0
         self.changed_at = now
         self.probed_at = float("-inf")
 
@@ -147,12 +162,29 @@
             FIRST_QUARANTINE_S if is_new else QUARANTINE_S
         )
 
+    @property
+    def counterevidence(self) -> causes.Counterevidence:
+        """What speaks against it, or makes its crashes doubtful."""
+        return causes.Counterevidence(
+            event_sketch.estimate(self.outlived),
+            frozenset(
+                name
+                for name, crash in self.by_crash.items()
+                if crash.is_abandoned
+            ),
+        )
+
     def is_confirmed_cause(self, now: float) -> bool:
         """Whether it is a cause and the time to contradict is over."""
         if self.cause_since is None:
             return False
-        is_certain = len(self.by_crash) >= causes.CERTAIN_CRASHES
-        return is_certain or now - self.cause_since >= CONTRADICTION_PERIOD_S
+        count = len(self.by_crash)
+        if count >= causes.CERTAIN_CRASHES:
+            return True
+        period_s = CONTRADICTION_PERIOD_S
+        if count > causes.MIN_CRASHES:
+            period_s = SHORT_CONTRADICTION_PERIOD_S
+        return now - self.cause_since >= period_s
 
     def add_crash(self, name: causes.CrashId, crash: _Crash) -> bool:
         """Adds a crash; returns whether that changed anything."""
@@ -177,8 +209,16 @@
             return False
         self.answered_at = max(self.answered_at, at)
         self.by_crash = later
+        if not later:
+            self.outlived = 0
         return True
 
+    def merge_outlived(self, outlived: int) -> bool:
+        """Adds events of a sketch; returns whether that changed anything."""
+        known = self.outlived
+        self.outlived |= outlived
+        return self.outlived != known
+
 
 class SuspectTable:
     """Identifies requests that crash upstreams, from reports of all VMs."""
@@ -187,6 +227,9 @@
         self._by_digest: dict[fingerprint.Digest, _Suspect] = {}
         # Ordered by the time of the last response.
         self._answered: dict[fingerprint.Digest, None] = {}
+        # Sketches of the times that upstreams outlived requests, and the last
+        # of them; in its order.
+        self._outlived: dict[fingerprint.Digest, tuple[int, float]] = {}
         self._rotation = 0
         # Until when all serious suspects count as changed.
         self._repeated_until = float("-inf")
@@ -203,6 +246,12 @@
         """Returns the weight of the crashes that a request is a suspect of."""
         return causes.weights(self._times_to_crash()).get(digest, 0.0)
 
+    def outlived(self, digest: fingerprint.Digest) -> float:
+        """Returns about how often upstreams outlived a suspect."""
+        suspect = self._by_digest.get(digest)
+        sketch = 0 if suspect is None else suspect.outlived
+        return event_sketch.estimate(sketch)
+
     def identified_causes(self) -> list[fingerprint.Digest]:
         """Returns the requests identified as causes of crashes."""
         return [
@@ -216,7 +265,9 @@
         digest: fingerprint.Digest,
         crash: causes.CrashId,
         sent_s: float,
-        now: float,
+        at: float,
+        now: float | None = None,
+        is_abandoned: bool = False,
     ) -> bool:
         """Records that an upstream crashed while it had a request.
 
@@ -224,19 +275,23 @@
             digest: The request.
             crash: The crash.
             sent_s: Time from sending the request to the crash, in seconds.
-            now: The current time.
+            at: Time of the crash.
+            now: The current time; `at` if left out.
+            is_abandoned: Whether the caller had left before.
 
         Returns:
             Whether it wasn't known to be a suspect of this crash, and is now.
         """
         if digest in self._answered:
             return False
-        crash = self._distinct_crash(crash, now - sent_s)
+        now = at if now is None else now
+        crash = self._distinct_crash(crash, at - sent_s)
         suspect = self._by_digest.get(digest)
         if suspect is None:
             suspect = self._by_digest[digest] = _Suspect(now)
-        if not suspect.add_crash(crash, _Crash(now, sent_s)):
+        if not suspect.add_crash(crash, _Crash(at, sent_s, is_abandoned)):
             return False
+        suspect.merge_outlived(self._recently_outlived(digest, now))
         suspect.changed_at = now
         self._update_causes(now)
         return True
@@ -257,6 +312,32 @@
             crash = causes.next_crash_id(crash)
         return crash
 
+    def record_outlived(self, digest: fingerprint.Digest, now: float) -> bool:
+        """Records that an upstream outlived a request that it didn't answer.
+
+        Returns:
+            Whether the request is a suspect.
+        """
+        sketch = event_sketch.add(
+            self._recently_outlived(digest, now), f"{digest.hex()}/{now!r}"
+        )
+        self._outlived.pop(digest, None)
+        self._outlived[digest] = sketch, now
+        if len(self._outlived) > MAX_OUTLIVED:
+            del self._outlived[next(iter(self._outlived))]
+        suspect = self._by_digest.get(digest)
+        if suspect is None or not suspect.by_crash:
+            return False
+        if suspect.merge_outlived(sketch):
+            suspect.changed_at = now
+            self._update_causes(now)
+        return True
+
+    def _recently_outlived(self, digest: fingerprint.Digest, now: float) -> int:
+        """Returns a sketch of the times that upstreams outlived a request."""
+        sketch, at = self._outlived.get(digest, (0, now))
+        return sketch if now - at < OUTLIVED_TTL_S else 0
+
     def record_response(self, digest: fingerprint.Digest, now: float) -> bool:
         """Records a response to a request; returns whether it was suspected."""
         self._answered.pop(digest, None)
@@ -374,8 +455,17 @@
                 and suspect.record_response(now - report.answered_ms / 1000)
             )
             for name, (age_ms, sent_ms) in report.crashes.items():
-                crash = _Crash(now - age_ms / 1000, sent_ms / 1000)
+                crash = _Crash(
+                    now - age_ms / 1000,
+                    sent_ms / 1000,
+                    name in report.abandoned,
+                )
                 changed |= suspect.add_crash(name, crash)
+            if suspect.by_crash:
+                changed |= suspect.merge_outlived(
+                    report.outlived
+                    | self._recently_outlived(report.digest, now)
+                )
             if suspect.by_crash and report.digest in self._answered:
                 # The other VMs don't know that it was answered here.
                 changed |= suspect.record_response(now)
@@ -389,7 +479,14 @@
         """Recomputes which requests are causes."""
         self._expire(now)
         self._evict()
-        found = causes.find_causes(self._times_to_crash())
+        sent = self._times_to_crash()
+        found = causes.find_causes(
+            sent,
+            {
+                digest: self._by_digest[digest].counterevidence
+                for digest in sent
+            },
+        )
         for digest, suspect in self._by_digest.items():
             if digest not in found:
                 suspect.cause_since = None
@@ -450,4 +547,6 @@
             for name, crash in suspect.by_crash.items()
         },
         answered_ms,
+        suspect.outlived,
+        sorted(suspect.counterevidence.abandoned),
     )
