Exchanges in progress at a restart count when they end

A host that goes dark and is back before the route's timeout registers its new run while the exchange is still in progress. Registrations were compared only with exchanges that had ended, so this one was never counted (test_an_exchange_in_progress_at_a_restart_counts_when_it_ends failed: 0 crashes). They are compared with those in progress as well now.

--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -153,7 +153,7 @@
         without closing its connections.
         """
         self._exchanges.expire(now)
-        for target in self._exchanges.ended_targets():
+        for target in self._exchanges.all_targets():
             if target.is_planned_exit:
                 self._discard_of(target)
             elif target.has_ended:
--- a/src/swiftstile/gateway/unanswered.py
+++ b/src/swiftstile/gateway/unanswered.py
@@ -286,6 +286,14 @@
         """Returns the upstreams of ended exchanges whose fate is unknown."""
         return {exchange.target for exchange in self._ended}
 
+    def all_targets(self) -> set[targets.Target]:
+        """Returns the upstreams of all exchanges."""
+        return {
+            exchange.target
+            for exchanges in self._by_address.values()
+            for exchange in exchanges
+        }
+
     def settle(self, end: EndOfRun) -> Attribution:
         """Removes and returns the ended exchanges with a process that ended.
 
--- /dev/null
+++ b/tests/unit/test_gateway_crash_detector.py
@@ -0,0 +1,320 @@
+"""Tests which exchanges without an answer count for a crash."""
+
+import asyncio
+import contextlib
+from unittest import mock
+
+import pytest
+
+from swiftstile import clocks
+from swiftstile import metrics
+from swiftstile.gateway import crash_detector
+from swiftstile.gateway import fingerprint
+from swiftstile.gateway import model
+from swiftstile.gateway import suspects
+from swiftstile.gateway import targets
+from swiftstile.gateway import unanswered
+from tests import gateway_builders as builders
+from tests import virtual_time
+
+_DIGEST = fingerprint.Digest(b"d" * 16)
+_OTHER = fingerprint.Digest(b"o" * 16)
+_LEFT = unanswered.ExchangeEnd.ABANDONED
+_BROKEN = unanswered.ExchangeEnd.BROKEN
+_TIMED_OUT = unanswered.ExchangeEnd.TIMED_OUT
+
+
+class _Vm:
+    """A detector, and what its upstream would answer to checks."""
+
+    def __init__(self, clock: virtual_time.Clock):
+        self.clock = clock
+        self.is_listening = True
+        self.is_silent = False
+        self.health_checks = 0
+        self.table = suspects.SuspectTable()
+        self.target_table = targets.TargetTable()
+        self.target = self.register(1)
+        self.detector = crash_detector.CrashDetector(
+            self.table,
+            self.target_table,
+            self._answers,
+            self._refuses,
+            self._reaches_another,
+            metrics.Meters(),
+        )
+
+    @property
+    def address(self) -> str:
+        return self.target.upstream.address
+
+    @property
+    def crashes(self) -> int:
+        return self.table.crashes(_DIGEST)
+
+    def register(
+        self,
+        run: int,
+        state: model.UpstreamState = model.UpstreamState.READY,
+    ) -> targets.Target:
+        row = builders.upstream(started_ms=run, state=state)
+        return self.target_table.put(row, self.clock.now)
+
+    def restart(self, run: int) -> None:
+        self.register(run)
+        self.detector.on_registrations(self.clock.now)
+
+    def send(
+        self,
+        how: unanswered.ExchangeEnd,
+        digest: fingerprint.Digest = _DIGEST,
+        lasted_s: float = 0.1,
+    ) -> None:
+        """Sends a request whose exchange ends now without an answer."""
+        exchange = self.detector.begin(self.target, self.clock.now - lasted_s)
+        self.detector.record_end(exchange, digest, how, self.clock.now)
+
+    def receive(self, opened_ago_s: float) -> None:
+        now = self.clock.now
+        self.detector.on_received(self.address, now - opened_ago_s, now)
+
+    async def _answers(self, address: str) -> bool:
+        self.health_checks += 1
+        if self.is_listening and not self.is_silent:
+            self.receive(0.0)
+            return True
+        return False
+
+    async def _refuses(self, address: str) -> bool:
+        await asyncio.sleep(0.03)
+        return not self.is_listening
+
+    async def _reaches_another(self, address: str) -> bool:
+        return True
+
+
+def _run(scenario) -> None:
+    clock = virtual_time.Clock()
+    loop = virtual_time.Loop(clock)
+
+    async def run() -> None:
+        await scenario(_Vm(clock))
+
+    with (
+        mock.patch.object(clocks, "monotonic", lambda: clock.now),
+        contextlib.closing(loop),
+    ):
+        loop.run_until_complete(run())
+
+
+def test_a_crash_counts_though_the_caller_leaves_during_the_check():
+    async def scenario(vm: _Vm) -> None:
+        vm.is_listening = False
+        vm.send(_BROKEN)
+
+        async def wait_for_check() -> None:
+            await asyncio.shield(vm.detector.check(vm.target, vm.clock.now))
+
+        waiting = asyncio.create_task(wait_for_check())
+        await asyncio.sleep(0.01)
+        waiting.cancel()
+        await asyncio.sleep(0.1)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_a_closed_unused_connection_counts_for_callers_who_left():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_LEFT)
+        await asyncio.sleep(0.2)
+        vm.is_listening = False
+        vm.detector.on_closed(vm.address, vm.clock.now)
+        await asyncio.sleep(0.1)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_a_refused_connection_counts_for_callers_who_left():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_LEFT)
+        await asyncio.sleep(0.2)
+        vm.is_listening = False
+        vm.detector.on_unreachable(vm.target)
+        await asyncio.sleep(0.1)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_a_closed_connection_of_an_upstream_that_listens_counts_nothing():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_LEFT)
+        vm.detector.on_closed(vm.address, vm.clock.now)
+        await asyncio.sleep(0.1)
+        assert vm.crashes == 0
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("how", [_LEFT, _TIMED_OUT, _BROKEN])
+def test_a_new_run_shows_that_a_silent_upstream_crashed(how):
+    async def scenario(vm: _Vm) -> None:
+        vm.send(how)
+        await asyncio.sleep(3.0)
+        vm.restart(2)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_a_removed_upstream_crashed_unless_it_was_leaving():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_TIMED_OUT)
+        vm.target_table.mark_unregistered(vm.target.id, vm.clock.now)
+        vm.detector.on_registrations(vm.clock.now)
+        # Requests sent just before may have reached a later process.
+        await asyncio.sleep(unanswered.REGISTRATION_LAG_S)
+        vm.detector.on_registrations(vm.clock.now)
+        assert vm.crashes == 1
+
+    async def planned(vm: _Vm) -> None:
+        vm.send(_TIMED_OUT)
+        vm.register(1, model.UpstreamState.DRAINING)
+        await asyncio.sleep(2.0)
+        vm.target_table.mark_unregistered(vm.target.id, vm.clock.now)
+        vm.detector.on_registrations(vm.clock.now)
+        assert vm.crashes == 0
+
+    _run(scenario)
+    _run(planned)
+
+
+def test_an_exchange_in_progress_at_a_restart_counts_when_it_ends():
+    async def scenario(vm: _Vm) -> None:
+        exchange = vm.detector.begin(vm.target, vm.clock.now)
+        await asyncio.sleep(3.0)
+        vm.restart(2)
+        assert vm.crashes == 0
+        vm.detector.record_end(exchange, _DIGEST, _TIMED_OUT, vm.clock.now)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_the_report_of_another_vm_counts_for_callers_who_left():
+    async def scenario(vm: _Vm) -> None:
+        other = _Vm(vm.clock)
+        other.is_listening = False
+        vm.send(_LEFT)
+        other.send(_BROKEN, _OTHER)
+        other.detector.check(other.target, vm.clock.now)
+        await asyncio.sleep(0.1)
+        reported = other.table.report(vm.clock.now)
+        vm.detector.on_reported(reported, vm.clock.now)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_data_on_an_older_connection_shows_that_an_upstream_lives():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_LEFT)
+        await asyncio.sleep(1.0)
+        vm.receive(opened_ago_s=5.0)
+        vm.restart(2)
+        assert vm.crashes == 0
+
+    _run(scenario)
+
+
+def test_data_on_a_later_connection_may_be_from_the_next_run():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_LEFT)
+        await asyncio.sleep(2.5)
+        vm.receive(opened_ago_s=0.1)
+        await asyncio.sleep(0.5)
+        vm.restart(2)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_an_upstream_lives_if_it_serves_and_no_restart_becomes_known():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_LEFT)
+        await asyncio.sleep(1.0)
+        vm.receive(opened_ago_s=0.1)
+        await asyncio.sleep(unanswered.REGISTRATION_LAG_S + 0.1)
+        vm.restart(2)
+        assert vm.crashes == 0
+
+    _run(scenario)
+
+
+def test_requests_to_an_upstream_that_had_fallen_silent_are_no_suspects():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_TIMED_OUT, _OTHER, lasted_s=2.0)
+        vm.send(_TIMED_OUT, _DIGEST, lasted_s=0.5)
+        await asyncio.sleep(3.0)
+        vm.restart(2)
+        assert vm.table.crashes(_OTHER) == 1
+        assert vm.crashes == 0
+
+    _run(scenario)
+
+
+def test_one_exchange_counts_for_one_crash():
+    async def scenario(vm: _Vm) -> None:
+        vm.is_listening = False
+        vm.send(_BROKEN)
+        vm.detector.check(vm.target, vm.clock.now)
+        await asyncio.sleep(2.0)
+        vm.is_listening = True
+        vm.restart(2)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_only_repeated_requests_without_an_answer_are_followed_up():
+    async def scenario(vm: _Vm) -> None:
+        vm.send(_LEFT)
+        await asyncio.sleep(1.0)
+        assert vm.health_checks == 0
+        vm.send(_LEFT)
+        await asyncio.sleep(1.0)
+        assert vm.health_checks == 1
+
+    _run(scenario)
+
+
+def test_follow_ups_find_crashes_after_the_caller_left():
+    async def scenario(vm: _Vm) -> None:
+        for run in (1, 2):
+            vm.send(_LEFT)
+            await asyncio.sleep(0.2)
+            vm.is_listening = run == 1
+        await asyncio.sleep(0.5)
+        assert vm.crashes == 1
+
+    _run(scenario)
+
+
+def test_exchanges_without_an_answer_are_bounded():
+    async def scenario(vm: _Vm) -> None:
+        for number in range(3 * unanswered.MAX_ENDED):
+            digest = fingerprint.Digest(number.to_bytes(16, "big"))
+            vm.send(_LEFT, digest)
+        await asyncio.sleep(3.0)
+        vm.restart(2)
+        assert len(vm.table) <= suspects.MAX_SUSPECTS + 1
+
+    exchanges = unanswered.UnansweredExchanges(lambda *_: None)
+    target = builders.target_table(builders.upstream()).by_id["u-1"]
+    for _ in range(3 * unanswered.MAX_ENDED):
+        exchange = exchanges.begin(target, 1.0)
+        exchanges.end(exchange, _DIGEST, _LEFT, 2.0)
+    assert len(exchanges) == unanswered.MAX_ENDED
+    _run(scenario)
