A VM that answered a request contradicts suspicions it learns one by one

Callers whose request had been answered were refused as crashing upstreams.

Cause: a VM that answered a request clears each crash that it is told of. It reports a suspect only if it is serious, that is, was ever a suspect of two crashes at the same time; a VM that cleared the first crash before it heard of the second never reported its answer, so that the others found a cause in what they knew. Evidence: in a history without a network one VM cleared the same request 15 times in 2.5 s and no report of it had answered_ms.

The number of crashes that the other VM reports decides now whether the answer is worth a report. The test failed before (4 crashes instead of none).

--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -467,8 +467,12 @@
                     | self._recently_outlived(report.digest, now)
                 )
             if suspect.by_crash and report.digest in self._answered:
-                # The other VMs don't know that it was answered here.
+                # The other VMs don't know that it was answered here. What they
+                # suspect decides whether they need to.
                 changed |= suspect.record_response(now)
+                suspect.max_crashes = max(
+                    suspect.max_crashes, len(report.crashes)
+                )
             if changed:
                 suspect.changed_at = now
                 has_changed = True
--- a/tests/unit/test_gateway_suspects.py
+++ b/tests/unit/test_gateway_suspects.py
@@ -233,6 +233,17 @@
     assert _verdict(other, "good") is _PASS
 
 
+def test_vm_that_clears_each_crash_at_once_contradicts_those_who_do_not():
+    answered, other = suspects.SuspectTable(), suspects.SuspectTable()
+    answered.record_response(_digest("good"), _NOW - 50)
+    for number in range(4):
+        at = _NOW + number
+        other.record_crash(_digest("good"), _crash_id(number), 0.1, at)
+        answered.receive(other.report(at), at)
+    other.receive(answered.report(_NOW + 3.1), _NOW + 3.1)
+    assert other.crashes(_digest("good")) == 0
+
+
 def test_cause_is_rejected_only_after_the_contradiction_period():
     table = _make_table({"bad": [0, 1, 2]})
     soon = _NOW + 2 + suspects.CONTRADICTION_PERIOD_S
