One crash counts once, and late or simultaneous evidence weighs less

Causes: a crash whose time isn't known got the time of the request, so that another attempt of the same request at the same run, sent later, counted as a second crash; an abandoned exchange was taken for the cause of an end that was found seconds later; the loss of a failure domain counted once for each of its upstreams; five crashes within a second left no time for what speaks against them; and what upstreams had outlived before the first crash was forgotten.

A crash of unknown time is dated when it was found, its order among requests is kept apart. An abandoned exchange is a suspect for 1 s until the upstream is found gone and for 5 s until its new run is known, longer only if a health check went unanswered. Three abandoned exchanges that end together count as one crash. Five crashes are enough 2 s after the first.

The soak gets callers whose requests crash servers; it fails if an ordinary request is refused for it.

--- a/src/swiftstile/gateway/causes.py
+++ b/src/swiftstile/gateway/causes.py
@@ -90,7 +90,7 @@
     """
     found: list[fingerprint.Digest] = []
     while True:
-        best = _likeliest(sent, against, found)
+        best = _likeliest(sent, against, _unexplained(sent, found))
         if best is None:
             return found
         found.append(best)
@@ -99,18 +99,9 @@
 def _likeliest(
     sent: TimesToCrash,
     against: collections.abc.Mapping[fingerprint.Digest, Counterevidence],
-    found: list[fingerprint.Digest],
+    unexplained: TimesToCrash,
 ) -> fingerprint.Digest | None:
-    """Returns the likeliest cause apart from those already found."""
-    unexplained = {
-        digest: {
-            crash: sent_s
-            for crash, sent_s in crashes.items()
-            if not _is_explained(crash, sent_s, sent, found)
-        }
-        for digest, crashes in sent.items()
-        if digest not in found
-    }
+    """Returns the likeliest cause by unexplained crashes, if there is one."""
     best, best_weight = None, float("-inf")
     for digest, ranks in _ranks(unexplained).items():
         doubts = against.get(digest, Counterevidence())
@@ -142,11 +133,26 @@
     )
 
 
+def _unexplained(
+    sent: TimesToCrash, found: collections.abc.Collection[fingerprint.Digest]
+) -> TimesToCrash:
+    """Returns the crashes of other suspects that known causes don't explain."""
+    return {
+        digest: {
+            crash: sent_s
+            for crash, sent_s in crashes.items()
+            if not _is_explained(crash, sent_s, sent, found)
+        }
+        for digest, crashes in sent.items()
+        if digest not in found
+    }
+
+
 def _is_explained(
     crash: CrashId,
     sent_s: float,
     sent: TimesToCrash,
-    found: list[fingerprint.Digest],
+    found: collections.abc.Collection[fingerprint.Digest],
 ) -> bool:
     """Whether a known cause was sent after the request, before the crash."""
     return any(
--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -24,6 +24,9 @@
 # A request that isn't answered again and again is followed up this long after
 # an exchange, as it may crash the upstream only after its caller has left.
 FOLLOW_UP_S = unanswered.AFTEREFFECT_S + 0.05
+# Older reports don't tell of the run that a VM knows: an upstream that was
+# taken for crashed may have gone on.
+MAX_REPORT_AGE_S = 1.0
 # Maximum follow-ups that wait at the same time.
 MAX_FOLLOW_UPS = 32
 
@@ -137,8 +140,10 @@
         if exchange not in self._exchanges or exchange.served_at is not None:
             return
         # The answer, if any, is noted like other data.
-        if not await self._answers(exchange.target.upstream.address):
-            await self.check(exchange.target, None)
+        if await self._answers(exchange.target.upstream.address):
+            return
+        if not await self.check(exchange.target, None):
+            exchange.is_unresponsive = True
 
     def on_unreachable(self, target: targets.Target) -> None:
         """Called when no connection to an upstream could be opened."""
@@ -166,17 +171,18 @@
         ended_targets = self._exchanges.ended_targets()
         if not ended_targets:
             return
-        age_ms_by_crash = {
-            crash: age_ms
+        age_s_by_crash = {
+            crash: age_ms / 1000
             for report in reported
             for crash, (age_ms, _) in report.crashes.items()
+            if age_ms <= MAX_REPORT_AGE_S * 1000
         }
         for target in ended_targets:
             started_ms = target.upstream.started_ms
             crash = causes.crash_id(target.id, started_ms)
-            if crash in age_ms_by_crash:
-                at = now - age_ms_by_crash[crash] / 1000
-                self._attribute(target, unanswered.Evidence.REPORTED, now, at)
+            if crash in age_s_by_crash:
+                found_at = now - age_s_by_crash[crash]
+                self._attribute(target, unanswered.Evidence.REPORTED, found_at)
 
     def check(
         self, target: targets.Target, at: float | None
@@ -240,7 +246,7 @@
         Args:
             target: The upstream.
             evidence: What shows that it has ended.
-            now: The time.
+            now: When that was found.
             at: When it ended, if known.
         """
         end = unanswered.EndOfRun(
@@ -248,7 +254,7 @@
         )
         attribution = self._exchanges.settle(end)
         for exchange in attribution.suspects:
-            self._record_suspect(exchange, evidence, attribution.at, now)
+            self._record_suspect(exchange, end, attribution.stopped_at)
         for exchange in attribution.others:
             self._log_uncounted(exchange, "sent after the crash")
 
@@ -263,18 +269,17 @@
     def _record_suspect(
         self,
         exchange: unanswered.Exchange,
-        evidence: unanswered.Evidence,
-        at: float,
-        now: float,
+        end: unanswered.EndOfRun,
+        stopped_at: float,
     ) -> None:
         digest, table = exchange.digest, self._suspect_table
         crash = causes.crash_id(exchange.target.id, exchange.started_ms)
         counted = table.record_crash(
             digest,
             crash,
-            at - exchange.sent_at,
-            at,
-            now,
+            stopped_at - exchange.sent_at,
+            end.at or end.found_at,
+            exchange.sent_at,
             exchange.how is unanswered.ExchangeEnd.ABANDONED,
         )
         self._meters.crashes.add("suspected" if counted else "known-crash")
@@ -284,9 +289,9 @@
             upstream=exchange.target.id,
             started_ms=exchange.started_ms,
             ended=exchange.how.value,
-            evidence=evidence.value,
-            sent_ms=clocks.milliseconds(at - exchange.sent_at),
-            found_ms=clocks.milliseconds(now - at),
+            evidence=end.evidence.value,
+            sent_ms=clocks.milliseconds(stopped_at - exchange.sent_at),
+            found_ms=clocks.milliseconds(end.found_at - stopped_at),
             is_counted=counted,
             crashes=table.crashes(digest),
             weight=round(table.weight(digest), 2),
--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -24,8 +24,8 @@
 # A suspect of this many crashes isn't resent within the same attempt.
 CRASHES_TO_STOP_RESENDS = 2
 # A cause is rejected only this long after it was identified, so that a VM that
-# answered it recently has time to report this. There is no such delay after
-# causes.CERTAIN_CRASHES.
+# answered it recently has time to report this. After causes.CERTAIN_CRASHES the
+# delay is counted from the first of them.
 CONTRADICTION_PERIOD_S = 2.0
 # The same for a suspect of more crashes than it takes to be a cause.
 SHORT_CONTRADICTION_PERIOD_S = 1.0
@@ -40,6 +40,8 @@
 WEAK_SUSPECT_TTL_S = 60.0
 # Maximum answered requests that are remembered.
 MAX_ANSWERED = 4096
+# So many upstreams that end within this time may have a common cause.
+MIN_SIMULTANEOUS, SIMULTANEOUS_S = 3, 0.3
 # Maximum requests whose outlived exchanges are remembered, and for how long
 # after the last one.
 MAX_OUTLIVED, OUTLIVED_TTL_S = 1024, 30.0
@@ -103,7 +105,7 @@
     """A crash during which a request was in progress.
 
     Attributes:
-        at: Time of the crash, on the monotonic clock.
+        at: Time of the crash, or when it was found, on the monotonic clock.
         sent_s: Time from sending the request to the crash, in seconds.
         is_abandoned: Whether the caller had left before.
     """
@@ -124,6 +126,7 @@
         "max_crashes",
         "outlived",
         "probed_at",
+        "suspected_since",
     )
 
     def __init__(self, now: float):
@@ -137,6 +140,8 @@
         self.outlived = 0
         self.changed_at = now
         self.probed_at = float("-inf")
+        # Time of its first crash since it was last cleared.
+        self.suspected_since = now
 
     @property
     def last_event_at(self) -> float:
@@ -162,6 +167,29 @@
             FIRST_QUARANTINE_S if is_new else QUARANTINE_S
         )
 
+    @property
+    def independent_crashes(self) -> dict[causes.CrashId, _Crash]:
+        """Its crashes without those that probably had a common cause.
+
+        Several upstreams that are found to have ended at the same time, all
+        after the caller had left, are most likely those of one machine or
+        failure domain.
+        """
+        groups: list[list[causes.CrashId]] = []
+        began_at = float("-inf")
+        for name in sorted(self.by_crash, key=self.by_crash.get):
+            if self.by_crash[name].at - began_at >= SIMULTANEOUS_S:
+                groups.append([])
+                began_at = self.by_crash[name].at
+            groups[-1].append(name)
+        independent: list[causes.CrashId] = []
+        for group in groups:
+            is_common = len(group) >= MIN_SIMULTANEOUS and all(
+                self.by_crash[name].is_abandoned for name in group
+            )
+            independent += group[:1] if is_common else group
+        return {name: self.by_crash[name] for name in independent}
+
     @property
     def counterevidence(self) -> causes.Counterevidence:
         """What speaks against it, or makes its crashes doubtful."""
@@ -178,9 +206,9 @@
         """Whether it is a cause and the time to contradict is over."""
         if self.cause_since is None:
             return False
-        count = len(self.by_crash)
+        count = len(self.independent_crashes)
         if count >= causes.CERTAIN_CRASHES:
-            return True
+            return now - self.suspected_since >= CONTRADICTION_PERIOD_S
         period_s = CONTRADICTION_PERIOD_S
         if count > causes.MIN_CRASHES:
             period_s = SHORT_CONTRADICTION_PERIOD_S
@@ -190,6 +218,8 @@
         """Adds a crash; returns whether that changed anything."""
         if crash.at <= self.answered_at or name in self.by_crash:
             return False
+        if not self.by_crash:
+            self.suspected_since = crash.at
         if len(self.by_crash) >= MAX_CRASHES_PER_SUSPECT:
             oldest = min(self.by_crash, key=self.by_crash.get)
             del self.by_crash[oldest]
@@ -265,8 +295,8 @@
         digest: fingerprint.Digest,
         crash: causes.CrashId,
         sent_s: float,
-        at: float,
-        now: float | None = None,
+        now: float,
+        sent_at: float | None = None,
         is_abandoned: bool = False,
     ) -> bool:
         """Records that an upstream crashed while it had a request.
@@ -274,9 +304,10 @@
         Args:
             digest: The request.
             crash: The crash.
-            sent_s: Time from sending the request to the crash, in seconds.
-            at: Time of the crash.
-            now: The current time; `at` if left out.
+            sent_s: Time from sending the request to the crash, in seconds, as
+                far as known.
+            now: Time of the crash, or when it was found if that isn't known.
+            sent_at: When the request was sent; by `sent_s` if left out.
             is_abandoned: Whether the caller had left before.
 
         Returns:
@@ -284,12 +315,12 @@
         """
         if digest in self._answered:
             return False
-        now = at if now is None else now
-        crash = self._distinct_crash(crash, at - sent_s)
+        sent_at = now - sent_s if sent_at is None else sent_at
+        crash = self._distinct_crash(crash, sent_at)
         suspect = self._by_digest.get(digest)
         if suspect is None:
             suspect = self._by_digest[digest] = _Suspect(now)
-        if not suspect.add_crash(crash, _Crash(at, sent_s, is_abandoned)):
+        if not suspect.add_crash(crash, _Crash(now, sent_s, is_abandoned)):
             return False
         suspect.merge_outlived(self._recently_outlived(digest, now))
         suspect.changed_at = now
@@ -501,7 +532,8 @@
         """Returns the crashes of the suspects of several."""
         return {
             digest: {
-                name: crash.sent_s for name, crash in suspect.by_crash.items()
+                name: crash.sent_s
+                for name, crash in suspect.independent_crashes.items()
             }
             for digest, suspect in self._by_digest.items()
             if len(suspect.by_crash) >= CRASHES_TO_STOP_RESENDS
--- a/src/swiftstile/gateway/unanswered.py
+++ b/src/swiftstile/gateway/unanswered.py
@@ -37,6 +37,10 @@
 # A request that was sent within this time before a new run became known may
 # have been sent to it.
 REGISTRATION_LAG_S = 1.5
+# How long after its caller left a request may be taken for the cause of an end
+# that was found out later: until another request finds the upstream gone, or
+# until it is back and registered.
+MAX_REFUSED_DELAY_S, MAX_REGISTERED_DELAY_S = 1.0, 5.0
 # How long the fate of an exchange may remain unknown: until the registration of
 # the upstream's next run arrives, also in most outages of the store.
 RETENTION_S = 15.0
@@ -60,9 +64,10 @@
 
     # The time is known.
     BROKEN = "connection-broken"
-    REPORTED = "reported-by-a-vm"
-    # It isn't; no later process is listening yet, or one may be.
+    # It isn't, but no later process is listening yet.
     REFUSED = "connection-refused"
+    REPORTED = "reported-by-a-vm"
+    # It isn't, and one may be.
     REGISTERED = "registration"
 
 
@@ -88,9 +93,9 @@
         """Latest time at which the process may have got a request."""
         if self.at is not None:
             return self.at
-        if self.evidence is Evidence.REFUSED:
-            return self.found_at
-        return self.found_at - REGISTRATION_LAG_S
+        if self.evidence is Evidence.REGISTERED:
+            return self.found_at - REGISTRATION_LAG_S
+        return self.found_at
 
 
 class Attribution(typing.NamedTuple):
@@ -99,12 +104,12 @@
     Attributes:
         suspects: Those whose requests may have ended it.
         others: Those whose requests were sent to it later.
-        at: Estimated time at which it stopped working.
+        stopped_at: Estimated time at which it stopped working.
     """
 
     suspects: list["Exchange"]
     others: list["Exchange"]
-    at: float
+    stopped_at: float
 
 
 def how_ended(error: outcomes.GatewayError) -> ExchangeEnd | None:
@@ -135,6 +140,8 @@
             to have lived.
         served_at: When its address first delivered data after the exchange had
             no effect any more; None if it didn't.
+        is_unresponsive: Whether the upstream didn't answer a health check after
+            the exchange, but could be reached.
         is_run_uncertain: Whether the upstream restarted about when the request
             was sent, so that it may have been sent to either run or to none.
         is_run_ended: Whether that process has ended while it is in progress.
@@ -147,6 +154,7 @@
         "how",
         "is_run_ended",
         "is_run_uncertain",
+        "is_unresponsive",
         "sent_at",
         "served_at",
         "started_ms",
@@ -163,6 +171,7 @@
         self.alive_at = float("-inf")
         self.served_at: float | None = None
         self.is_run_ended = self.is_run_uncertain = False
+        self.is_unresponsive = False
 
     def record_data(self, opened_at: float, now: float) -> None:
         """Records that its address delivered data.
@@ -307,12 +316,13 @@
             if exchange.target is end.target
         ]
         earlier = []
+        is_gone = end.evidence is not Evidence.REGISTERED
         for exchange in exchanges:
             if exchange.is_outlived(end.found_at):
                 self.discard(exchange)
                 self._on_outlived(exchange, end.found_at)
                 continue
-            if end.at is not None and exchange.served_at is not None:
+            if is_gone and exchange.served_at is not None:
                 # It outlived the request, or ended before; then the
                 # registration of the run between will tell.
                 continue
@@ -365,17 +375,36 @@
     )
     suspects, others = [], []
     for one in ended:
-        if one.is_run_uncertain:
-            is_plausible = one.shows_life
+        if _is_too_late(one, end):
+            is_plausible = False
+        elif one.is_run_uncertain:
+            is_plausible = end.at is not None or one.shows_life
         else:
             is_plausible = one.sent_at <= onset + ONSET_S
         is_suspect = one.how is ExchangeEnd.BROKEN or is_plausible
         (suspects if is_suspect else others).append(one)
-    at = end.at
-    if at is None or any(one.how is ExchangeEnd.TIMED_OUT for one in suspects):
+    stopped_at = end.at
+    if end.at is None or any(
+        one.how is ExchangeEnd.TIMED_OUT for one in suspects
+    ):
         # It had stopped answering before.
-        at = max(
+        stopped_at = max(
             (max(one.sent_at, one.alive_at) for one in suspects),
             default=end.found_at,
         )
-    return Attribution(suspects, others, at)
+    return Attribution(suspects, others, stopped_at)
+
+
+def _is_too_late(exchange: Exchange, end: EndOfRun) -> bool:
+    """Whether too much time is between an abandoned exchange and an end.
+
+    The upstream may have ended at any time since.
+    """
+    if exchange.how is not ExchangeEnd.ABANDONED or exchange.is_unresponsive:
+        return False
+    if end.at is not None:
+        return exchange.ended_at < end.at - AFTEREFFECT_S
+    delay_s = MAX_REFUSED_DELAY_S
+    if end.evidence is Evidence.REGISTERED:
+        delay_s = MAX_REGISTERED_DELAY_S
+    return exchange.ended_at < end.found_at - delay_s
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -126,6 +126,8 @@
     # Seconds until the answer, or until the caller gave up.
     took_s: float = 0.0
     retry_after_s: float = 0.0
+    # Whether the request crashes servers.
+    is_crashing: bool = False
 
 
 class Callers:
@@ -168,6 +170,7 @@
             "X-Shard-Key": str(key),
         }
         outcome = Outcome(attempt, method, 0, b"", attempt)
+        outcome.is_crashing = "/crash-" in path
         self._note_send(attempt, gateway)
         try:
             async with self._session.request(
--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -7,7 +7,8 @@
 servers, or drops one direction; VMs lose their links to all servers; the store
 refuses VMs, loses answers, applies writes late, drops its history and returns
 from older copies; servers crash, leave, join, restart under the same id and
-don't answer grants; servers state rate limits, announce their exit in answers
+don't answer grants; callers repeat requests that crash servers or make them
+fall silent, and may leave before; servers state rate limits, announce their exit in answers
 or ask for pauses; callers pipeline. The checks use only what callers
 and servers observe.
 """
@@ -25,6 +26,7 @@
 from tests.integration import gateways
 from tests.integration import link_cuts
 from tests.integration import statement_checks
+from tests.integration import users_standins
 
 # Time between two faults, in seconds: short enough that they overlap.
 _INTERVAL_S = (0.2, 2.0)
@@ -201,6 +203,7 @@
                 self._ask_for_pause,
                 self._cut_links,
                 self._return_store,
+                self._crash_by_requests,
             ]
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
@@ -409,6 +412,27 @@
         await asyncio.sleep(self._random.uniform(0.2, 2.0))
         store.write_again()
 
+    async def _crash_by_requests(self, duration_s: float) -> None:
+        """Repeats a request that crashes servers, as one caller."""
+        cluster = self._site.cluster
+        path = f"/write/crash-{len(cluster.crashing_paths)}"
+        kind = self._random.choice(list(users_standins.CrashKind))
+        leaves_after_s = self._random.choice((None, 0.1, 0.3))
+        self._record(
+            f"{path} {kind.value} for {2 * duration_s:.1f},"
+            f" caller leaves after {leaves_after_s}"
+        )
+        cluster.crashing_paths.add(path)
+        cluster.crash_plan = users_standins.CrashPlan(kind, (0.05, 0.4))
+        end = asyncio.get_running_loop().time() + 2 * duration_s
+        while asyncio.get_running_loop().time() < end:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(leaves_after_s):
+                    await self._site.callers.call(path)
+            await asyncio.sleep(0.4)
+        begun = len(cluster.begun_by_path.get(path, ()))
+        self._record(f"{path} began {begun} times")
+
     async def _pipeline(self, duration_s: float) -> None:
         self._record(f"callers pipeline for {duration_s:.1f}")
         loop = asyncio.get_running_loop()
@@ -454,6 +478,7 @@
         except TimeoutError:
             violations.append(f"not all keys are served after {_RECOVERY_S} s")
         violations += site.violated_guarantees()
+        violations += _wrongly_refused(site)
         for proxy in site.proxies:
             proxy.close()
     (folder / "history").write_text("\n".join(soak.history))
@@ -462,6 +487,15 @@
     return sorted(set(violations))
 
 
+def _wrongly_refused(site: gateways.Site) -> list[str]:
+    """Returns ordinary requests that were refused as crashing servers."""
+    return [
+        f"{outcome.attempt} refused as crashing servers"
+        for outcome in site.callers.outcomes
+        if b"crashes-upstreams" in outcome.body and not outcome.is_crashing
+    ]
+
+
 def _seeds(text: str) -> range:
     first, _, last = text.partition("-")
     return range(int(first), int(last or first) + 1)
--- a/tests/unit/test_gateway_stale.py
+++ b/tests/unit/test_gateway_stale.py
@@ -179,6 +179,7 @@
         store=_follower(),
         operations=operations,
         guard=_Guard(),
+        detector=None,
         links=upstream_links.UpstreamLinks(),
         forwarder=None,
         meters=metrics.Meters(),
--- a/tests/unit/test_gateway_suspects.py
+++ b/tests/unit/test_gateway_suspects.py
@@ -388,10 +388,23 @@
     assert simulation.crashes_after_limit(3.0) <= 3
 
 
-def _count_rejections(count: int = 40) -> tuple[int, int]:
+# Upstreams crash all the time.
+_MANY_CRASHES = {"crashers": 3, "crashes_per_s": 0.15, "has_owners": True}
+# All crashes have causes, and most ordinary requests are rare.
+_FEW_UPSTREAMS_AND_CAUSES = {
+    "upstreams": 4,
+    "crashes_per_s": 0.0,
+    "per_s": 40.0,
+    "ordinary": 20,
+}
+
+
+def _count_rejections(
+    count: int = 40, changes: dict[str, object] | None = None
+) -> tuple[int, int]:
     """Returns how many histories reject ordinary requests.
 
-    Upstreams crash all the time. Counts the histories in which a request was
+    Counts the histories in which a request was
     rejected although some VM had answered it, and those in which a request was
     rejected that no VM had answered.
     """
@@ -399,11 +412,7 @@
     for seed in range(count):
         simulation = crash_simulation.Simulation(
             crash_simulation.Scenario(
-                seed=seed,
-                vms=3,
-                crashers=3,
-                crashes_per_s=0.15,
-                has_owners=True,
+                seed=seed, vms=3, **(changes or _MANY_CRASHES)
             )
         )
         simulation.run()
@@ -431,12 +440,16 @@
 
 
 def test_more_requests_are_rejected_without_send_order(monkeypatch):
-    def weights(sent):
-        return {digest: len(crashes) for digest, crashes in sent.items()}
-
-    rejected = sum(_count_rejections(120))
-    monkeypatch.setattr(causes, "weights", weights)
-    assert sum(_count_rejections(120)) > rejected
+    def ranks(sent):
+        return {
+            digest: dict.fromkeys(crashes, 1)
+            for digest, crashes in sent.items()
+        }
+
+    rejected = sum(_count_rejections(120, _FEW_UPSTREAMS_AND_CAUSES))
+    monkeypatch.setattr(causes, "_ranks", ranks)
+    without_order = _count_rejections(120, _FEW_UPSTREAMS_AND_CAUSES)
+    assert sum(without_order) > rejected
 
 
 def test_more_requests_are_rejected_with_lower_crash_thresholds(monkeypatch):
