Exchanges are dropped when a request fails otherwise, and by their own address

An upstream that registered another address in the same run made its ended exchanges undroppable, as they were looked up by the new one.

--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -238,7 +238,11 @@
         if incoming.origin is not None:
             forward_headers.mark_answered(upstream_response.headers)
         if upstream_response.body is None:
-            await incoming.wait_for_turn()
+            try:
+                await incoming.wait_for_turn()
+            except asyncio.CancelledError:
+                upstream_response.finish(False)
+                raise
             return await exchange.stream_response(request, upstream_response)
         response = web_response.Response(
             status=upstream_response.status, body=upstream_response.body
@@ -376,6 +380,9 @@
                     trace,
                 )
                 raise
+            except Exception:
+                self._crash_detector.discard(sending)
+                raise
             else:
                 self._retries.note_accepted(waiter, state, clocks.monotonic())
                 self._record_response(
--- a/src/swiftstile/gateway/unanswered.py
+++ b/src/swiftstile/gateway/unanswered.py
@@ -131,6 +131,7 @@
 
     Attributes:
         target: The upstream.
+        address: Its address when the request was sent.
         started_ms: Start of its run, as registered when the request was sent.
         sent_at: When the request was sent.
         digest: The request; None while the exchange is in progress.
@@ -148,6 +149,7 @@
     """
 
     __slots__ = (
+        "address",
         "alive_at",
         "digest",
         "ended_at",
@@ -163,6 +165,7 @@
 
     def __init__(self, target: targets.Target, now: float):
         self.target = target
+        self.address = target.upstream.address
         self.started_ms = target.upstream.started_ms
         self.sent_at = now
         self.digest: fingerprint.Digest | None = None
@@ -235,18 +238,16 @@
     def begin(self, target: targets.Target, now: float) -> Exchange:
         """Returns a new exchange, whose request is about to be sent."""
         exchange = Exchange(target, now)
-        address = target.upstream.address
-        self._by_address.setdefault(address, {})[exchange] = None
+        self._by_address.setdefault(exchange.address, {})[exchange] = None
         return exchange
 
     def discard(self, exchange: Exchange) -> None:
         """Drops an exchange that was answered, or whose request didn't run."""
         self._ended.pop(exchange, None)
-        address = exchange.target.upstream.address
-        exchanges = self._by_address.get(address, {})
+        exchanges = self._by_address.get(exchange.address, {})
         exchanges.pop(exchange, None)
         if not exchanges:
-            self._by_address.pop(address, None)
+            self._by_address.pop(exchange.address, None)
 
     def end(
         self,
