--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -80,14 +80,15 @@
         answered_ms: Age of its last response; None if it wasn't answered.
         outlived: Sketch of the times that upstreams outlived it since its first
             crash (`event_sketch`).
-        abandoned: Those of the crashes that came after its caller had left.
+        abandoned: Which of the crashes came after its caller had left; a bit
+            for each, in their order.
     """
 
     digest: fingerprint.Digest
     crashes: dict[causes.CrashId, tuple[int, int]]
     answered_ms: int | None = None
     outlived: int = 0
-    abandoned: list[causes.CrashId] = msgspec.field(default_factory=list)
+    abandoned: int = 0
 
     @property
     def is_urgent(self) -> bool:
@@ -485,11 +486,11 @@
                 report.answered_ms is not None
                 and suspect.record_response(now - report.answered_ms / 1000)
             )
-            for name, (age_ms, sent_ms) in report.crashes.items():
+            for place, (name, ages) in enumerate(report.crashes.items()):
                 crash = _Crash(
-                    now - age_ms / 1000,
-                    sent_ms / 1000,
-                    name in report.abandoned,
+                    now - ages[0] / 1000,
+                    ages[1] / 1000,
+                    bool(report.abandoned >> place & 1),
                 )
                 changed |= suspect.add_crash(name, crash)
             if suspect.by_crash:
@@ -584,5 +585,8 @@
         },
         answered_ms,
         suspect.outlived,
-        sorted(suspect.counterevidence.abandoned),
+        sum(
+            crash.is_abandoned << place
+            for place, crash in enumerate(suspect.by_crash.values())
+        ),
     )
--- a/tests/unit/test_gateway_suspects.py
+++ b/tests/unit/test_gateway_suspects.py
@@ -303,6 +303,33 @@
     assert len(msgspec.msgpack.encode(table.report(_NOW + 12))) < 1500
 
 
+def test_report_size_is_bounded_with_all_counterevidence():
+    table = suspects.SuspectTable()
+    for digest in (_digest(f"bad-{number}") for number in range(40)):
+        for number in range(12):
+            table.record_crash(
+                digest, _crash_id(number), 0.1, _NOW, is_abandoned=True
+            )
+        for event in range(300):
+            table.record_outlived(digest, _NOW + event / 1000)
+    assert len(msgspec.msgpack.encode(table.report(_NOW + 1))) < 1500
+
+
+def test_report_tells_which_crashes_came_after_the_caller_left():
+    table, other = suspects.SuspectTable(), suspects.SuspectTable()
+    for number in range(4):
+        table.record_crash(
+            _digest("bad"),
+            _crash_id(number),
+            0.1,
+            _NOW + number,
+            is_abandoned=number in (1, 3),
+        )
+    other.receive(table.report(_NOW + 4), _NOW + 4)
+    suspect = other._by_digest[_digest("bad")]
+    assert suspect.counterevidence.abandoned == {_crash_id(1), _crash_id(3)}
+
+
 def test_repeated_and_late_reports_change_nothing():
     first, second = _make_table({"bad": [0, 1]}), suspects.SuspectTable()
     reported = first.report(_NOW + 5)
