--- a/src/swiftstile/gateway/unanswered.py
+++ b/src/swiftstile/gateway/unanswered.py
@@ -1,4 +1,4 @@
-"""Exchanges with upstreams that have no answer, until their fate is known.
+"""Exchanges with upstreams that have no answer, until their outcome is known.
 
 Pure decision code without I/O. A process of an upstream may end when nobody
 waits for it any more: the caller left, or the exchange timed out. An exchange
@@ -31,18 +31,18 @@
 # An upstream may still work on a request for some time after the exchange
 # ended, and crash. If it lives longer, it has outlived the request.
 AFTEREFFECT_S = 0.5
-# Requests that were sent longer after the first one without a sign of life were
-# sent to a process that had already ended.
+# Requests that were sent longer after the first one without proof that the
+# process lived were sent to one that had already ended.
 ONSET_S = 1.0
 # A request that was sent within this time before a new run became known may
 # have been sent to it.
 REGISTRATION_LAG_S = 1.5
 # How long after its caller left a request may be taken for the cause of an end
-# that was found out later: until another request finds the upstream gone, or
+# that was found out later: until another request finds the upstream down, or
 # until it is back and registered.
 MAX_REFUSED_DELAY_S, MAX_REGISTERED_DELAY_S = 1.0, 5.0
-# How long the fate of an exchange may remain unknown: until the registration of
-# the upstream's next run arrives, also in most outages of the store.
+# How long the outcome of an exchange may remain unknown: until the next run of
+# the upstream is registered, also in most outages of the store.
 RETENTION_S = 15.0
 # Maximum exchanges that are kept after their end, in total; the oldest are
 # dropped first.
@@ -206,13 +206,13 @@
         self.is_run_uncertain = True
 
     @property
-    def shows_life(self) -> bool:
+    def was_alive(self) -> bool:
         """Whether the process is known to have lived after the send."""
         return self.alive_at >= self.sent_at
 
 
 class UnansweredExchanges:
-    """Exchanges in progress, and ended ones whose fate is unknown.
+    """Exchanges in progress, and ended ones whose outcome is unknown.
 
     Args:
         on_outlived: Called with an exchange and the time when the upstream's
@@ -232,7 +232,7 @@
         return len(self._ended)
 
     def __contains__(self, exchange: Exchange) -> bool:
-        """Whether an exchange has ended and its fate is unknown."""
+        """Whether an exchange has ended and its outcome is unknown."""
         return exchange in self._ended
 
     def begin(self, target: targets.Target, now: float) -> Exchange:
@@ -263,7 +263,7 @@
             self.discard(next(iter(self._ended)))
 
     def is_repeated(self, digest: fingerprint.Digest) -> bool:
-        """Whether a request has several exchanges whose fate is unknown."""
+        """Whether a request has several exchanges whose outcome is unknown."""
         count = 0
         for exchange in self._ended:
             count += exchange.digest == digest
@@ -293,7 +293,7 @@
         )
 
     def ended_targets(self) -> set[targets.Target]:
-        """Returns the upstreams of ended exchanges whose fate is unknown."""
+        """Returns the upstreams of ended exchanges whose outcome is unknown."""
         return {exchange.target for exchange in self._ended}
 
     def all_targets(self) -> set[targets.Target]:
@@ -317,13 +317,13 @@
             if exchange.target is end.target
         ]
         earlier = []
-        is_gone = end.evidence is not Evidence.REGISTERED
+        is_down = end.evidence is not Evidence.REGISTERED
         for exchange in exchanges:
             if exchange.is_outlived(end.found_at):
                 self.discard(exchange)
                 self._on_outlived(exchange, end.found_at)
                 continue
-            if is_gone and exchange.served_at is not None:
+            if is_down and exchange.served_at is not None:
                 # It outlived the request, or ended before; then the
                 # registration of the run between will tell.
                 continue
@@ -370,7 +370,7 @@
         (
             one.sent_at
             for one in ended
-            if not one.shows_life and not one.is_run_uncertain
+            if not one.was_alive and not one.is_run_uncertain
         ),
         default=float("inf"),
     )
@@ -379,7 +379,7 @@
         if _is_too_late(one, end):
             is_plausible = False
         elif one.is_run_uncertain:
-            is_plausible = end.at is not None or one.shows_life
+            is_plausible = end.at is not None or one.was_alive
         else:
             is_plausible = one.sent_at <= onset + ONSET_S
         is_suspect = one.how is ExchangeEnd.BROKEN or is_plausible
--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -8,7 +8,7 @@
 refuses VMs, loses answers, applies writes late, drops its history and returns
 from older copies; servers crash, leave, join, restart under the same id and
 don't answer grants; callers repeat requests that crash servers or make them
-fall silent, and may leave before; servers state rate limits, announce their
+stop answering, and may leave before; servers state rate limits, announce their
 exit in answers or ask for pauses; callers pipeline. The checks use only what
 callers and servers observe.
 """
--- a/tests/integration/test_crashes_without_exchange.py
+++ b/tests/integration/test_crashes_without_exchange.py
@@ -1,7 +1,7 @@
 """Tests crashes of upstreams that no exchange shows to a VM.
 
 The caller closed its connection before the upstream crashed, or the upstream
-falls silent and its connections stay open. The request comes again all the
+stops answering and its connections stay open. The request comes again all the
 same, and must not go on crashing upstreams.
 """
 
@@ -43,8 +43,8 @@
 
 
 _LATE_EXIT = users_standins.CrashPlan(after_s=(0.05, 0.4))
-_LATE_SILENCE = users_standins.CrashPlan(
-    users_standins.CrashKind.FALLS_SILENT, (0.05, 0.4), 2.5
+_LATE_STOP = users_standins.CrashPlan(
+    users_standins.CrashKind.STOPS_ANSWERING, (0.05, 0.4), 2.5
 )
 _LEAVING = (0.05, 0.3)
 
@@ -166,12 +166,12 @@
     _run(tmp_path, Case(_LATE_EXIT, _LEAVING))
 
 
-def test_crash_of_an_upstream_that_falls_silent_is_counted(tmp_path):
-    _run(tmp_path, Case(_LATE_SILENCE))
+def test_crash_of_an_upstream_that_stops_answering_is_counted(tmp_path):
+    _run(tmp_path, Case(_LATE_STOP))
 
 
-def test_silence_after_the_caller_left_is_counted(tmp_path):
-    _run(tmp_path, Case(_LATE_SILENCE, _LEAVING))
+def test_end_of_answers_after_the_caller_left_is_counted(tmp_path):
+    _run(tmp_path, Case(_LATE_STOP, _LEAVING))
 
 
 def test_crash_of_an_upstream_that_is_back_at_once_is_counted(tmp_path):
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -232,7 +232,7 @@
     # Its process ends, and with it all connections.
     EXITS = "exits"
     # Connections stay open, and new ones are accepted; nothing is answered.
-    FALLS_SILENT = "falls-silent"
+    STOPS_ANSWERING = "stops-answering"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -338,8 +338,8 @@
             return
         for crashing in server.crashing:
             self.crashes_by_path.setdefault(crashing, []).append(_now())
-        if plan.kind is CrashKind.FALLS_SILENT:
-            server.is_silent = True
+        if plan.kind is CrashKind.STOPS_ANSWERING:
+            server.is_unresponsive = True
             await asyncio.sleep(plan.downtime_s)
             await server.restart(0.0)
         else:
@@ -375,7 +375,8 @@
             slots.
         backoff_s: If set, it rejects all requests and wants none of the same VM
             for so long.
-        is_silent: Whether it answers nothing, though connections stay open.
+        is_unresponsive: Whether it answers nothing, though its connections stay
+            open.
         crashing: Paths of the requests in progress that will crash it.
         arrivals: All requests that reached its current run, run or not.
         listener: Where it listens.
@@ -405,7 +406,7 @@
         self.announces_exit = False
         self.rejections_left = 0
         self.backoff_s: float | None = None
-        self.is_silent = False
+        self.is_unresponsive = False
         self.crashing: list[str] = []
         self.arrivals: list[Arrival] = []
         # Number of starts; no state is kept across restarts.
@@ -423,7 +424,7 @@
     @property
     def is_serving(self) -> bool:
         """Whether it runs and answers."""
-        return self.is_up and not self.is_silent
+        return self.is_up and not self.is_unresponsive
 
     async def start(self) -> None:
         app = web.Application(client_max_size=1 << 26)
@@ -477,7 +478,7 @@
         self.held_until = [0.0] * KEYS
         self.fences = [0] * KEYS
         self.limit_per_s = self.backoff_s = None
-        self.announces_exit = self.is_silent = False
+        self.announces_exit = self.is_unresponsive = False
         self.arrivals = []
         self.crashing = []
         self.running = self.waiting = 0
@@ -504,7 +505,7 @@
 
     async def _grant(self, request: web.Request) -> web.Response:
         call = await request.json()
-        await self._wait_if_silent()
+        await self._wait_if_unresponsive()
         arrived = _now()
         if random.random() < self.delayed_grant_share:
             asyncio.get_running_loop().call_later(
@@ -536,7 +537,7 @@
 
     async def _release(self, request: web.Request) -> web.Response:
         call = await request.json()
-        await self._wait_if_silent()
+        await self._wait_if_unresponsive()
         if self.cluster.links.loses_answers(request.remote):
             await asyncio.sleep(3600)
         keys = range(call["from"], call["to"] + 1)
@@ -549,9 +550,9 @@
             )
         return web.Response(headers={"X-Handover": "0123456789abcdef"})
 
-    async def _wait_if_silent(self) -> None:
+    async def _wait_if_unresponsive(self) -> None:
         """Waits for ever while it answers nothing."""
-        if self.is_silent:
+        if self.is_unresponsive:
             await asyncio.sleep(3600)
 
     def _statements(self) -> dict[str, str]:
@@ -576,9 +577,9 @@
         arrival = Arrival(_now(), request.headers.get("X-Attempt-Id", ""))
         self.arrivals.append(arrival)
         headers = {"X-Attempt-Id": arrival.attempt} | self._statements()
-        await self._wait_if_silent()
+        await self._wait_if_unresponsive()
         answer = await self._respond(request, headers)
-        await self._wait_if_silent()
+        await self._wait_if_unresponsive()
         if self.cluster.links.loses_answers(request.remote):
             await asyncio.sleep(3600)
         arrival.answered_at = _now()
--- a/tests/unanswered_simulation.py
+++ b/tests/unanswered_simulation.py
@@ -37,7 +37,7 @@
 _PENALTY_S = 0.5
 # Initial period without crashes and crashing requests.
 _WARM_UP_S = 2.0
-# Requests that wait for a silent upstream time out.
+# Requests that wait for an unresponsive upstream time out.
 _TIMEOUT_S = 2.0
 
 
@@ -52,7 +52,8 @@
         length_s: Length of the simulation.
         crashers: Callers that each repeat a request that crashes its upstream.
         crash_after_s: Least and most time from its start to the crash.
-        silent_share: Share of all crashes after which connections stay open.
+        unresponsive_share: Share of all crashes after which connections stay
+            open.
         downtime_s: Least and most time until an upstream is back.
         registration_lag_s: Time until VMs know of its new run.
         leaves_after_s: Least and most time until callers of crashing requests
@@ -65,7 +66,7 @@
         hot_per_s: Requests/s of one ordinary request of many callers.
         crashes_per_s: Other crashes per second, of all upstreams.
         freezes_per_s: Upstreams that don't answer for a while, per second.
-        domain_loss_at: When a third of the upstreams falls silent; None if
+        domain_loss_at: When a third of the upstreams stops answering; None if
             never.
         exits_per_s: Planned exits per second.
         loss_rate: Fraction of reports that are lost.
@@ -77,7 +78,7 @@
     length_s: float = 22.0
     crashers: int = 0
     crash_after_s: tuple[float, float] = (0.05, 0.4)
-    silent_share: float = 0.0
+    unresponsive_share: float = 0.0
     downtime_s: tuple[float, float] = (2.0, 2.5)
     registration_lag_s: float = 0.5
     leaves_after_s: tuple[float, float] | None = None
@@ -111,7 +112,7 @@
         )
         self.run = 1
         self.is_listening = True
-        self.is_silent = False
+        self.is_unresponsive = False
         # Requests in progress, and those that a frozen run will answer.
         self.working: dict[int, _Send] = {}
         self.delayed: list[_Send] = []
@@ -182,7 +183,7 @@
         """Returns whether an upstream answers a health check of a VM."""
         opened_at, upstream = self._clock.now, self._by_address[address]
         await asyncio.sleep(_CHECK_S)
-        if upstream.is_silent:
+        if upstream.is_unresponsive:
             await asyncio.sleep(connections.CONNECT_TIMEOUT_S)
             return False
         if upstream.is_listening:
@@ -198,7 +199,7 @@
         """Returns whether any upstream but the one at an address answers."""
         await asyncio.sleep(_CHECK_S)
         return any(
-            one.is_listening and not one.is_silent
+            one.is_listening and not one.is_unresponsive
             for one in self._upstreams
             if one.address != address
         )
@@ -364,7 +365,7 @@
             upstream.run,
         )
         upstream.working[id(send)] = send
-        if not upstream.is_silent:
+        if not upstream.is_unresponsive:
             self._begin(send)
         return send
 
@@ -384,7 +385,7 @@
     def _answer(self, send: _Send) -> None:
         if not send.is_open or send.run != send.upstream.run:
             return
-        if send.upstream.is_silent:
+        if send.upstream.is_unresponsive:
             send.upstream.delayed.append(send)
             return
         send.is_open = False
@@ -423,7 +424,7 @@
 
     def _crash_by(self, send: _Send) -> None:
         upstream = send.upstream
-        if send.run != upstream.run or upstream.is_silent:
+        if send.run != upstream.run or upstream.is_unresponsive:
             return
         for other in upstream.working.values():
             if other.digest in self._crashers:
@@ -434,15 +435,15 @@
     def _crash(self, upstream: _Upstream) -> None:
         downtime_s = self._random.uniform(*self._scenario.downtime_s)
         loop = asyncio.get_running_loop()
-        if self._random.random() < self._scenario.silent_share:
-            upstream.is_silent = True
+        if self._random.random() < self._scenario.unresponsive_share:
+            upstream.is_unresponsive = True
             loop.call_later(downtime_s, self._end_process, upstream, 0.0)
         else:
             self._end_process(upstream, downtime_s)
 
     def _end_process(self, upstream: _Upstream, downtime_s: float) -> None:
         """Ends a process, which closes its connections, and restarts it."""
-        upstream.is_listening = upstream.is_silent = False
+        upstream.is_listening = upstream.is_unresponsive = False
         upstream.run += 1
         working, upstream.working = upstream.working, {}
         upstream.delayed.clear()
@@ -476,7 +477,7 @@
             up = [
                 one
                 for one in self._upstreams
-                if one.is_listening and not one.is_silent
+                if one.is_listening and not one.is_unresponsive
             ]
             if len(up) > 1:
                 act(self._random.choice(up))
@@ -486,7 +487,7 @@
 
     def _freeze_any(self, upstream: _Upstream) -> None:
         """Stops an upstream for a while; it goes on where it was."""
-        upstream.is_silent = True
+        upstream.is_unresponsive = True
         asyncio.get_running_loop().call_later(
             self._random.uniform(0.3, 4.0), self._thaw, upstream, upstream.run
         )
@@ -494,7 +495,7 @@
     def _thaw(self, upstream: _Upstream, run: int) -> None:
         if upstream.run != run:
             return
-        upstream.is_silent = False
+        upstream.is_unresponsive = False
         delayed, upstream.delayed = upstream.delayed, []
         for send in delayed:
             self._answer(send)
@@ -514,10 +515,10 @@
         )
 
     def _lose_domain(self) -> None:
-        """Lets a third of the upstreams fall silent at the same time."""
+        """Lets a third of the upstreams stop answering at the same time."""
         downtime_s = self._random.uniform(3.0, 6.0)
         for upstream in self._upstreams[::3]:
-            upstream.is_silent = True
+            upstream.is_unresponsive = True
             asyncio.get_running_loop().call_later(
                 downtime_s, self._end_process, upstream, 0.0
             )
--- a/tests/unit/test_gateway_crash_detector.py
+++ b/tests/unit/test_gateway_crash_detector.py
@@ -30,7 +30,7 @@
     def __init__(self, clock: virtual_time.Clock):
         self.clock = clock
         self.is_listening = True
-        self.is_silent = False
+        self.is_unresponsive = False
         self.health_checks = 0
         self.table = suspects.SuspectTable()
         self.target_table = targets.TargetTable()
@@ -80,7 +80,7 @@
 
     async def _answers(self, address: str) -> bool:
         self.health_checks += 1
-        if self.is_listening and not self.is_silent:
+        if self.is_listening and not self.is_unresponsive:
             self.receive(0.0)
             return True
         return False
@@ -159,7 +159,7 @@
 
 
 @pytest.mark.parametrize("how", [_LEFT, _TIMED_OUT, _BROKEN])
-def test_a_new_run_shows_that_a_silent_upstream_crashed(how):
+def test_a_new_run_shows_that_an_unresponsive_upstream_crashed(how):
     async def scenario(vm: _Vm) -> None:
         vm.send(how)
         await asyncio.sleep(3.0)
@@ -253,7 +253,7 @@
     _run(scenario)
 
 
-def test_requests_to_an_upstream_that_had_fallen_silent_are_no_suspects():
+def test_requests_to_an_upstream_that_had_stopped_are_no_suspects():
     async def scenario(vm: _Vm) -> None:
         vm.send(_TIMED_OUT, _OTHER, lasted_s=2.0)
         vm.send(_TIMED_OUT, _DIGEST, lasted_s=0.5)
--- a/tests/unit/test_gateway_unanswered_simulation.py
+++ b/tests/unit/test_gateway_unanswered_simulation.py
@@ -15,7 +15,7 @@
     "exit": {},
     "back-at-once": {"downtime_s": (0.15, 0.15)},
     "caller-leaves": {"leaves_after_s": (0.05, 0.3)},
-    "silent": {"silent_share": 1.0, "downtime_s": (2.5, 2.5)},
+    "unresponsive": {"unresponsive_share": 1.0, "downtime_s": (2.5, 2.5)},
     "one-at-20-vms": {
         "crashers": 1,
         "vms": 20,
@@ -28,7 +28,7 @@
 )
 _DISTURBANCES = {
     "crashes": {"crashes_per_s": 0.5},
-    "silent-crashes": {"crashes_per_s": 0.5, "silent_share": 1.0},
+    "unresponsive-crashes": {"crashes_per_s": 0.5, "unresponsive_share": 1.0},
     "freezes": {"freezes_per_s": 0.8},
     "lost-domain": {"upstreams": 9, "domain_loss_at": 5.0},
     "planned-exits": {"exits_per_s": 0.5, "crashes_per_s": 0.2},
@@ -67,7 +67,7 @@
 def _refused_histories(count: int = 12) -> int:
     """Returns in how many histories an ordinary request is refused."""
     scenario = dataclasses.replace(
-        _ORDINARY, crashes_per_s=0.9, silent_share=0.3
+        _ORDINARY, crashes_per_s=0.9, unresponsive_share=0.3
     )
     return sum(
         bool(_play(dataclasses.replace(scenario, seed=seed)).refused)
@@ -104,7 +104,7 @@
     late = [
         _play(
             unanswered_simulation.Scenario(
-                seed=seed, crashers=5, silent_share=1.0
+                seed=seed, crashers=5, unresponsive_share=1.0
             )
         ).begun_late()
         for seed in range(4)
