Checks of crashes: connections without data start no other check

Cause: since a closed unused connection starts a check while an exchange that ended in the last 0.5 s has no known outcome. The check opens a connection and leaves it in the pool; where something accepts and resets connections, it is closed at once and starts the next check. Change: only unused connections that had delivered data are told as closed. Others say nothing of the process: something on the path may accept and reset.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -97,7 +97,11 @@
 
     @abc.abstractmethod
     def on_closed(self, address: str, now: float) -> None:
-        """Called when the peer closed or reset an unused connection."""
+        """Called when the peer closed or reset an unused connection.
+
+        Only one that had delivered data: a device on the path may accept
+        connections and reset them, whatever becomes of the peer.
+        """
 
 
 class _Unobserved(LinkObserver):
@@ -224,7 +228,7 @@
             is_broken = is_in_use or not self._has_received
         if is_broken:
             self._note_broken()
-        if self.is_usable and not is_in_use:
+        if self.is_usable and not is_in_use and self._has_received:
             self._observer.on_closed(self.peer, clocks.monotonic())
         self.is_usable = False
         if self._parser is not None and exc is None:
--- a/tests/unit/test_gateway_crash_detector.py
+++ b/tests/unit/test_gateway_crash_detector.py
@@ -8,6 +8,7 @@
 
 from swiftstile import clocks
 from swiftstile import metrics
+from swiftstile.gateway import connections
 from swiftstile.gateway import crash_detector
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import model
@@ -136,6 +137,42 @@
     _run(scenario)
 
 
+def test_a_connection_that_a_check_opened_starts_no_other_check():
+    """Each check's connection was reset, which started the next check."""
+    opened = 0
+
+    async def reset(_reader, writer) -> None:
+        nonlocal opened
+        opened += 1
+        connections.reset_on_close(writer.transport)
+        writer.transport.abort()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(reset, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            address = f"127.0.0.1:{port}"
+            target_table = targets.TargetTable()
+            detector = crash_detector.CrashDetector(
+                suspects.SuspectTable(),
+                target_table,
+                mock.AsyncMock(return_value=True),
+                lambda to: pool.refuses_connections(to),
+                mock.AsyncMock(return_value=True),
+                metrics.Meters(),
+            )
+            pool = connections.ConnectionPool(observer=detector)
+            now = clocks.monotonic()
+            target = target_table.put(builders.upstream(address=address), now)
+            exchange = detector.begin(target, now)
+            detector.record_end(exchange, _DIGEST, _LEFT, now)
+            detector.on_closed(address, now)
+            await asyncio.sleep(0.3)
+
+    asyncio.run(scenario())
+    assert opened == 1
+
+
 def test_a_refused_connection_counts_for_callers_who_left():
     async def scenario(vm: _Vm) -> None:
         vm.send(_LEFT)
