Links: failures of requests during a trial of upstreams count

Cause: after another VM's report nothing is concluded without a failure of the VM's own requests. A trial of upstreams noted its failures like those of requests, so all that were seen during a trial were dropped, requests' as well. Change: connections opened to learn about a path are marked as probes. Their failures are told apart and count for nothing else, and own failures are judged at the end of a trial. Keeping and restoring the evidence isn't needed any more.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -95,6 +95,14 @@
             now: The time.
         """
 
+    @abc.abstractmethod
+    def on_probe_failed(self, address: str, now: float) -> None:
+        """Called when a probe's connection wasn't opened, or failed.
+
+        It tells nothing of requests: `on_open_failed`, `on_sent` and
+        `on_broken` aren't called for probes.
+        """
+
     @abc.abstractmethod
     def on_closed(self, address: str, now: float) -> None:
         """Called when the peer closed or reset an unused connection.
@@ -126,6 +134,9 @@
     def on_broken(self, address: str, is_proven: bool, now: float) -> None:
         """See base class."""
 
+    def on_probe_failed(self, address: str, now: float) -> None:
+        """See base class."""
+
     def on_closed(self, address: str, now: float) -> None:
         """See base class."""
 
@@ -149,6 +160,8 @@
 
     Attributes:
         is_usable: Whether another request may be sent on it.
+        is_probe: Whether it was opened to learn about its path, and hasn't been
+            used for a request since.
         is_reused: Whether it came from the pool for the current request.
         has_response: Whether any response to the current request was received.
         opened_at: When it was opened, on the monotonic clock.
@@ -161,11 +174,13 @@
         loop: asyncio.AbstractEventLoop,
         peer: str,
         observer: LinkObserver | None = None,
+        is_probe: bool = False,
     ):
         super().__init__(loop)
         self._loop = loop
         self._observer = observer or _UNOBSERVED
         self.peer = peer
+        self.is_probe = is_probe
         self.is_usable = True
         self.is_reused = False
         self.has_response = False
@@ -240,9 +255,11 @@
         super().connection_lost(exc)
 
     def _note_broken(self) -> None:
-        self._observer.on_broken(
-            self.peer, self._has_received, clocks.monotonic()
-        )
+        now = clocks.monotonic()
+        if self.is_probe:
+            self._observer.on_probe_failed(self.peer, now)
+        else:
+            self._observer.on_broken(self.peer, self._has_received, now)
 
     def _fail(self, error: BaseException) -> None:
         self.is_usable = False
@@ -279,7 +296,8 @@
         self._idle_parser = None
         self._has_body = has_body
         self.transport.write(data)
-        self._observer.on_sent(self.peer, clocks.monotonic())
+        if not self.is_probe:
+            self._observer.on_sent(self.peer, clocks.monotonic())
 
     def _new_parser(self, has_body: bool) -> http.HttpResponseParser:
         return http.HttpResponseParser(
@@ -409,6 +427,7 @@
                 is_restricted and was_idle_long
             ):
                 connection.is_reused = True
+                connection.is_probe = False
                 return connection
             connection.abort()
         if not self._observer.may_open():
@@ -423,7 +442,7 @@
         Returns False if this is unknown, as the address may be unreachable.
         """
         try:
-            connection = await self._open(address)
+            connection = await self._open(address, is_probe=True)
         except errors.PeerUnreachableError as error:
             return isinstance(error.__cause__, ConnectionRefusedError)
         self.release(address, connection)
@@ -438,7 +457,7 @@
                 connections late.
         """
         try:
-            connection = await self._open(address)
+            connection = await self._open(address, is_probe=True)
         except errors.PeerUnreachableError:
             return False
         try:
@@ -458,7 +477,7 @@
             path: Path that any request may ask for.
         """
         try:
-            connection = await self._open(address)
+            connection = await self._open(address, is_probe=True)
         except errors.PeerUnreachableError:
             return False
         request = f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
@@ -484,19 +503,27 @@
                 connection.abort()
         return True
 
-    async def _open(self, address: str) -> UpstreamConnection:
+    async def _open(
+        self, address: str, is_probe: bool = False
+    ) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop, address, self._observer),
+                    lambda: UpstreamConnection(
+                        loop, address, self._observer, is_probe
+                    ),
                     host,
                     int(port),
                     local_addr=self._local_address,
                 )
         except (OSError, TimeoutError, ValueError) as error:
-            self._observer.on_open_failed(address, clocks.monotonic())
+            now = clocks.monotonic()
+            if is_probe:
+                self._observer.on_probe_failed(address, now)
+            else:
+                self._observer.on_open_failed(address, now)
             raise errors.PeerUnreachableError(
                 repr(error), step="connect", peer=address
             ) from error
--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -86,6 +86,9 @@
     def on_broken(self, address: str, is_proven: bool, now: float) -> None:
         """See base class."""
 
+    def on_probe_failed(self, address: str, now: float) -> None:
+        """See base class."""
+
     def on_closed(self, address: str, now: float) -> None:
         """See base class.
 
--- a/src/swiftstile/gateway/link_observers.py
+++ b/src/swiftstile/gateway/link_observers.py
@@ -44,6 +44,11 @@
         for one in self._observers:
             one.on_broken(address, is_proven, now)
 
+    def on_probe_failed(self, address: str, now: float) -> None:
+        """See base class."""
+        for one in self._observers:
+            one.on_probe_failed(address, now)
+
     def on_closed(self, address: str, now: float) -> None:
         """See base class."""
         for one in self._observers:
--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -117,12 +117,13 @@
         # A request's new connection that delivered data shows the same.
         is_reached |= self._links.proven_at > began
         ended = clocks.monotonic()
+        has_own_failures = self._links.has_own_failures(ended)
         logs.logger.info(
             "upstreams tried",
             why=suspicion.value,
             reached=is_reached,
             took_ms=clocks.milliseconds(ended - began),
-            own_failures=self._links.had_own_failures,
+            own_failures=has_own_failures,
             data_age_ms=self._links.data_age_ms(ended),
         )
         if is_reached:
@@ -133,11 +134,7 @@
                 "links not judged after a pause", for_s=round(ended - began, 3)
             )
             return
-        if (
-            suspicion in _SUSPICIONS_BY_OTHERS
-            and not self._links.had_own_failures
-        ):
-            self._links.leave_undecided()
+        if suspicion in _SUSPICIONS_BY_OTHERS and not has_own_failures:
             return
         self._links.record_partition(ended)
         self._notify()
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -100,8 +100,6 @@
     Attributes:
         received_at: When data last arrived from any upstream.
         proven_at: When the newest connection was opened that delivered data.
-        had_own_failures: Whether requests of this VM had failed, or were left
-            without data, when the last confirmation began.
     """
 
     def __init__(self, meters: metrics.Meters | None = None):
@@ -111,14 +109,6 @@
         self._open_failed_at: dict[str, float] = {}
         self._broken_at: dict[str, float] = {}
         self.proven_at = float("-inf")
-        self.had_own_failures = False
-        # The failures, their number in a row, and since when requests waited
-        # as the confirmation began.
-        self._evidence_before: tuple[dict[str, float], int, float | None] = (
-            {},
-            0,
-            None,
-        )
         # When the oldest request was sent since data last arrived.
         self._waiting_since: float | None = None
         self._failed_in_a_row = 0
@@ -157,6 +147,11 @@
         self._note_open_failed(address, now)
         self._regained.discard(address)
 
+    def on_probe_failed(self, address: str, now: float) -> None:
+        """See base class."""
+        self._meters.links.add("probe-failed")
+        self._regained.discard(address)
+
     def on_sent(self, address: str, now: float) -> None:
         """See base class."""
         if self._waiting_since is None:
@@ -269,6 +264,12 @@
         """Returns the upstreams that no new connection could be opened to."""
         return set(self._open_failed_at)
 
+    def has_own_failures(self, now: float) -> bool:
+        """Whether requests of this VM have failed, or are left without data."""
+        since = self._waiting_since
+        is_silent = since is not None and now - since > SILENCE_S
+        return bool(self._open_failed_at or self._broken_at) or is_silent
+
     def begin_trial(self, now: float) -> None:
         """Records that others are being tried after a single failure."""
         self._meters.links.add("one-failure")
@@ -295,17 +296,6 @@
         """Records that upstreams are being tried to confirm a suspicion."""
         self._meters.links.add("suspected")
         self._confirmation_began_at = now
-        since = self._waiting_since
-        self._evidence_before = (
-            dict(self._open_failed_at),
-            self._failed_in_a_row,
-            since,
-        )
-        self.had_own_failures = (
-            bool(self._open_failed_at or self._broken_at)
-            or since is not None
-            and now - since > SILENCE_S
-        )
         self._put_off_confirmations(now, suspicion)
 
     def refute(
@@ -321,18 +311,6 @@
         self._broken_at.clear()
         self._waiting_since = None
 
-    def leave_undecided(self) -> None:
-        """Drops failures seen while upstreams were tried.
-
-        They would count as failures of this VM's requests.
-        """
-        (
-            self._open_failed_at,
-            self._failed_in_a_row,
-            self._waiting_since,
-        ) = self._evidence_before
-        self._failing_since = min(self._open_failed_at.values(), default=0.0)
-
     def _put_off_confirmations(self, now: float, suspicion: Suspicion) -> None:
         """Sets when the next suspicion may be confirmed.
 
--- a/tests/unit/test_link_probes.py
+++ b/tests/unit/test_link_probes.py
@@ -34,13 +34,12 @@
         self._share = share
 
     async def answers(self, address: str, _path: str = "") -> bool:
-        """Sends a request on a new connection."""
+        """Sends a health check on a new connection."""
         opened_at = clocks.monotonic()
         self._links.on_opened(address, opened_at)
-        self._links.on_sent(address, opened_at)
         if random.random() < self._share:
             await asyncio.sleep(_RESET_S)
-            self._links.on_broken(address, False, clocks.monotonic())
+            self._links.on_probe_failed(address, clocks.monotonic())
             return False
         await asyncio.sleep(_ANSWER_S)
         self._links.on_received(address, opened_at, clocks.monotonic())
@@ -51,25 +50,37 @@
         self._links.on_opened(address, clocks.monotonic())
         if random.random() < self._share:
             await asyncio.sleep(_RESET_S)
-            self._links.on_broken(address, False, clocks.monotonic())
+            self._links.on_probe_failed(address, clocks.monotonic())
             return False
         await asyncio.sleep(for_s)
         return True
 
+    async def send_request(self) -> None:
+        """Sends a caller's request to a random upstream."""
+        address = f"u-{random.randrange(_UPSTREAMS)}:1"
+        opened_at = clocks.monotonic()
+        self._links.on_opened(address, opened_at)
+        self._links.on_sent(address, opened_at)
+        if random.random() < self._share:
+            await asyncio.sleep(_RESET_S)
+            self._links.on_broken(address, False, clocks.monotonic())
+            return
+        await asyncio.sleep(_ANSWER_S)
+        self._links.on_received(address, opened_at, clocks.monotonic())
+
     async def send_requests(self, per_s: float) -> None:
-        """Sends requests of callers to random upstreams until cancelled."""
+        """Sends requests of callers until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
                 await asyncio.sleep(random.expovariate(per_s))
-                address = f"u-{random.randrange(_UPSTREAMS)}:1"
-                group.create_task(self.answers(address))
+                group.create_task(self.send_request())
 
 
-def _partitions(share: float, per_s: float, seed: int, hints: bool) -> int:
-    """Returns how often a VM concludes in a minute that it is partitioned."""
+def _run(scenario, share: float, seed: int):
+    """Returns what a scenario returns that gets links and upstreams."""
     clock = virtual_time.Clock(_START_S)
 
-    async def run() -> int:
+    async def run():
         links = upstream_links.UpstreamLinks()
         upstreams = _FullUpstreams(links, share)
         prober = link_probes.LinkProber(
@@ -80,7 +91,27 @@
             lambda: None,
             lambda: None,
         )
-        tasks = [asyncio.create_task(prober.run())]
+        probing = asyncio.create_task(prober.run())
+        try:
+            return await scenario(links, upstreams)
+        finally:
+            probing.cancel()
+            await asyncio.gather(probing, return_exceptions=True)
+
+    random.seed(seed)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(clocks, "monotonic", lambda: clock.now)
+        with asyncio.Runner(
+            loop_factory=lambda: virtual_time.Loop(clock)
+        ) as runner:
+            return runner.run(run())
+
+
+def _partitions(share: float, per_s: float, seed: int, hints: bool) -> int:
+    """Returns how often a VM concludes in a minute that it is partitioned."""
+
+    async def scenario(links, upstreams) -> int:
+        tasks = []
         if per_s:
             tasks.append(asyncio.create_task(upstreams.send_requests(per_s)))
         count, was_partitioned = 0, False
@@ -95,13 +126,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         return count
 
-    random.seed(seed)
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(clocks, "monotonic", lambda: clock.now)
-        with asyncio.Runner(
-            loop_factory=lambda: virtual_time.Loop(clock)
-        ) as runner:
-            return runner.run(run())
+    return _run(scenario, share, seed)
 
 
 # Partitions that e3b519c concludes in ten runs, as measured by this test there.
@@ -123,3 +148,14 @@
 def test_reports_of_others_prove_nothing_without_a_failure_of_the_vm(per_s):
     """All connections are reset; an idle VM knows this by its trials only."""
     assert _partitions(1.0, per_s, 1, True) == (1 if per_s else 0)
+
+
+def test_a_request_that_fails_while_upstreams_are_tried_confirms_a_report():
+    async def scenario(links, upstreams) -> bool:
+        links.note_partitioned_peer("vm-3", clocks.monotonic())
+        await asyncio.sleep(0.1)
+        await upstreams.send_request()
+        await asyncio.sleep(0.4)
+        return links.is_partitioned
+
+    assert _run(scenario, share=1.0, seed=1)
