Crashes: the removal of a registration is no evidence of one

Some targets never report that they drain; their registration is removed and they serve on for as long. Cause: Target.has_ended mixed three things: a new run, another upstream at the address, and a removed registration. Change: only a new run under the same id (has_restarted) shows an end. After a removal exchanges stay open until data, a refused connection or a new run tells; where another upstream uses the address they are dropped without effect. Weighed: a check on removal whether anything listens. A quiet exit that a VM hears of late refuses connections like a crash, and exchanges that ended more than 1 s earlier couldn't be counted anyway.

--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -119,9 +119,9 @@
         target = exchange.target
         self._exchanges.expire(now)
         self._exchanges.end(exchange, digest, how, now)
-        if target.is_planned_exit:
-            self._discard_of(target)
-        elif exchange.is_run_ended:
+        if self._discard_if_unknowable(target):
+            return
+        if exchange.is_run_ended:
             self._attribute(target, unanswered.Evidence.REGISTERED, now)
         elif how is not unanswered.ExchangeEnd.BROKEN and (
             self._exchanges.is_repeated(digest)
@@ -156,15 +156,13 @@
     def on_registrations(self, now: float) -> None:
         """Called after registrations of upstreams have changed.
 
-        A new run under the same id, or the removal of an upstream that wasn't
-        leaving, shows that its process has ended, also if it stopped answering
-        without closing its connections.
+        A new run under the same id shows that the process before it has ended,
+        also if it stopped answering without closing its connections. The
+        removal of a registration shows nothing: the upstream may serve on.
         """
         self._exchanges.expire(now)
         for target in self._exchanges.all_targets():
-            if target.is_planned_exit:
-                self._discard_of(target)
-            elif target.has_ended:
+            if not self._discard_if_unknowable(target) and target.has_restarted:
                 self._attribute(target, unanswered.Evidence.REGISTERED, now)
 
     def on_reported(
@@ -221,8 +219,7 @@
             and await self._refuses_connections(address)
             and await self._reaches_another(address)
         )
-        if target.leaving_since is not None:
-            self._discard_of(target)
+        if self._discard_if_unknowable(target):
             return False
         if not is_down:
             self._meters.crashes.add("still-up")
@@ -307,9 +304,22 @@
         self._suspect_table.record_outlived(exchange.digest, now)
         self._log_uncounted(exchange, "outlived")
 
-    def _discard_of(self, target: targets.Target) -> None:
+    def _discard_if_unknowable(self, target: targets.Target) -> bool:
+        """Drops exchanges with an upstream whose end says nothing of them.
+
+        Returns:
+            Whether the upstream left as planned, or another one has taken its
+            address.
+        """
+        if target.is_planned_exit:
+            reason = "planned exit"
+        elif target.is_replaced and not target.has_restarted:
+            reason = "address used again"
+        else:
+            return False
         for exchange in self._exchanges.discard_of(target):
-            self._log_uncounted(exchange, "planned exit")
+            self._log_uncounted(exchange, reason)
+        return True
 
     def _log_uncounted(
         self, exchange: unanswered.Exchange, reason: str
--- a/src/swiftstile/gateway/targets.py
+++ b/src/swiftstile/gateway/targets.py
@@ -59,8 +59,11 @@
         is_unregistered: Whether its registration has been removed.
         is_replaced: Whether another server runs at its address, so that it has
             ended.
-        has_vanished: Whether its registration was removed, or its address used
-            again, before it was known to be leaving.
+        has_restarted: Whether its next run has registered, so that it has
+            ended.
+        has_vanished: Whether its registration was removed before it was known
+            to be leaving. It may serve on: some upstreams leave so, and the
+            store may lose a registration.
         cold_until: End of its cold time, as it reported or after the end of an
             evacuation.
         next_cold_send_at: Earliest time of this VM's next send while it is
@@ -84,6 +87,7 @@
         self.drain_started_at: float | None = None
         self.is_unregistered = False
         self.is_replaced = False
+        self.has_restarted = False
         self.has_vanished = False
         self.cold_until = now + upstream.cold_s
         self.next_cold_send_at = 0.0
@@ -148,11 +152,6 @@
         self.has_vanished |= self.leaving_since is None
         self.mark_leaving(now, known_since)
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether its process is known to have ended."""
-        return self.is_replaced or self.has_vanished
-
     @property
     def is_planned_exit(self) -> bool:
         """Whether it was known to be leaving before it ended."""
@@ -325,7 +324,7 @@
         ):
             # State from before the restart doesn't apply to the new process,
             # and requests that are still counted there end with the old one.
-            target.is_replaced = True
+            target.is_replaced = target.has_restarted = True
             target = None
         if target is None:
             target = Target(upstream, now)
--- a/tests/unanswered_simulation.py
+++ b/tests/unanswered_simulation.py
@@ -69,6 +69,9 @@
         domain_loss_at: When a third of the upstreams stops answering; None if
             never.
         exits_per_s: Planned exits per second.
+        unannounced_exits_per_s: Those of upstreams whose registration is
+            removed first, and which are replaced by others at their addresses.
+        lapses_per_s: Registrations per second that the store loses for a while.
         loss_rate: Fraction of reports that are lost.
     """
 
@@ -92,6 +95,8 @@
     freezes_per_s: float = 0.0
     domain_loss_at: float | None = None
     exits_per_s: float = 0.0
+    unannounced_exits_per_s: float = 0.0
+    lapses_per_s: float = 0.0
     loss_rate: float = 0.0
 
 
@@ -281,6 +286,13 @@
             (scenario.exits_per_s, self._exit_any),
         ):
             self._spawn(self._disturb(rate, act))
+        for rate, act in (
+            (scenario.unannounced_exits_per_s, self._exit_unannounced),
+            (scenario.lapses_per_s, self._lose_registration),
+        ):
+            # A task without an effect would reorder others at the same time.
+            if rate:
+                self._spawn(self._disturb(rate, act))
         if scenario.domain_loss_at is not None:
             asyncio.get_running_loop().call_later(
                 scenario.domain_loss_at, self._lose_domain
@@ -539,6 +551,27 @@
             2.0, self._end_process, upstream, 0.5
         )
 
+    def _unregister(self, upstream: _Upstream) -> None:
+        now = self._clock.now
+        for vm in self._vms:
+            vm.target_table.mark_unregistered(upstream.row.id, now)
+            vm.detector.on_registrations(now)
+
+    def _exit_unannounced(self, upstream: _Upstream) -> None:
+        """Lets an upstream leave; another one follows at its address."""
+        self._unregister(upstream)
+        upstream.row = gateway_builders.upstream(
+            f"{upstream.row.id}-{upstream.run}", address=upstream.address
+        )
+        asyncio.get_running_loop().call_later(
+            2.0, self._end_process, upstream, 0.5
+        )
+
+    def _lose_registration(self, upstream: _Upstream) -> None:
+        """Lets the store lose a registration, which is back after a while."""
+        self._unregister(upstream)
+        asyncio.get_running_loop().call_later(2.0, self._register, upstream)
+
     def _lose_domain(self) -> None:
         """Lets a third of the upstreams stop answering at the same time."""
         downtime_s = self._random.uniform(3.0, 6.0)
--- a/tests/unit/test_gateway_unanswered_simulation.py
+++ b/tests/unit/test_gateway_unanswered_simulation.py
@@ -43,6 +43,8 @@
     "freezes": {"freezes_per_s": 0.8},
     "lost-domain": {"upstreams": 9, "domain_loss_at": 5.0},
     "planned-exits": {"exits_per_s": 0.5, "crashes_per_s": 0.2},
+    "unannounced-exits": {"unannounced_exits_per_s": 1.0},
+    "lost-registrations": {"lapses_per_s": 1.5},
     "impatient-all-the-time": {
         "crashes_per_s": 0.5,
         "impatient_pause_s": 0.01,
