Crashes: upstreams without data are checked, late registrations count less

Change: after an exchange without an answer an upstream that delivers no data gets a health check, one for all its exchanges and each 0.55 s at most. One that doesn't answer it counts as unresponsive only if another upstream answers. A registration counts for 2.5 s (1 s and the time that it takes) instead of 5 s.

--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -21,13 +21,13 @@
 
 __all__ = ["CrashDetector"]
 
-# A request that isn't answered again and again is followed up this long after
-# an exchange, as it may crash the upstream only after its caller has left.
+# An upstream that delivers no data is checked this long after an exchange, as
+# the request may crash it only after the caller has left.
 FOLLOW_UP_S = unanswered.AFTEREFFECT_S + 0.05
 # Older reports don't tell of the run that a VM knows: an upstream that was
 # taken for crashed may have gone on.
 MAX_REPORT_AGE_S = 1.0
-# Maximum follow-ups that wait at the same time.
+# Maximum upstreams that are followed up at the same time.
 MAX_FOLLOW_UPS = 32
 
 _Check = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
@@ -64,7 +64,7 @@
         self._meters = meters
         self._exchanges = unanswered.UnansweredExchanges(self._note_outlived)
         self._checks: dict[targets.Target, asyncio.Task[bool]] = {}
-        self._follow_ups: set[asyncio.Task[None]] = set()
+        self._follow_ups: dict[targets.Target, asyncio.Task[None]] = {}
 
     def may_open(self) -> bool:
         """See base class."""
@@ -123,30 +123,41 @@
             return
         if exchange.is_run_ended:
             self._attribute(target, unanswered.Evidence.REGISTERED, now)
-        elif how is not unanswered.ExchangeEnd.BROKEN and (
-            self._exchanges.is_repeated(digest)
-            or self._suspect_table.crashes(digest) > 0
-        ):
-            self._follow_up(exchange)
-
-    def _follow_up(self, exchange: unanswered.Exchange) -> None:
-        """Finds out soon whether the upstream outlives a request."""
+        elif how is not unanswered.ExchangeEnd.BROKEN:
+            self._follow_up(target)
+
+    def _follow_up(self, target: targets.Target) -> None:
+        """Finds out soon whether an upstream outlives its requests."""
+        if target in self._follow_ups:
+            return
         if len(self._follow_ups) >= MAX_FOLLOW_UPS:
             self._meters.crashes.add("not-followed-up")
             return
-        task = asyncio.create_task(self._check_later(exchange))
-        self._follow_ups.add(task)
-        task.add_done_callback(self._follow_ups.discard)
+        task = asyncio.create_task(self._check_unproven(target))
+        self._follow_ups[target] = task
+        task.add_done_callback(lambda _: self._follow_ups.pop(target, None))
 
-    async def _check_later(self, exchange: unanswered.Exchange) -> None:
-        await asyncio.sleep(FOLLOW_UP_S)
-        if exchange not in self._exchanges or exchange.served_at is not None:
-            return
-        # The answer, if any, is noted like other data.
-        if await self._answers(exchange.target.upstream.address):
-            return
-        if not await self.check(exchange.target, None):
-            exchange.is_unresponsive = True
+    async def _check_unproven(self, target: targets.Target) -> None:
+        """Checks an upstream until all its exchanges have some evidence."""
+        address = target.upstream.address
+        while unproven := self._exchanges.unproven(target):
+            await asyncio.sleep(FOLLOW_UP_S)
+            if not any(
+                one in self._exchanges and one.served_at is None
+                for one in unproven
+            ):
+                continue
+            self._meters.crashes.add("followed-up")
+            # The answer, if any, is noted like other data.
+            if await self._answers(address):
+                continue
+            if await self.check(target, None):
+                continue
+            if not await self._reaches_another(address):
+                # This VM's own links may be down.
+                return
+            for exchange in unproven:
+                exchange.is_unresponsive = exchange.served_at is None
 
     def on_unreachable(self, target: targets.Target) -> None:
         """Called when no connection to an upstream could be opened."""
--- a/src/swiftstile/gateway/unanswered.py
+++ b/src/swiftstile/gateway/unanswered.py
@@ -38,9 +38,9 @@
 # have been sent to it.
 REGISTRATION_LAG_S = 1.5
 # How long after its caller left a request may be taken for the cause of an end
-# that was found out later: until another request finds the upstream down, or
-# until it is back and registered.
-MAX_REFUSED_DELAY_S, MAX_REGISTERED_DELAY_S = 1.0, 5.0
+# that was found out later, unless a health check showed meanwhile that the
+# upstream didn't answer: until another request finds the upstream down.
+MAX_DELAY_S = 1.0
 # How long the outcome of an exchange may remain unknown: until the next run of
 # the upstream is registered, also in most outages of the store.
 RETENTION_S = 15.0
@@ -142,7 +142,7 @@
         served_at: When its address first delivered data after the exchange had
             no effect any more; None if it didn't.
         is_unresponsive: Whether the upstream didn't answer a health check after
-            the exchange, but could be reached.
+            the exchange, though another one did.
         is_run_uncertain: Whether the upstream restarted about when the request
             was sent, so that it may have been sent to either run or to none.
         is_run_ended: Whether that process has ended while it is in progress.
@@ -262,14 +262,22 @@
         while len(self._ended) > MAX_ENDED:
             self.discard(next(iter(self._ended)))
 
-    def is_repeated(self, digest: fingerprint.Digest) -> bool:
-        """Whether a request has several exchanges whose outcome is unknown."""
-        count = 0
-        for exchange in self._ended:
-            count += exchange.digest == digest
-            if count > 1:
-                return True
-        return False
+    def unproven(self, target: targets.Target) -> list[Exchange]:
+        """Returns the exchanges with an upstream that need a health check.
+
+        Its next data will show that it outlived their requests; a broken
+        connection is looked into at once.
+        """
+        address = target.upstream.address
+        return [
+            exchange
+            for exchange in self._by_address.get(address, ())
+            if exchange in self._ended
+            and exchange.target is target
+            and exchange.how is not ExchangeEnd.BROKEN
+            and exchange.served_at is None
+            and not exchange.is_unresponsive
+        ]
 
     def on_received(self, address: str, opened_at: float, now: float) -> None:
         """Records that data arrived on a connection opened at a time."""
@@ -405,7 +413,7 @@
         return False
     if end.at is not None:
         return exchange.ended_at < end.at - AFTEREFFECT_S
-    delay_s = MAX_REFUSED_DELAY_S
+    delay_s = MAX_DELAY_S
     if end.evidence is Evidence.REGISTERED:
-        delay_s = MAX_REGISTERED_DELAY_S
+        delay_s += REGISTRATION_LAG_S
     return exchange.ended_at < end.found_at - delay_s
--- a/tests/unit/test_gateway_unanswered_simulation.py
+++ b/tests/unit/test_gateway_unanswered_simulation.py
@@ -68,6 +68,25 @@
     assert "hot" not in simulation.refused
 
 
+def test_few_requests_that_silence_upstreams_for_a_moment_begin_late():
+    """Only the registration of the next run shows that there was a crash."""
+    late = [
+        _play(
+            unanswered_simulation.Scenario(
+                seed=seed,
+                crashers=5,
+                hot_per_s=20.0,
+                leaves_after_s=(0.05, 0.3),
+                unresponsive_share=1.0,
+                downtime_s=(0.3, 0.3),
+                registration_lag_s=1.2,
+            )
+        ).begun_late()
+        for seed in range(4)
+    ]
+    assert max(late) <= _MAX_LATE
+
+
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("kind", _DISTURBANCES)
 def test_no_ordinary_request_is_refused(kind, seed):
