Stand-ins: a cut of links ends though a connection was closed meanwhile

Cause: a proxy keeps a connection in its list until its task ends, and the filter was set on its socket, which was closed already. Change: connections whose sockets are closed are left out.

--- a/tests/integration/link_cuts.py
+++ b/tests/integration/link_cuts.py
@@ -141,10 +141,12 @@
             _drop(sock, silent or ["255.255.255.255"])
 
     def _transports(self, hosts: set[str]) -> list:
+        """Returns the open connections of some VMs."""
         return [
             connection.transport
             for http_server in self._listeners.values()
             for connection in list(http_server.connections)
             if connection.transport is not None
+            and connection.transport.get_extra_info("socket").fileno() >= 0
             and _peer_host(connection.transport) in hosts
         ]
