Let the clients of the review cases choose machines evenly

Cause: clients reused the newest kept channel of any machine, so that the machine that case 2 cuts off got 9 of 2,833 requests in one run.

Change: a client chooses a machine first, then a kept channel to it.

--- a/review/standins/site_processes.py
+++ b/review/standins/site_processes.py
@@ -208,7 +208,7 @@
 
     def __init__(self, gateways: list[Gateway], seed: int):
         self._gateways = gateways
-        self._idle: list[tuple] = []
+        self._idle_by_front: dict[tuple[str, int], list[tuple]] = {}
         self._random = random.Random(seed)
         self.answers: list[Answer] = []
 
@@ -244,13 +244,14 @@
         return answer
 
     async def _exchange(self, data: bytes, answer: Answer) -> None:
-        while self._idle:
-            reader, writer = self._idle.pop()
+        front = self._random.choice(self._gateways).front
+        idle = self._idle_by_front.setdefault(front, [])
+        while idle:
+            reader, writer = idle.pop()
             if not reader.at_eof() and not writer.is_closing():
                 break
             writer.close()
         else:
-            front = self._random.choice(self._gateways).front
             reader, writer = await asyncio.open_connection(*front)
         is_kept = False
         try:
@@ -262,15 +263,10 @@
             is_kept = message.headers.get("connection", "") != "close"
         finally:
             if is_kept:
-                self._idle.append((reader, writer))
+                idle.append((reader, writer))
             else:
                 writer.transport.abort()
 
-    def close(self) -> None:
-        """Closes all channels."""
-        for _, writer in self._idle:
-            writer.close()
-
 
 async def send_load(per_s: float, for_s: float, call) -> None:
     """Starts calls at a constant rate and waits for their end."""
