--- a/review/standins/site_processes.py
+++ b/review/standins/site_processes.py
@@ -111,14 +111,12 @@
     """One gateway process.
 
     Attributes:
-        zone: Its zone.
         host: Its address.
         front: Where it serves clients.
         log: File with its output.
     """
 
     def __init__(self, number: int, store: store_lib.Store, folder: str):
-        self.zone = ZONES[number % len(ZONES)]
         self.host = f"127.{os.getpid() % 200 + 20}.{number + 1}.18"
         ports = _free_ports(self.host, 7)
         self.front = (self.host, ports[0])
@@ -127,7 +125,7 @@
         self.settings = pathlib.Path(folder) / f"gateway-{number}.ini"
         fields = {
             "node_name": f"front-{number}",
-            "zone": self.zone,
+            "zone": ZONES[number % len(ZONES)],
             "ip": self.host,
             "listen.front": f"{self.host}:{ports[0]}",
             "listen.ready": f"{self.host}:{ports[1]}",
