--- a/review/standins/targets.py
+++ b/review/standins/targets.py
@@ -129,7 +129,11 @@
 
     async def answer(self, request, reader, writer) -> bool:
         """Answers a request; returns whether the channel is kept."""
-        if request.path == "/swiftstile/grant":
+        expected = request.headers.get("x-expect-instance", self.id)
+        is_command = request.path.startswith("/swiftstile/")
+        if is_command and expected != self.id:
+            writer.write(http1.response(421))
+        elif request.path == "/swiftstile/grant":
             writer.write(self._grant(json.loads(request.body)))
         elif request.path == "/swiftstile/release":
             writer.write(await self._release(json.loads(request.body)))
@@ -247,8 +251,8 @@
     async def _release(self, call) -> bytes:
         keys = range(call["from"], call["to"] + 1)
         for key in keys:
-            if self._fences[key] <= call["fence"]:
-                self._held_until[key] = 0.0
+            self._held_until[key] = 0.0
+            self._fences[key] = max(self._fences[key], call["fence"])
         async with self._changed:
             await self._changed.wait_for(
                 lambda: not any(
