Keep the spans of review case 1 apart

Cause: eight spans of 5 s with pauses of 0.5 s amounted to one of 43 s, while the site file has 5 s. Change: one span of late answers within each of seven spans of rejections, 6.5 s apart; 0.55 of the requests are rejected, as the site file has it, of 250/s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,16 +15,16 @@
 import targets  # noqa: E402
 
 TARGETS = 7
-PER_S = 150.0
+PER_S = 250.0
 DEADLINE_MS = 8574
 BODY = b"valve 17 open\n" * 20
-LOAD_S = 48.0
+LOAD_S = 82.0
 # Spans of the load, in seconds, in which some targets repeat some answers late,
 # and in which all targets reject a part of the requests.
-LATE_SPANS = [(2.0 + 5.5 * n, 7.0 + 5.5 * n) for n in range(8)]
-SHED_SPANS = [(2.0 + 11.5 * n, 10.5 + 11.5 * n) for n in range(4)]
+SHED_SPANS = [(2.0 + 11.5 * n, 10.5 + 11.5 * n) for n in range(7)]
+LATE_SPANS = [(start + 1.5, start + 6.5) for start, _ in SHED_SPANS]
 SHARE_OF_TARGETS, SHARE_OF_ANSWERS = 0.6, 0.03
-SHED_SHARE_OF_REQUESTS = 0.45
+SHED_SHARE_OF_REQUESTS = 0.55
 PROMISES = (408, 421, 429, 503)
 
 
