--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
-"""Lets targets send the start of a second answer after a whole one."""
+"""Lets targets repeat some answers late while they reject some requests."""
 
+import collections
 import pathlib
 import random
 import sys
@@ -14,55 +15,76 @@
 import targets  # noqa: E402
 
 TARGETS = 7
-PER_S = 60.0
-DEADLINE_MS = 5000
-BODY = b"fatigue life of a bearing\n" * 46
-# Targets spoil some of their answers in these spans, as seconds of the load.
-SPANS = [(3.0, 7.5), (11.0, 15.5), (19.0, 23.5), (27.0, 31.5)]
-SHARE_OF_TARGETS, SHARE_OF_ANSWERS = 0.35, 0.02
-LOAD_S = 35.0
-# What a target begins to send that fails after it has answered. It breaks off
-# between the status and the end of the line.
-SECOND_ANSWER = b"HTTP/1.1 500 Internal Server Error"
-STATUS_END = len(b"HTTP/1.1 500")
+PER_S = 250.0
+DEADLINE_MS = 8574
+BODY = b"valve 17 open\n" * 20
+LOAD_S = 82.0
+# Spans of the load, in seconds, in which some targets repeat some answers late,
+# and in which all targets reject a part of the requests.
+SHED_SPANS = [(2.0 + 11.5 * n, 10.5 + 11.5 * n) for n in range(7)]
+LATE_SPANS = [(start + 1.5, start + 6.5) for start, _ in SHED_SPANS]
+SHARE_OF_TARGETS, SHARE_OF_ANSWERS = 0.6, 0.03
+SHED_SHARE_OF_REQUESTS = 0.55
+PROMISES = (408, 421, 429, 503)
+
+
+def _is_within(spans: list[tuple[float, float]]) -> bool:
+    now = time.monotonic()
+    return any(start <= now < end for start, end in spans)
 
 
 class FaultyTarget(targets.Target):
-    """Sends additional bytes after some of its complete answers.
+    """Rejects some requests, and repeats some answers late.
+
+    An extra answer is sent when the next one is expected on its channel.
 
     Attributes:
-        spans: When it does, on the monotonic clock.
-        spoiled: Attempts whose answers were followed by such bytes.
+        late_spans, shed_spans: When, on the monotonic clock.
+        repeated: Attempts whose answers were sent a second time.
     """
 
-    spans: list[tuple[float, float]] = []
-    spoiled: list[str] = []
-    is_faulty = False
+    late_spans: list[tuple[float, float]] = []
+    shed_spans: list[tuple[float, float]] = []
+    repeated: list[str] = []
+    repeats = False
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._late_by_channel: dict[object, tuple[str, bytes]] = {}
 
     async def work(self, request, reader, writer) -> bool:
         """See base class."""
-        refused = self.refusal(request)
-        if refused is not None:
-            writer.write(refused)
+        late = self._late_by_channel.pop(writer, None)
+        if late is not None:
+            attempt, data = late
+            self.repeated.append(attempt)
+            writer.write(data)
             await writer.drain()
-            return True
-        status, headers, body = await self.run(request)
-        data = http1.response(status, headers, body)
-        if self._spoils():
-            self.spoiled.append(request.headers["x-attempt-id"])
-            end = self.random.randint(STATUS_END, len(SECOND_ANSWER))
-            data += SECOND_ANSWER[:end]
+        refused = self.refusal(request)
+        if refused is None:
+            refused = self._shed(request)
+        data = refused
+        if data is None:
+            data = http1.response(*await self.run(request))
         writer.write(data)
         await writer.drain()
+        if (
+            self.repeats
+            and _is_within(self.late_spans)
+            and self.random.random() < SHARE_OF_ANSWERS
+        ):
+            attempt = request.headers["x-attempt-id"]
+            self._late_by_channel[writer] = attempt, data
         return True
 
-    def _spoils(self) -> bool:
-        now = time.monotonic()
-        return (
-            self.is_faulty
-            and any(start <= now < end for start, end in self.spans)
-            and self.random.random() < SHARE_OF_ANSWERS
-        )
+    def _shed(self, request) -> bytes | None:
+        if (
+            not _is_within(self.shed_spans)
+            or self.random.random() >= SHED_SHARE_OF_REQUESTS
+        ):
+            return None
+        headers = self.headers(request.headers["x-attempt-id"])
+        return http1.response(503, headers | {"X-Not-Executed": "1"})
 
 
 async def case(record: site.Record, folder: str) -> int:
@@ -74,31 +96,35 @@
         "config",
         site.config(
             site.route(
-                "r-certify",
-                "/xapu221/ny95/",
+                "r-valves",
+                "/xapu221/",
                 "unsafe",
-                "certifier",
-                timeout="2500ms",
-                objective="800ms",
+                "heatdesk",
+                timeout="4000ms",
+                objective="1293ms",
             ),
-            site.service("certifier"),
+            site.service("heatdesk", sharded=True, warm="3s", grants="call"),
         ),
     )
     runs: list[targets.Run] = []
+    started: list[FaultyTarget] = []
     for number in range(TARGETS):
         zone = site.ZONES[number % len(site.ZONES)]
         target = FaultyTarget(
-            number, "certifier", zone, store, runs, (0.06, 0.18)
+            number, "heatdesk", zone, store, runs, (0.03, 0.09), True
         )
         target.random = random.Random()
-        target.is_faulty = number < SHARE_OF_TARGETS * TARGETS - 0.5
         await target.start()
+        started.append(target)
+    for target in started[: round(SHARE_OF_TARGETS * TARGETS)]:
+        target.repeats = True
     gateways = [site.Gateway(number, store, folder) for number in range(3)]
     client = site.Client(gateways, random.randrange(1 << 30))
 
     async def call() -> site.Answer:
+        key = random.randrange(targets.KEYS)
         return await client.call(
-            "POST", "/xapu221/ny95/2f", DEADLINE_MS, body=BODY
+            "POST", "/xapu221/2f", DEADLINE_MS, key=key, body=BODY
         )
 
     try:
@@ -109,45 +135,40 @@
             return site.NOT_RUN
         if site.HAS_TROUBLE:
             began = time.monotonic()
-            FaultyTarget.spans = [(began + a, began + b) for a, b in SPANS]
+            FaultyTarget.late_spans = [
+                (began + a, began + b) for a, b in LATE_SPANS
+            ]
+            FaultyTarget.shed_spans = [
+                (began + a, began + b) for a, b in SHED_SPANS
+            ]
         await site.send_load(PER_S, LOAD_S, call)
     finally:
         for gateway in gateways:
             await gateway.stop()
     record.add_answers(client.answers)
     record.add_runs(runs)
-    for attempt in FaultyTarget.spoiled:
-        record.add(f"additional bytes after the answer to {attempt}")
     return verdict(record, client.answers, runs)
 
 
 def verdict(record: site.Record, answers, runs: list[targets.Run]) -> int:
-    """Returns the exit status by what clients got and targets gave."""
-    given: dict[str, list[targets.Run]] = {}
-    for run in runs:
-        given.setdefault(run.attempt, []).append(run)
+    """Returns the exit status by what clients got and targets ran."""
+    counts = collections.Counter(run.attempt for run in runs)
     broken = 0
     for answer in answers:
-        ran = given.get(answer.attempt, [])
-        statuses = {run.status for run in ran}
-        if answer.signature and answer.status not in statuses:
+        times = counts[answer.attempt]
+        if answer.status in PROMISES and times:
             broken += 1
-            record.add(
-                f"MIXED: {answer.attempt} got {answer.status} with signature "
-                f"{answer.signature}; its target gave {sorted(statuses)}"
-            )
-        elif 200 <= answer.status < 300 and answer.body not in {
-            run.body for run in ran
-        }:
+            record.add(f"REFUSED: {answer.attempt} got {answer.status} and ran")
+        if times > 1:
             broken += 1
-            record.add(f"MIXED: {answer.attempt} got another body")
-    succeeded = sum(200 <= answer.status < 300 for answer in answers)
+            record.add(f"TWICE: {answer.attempt} ran {times} times")
+    statuses = collections.Counter(answer.status for answer in answers)
     record.add(
-        f"{len(answers)} requests, {succeeded} successes, "
-        f"{len(FaultyTarget.spoiled)} answers followed by additional bytes, "
-        f"{broken} answers other than the target's"
+        f"{len(answers)} requests, answers by status {dict(statuses)}, "
+        f"{len(FaultyTarget.repeated)} answers repeated late, "
+        f"{broken} times a rule was broken"
     )
-    if not succeeded:
+    if not statuses[200]:
         return site.NOT_RUN
     return site.BROKEN if broken else site.HELD
 
