Log the connection and the answer of each rejected send, count foreign bytes

Cause: the lines of a request named neither the connection nor the answer by which a send was taken for rejected, so that no log could tell the three hypotheses of the incident apart: left bytes, copies of a rejection, and promises on nobody's word.

Change: event not-run with status, reason phrase, connection, number of the exchange on it and time since the send; answered has the last three too. A counter of bytes from upstreams that are known to belong to no request. No change of logic.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -8,7 +8,9 @@
 import abc
 import asyncio
 import collections
+import enum
 import functools
+import itertools
 import socket
 import struct
 
@@ -23,6 +25,7 @@
 
 __all__ = [
     "ConnectionPool",
+    "ForeignBytes",
     "LinkObserver",
     "ResponseHead",
     "UpstreamConnection",
@@ -53,6 +56,7 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _MAX_HEAD_BYTES = 32768
 _INFORMATIONAL = range(100, 200)
+_numbers = itertools.count(1)
 
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
@@ -62,6 +66,19 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
 
 
+class ForeignBytes(enum.Enum):
+    """Bytes from an upstream that are no answer to the request in progress."""
+
+    # A whole answer to an earlier request.
+    LATE_COPY = "late-copy"
+    # Another answer behind the one to the request.
+    SECOND_ANSWER = "second-answer"
+    # Data on a connection without a request.
+    UNSOLICITED = "unsolicited"
+    # No HTTP response.
+    MALFORMED = "malformed"
+
+
 class LinkObserver(abc.ABC):
     """Is told what connections show about the paths to their peers."""
 
@@ -111,6 +128,9 @@
         connections and reset them, whatever becomes of the peer.
         """
 
+    def on_foreign_bytes(self, address: str, kind: ForeignBytes) -> None:
+        """Called when bytes arrive that are no answer to a request."""
+
 
 class _Unobserved(LinkObserver):
     """Ignores everything."""
@@ -159,6 +179,8 @@
     """One connection to an upstream.
 
     Attributes:
+        number: Number of the connection in this process.
+        exchanges: Requests that were sent on it.
         is_usable: Whether another request may be sent on it.
         is_probe: Whether it was opened to learn about its path, and hasn't been
             used for a request since.
@@ -180,6 +202,8 @@
         self._loop = loop
         self._observer = observer or _UNOBSERVED
         self.peer = peer
+        self.number = next(_numbers)
+        self.exchanges = 0
         self.is_probe = is_probe
         self.is_usable = True
         self.is_reused = False
@@ -217,12 +241,13 @@
         )
         if self._parser is None:
             if data:
-                # Unsolicited data, as no request is in progress.
+                self.note_foreign_bytes(ForeignBytes.UNSOLICITED)
                 self.abort()
             return
         try:
             messages, _, _ = self._parser.feed_data(data)
         except Exception as error:
+            self.note_foreign_bytes(ForeignBytes.MALFORMED)
             self._fail(error)
             self.abort()
             return
@@ -254,6 +279,10 @@
         self._fail(exc or ConnectionResetError("closed by the server"))
         super().connection_lost(exc)
 
+    def note_foreign_bytes(self, kind: ForeignBytes) -> None:
+        """Reports bytes that are no answer to the request in progress."""
+        self._observer.on_foreign_bytes(self.peer, kind)
+
     def _note_broken(self) -> None:
         now = clocks.monotonic()
         if self.is_probe:
@@ -283,6 +312,7 @@
             raise errors.PeerUnavailableError(
                 "closed before use", step="send", peer=self.peer
             )
+        self.exchanges += 1
         self._heads.clear()
         self.has_response = False
         self._payload = None
@@ -341,6 +371,8 @@
 
     def finish(self, head: ResponseHead) -> None:
         """Ends an exchange whose response was read completely."""
+        if self._heads:
+            self.note_foreign_bytes(ForeignBytes.SECOND_ANSWER)
         unsent = self.transport and self.transport.get_write_buffer_size()
         if unsent or self._heads or head.should_close or not self.is_usable:
             self.abort()
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -36,8 +36,8 @@
         id: The caller's id of the attempt.
         vm: The VM that decided.
         at_ms: Time in milliseconds since the Unix epoch.
-        event: `sent`, `answered`, `unanswered`, `refused`, `failed` or
-            `abandoned`.
+        event: `sent`, `not-run` (an upstream rejected it), `answered`,
+            `unanswered`, `refused`, `failed` or `abandoned`.
         route: Name of the route.
         service: The service selected by the route's traffic split.
         upstream: The upstream that it was or would have been sent to.
@@ -72,7 +72,9 @@
         request: Digest of the request, if it is relevant to crashes.
         upstream_run: Start of the upstream's run as registered when the request
             was sent, of exchanges without an answer.
-        sent_ms: Time since the request was sent, of these.
+        sent_ms: Time since the request was sent, of all exchanges.
+        connection: Number of the connection to the upstream.
+        exchange: Number of the request on that connection, starting at 1.
     """
 
     id: str
@@ -107,7 +109,9 @@
     rule: str = ""
     request: str = ""
     upstream_run: int = 0
-    sent_ms: int = 0
+    sent_ms: float = 0
+    connection: int = 0
+    exchange: int = 0
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -53,6 +53,8 @@
         is_probe: Whether it is sent to test if it still crashes upstreams.
         sent_at: When it was sent to the present upstream; None if it wasn't
             yet.
+        connection: Number of the connection that it was last sent on.
+        exchange: Number of that send on the connection, starting at 1.
     """
 
     method: str
@@ -68,6 +70,8 @@
     caller: str = ""
     is_probe: bool = False
     sent_at: float | None = None
+    connection: int = 0
+    exchange: int = 0
 
     def digest(self) -> fingerprint.Digest:
         """Returns a digest that recognises repetitions of the request."""
@@ -225,6 +229,8 @@
                 str(error), step="send", peer=target.id
             ) from error
         call.sent_at = sent_at
+        call.connection = connection.number
+        call.exchange = connection.exchanges
         return await while_sending_body(
             call,
             connection,
@@ -246,7 +252,7 @@
             expected_id = call.inbound.attempt_id
             if metadata.attempt_id in ("", expected_id):
                 break
-            # A late duplicate response to an earlier request.
+            connection.note_foreign_bytes(connections.ForeignBytes.LATE_COPY)
             await head.payload.read()
         if metadata.attempt_id != expected_id:
             raise outcomes.UnknownOutcomeError(
@@ -279,6 +285,8 @@
             # The head was complete, and only that is needed.
             connection.abort()
         error = kind(f"status {head.status}", step="send", peer=target.id)
+        error.answered_status = head.status
+        error.answered_reason = head.reason
         load = metadata.load
         error.had_free_slot = load is not None and load.running < load.slots
         raise error
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -354,6 +354,7 @@
                 self._record_end(
                     call, sending, unanswered.how_ended(error), now, trace
                 )
+                _record_rejection(call, error, state, now, trace)
                 if self._links.is_partitioned and isinstance(
                     error, outcomes.NotSentError
                 ):
@@ -514,6 +515,7 @@
                 upstream=target.id,
                 status=response.status,
                 waited_ms=clocks.milliseconds(now - waiter.arrived),
+                **_exchange_fields(call, now),
             )
         )
 
@@ -663,6 +665,37 @@
         )
 
 
+def _record_rejection(
+    call: exchange.Call,
+    error: outcomes.GatewayError,
+    state: retries.SendState,
+    now: float,
+    trace: decision_log.RequestTrace,
+) -> None:
+    """Records what an upstream answered that didn't run a request."""
+    if getattr(error, "answered_status", 0):
+        trace.add(
+            decision_log.RequestDecision(
+                id=call.inbound.attempt_id,
+                event="not-run",
+                upstream=error.peer,
+                status=error.answered_status,
+                reason=error.answered_reason,
+                attempt=state.sends,
+                **_exchange_fields(call, now),
+            )
+        )
+
+
+def _exchange_fields(call: exchange.Call, now: float) -> dict[str, float]:
+    """Returns the log fields of the last exchange of a request."""
+    return {
+        "connection": call.connection,
+        "exchange": call.exchange,
+        "sent_ms": round((now - (call.sent_at or now)) * 1000, 3),
+    }
+
+
 def _rule(error: outcomes.GatewayError) -> str:
     """Returns the queue limit that rejected a request, with its figures."""
     figures = getattr(getattr(error, "rejection", None), "figures", None)
--- a/src/swiftstile/gateway/link_observers.py
+++ b/src/swiftstile/gateway/link_observers.py
@@ -53,3 +53,10 @@
         """See base class."""
         for one in self._observers:
             one.on_closed(address, now)
+
+    def on_foreign_bytes(
+        self, address: str, kind: connections.ForeignBytes
+    ) -> None:
+        """See base class."""
+        for one in self._observers:
+            one.on_foreign_bytes(address, kind)
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -185,11 +185,15 @@
     Attributes:
         had_free_slot: Whether it reported a free slot, so that it rejected the
             request for another reason than lack of slots.
+        answered_status: Status of its answer; 0 if there was none.
+        answered_reason: Reason phrase of its answer.
     """
 
     status = 503
     reason = "shed"
     had_free_slot = False
+    answered_status = 0
+    answered_reason = ""
 
 
 class MisdirectedError(NotRunError):
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -184,6 +184,12 @@
     def on_closed(self, address: str, now: float) -> None:
         """See base class."""
 
+    def on_foreign_bytes(
+        self, address: str, kind: connections.ForeignBytes
+    ) -> None:
+        """See base class."""
+        self._meters.foreign_bytes.add(kind.value)
+
     def _note_open_failed(self, address: str, now: float) -> None:
         if not self._open_failed_at:
             self._failing_since = now
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -82,6 +82,7 @@
         self.rows = LabelledCounter()
         self.advisories = LabelledCounter()
         self.links = LabelledCounter()
+        self.foreign_bytes = LabelledCounter()
         self.forwards = LabelledCounter()
         self.store_calls = LabelledCounter()
         self.returning = LabelledCounter()
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -28,6 +28,7 @@
     "rows": ("swiftstile.rows.asked", "{question}", "result"),
     "advisories": ("swiftstile.upstream.advisories", "{answer}", "kind"),
     "links": ("swiftstile.upstream.links", "{event}", "kind"),
+    "foreign_bytes": ("swiftstile.upstream.foreign", "{occurrence}", "kind"),
     "forwards": ("swiftstile.forwards", "{request}", "result"),
     "store_calls": ("swiftstile.store.calls", "{call}", "reason"),
     "returning": ("swiftstile.returning.callers", "{request}", "kind"),
--- a/tests/integration/test_gateway_request_traces.py
+++ b/tests/integration/test_gateway_request_traces.py
@@ -100,3 +100,24 @@
         assert 0 <= last["at_ms"] - sent[0]["at_ms"] < 2500
 
     _run(tmp_path, scenario)
+
+
+def test_rejected_sends_are_traced_with_their_connection(tmp_path):
+    async def scenario(site):
+        for server in site.cluster.by_id.values():
+            server.rejections_left = 100
+        outcome = await site.callers.call("/write/x")
+        assert outcome.status == 503
+        trace = await _trace(site, outcome.attempt, "refused")
+        rejected = [d for d in trace.decisions if d["event"] == "not-run"]
+        assert [line["attempt"] for line in rejected] == [1, 2]
+        for line in rejected:
+            assert (line["status"], line["reason"]) == (
+                503,
+                "Service Unavailable",
+            )
+            assert line["connection"] > 0
+            assert line["exchange"] > 0
+            assert line["sent_ms"] > 0
+
+    _run(tmp_path, scenario)
