Add failing tests of answers that belong to no request

Cause: neither the stand-ins nor the tests sent bytes that are no answer to a request, but for whole copies of answers to other requests.

Tests with single exchanges (test_foreign_bytes.py) and with sites of real processes (test_foreign_answers.py). The scripted server of test_gateway_exchange.py moved to tests/exchange_parts.py, as both files use it.

--- /dev/null
+++ b/tests/integration/test_foreign_answers.py
@@ -0,0 +1,177 @@
+"""Sites of real processes whose servers send bytes of no request."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+
+import pytest
+
+from tests.integration import foreign_bytes
+from tests.integration import gateways
+from tests.integration import users_standins
+
+_ORDERS = "/orders/x"
+_LOAD_S = 20.0
+
+
+def _run(tmp_path, scenario, seed: int = 1) -> None:
+    site = gateways.Site(tmp_path, gateways=3, seed=seed)
+    asyncio.run(site.run_scenario(scenario))
+
+
+def _make_noise(site, **fields) -> None:
+    """Lets four of seven servers of each service send foreign bytes."""
+    for number, server in enumerate(site.cluster.by_id.values()):
+        if number % 7 < 4:
+            server.noise = foreign_bytes.Noise(seed=number, **fields)
+
+
+def _noise_sent(site) -> int:
+    noises = [server.noise for server in site.cluster.by_id.values()]
+    return sum(noise.sent for noise in noises if noise is not None)
+
+
+async def _add_orders(site) -> None:
+    """Adds the route of unsafe requests with keys, and waits until it works."""
+    route = users_standins.keyed_write_route("/orders/")
+    site.store.put("op", "config", users_standins.config(2, route))
+
+    async def is_known() -> bool:
+        calls = [
+            site.callers.call(_ORDERS, gateway=gateway)
+            for gateway in site.gateways
+        ]
+        return all(o.status == 200 for o in await asyncio.gather(*calls))
+
+    await site.until(is_known, 10)
+
+
+async def _load(site, per_s: float, seconds: float) -> None:
+    """Sends unsafe requests with and without keys, and some reads."""
+    loop = asyncio.get_running_loop()
+    end, calls = loop.time() + seconds, set()
+    paths = (_ORDERS, "/write/x", _ORDERS, "/write/x", "/read/x")
+    draw = random.Random(seconds)
+    while loop.time() < end:
+        call = asyncio.create_task(site.callers.call(draw.choice(paths)))
+        calls.add(call)
+        call.add_done_callback(calls.discard)
+        await asyncio.sleep(1 / per_s)
+    if calls:
+        await asyncio.wait(calls)
+
+
+def _reject(site, share: float) -> None:
+    for server in site.cluster.by_id.values():
+        server.rejected_share = share
+
+
+def test_late_copies_of_rejections_break_no_promise(tmp_path):
+    async def scenario(site):
+        await _add_orders(site)
+        _make_noise(site, repeat_share=0.06)
+        _reject(site, 0.5)
+        await _load(site, 150, _LOAD_S)
+        assert _noise_sent(site) > 20
+        _reject(site, 0.0)
+
+    _run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(
+    "delay_s", [(0.0, 0.0), (0.0, 0.05)], ids=["same-write", "later"]
+)
+def test_second_answers_break_no_promise(tmp_path, delay_s):
+    async def scenario(site):
+        await _add_orders(site)
+        _make_noise(site, second_share=0.1, second_delay_s=delay_s)
+        await _load(site, 150, _LOAD_S)
+        assert _noise_sent(site) > 20
+
+    _run(tmp_path, scenario)
+
+
+def test_foreign_bytes_beside_kills_and_pauses_break_no_promise(tmp_path):
+    async def disturb(site):
+        for gateway in (*site.gateways, *site.gateways):
+            await asyncio.sleep(1.2)
+            gateway.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.7)
+            gateway.send_signal(signal.SIGCONT)
+            await asyncio.sleep(0.5)
+            await gateway.stop(signal.SIGKILL)
+            await gateway.start()
+
+    async def scenario(site):
+        await _add_orders(site)
+        _make_noise(
+            site,
+            repeat_share=0.05,
+            second_share=0.05,
+            second_delay_s=(0.0, 0.05),
+        )
+        _reject(site, 0.4)
+        disturbing = asyncio.create_task(disturb(site))
+        await _load(site, 120, _LOAD_S)
+        with contextlib.suppress(asyncio.CancelledError):
+            await disturbing
+        _reject(site, 0.0)
+
+    _run(tmp_path, scenario)
+
+
+def test_foreign_bytes_cost_other_requests_nothing(tmp_path):
+    async def scenario(site):
+        await _add_orders(site)
+        _make_noise(site, second_share=0.1)
+        site.callers.outcomes.clear()
+        await _load(site, 120, _LOAD_S)
+        outcomes = site.callers.outcomes
+        served = sum(outcome.status == 200 for outcome in outcomes)
+        # Every answer was whole before the bytes that followed it.
+        assert served >= 0.995 * len(outcomes), site.callers.counts()
+
+    _run(tmp_path, scenario)
+
+
+# What a VM may use for control, by the requirements.
+_MAX_MEMORY_BYTES = 256 << 20
+
+
+def _peak_memory_bytes(gateway) -> int:
+    status = pathlib.Path(f"/proc/{gateway.process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmHWM:"))
+    return int(line.split()[1]) << 10
+
+
+def test_answers_without_end_are_closed_in_time(tmp_path):
+    timeout_s = 2.5
+
+    async def scenario(site):
+        await _add_orders(site)
+        _make_noise(site, endless_share=0.02)
+        site.callers.outcomes.clear()
+        await _load(site, 60, _LOAD_S)
+        answers = [
+            answer
+            for server in site.cluster.by_id.values()
+            if server.noise is not None
+            for answer in server.noise.endless
+        ]
+        assert len(answers) > 10
+        late = [
+            (answer.kind.value, round((answer.ended or 99) - answer.began, 2))
+            for answer in answers
+            if answer.ended is None
+            or answer.ended - answer.began > timeout_s + 0.5
+        ]
+        assert late == []
+        peaks = [_peak_memory_bytes(gateway) for gateway in site.gateways]
+        assert max(peaks) < _MAX_MEMORY_BYTES, peaks
+        outcomes = site.callers.outcomes
+        served = sum(outcome.status == 200 for outcome in outcomes)
+        assert served >= 0.95 * (len(outcomes) - len(answers))
+
+    _run(tmp_path, scenario)
--- /dev/null
+++ b/tests/integration/test_foreign_bytes.py
@@ -0,0 +1,248 @@
+"""Exchanges on connections with bytes that belong to no request."""
+
+import asyncio
+import contextlib
+
+import pytest
+from users_platform import control
+
+from swiftstile import clocks
+from swiftstile import errors
+from swiftstile.gateway import connections
+from swiftstile.gateway import interfaces
+from swiftstile.gateway import outcomes
+from tests import exchange_parts as parts
+
+_MISDIRECTED = b"HTTP/1.1 421 Misdirected Request"
+_REJECTION = (
+    b"HTTP/1.1 503 Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+def _cuts(data: bytes) -> list[bytes]:
+    """Returns beginnings of a response: within each line, and at its end."""
+    ends = {1, 9, 12, 13, len(data)}
+    position = 0
+    for line in data.split(b"\r\n"):
+        ends |= {position + len(line) // 2, position + len(line)}
+        ends |= {position + len(line) + 1, position + len(line) + 2}
+        position += len(line) + 2
+    return [data[:end] for end in sorted(ends) if 0 < end <= len(data)]
+
+
+_BEGINNINGS = _cuts(
+    b"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Load: 1,0,3\r\n"
+    b"X-Not-Executed: 1\r\nX-Attempt-Id: a1\r\nContent-Length: 12\r\n\r\n"
+    b"abcdefgh"
+)
+_CUT_IDS = [f"cut-at-{len(data)}" for data in _BEGINNINGS]
+
+
+@pytest.mark.parametrize("foreign", _BEGINNINGS, ids=_CUT_IDS)
+def test_bytes_behind_an_answer_do_not_change_the_next_one(foreign):
+    async def script(number, writer):
+        answer = parts.answer(f"a{number}")
+        writer.write(answer + (foreign if number == 1 else b""))
+
+    async def scenario(_server, sender, target):
+        first = await sender.send(parts.call("a1", "POST"), target)
+        assert (first.status, first.body) == (200, b"own")
+        second = await sender.send(parts.call("a2", "POST"), target)
+        assert (second.status, second.body) == (200, b"own")
+
+    parts.run(script, scenario)
+
+
+@pytest.mark.parametrize("foreign", _BEGINNINGS, ids=_CUT_IDS)
+def test_bytes_before_an_answer_are_not_taken_for_a_rejection(foreign):
+    async def script(number, writer):
+        if number == 2:
+            writer.write(foreign)
+            await asyncio.sleep(0.02)
+        writer.write(parts.answer(f"a{number}"))
+
+    async def scenario(_server, sender, target):
+        await sender.send(parts.call("a1", "POST"), target)
+        try:
+            response = await sender.send(
+                parts.call("a2", "POST", wait_s=0.3), target
+            )
+        except outcomes.GatewayError as error:
+            assert not error.promises_not_run
+        else:
+            assert (response.status, response.body) == (200, b"own")
+
+    parts.run(script, scenario)
+
+
+def test_late_copy_of_a_rejection_is_not_taken_for_the_next_answer():
+    async def script(number, writer):
+        if number == 1:
+            writer.write(_REJECTION % b"a1")
+            return
+        # On the same connection the copy comes first.
+        if writer.exchanges == 2:
+            writer.write(_REJECTION % b"a1")
+        writer.write(parts.answer("a1"))
+
+    async def scenario(_server, sender, target):
+        with pytest.raises(outcomes.NotRunError):
+            await sender.send(parts.call("a1", "POST"), target)
+        response = await sender.send(parts.call("a1", "POST"), target)
+        assert response.status == 200
+
+    parts.run(script, scenario)
+
+
+@pytest.mark.parametrize("echoes", [True, False])
+def test_late_copy_of_a_grant_is_not_taken_for_a_release(echoes):
+    released = asyncio.Event()
+
+    async def script(number, writer):
+        ids = b""
+        if echoes:
+            ids = (
+                b"X-Attempt-Id: "
+                + parts.header(writer, "X-Attempt-Id").encode()
+            )
+        answer = b"HTTP/1.1 200 OK\r\n" + ids + b"\r\n" * bool(ids)
+        answer += b"Content-Length: 0\r\n\r\n"
+        if number == 1:
+            writer.copy = answer
+        elif writer.copy:
+            writer.write(writer.copy)
+        if number == 2:
+            await asyncio.sleep(0.2)
+            released.set()
+        writer.write(answer)
+
+    async def scenario(_server, _sender, target):
+        calls = control.UpstreamCalls(connections.ConnectionPool())
+        address, keys = target.upstream.address, interfaces.KeyRange(16, 31)
+        await calls.grant(address, "u-1", keys, 7, 4.0, "", lambda: None)
+        with contextlib.suppress(errors.PeerUnavailableError):
+            await calls.release(address, "u-1", keys, 7)
+            assert released.is_set()
+
+    parts.run(script, scenario)
+
+
+@pytest.mark.parametrize(
+    "foreign",
+    [b"\x00\xff\x00", b"nonsense", b"HTTP/1.1 200", b"\r\n", _MISDIRECTED],
+    ids=["zeros", "nonsense", "first-line", "empty-line", "misdirected"],
+)
+def test_whole_answer_is_returned_whatever_follows_it(foreign):
+    async def script(number, writer):
+        writer.write(parts.answer(f"a{number}") + foreign)
+
+    async def scenario(_server, sender, target):
+        for number in (1, 2, 3):
+            call = parts.call(f"a{number}", "POST")
+            assert (await sender.send(call, target)).body == b"own"
+
+    parts.run(script, scenario)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Server-Signature: s\r\n",
+        b"HTTP/1.1 421 Misdirected\r\nX-Server-Signature: s\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Not-Executed: 1\r\n",
+        b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: a2\r\n",
+        b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Instance-Id: u-9\r\n",
+    ],
+    ids=["signed", "signed-421", "success", "two-ids", "other-upstream"],
+)
+def test_contradictory_answer_is_no_promise(head):
+    async def script(_number, writer):
+        writer.write(head + b"X-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n")
+
+    async def scenario(_server, sender, target):
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(parts.call("a1", "POST"), target)
+
+    parts.run(script, scenario)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize(
+    "signature",
+    [b"", b"X-Server-Signature: s\r\n"],
+    ids=["unsigned", "signed"],
+)
+def test_promising_status_without_a_statement_is_not_passed_on(
+    status, signature
+):
+    async def script(_number, writer):
+        writer.write(
+            b"HTTP/1.1 %d Status\r\nX-Attempt-Id: a1\r\n%b"
+            b"Content-Length: 0\r\n\r\n" % (status, signature)
+        )
+
+    async def scenario(_server, sender, target):
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(parts.call("a1", "POST"), target)
+        read = parts.call("a1", "GET")
+        read.is_idempotent = True
+        assert (await sender.send(read, target)).status == status
+
+    parts.run(script, scenario)
+
+
+_CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Signature: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+# What a response begins with, and what it repeats.
+_ENDLESS = {
+    "first-line": (b"HTTP/1.1 200 ", b"O"),
+    "header": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"a"),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-More: a\r\n"),
+    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "no-http": (b"", b"\x00\xff"),
+    "chunk-extension": (_CHUNKED + b"4;a=", b"a"),
+    "chunk-size": (_CHUNKED, b"0"),
+    "trailers": (_CHUNKED + b"0\r\n", b"X-More: a\r\n"),
+    "copies": (b"", parts.answer("a0", b"x" * 1000)),
+    "copy": (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a0\r\n"
+        b"Content-Length: 1000000000000\r\n\r\n",
+        b"a",
+    ),
+    "length": (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Signature: s\r\n"
+        b"Content-Length: 1000000000000\r\n\r\n",
+        b"a",
+    ),
+}
+# Buffers of both sockets, and what a response may hold that is read whole.
+_MAX_SENT_BYTES = 24 << 20
+
+
+@pytest.mark.parametrize("kind", _ENDLESS)
+def test_answer_without_end_fails_at_once(kind):
+    begin, repeated = _ENDLESS[kind]
+    piece = repeated * (65536 // len(repeated))
+    sent = 0
+
+    async def script(_number, writer):
+        nonlocal sent
+        writer.write(begin)
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            sent += len(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    async def scenario(_server, sender, target):
+        started = clocks.monotonic()
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sender.send(parts.call("a1", wait_s=5.0), target)
+        # Far less than the caller would wait.
+        assert clocks.monotonic() - started < 2.0
+        assert sent < _MAX_SENT_BYTES
+
+    parts.run(script, scenario)
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -3,102 +3,20 @@
 import asyncio
 import contextlib
 
-import multidict
 import pytest
 from users_platform import control
-from users_platform import dialect
 
 from swiftstile import clocks
 from swiftstile import errors
-from swiftstile import metrics
-from swiftstile.gateway import advisories
 from swiftstile.gateway import connections
-from swiftstile.gateway import exchange
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import targets
+from tests import exchange_parts as parts
 from tests import gateway_builders as builders
 
-
-def _answer(attempt: str, body: bytes = b"own") -> bytes:
-    return (
-        f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n"
-        f"X-Server-Signature: s\r\nContent-Length: {len(body)}\r\n\r\n"
-    ).encode() + body
-
-
-class _Server:
-    """A server that handles each request with a function.
-
-    Attributes:
-        requests: Heads and bodies of all requests, in order.
-        connections: Number of accepted connections.
-    """
-
-    def __init__(self, script):
-        self._script = script
-        self.requests: list[bytes] = []
-        self.connections = 0
-
-    async def handle(self, reader, writer) -> None:
-        self.connections += 1
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = 0
-                for line in head.split(b"\r\n"):
-                    if line.lower().startswith(b"content-length:"):
-                        length = int(line.split(b":")[1])
-                body = await reader.readexactly(length)
-                self.requests.append(head + body)
-                await self._script(len(self.requests), writer)
-        writer.close()
-
-
-def _call(attempt: str, method: str = "GET", body: bytes = b"", wait_s=1.0):
-    headers = multidict.CIMultiDict(Host="a.example")
-    headers["X-Attempt-Id"] = attempt
-    return exchange.Call(
-        method,
-        "/a/b?c=1",
-        headers,
-        interfaces.RequestMetadata(attempt, wait_s, None),
-        body,
-        None,
-        None,
-        clocks.monotonic() + wait_s,
-    )
-
-
-def _client(pool: connections.ConnectionPool) -> exchange.UpstreamClient:
-    return exchange.UpstreamClient(
-        pool,
-        dialect.UsersDialect(),
-        advisories.AdvisoryTable(targets.TargetTable(), metrics.Meters()),
-        2.0,
-    )
-
-
-@contextlib.asynccontextmanager
-async def _running(script):
-    server = _Server(script)
-    listener = await asyncio.start_server(server.handle, "127.0.0.1", 0)
-    port = listener.sockets[0].getsockname()[1]
-    upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
-    target = targets.Target(upstream, 0.0)
-    sender = _client(connections.ConnectionPool())
-    try:
-        yield server, sender, target
-    finally:
-        listener.close()
-
-
-def _run(script, scenario) -> None:
-    async def main():
-        async with _running(script) as parts:
-            await scenario(*parts)
-
-    asyncio.run(main())
+_answer, _call, _client = parts.answer, parts.call, parts.client
+_run = parts.run
 
 
 def test_connection_is_reused():
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -14,6 +14,7 @@
 
 from aiohttp import web
 
+from tests.integration import foreign_bytes
 from tests.integration import link_cuts
 
 KEYS = 65536
@@ -373,6 +374,8 @@
         announces_exit: Whether it says in its answers that it is leaving.
         rejections_left: How many requests it rejects although it has free
             slots.
+        rejected_share: Share of the requests that it rejects although it has
+            free slots.
         backoff_s: If set, it rejects all requests and wants none of the same VM
             for so long.
         is_unresponsive: Whether it answers nothing, though its connections stay
@@ -380,6 +383,8 @@
         crashing: Paths of the requests in progress that will crash it.
         arrivals: All requests that reached its current run, run or not.
         listener: Where it listens.
+        noise: What it sends besides its answers, if anything.
+        echoes_ids_of_orders: Whether it returns the ids of grants and releases.
     """
 
     def __init__(
@@ -405,6 +410,7 @@
         self.limit_per_s: float | None = None
         self.announces_exit = False
         self.rejections_left = 0
+        self.rejected_share = 0.0
         self.backoff_s: float | None = None
         self.is_unresponsive = False
         self.crashing: list[str] = []
@@ -419,6 +425,8 @@
         self._request_ended = asyncio.Condition()
         self._runner: web.AppRunner | None = None
         self.listener: asyncio.Server | None = None
+        self.noise: foreign_bytes.Noise | None = None
+        self.echoes_ids_of_orders = False
         self._is_restarting = False
 
     @property
@@ -427,7 +435,10 @@
         return self.is_up and not self.is_unresponsive
 
     async def start(self) -> None:
-        app = web.Application(client_max_size=1 << 26)
+        app = web.Application(
+            client_max_size=1 << 26, middlewares=[foreign_bytes.middleware]
+        )
+        app[foreign_bytes.SERVER] = self
         app.router.add_post("/swiftstile/grant", self._grant)
         app.router.add_post("/swiftstile/release", self._release)
         app.router.add_route("*", "/{tail:.*}", self._request)
@@ -598,8 +609,9 @@
         if expected != self.name or not_held:
             headers |= {"X-Not-Executed": "1", "X-Instance-Id": self.name}
             return web.Response(status=421, headers=headers)
-        if self.rejections_left:
-            self.rejections_left -= 1
+        is_drawn = random.random() < self.rejected_share
+        if self.rejections_left or is_drawn:
+            self.rejections_left = max(0, self.rejections_left - 1)
             headers |= {
                 "X-Not-Executed": "1",
                 "X-Instance-Load": f"0,0,{self.slots}",
@@ -681,6 +693,22 @@
     )
 
 
+def keyed_write_route(prefix: str, max_attempts: int = 2) -> dict:
+    """Returns a route of unsafe requests, for the owners of their keys."""
+    return _entry(
+        "routes",
+        "orders",
+        host="a.example",
+        prefix=prefix,
+        kind="unsafe",
+        timeout="2500ms",
+        objective="600ms",
+        priority=1,
+        service="keyed",
+        max_attempts=max_attempts,
+    )
+
+
 def config(version: int, *extra: dict) -> dict:
     """Returns the operator's configuration with a keyed and a plain service."""
 
