Read no byte behind a response as the beginning of the next one

Cause: a parser of a stream was used for single exchanges. It was fed all received bytes, kept the beginning of a second response, and was used again for the next exchange, so that this read '421 MisdirecHTTP/1.1 200 OK'; an error behind a whole response discarded that as well. Class: the end of a message is decided by what follows it.

Evidence: lines of rejected sends hold two status lines in one, as exchange 2 to 6 of a connection, after the time of the work.

Change: response_reader.py decides where a response begins and ends, and reads nothing behind its end. A connection with bytes left behind a response isn't used again; the response stands. Heads are parsed strictly: a line with the status line of another response, a header line that is none, two lengths or control characters make the response malformed, which promises nothing. The size of a head with all interim responses, their number, chunk extensions and trailers are bounded, as are answers to other requests before the one that is due.

--- a/src/swiftstile/errors.py
+++ b/src/swiftstile/errors.py
@@ -5,6 +5,7 @@
     "ConflictError",
     "ControlMessageError",
     "LogError",
+    "MalformedResponseError",
     "OutcomeUnknownError",
     "PeerTimeoutError",
     "PeerUnavailableError",
@@ -62,6 +63,10 @@
     """A control message is malformed or unexpected."""
 
 
+class MalformedResponseError(SwiftstileError):
+    """Received bytes aren't one whole response within the limits."""
+
+
 class LogError(SwiftstileError):
     """A log can't be read, or has no entry for the request."""
 
--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -8,26 +8,26 @@
 import abc
 import asyncio
 import collections
+import collections.abc
 import enum
 import functools
 import itertools
 import socket
 import struct
 
-import aiohttp
 from aiohttp import base_protocol
-from aiohttp import http
-from aiohttp import http_exceptions
 
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import logs
+from swiftstile.gateway import response_bodies
+from swiftstile.gateway import response_heads
+from swiftstile.gateway import response_reader
 
 __all__ = [
     "ConnectionPool",
     "ForeignBytes",
     "LinkObserver",
-    "ResponseHead",
     "UpstreamConnection",
     "reset_on_close",
 ]
@@ -54,8 +54,12 @@
 UNSAFE_REUSE_PAUSE_S = 10.0
 MAX_SAFE_IDLE_S = 0.2
 _LINGER_RESET = struct.pack("ii", 1, 0)
-_MAX_HEAD_BYTES = 32768
-_INFORMATIONAL = range(100, 200)
+# Bytes of one connection that are read before others are served.
+MAX_READ_BYTES = 1 << 15
+# Late answers to earlier requests before that to the current one, and the
+# maximum size of each.
+MAX_SKIPPED = 8
+MAX_SKIPPED_BYTES = 1 << 20
 _numbers = itertools.count(1)
 
 
@@ -164,15 +168,8 @@
 _UNOBSERVED = _Unobserved()
 
 
-class ResponseHead:
-    """Status and headers of a response, and the stream of its body."""
-
-    def __init__(self, message, payload: aiohttp.StreamReader):
-        self.status: int = message.code
-        self.reason: str = message.reason
-        self.headers = message.headers
-        self.should_close: bool = message.should_close
-        self.payload = payload
+def _ignore_foreign_bytes(_address: str, _kind: ForeignBytes) -> None:
+    """Does nothing."""
 
 
 class UpstreamConnection(base_protocol.BaseProtocol):
@@ -189,6 +186,14 @@
         opened_at: When it was opened, on the monotonic clock.
         idle_since: When it became idle.
         idle_timeout_s: Idle timeout of the server.
+
+    Args:
+        loop: The event loop.
+        peer: Address of the upstream.
+        observer: Is told what the connection shows about its path.
+        is_probe: As above.
+        on_foreign_bytes: Called when bytes arrive that are no answer to the
+            request in progress.
     """
 
     def __init__(
@@ -197,10 +202,14 @@
         peer: str,
         observer: LinkObserver | None = None,
         is_probe: bool = False,
+        on_foreign_bytes: collections.abc.Callable[
+            [str, ForeignBytes], None
+        ] = _ignore_foreign_bytes,
     ):
         super().__init__(loop)
         self._loop = loop
         self._observer = observer or _UNOBSERVED
+        self._on_foreign_bytes = on_foreign_bytes
         self.peer = peer
         self.number = next(_numbers)
         self.exchanges = 0
@@ -212,14 +221,20 @@
         self.opened_at = clocks.monotonic()
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
-        self._heads: collections.deque[ResponseHead] = collections.deque()
-        self._payload: aiohttp.StreamReader | None = None
+        # None while no exchange is in progress.
+        self._reader: response_reader.ResponseReader | None = None
+        # Received, and not read yet.
+        self._unread = b""
+        self._is_reading_paused = False
+        self._reading: asyncio.Handle | None = None
+        self._skipped = 0
         self._waiter: asyncio.Future[None] | None = None
         self._error: BaseException | None = None
-        # Parser of the last exchange while idle, and whether responses to the
-        # current method have a body.
-        self._idle_parser: http.HttpResponseParser | None = None
-        self._has_body = True
+
+    @property
+    def body(self) -> response_bodies.ResponseBody:
+        """The body of the current response."""
+        return self._reader.body
 
     def connection_made(self, transport) -> None:
         """See base class."""
@@ -239,28 +254,69 @@
         self._observer.on_received(
             self.peer, self.opened_at, clocks.monotonic()
         )
-        if self._parser is None:
-            if data:
-                self.note_foreign_bytes(ForeignBytes.UNSOLICITED)
+        if self._reader is None:
+            self.note_foreign_bytes(ForeignBytes.UNSOLICITED)
+            self.abort()
+            return
+        self._unread += data
+        if self._reading is None:
+            self._read()
+
+    def _read(self) -> None:
+        """Reads a limited part of the received bytes, and later the rest."""
+        self._reading = None
+        reader = self._reader
+        if reader is not None and self._can_read(reader):
+            part = self._unread[:MAX_READ_BYTES]
+            behind = self._unread[MAX_READ_BYTES:]
+            had_head = reader.head is not None
+            try:
+                self._unread = reader.feed(part) + behind
+            except errors.MalformedResponseError as error:
+                self.note_foreign_bytes(ForeignBytes.MALFORMED)
+                self._fail(error)
                 self.abort()
+                return
+            if reader.head is not None and not had_head:
+                self.has_response = True
+                self._notify()
+            if behind and self._can_read(reader):
+                # Other connections are served in between.
+                self._reading = self._loop.call_soon(self._read)
+        self._pause_or_resume()
+
+    def _can_read(self, reader: response_reader.ResponseReader) -> bool:
+        return (
+            bool(self._unread)
+            and self._error is None
+            and not reader.is_done
+            and not reader.body.is_full
+        )
+
+    def _pause_or_resume(self) -> None:
+        """Receives more only once the received bytes were read."""
+        if self.transport is None or self.transport.is_closing():
             return
-        try:
-            messages, _, _ = self._parser.feed_data(data)
-        except Exception as error:
-            self.note_foreign_bytes(ForeignBytes.MALFORMED)
-            self._fail(error)
-            self.abort()
+        reader = self._reader
+        should_pause = reader is not None and (
+            bool(self._unread) or reader.body.is_full
+        )
+        if should_pause == self._is_reading_paused:
             return
-        for message, payload in messages:
-            self.has_response = True
-            self._payload = payload
-            self._heads.append(ResponseHead(message, payload))
-        if messages:
-            self._notify()
+        self._is_reading_paused = should_pause
+        if should_pause:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def _on_taken(self) -> None:
+        is_waiting = self._is_reading_paused or bool(self._unread)
+        if is_waiting and self._reading is None:
+            self._reading = self._loop.call_soon(self._read)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """See base class."""
-        is_in_use = self._parser is not None
+        is_in_use = self._reader is not None
         if exc is None:
             # Closed by the server before it answered, and not by this VM.
             is_broken = self.is_usable and is_in_use and not self.has_response
@@ -271,17 +327,29 @@
         if self.is_usable and not is_in_use and self._has_received:
             self._observer.on_closed(self.peer, clocks.monotonic())
         self.is_usable = False
-        if self._parser is not None and exc is None:
-            try:
-                self._parser.feed_eof()
-            except Exception as error:
-                exc = error
+        if self._reader is not None and exc is None:
+            exc = self._end_response(self._reader)
         self._fail(exc or ConnectionResetError("closed by the server"))
         super().connection_lost(exc)
 
+    def _end_response(
+        self, reader: response_reader.ResponseReader
+    ) -> BaseException | None:
+        """Ends the response of a closed connection; returns why it can't."""
+        try:
+            while self._unread and not reader.is_done:
+                self._unread = reader.feed(self._unread)
+            reader.feed_end()
+        except errors.MalformedResponseError as error:
+            return error
+        if reader.head is not None:
+            self.has_response = True
+        return None
+
     def note_foreign_bytes(self, kind: ForeignBytes) -> None:
         """Reports bytes that are no answer to the request in progress."""
         self._observer.on_foreign_bytes(self.peer, kind)
+        self._on_foreign_bytes(self.peer, kind)
 
     def _note_broken(self) -> None:
         now = clocks.monotonic()
@@ -293,9 +361,8 @@
     def _fail(self, error: BaseException) -> None:
         self.is_usable = False
         self._error = self._error or error
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(repr(error)))
+        if self._reader is not None:
+            self._reader.body.fail(error)
         self._notify()
 
     def _notify(self) -> None:
@@ -313,35 +380,15 @@
                 "closed before use", step="send", peer=self.peer
             )
         self.exchanges += 1
-        self._heads.clear()
         self.has_response = False
-        self._payload = None
-        has_body = method != "HEAD"
-        if has_body and self._idle_parser is not None:
-            # Reused after a complete response, as creating a parser is a large
-            # part of the cost of a renewal.
-            self._parser = self._idle_parser
-        else:
-            self._parser = self._new_parser(has_body)
-        self._idle_parser = None
-        self._has_body = has_body
+        self._skipped = 0
+        self._reader = response_reader.ResponseReader(
+            method == "HEAD", self._on_taken
+        )
         self.transport.write(data)
         if not self.is_probe:
             self._observer.on_sent(self.peer, clocks.monotonic())
 
-    def _new_parser(self, has_body: bool) -> http.HttpResponseParser:
-        return http.HttpResponseParser(
-            self,
-            self._loop,
-            2**16,
-            max_line_size=_MAX_HEAD_BYTES,
-            max_field_size=_MAX_HEAD_BYTES,
-            payload_exception=aiohttp.ClientPayloadError,
-            response_with_body=has_body,
-            read_until_eof=True,
-            auto_decompress=False,
-        )
-
     async def send_body(self, data: bytes) -> None:
         """Sends more of a body, waiting while the send buffer is full."""
         if self.transport is None:
@@ -349,18 +396,16 @@
         self.transport.write(data)
         await self._drain_helper()
 
-    async def next_head(self) -> ResponseHead:
+    async def next_head(self) -> response_heads.ResponseHead:
         """Returns the head of the next final response.
 
         Raises:
             ConnectionError: The connection ended first.
-            HttpProcessingError: The received data isn't valid HTTP.
+            MalformedResponseError: The received data is no response.
         """
         while True:
-            while self._heads:
-                head = self._heads.popleft()
-                if head.status not in _INFORMATIONAL:
-                    return head
+            if self._reader is not None and self._reader.head is not None:
+                return self._reader.head
             if self._error is not None:
                 raise self._error
             self._waiter = self._loop.create_future()
@@ -369,18 +414,46 @@
             finally:
                 self._waiter = None
 
-    def finish(self, head: ResponseHead) -> None:
-        """Ends an exchange whose response was read completely."""
-        if self._heads:
+    async def skip_response(self) -> None:
+        """Drops the current response, which answers an earlier request.
+
+        Raises:
+            MalformedResponseError: No response can follow it, or too many
+                precede the one to the current request.
+        """
+        self.note_foreign_bytes(ForeignBytes.LATE_COPY)
+        reader = self._reader
+        self._skipped += 1
+        is_last = reader.head.should_close or self._skipped > MAX_SKIPPED
+        if is_last or (reader.head.length or 0) > MAX_SKIPPED_BYTES:
+            raise errors.MalformedResponseError(
+                "only answers to other requests", step="skip", peer=self.peer
+            )
+        if not await reader.body.discard(MAX_SKIPPED_BYTES):
+            raise errors.MalformedResponseError(
+                "a long answer to another request", step="skip", peer=self.peer
+            )
+        self.has_response = False
+        reader.expect_response()
+        self._read()
+
+    def finish(self) -> None:
+        """Ends an exchange whose response was read completely.
+
+        The connection isn't used again if anything but one response was
+        received: the rest would precede the next one.
+        """
+        reader = self._reader
+        if self._unread:
             self.note_foreign_bytes(ForeignBytes.SECOND_ANSWER)
         unsent = self.transport and self.transport.get_write_buffer_size()
-        if unsent or self._heads or head.should_close or not self.is_usable:
+        is_clean = reader.is_done and not self._unread and not unsent
+        if not is_clean or reader.head.should_close or not self.is_usable:
             self.abort()
             return
-        self._idle_parser = self._parser if self._has_body else None
-        self._parser = None
+        self._reader = None
         self.idle_since = clocks.monotonic()
-        self.idle_timeout_s = _keep_alive_s(head.headers)
+        self.idle_timeout_s = _keep_alive_s(reader.head.headers)
 
     def can_reuse(self, now: float) -> bool:
         """Whether it is open and the server isn't about to close it."""
@@ -517,9 +590,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection.send_request("GET", request.encode())
-                head = await connection.next_head()
-                await head.payload.read()
-            is_complete = True
+                await connection.next_head()
+                is_complete = await connection.body.discard(MAX_SKIPPED_BYTES)
         except (
             TimeoutError,
             errors.PeerUnavailableError,
@@ -529,7 +601,7 @@
             return connection.has_response
         finally:
             if is_complete:
-                connection.finish(head)
+                connection.finish()
                 self.release(address, connection)
             else:
                 connection.abort()
@@ -584,9 +656,4 @@
 
 
 # Errors of an exchange that leave it unknown whether the request ran.
-EXCHANGE_ERRORS = (
-    OSError,
-    aiohttp.ClientError,
-    http_exceptions.HttpProcessingError,
-    EOFError,
-)
+EXCHANGE_ERRORS = (OSError, errors.MalformedResponseError, EOFError)
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -14,6 +14,8 @@
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import response_bodies
+from swiftstile.gateway import response_heads
 from swiftstile.gateway import targets
 
 __all__ = [
@@ -102,16 +104,16 @@
             validated it.
         finish: Ends the exchange after streaming. Takes whether the body was
             relayed completely.
-        length: Length of a streamed body, in bytes.
+        length: Length of a streamed body, in bytes; None if it isn't stated.
     """
 
     status: int
     headers: list[tuple[str, str]]
     body: bytes | None
-    stream: object
+    stream: collections.abc.AsyncIterator[bytes]
     metadata: interfaces.AnswerMetadata | None
     finish: collections.abc.Callable[[bool], None]
-    length: int = 0
+    length: int | None = None
 
 
 class UpstreamClient:
@@ -252,8 +254,7 @@
             expected_id = call.inbound.attempt_id
             if metadata.attempt_id in ("", expected_id):
                 break
-            connection.note_foreign_bytes(connections.ForeignBytes.LATE_COPY)
-            await head.payload.read()
+            await connection.skip_response()
         if metadata.attempt_id != expected_id:
             raise outcomes.UnknownOutcomeError(
                 "answer without id", step="check answer", peer=target.id
@@ -278,9 +279,11 @@
             if metadata.answered_by not in ("", target.id):
                 kind = outcomes.ReplacedError
         try:
-            await head.payload.read()
-            connection.finish(head)
-            self._pool.release(target.upstream.address, connection)
+            if await connection.body.discard(MAX_BUFFERED_BYTES):
+                connection.finish()
+                self._pool.release(target.upstream.address, connection)
+            else:
+                connection.abort()
         except connections.EXCHANGE_ERRORS:
             # The head was complete, and only that is needed.
             connection.abort()
@@ -298,13 +301,15 @@
 
         def finish(is_whole: bool) -> None:
             if is_whole:
-                connection.finish(head)
+                connection.finish()
                 self._pool.release(address, connection)
             else:
                 connection.abort()
 
         headers = self._dialect.answer_headers(head.headers)
-        return await read_response(head, headers, metadata, finish)
+        return await read_response(
+            head, connection.body, headers, metadata, finish
+        )
 
 
 def encode_request(call: Call, headers: list[tuple[str, str]]) -> bytes:
@@ -349,7 +354,8 @@
 
 
 async def read_response(
-    head: connections.ResponseHead,
+    head: response_heads.ResponseHead,
+    content: response_bodies.ResponseBody,
     headers: list[tuple[str, str]],
     metadata: interfaces.AnswerMetadata | None,
     finish: collections.abc.Callable[[bool], None],
@@ -358,27 +364,39 @@
 
     Args:
         head: The head.
+        content: The body that is received.
         headers: Headers for the caller.
         metadata: Metadata of the head.
         finish: Ends the exchange.
     """
-    length = head.headers.get("Content-Length", "")
-    is_long = length.isdigit() and int(length) > MAX_BUFFERED_BYTES
-    body = None
+    body, first_part = None, b""
+    is_long = (head.length or 0) > MAX_BUFFERED_BYTES
     if not is_long:
-        body = await head.payload.read()
-        finish(True)
+        first_part, is_whole = await content.read(MAX_BUFFERED_BYTES)
+        if is_whole:
+            body, first_part = first_part, b""
+            finish(True)
     return UpstreamResponse(
         head.status,
         headers,
         body,
-        head.payload,
+        _stream(first_part, content),
         metadata,
         finish,
-        int(length) if is_long else 0,
+        head.length,
     )
 
 
+async def _stream(
+    first_part: bytes, content: response_bodies.ResponseBody
+) -> collections.abc.AsyncIterator[bytes]:
+    """Yields a body of which the first part was read."""
+    if first_part:
+        yield first_part
+    while piece := await content.next_piece():
+        yield piece
+
+
 async def _send_stream(call: Call, connection) -> None:
     is_chunked = call.length is None
     async for piece in call.stream:
@@ -400,11 +418,12 @@
     response = web_response.StreamResponse(status=upstream_response.status)
     for name, value in upstream_response.headers:
         response.headers.add(name, value)
-    response.content_length = upstream_response.length
+    if upstream_response.length is not None:
+        response.content_length = upstream_response.length
     is_whole = False
     try:
         await response.prepare(request)
-        async for piece in upstream_response.stream.iter_any():
+        async for piece in upstream_response.stream:
             await response.write(piece)
         await response.write_eof()
         is_whole = True
--- a/src/swiftstile/gateway/forwarding.py
+++ b/src/swiftstile/gateway/forwarding.py
@@ -28,6 +28,8 @@
 MAX_ASKED_VMS = 3
 # Extra wait for the response of a VM that stops at the deadline itself.
 _DEADLINE_GRACE_S = 0.08
+# Maximum size of the body of an error.
+_MAX_ERROR_BYTES = 1 << 16
 # Reasons for which a VM didn't handle a request and another one may.
 _UNABLE = frozenset(
     error.reason
@@ -203,15 +205,17 @@
 
         def finish(is_whole: bool) -> None:
             if is_whole:
-                connection.finish(head)
+                connection.finish()
                 self._pool.release(address, connection)
             else:
                 connection.abort()
 
         if outcome == forward_headers.ANSWERED:
-            return await exchange.read_response(head, headers, None, finish)
-        body = await head.payload.read()
-        finish(True)
+            return await exchange.read_response(
+                head, connection.body, headers, None, finish
+            )
+        body, is_whole = await connection.body.read(_MAX_ERROR_BYTES)
+        finish(is_whole)
         if not outcome:
             raise outcomes.UnknownOutcomeError(
                 f"status {head.status} without outcome",
