Never send an attempt twice on one connection

What callers saw: an unsafe request was answered 503, which promises that it didn't run, and ran (REFUSED).

Cause: a request that the owner of its key rejected is sent there again under the same id, on the connection that had just become free. A late copy of the rejection bears that id as well, and was taken for the answer to the second send. Class: an id of an attempt used as the id of a message.

Change: a connection remembers the attempts that it carried, 256 at most, and isn't taken for these again. A copy can't reach another connection.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -54,6 +54,8 @@
 UNSAFE_REUSE_PAUSE_S = 10.0
 MAX_SAFE_IDLE_S = 0.2
 _LINGER_RESET = struct.pack("ii", 1, 0)
+# Maximum attempts that a connection remembers; it isn't used beyond.
+MAX_REMEMBERED_ATTEMPTS = 256
 # Bytes of one connection that are read before others are served.
 MAX_READ_BYTES = 1 << 15
 # Late answers to earlier requests before that to the current one, and the
@@ -228,6 +230,9 @@
         self._is_reading_paused = False
         self._reading: asyncio.Handle | None = None
         self._skipped = 0
+        # Hashes of the ids of the attempts that were sent on it. A collision
+        # only costs a new connection.
+        self._attempts: set[int] = set()
         self._waiter: asyncio.Future[None] | None = None
         self._error: BaseException | None = None
 
@@ -455,10 +460,23 @@
         self.idle_since = clocks.monotonic()
         self.idle_timeout_s = _keep_alive_s(reader.head.headers)
 
+    def note_attempt(self, attempt_id: str) -> None:
+        """Records that an attempt is sent on it."""
+        self._attempts.add(hash(attempt_id))
+
+    def has_carried(self, attempt_id: str) -> bool:
+        """Whether an attempt was sent on it before.
+
+        A late copy of the answer to that send couldn't be told from the answer
+        to another one.
+        """
+        return hash(attempt_id) in self._attempts
+
     def can_reuse(self, now: float) -> bool:
         """Whether it is open and the server isn't about to close it."""
         return (
             self.is_usable
+            and len(self._attempts) < MAX_REMEMBERED_ATTEMPTS
             and self.transport is not None
             and not self.transport.is_closing()
             and now - self.idle_since < self.idle_timeout_s - IDLE_MARGIN_S
@@ -510,31 +528,54 @@
         self._restricted_until = 0.0
 
     async def acquire(
-        self, address: str, is_idempotent: bool
+        self, address: str, is_idempotent: bool, attempt_id: str = ""
     ) -> UpstreamConnection:
         """Returns an idle connection, or a new one.
 
         Args:
             address: Address of the upstream.
             is_idempotent: Whether the request may be sent more than once.
+            attempt_id: Id that its answer bears, if it isn't used only once.
+                Connections that carried it before aren't returned.
 
         Raises:
             PeerUnavailableError: No connection could be opened; nothing was
                 sent.
         """
+        connection = self._take_idle(address, is_idempotent, attempt_id)
+        if connection is None:
+            connection = await self._open_for_request(address)
+        if attempt_id:
+            connection.note_attempt(attempt_id)
+        return connection
+
+    def _take_idle(
+        self, address: str, is_idempotent: bool, attempt_id: str
+    ) -> UpstreamConnection | None:
+        """Returns the newest idle connection that a request may be sent on."""
         now = clocks.monotonic()
         is_restricted = not is_idempotent and now < self._restricted_until
         idle = self._idle_by_address.get(address)
-        while idle:
+        passed_over: list[UpstreamConnection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
             was_idle_long = now - connection.idle_since > MAX_SAFE_IDLE_S
-            if connection.can_reuse(now) and not (
+            if not connection.can_reuse(now) or (
                 is_restricted and was_idle_long
             ):
+                connection.abort()
+            elif attempt_id and connection.has_carried(attempt_id):
+                passed_over.append(connection)
+            else:
                 connection.is_reused = True
                 connection.is_probe = False
-                return connection
-            connection.abort()
+                found = connection
+        if passed_over:
+            idle.extend(reversed(passed_over))
+        return found
+
+    async def _open_for_request(self, address: str) -> UpstreamConnection:
         if not self._observer.may_open():
             raise errors.PeerUnreachableError(
                 "no new connection opens", step="connect", peer=address
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -155,7 +155,9 @@
         address = target.upstream.address
         call.sent_at = None
         try:
-            connection = await self._pool.acquire(address, call.is_idempotent)
+            connection = await self._pool.acquire(
+                address, call.is_idempotent, call.inbound.attempt_id
+            )
         except errors.PeerUnavailableError as error:
             raise outcomes.UpstreamUnreachableError(
                 str(error), step="connect", peer=target.id
--- a/tests/integration/test_foreign_bytes.py
+++ b/tests/integration/test_foreign_bytes.py
@@ -95,6 +95,39 @@
     parts.run(script, scenario)
 
 
+def test_attempt_is_never_sent_twice_on_one_connection():
+    async def script(number, writer):
+        attempt = parts.header(writer, "X-Attempt-Id").encode()
+        writer.write(_REJECTION % attempt)
+
+    async def scenario(server, sender, target):
+        for attempt, connections_ in (("a1", 1), ("a1", 2), ("a2", 2)):
+            with pytest.raises(outcomes.NotRunError):
+                await sender.send(parts.call(attempt, "POST"), target)
+            assert server.connections == connections_
+        with pytest.raises(outcomes.NotRunError):
+            await sender.send(parts.call("a1", "POST"), target)
+        assert server.connections == 3
+
+    parts.run(script, scenario)
+
+
+def test_connection_is_replaced_after_as_many_attempts_as_it_remembers(
+    monkeypatch,
+):
+    monkeypatch.setattr(connections, "MAX_REMEMBERED_ATTEMPTS", 3)
+
+    async def script(number, writer):
+        writer.write(parts.answer(f"a{number}"))
+
+    async def scenario(server, sender, target):
+        for number in range(1, 8):
+            await sender.send(parts.call(f"a{number}"), target)
+        assert server.connections == 3
+
+    parts.run(script, scenario)
+
+
 @pytest.mark.parametrize("echoes", [True, False])
 def test_late_copy_of_a_grant_is_not_taken_for_a_release(echoes):
     released = asyncio.Event()
