--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -575,6 +575,14 @@
             idle.extend(reversed(passed_over))
         return found
 
+    async def open(self, address: str) -> UpstreamConnection:
+        """Returns a connection on which nothing was sent before.
+
+        Raises:
+            PeerUnavailableError: No connection could be opened.
+        """
+        return await self._open_for_request(address)
+
     async def _open_for_request(self, address: str) -> UpstreamConnection:
         if not self._observer.may_open():
             raise errors.PeerUnreachableError(
