Take an answer that contradicts itself for none

Cause: the status alone, or one header, decided what became of a request: a rejection with the signature of a run, a success that says that nothing ran, an answer with two ids or in the name of another upstream counted as a promise or as a success (REFUSED, MIXED). Such answers are made of parts of two. Class: a decision on the first of several statements.

Change: parse_answer says that an answer is contradictory; it promises nothing (502), its connection is reset, the upstream counts as failed.

--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -254,13 +254,13 @@
             head = await connection.next_head()
             metadata = self._dialect.parse_answer(head.status, head.headers)
             expected_id = call.inbound.attempt_id
-            if metadata.attempt_id in ("", expected_id):
+            is_contradictory = (
+                metadata.kind is interfaces.AnswerKind.CONTRADICTORY
+            )
+            if is_contradictory or metadata.attempt_id in ("", expected_id):
                 break
             await connection.skip_response()
-        if metadata.attempt_id != expected_id:
-            raise outcomes.UnknownOutcomeError(
-                "answer without id", step="check answer", peer=target.id
-            )
+        _check_answer(metadata, expected_id, target)
         if metadata.load is not None:
             target.note_load(metadata.load, clocks.monotonic())
         self._advisories.record_answer(
@@ -314,6 +314,26 @@
         )
 
 
+def _check_answer(
+    metadata: interfaces.AnswerMetadata,
+    expected_id: str,
+    target: targets.Target,
+) -> None:
+    """Raises an error if an answer tells nothing about a request."""
+    problem = ""
+    is_misdirected = metadata.kind is interfaces.AnswerKind.MISDIRECTED
+    if metadata.attempt_id != expected_id:
+        problem = "answer without id"
+    elif metadata.kind is interfaces.AnswerKind.CONTRADICTORY:
+        problem = "contradictory answer"
+    elif metadata.answered_by not in ("", target.id) and not is_misdirected:
+        problem = f"answer of {metadata.answered_by}"
+    if problem:
+        raise outcomes.UnknownOutcomeError(
+            problem, step="check answer", peer=target.id
+        )
+
+
 def encode_request(call: Call, headers: list[tuple[str, str]]) -> bytes:
     """Returns the head of a request and its body, if that is buffered."""
     lines = [f"{call.method} {call.target} HTTP/1.1"]
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -215,6 +215,8 @@
     NOT_RUN = "not-run"
     # Another server uses the address, or the server doesn't hold the key.
     MISDIRECTED = "misdirected"
+    # Its parts contradict each other; nothing is known.
+    CONTRADICTORY = "contradictory"
 
 
 class Load(msgspec.Struct, frozen=True):
