Pass no promise on that no upstream made

Cause: 408, 429 and 503 promise callers that their request didn't run, but an upstream's own answer with such a status says so only with X-Not-Executed. Without it the status was passed on, though the request may have run (REFUSED). Class: a status stands for a statement that nobody made.

--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -272,6 +272,12 @@
             raise outcomes.UnknownOutcomeError(
                 "unsigned or encoded", step="check answer", peer=target.id
             )
+        if metadata.has_promising_status and not call.is_idempotent:
+            raise outcomes.UnknownOutcomeError(
+                f"status {head.status} without a statement that it didn't run",
+                step="check answer",
+                peer=target.id,
+            )
         return await self._read_response(head, metadata, target, connection)
 
     async def _raise_not_run(self, head, metadata, connection, target) -> None:
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -266,6 +266,8 @@
         attempt_id: Id of the attempt that it answers; empty if not given.
         is_relayable: False for a successful answer that must not be relayed to
             the caller.
+        has_promising_status: Whether its status alone promises callers that the
+            request didn't run, whatever the upstream states.
         load: Load of the server, if reported.
         answered_by: Id of the server that answered; empty if not given.
         advisory: What the server states about itself.
@@ -277,6 +279,7 @@
     load: Load | None
     answered_by: str
     advisory: Advisory = NO_ADVISORY
+    has_promising_status: bool = False
 
 
 class RequestDialect(abc.ABC):
