Bound responses that have no end, in memory and time

What happened: gateways grew to 432 and 620 MB while answers without end came, and 10 of 57 and 21 of 69 of these were still read 0.5 s after the route's timeout (figures of the issue).

Class: a peer decides how much is kept, and for how long.

Change: bodies of over 1 MB are streamed whether or not they state a length, and so are shorter ones while the bodies of all responses hold 64 MB (body_budget.py). A length that the link can't carry until the caller gives up is refused at once; a body with a length may take until then, one without the time of the route, both at most that time without a byte (stream_limits.py). What was received in time is delivered at the caller's pace. Reading and streaming of responses moved to responses.py.

--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -3,34 +3,29 @@
 import asyncio
 import collections.abc
 
-from aiohttp import web_request
-from aiohttp import web_response
 import msgspec
 
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile.gateway import advisories
+from swiftstile.gateway import body_budget
 from swiftstile.gateway import connections
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outcomes
-from swiftstile.gateway import response_bodies
-from swiftstile.gateway import response_heads
+from swiftstile.gateway import responses
+from swiftstile.gateway import stream_limits
 from swiftstile.gateway import targets
 
 __all__ = [
     "Call",
     "UpstreamClient",
-    "UpstreamResponse",
     "encode_request",
-    "read_response",
-    "stream_response",
     "while_sending_body",
 ]
 
-# Responses up to this size are read completely before their head is sent to the
-# caller, so that a truncated one can still be reported as an error.
-MAX_BUFFERED_BYTES = 1 << 20
+# Maximum size of the body of a rejection, which isn't used.
+_MAX_REJECTION_BYTES = 1 << 16
 # Extra wait for the response of an upstream that stops at the deadline it was
 # given. Its own report of the outcome is more precise than a timeout here.
 DEADLINE_GRACE_S = 0.04
@@ -57,6 +52,8 @@
             yet.
         connection: Number of the connection that it was last sent on.
         exchange: Number of that send on the connection, starting at 1.
+        timeout_s: Time from its arrival to `deadline`.
+        gives_up_at: When the caller gives up.
     """
 
     method: str
@@ -74,6 +71,14 @@
     sent_at: float | None = None
     connection: int = 0
     exchange: int = 0
+    timeout_s: float = float("inf")
+    gives_up_at: float = float("inf")
+
+    def response_limits(self, length: int | None) -> stream_limits.StreamLimits:
+        """Returns the time limits of a response with a stated length."""
+        return stream_limits.limits_of(
+            length, self.deadline, self.gives_up_at, self.timeout_s
+        )
 
     def digest(self) -> fingerprint.Digest:
         """Returns a digest that recognises repetitions of the request."""
@@ -92,30 +97,6 @@
         return self.body is not None
 
 
-class UpstreamResponse(msgspec.Struct):
-    """An upstream's response.
-
-    Attributes:
-        status: HTTP status.
-        headers: Headers for the caller.
-        body: The complete body, or None if it is streamed.
-        stream: The stream of the body if `body` is None.
-        metadata: Metadata from its status and headers; None if another VM
-            validated it.
-        finish: Ends the exchange after streaming. Takes whether the body was
-            relayed completely.
-        length: Length of a streamed body, in bytes; None if it isn't stated.
-    """
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes | None
-    stream: collections.abc.AsyncIterator[bytes]
-    metadata: interfaces.AnswerMetadata | None
-    finish: collections.abc.Callable[[bool], None]
-    length: int | None = None
-
-
 class UpstreamClient:
     """Sends requests over pooled connections.
 
@@ -124,6 +105,8 @@
         dialect: Reads and writes headers.
         advisory_table: Records what upstreams state about themselves.
         drain_s: How long a leaving upstream accepts requests, in seconds.
+        budget: Memory of the bodies of all responses.
+        link_mbps: Bandwidth of this VM's link; 0 if unknown.
     """
 
     def __init__(
@@ -132,17 +115,21 @@
         dialect: interfaces.RequestDialect,
         advisory_table: advisories.AdvisoryTable,
         drain_s: float,
+        budget: body_budget.BodyBudget,
+        link_mbps: float = 0.0,
     ):
         self._pool = pool
         self._dialect = dialect
         self._advisories = advisory_table
         self._drain_s = drain_s
+        self._budget = budget
+        self._link_mbps = link_mbps
         # Connections on which idempotent requests are in progress.
         self._abandonable: set[connections.UpstreamConnection] = set()
 
     async def send(
         self, call: Call, target: targets.Target
-    ) -> UpstreamResponse:
+    ) -> responses.UpstreamResponse:
         """Sends a request and returns the response.
 
         Raises:
@@ -223,7 +210,7 @@
 
     async def _run_exchange(
         self, call, target, connection, left_s
-    ) -> UpstreamResponse:
+    ) -> responses.UpstreamResponse:
         data = self._encode(call, target, left_s)
         sent_at = clocks.monotonic()
         try:
@@ -249,7 +236,7 @@
 
     async def _receive(
         self, call, target, connection, sent_at: float
-    ) -> UpstreamResponse:
+    ) -> responses.UpstreamResponse:
         while True:
             head = await connection.next_head()
             metadata = self._dialect.parse_answer(head.status, head.headers)
@@ -278,7 +265,9 @@
                 step="check answer",
                 peer=target.id,
             )
-        return await self._read_response(head, metadata, target, connection)
+        return await self._read_response(
+            call, head, metadata, target, connection
+        )
 
     async def _raise_not_run(self, head, metadata, connection, target) -> None:
         kind = outcomes.NotRunError
@@ -287,7 +276,7 @@
             if metadata.answered_by not in ("", target.id):
                 kind = outcomes.ReplacedError
         try:
-            if await connection.body.discard(MAX_BUFFERED_BYTES):
+            if await connection.body.discard(_MAX_REJECTION_BYTES):
                 connection.finish()
                 self._pool.release(target.upstream.address, connection)
             else:
@@ -303,9 +292,19 @@
         raise error
 
     async def _read_response(
-        self, head, metadata, target, connection
-    ) -> UpstreamResponse:
+        self, call, head, metadata, target, connection
+    ) -> responses.UpstreamResponse:
         address = target.upstream.address
+        limits = call.response_limits(head.length)
+        left_s = limits.ends_at - clocks.monotonic()
+        if head.length is not None and not stream_limits.can_arrive(
+            head.length, left_s, self._link_mbps
+        ):
+            raise outcomes.UnknownOutcomeError(
+                f"{head.length} bytes can't arrive in time",
+                step="read answer",
+                peer=target.id,
+            )
 
         def finish(is_whole: bool) -> None:
             if is_whole:
@@ -314,9 +313,19 @@
             else:
                 connection.abort()
 
-        headers = self._dialect.answer_headers(head.headers)
-        return await read_response(
-            head, connection.body, headers, metadata, finish
+        source = responses.ResponseSource(
+            target.id,
+            connection.body,
+            limits,
+            finish,
+            lambda: target.note_failure(clocks.monotonic()),
+        )
+        return await responses.read_response(
+            head,
+            self._dialect.answer_headers(head.headers),
+            metadata,
+            source,
+            self._budget.reserve(),
         )
 
 
@@ -358,8 +367,8 @@
 async def while_sending_body(
     call: Call,
     connection: connections.UpstreamConnection,
-    receive: collections.abc.Coroutine[None, None, UpstreamResponse],
-) -> UpstreamResponse:
+    receive: collections.abc.Coroutine[None, None, responses.UpstreamResponse],
+) -> responses.UpstreamResponse:
     """Receives the response while the rest of the body is sent, if any.
 
     Args:
@@ -381,50 +390,6 @@
             connection.is_usable = False
 
 
-async def read_response(
-    head: response_heads.ResponseHead,
-    content: response_bodies.ResponseBody,
-    headers: list[tuple[str, str]],
-    metadata: interfaces.AnswerMetadata | None,
-    finish: collections.abc.Callable[[bool], None],
-) -> UpstreamResponse:
-    """Returns the response with a head, with its body unless that is long.
-
-    Args:
-        head: The head.
-        content: The body that is received.
-        headers: Headers for the caller.
-        metadata: Metadata of the head.
-        finish: Ends the exchange.
-    """
-    body, first_part = None, b""
-    is_long = (head.length or 0) > MAX_BUFFERED_BYTES
-    if not is_long:
-        first_part, is_whole = await content.read(MAX_BUFFERED_BYTES)
-        if is_whole:
-            body, first_part = first_part, b""
-            finish(True)
-    return UpstreamResponse(
-        head.status,
-        headers,
-        body,
-        _stream(first_part, content),
-        metadata,
-        finish,
-        head.length,
-    )
-
-
-async def _stream(
-    first_part: bytes, content: response_bodies.ResponseBody
-) -> collections.abc.AsyncIterator[bytes]:
-    """Yields a body of which the first part was read."""
-    if first_part:
-        yield first_part
-    while piece := await content.next_piece():
-        yield piece
-
-
 async def _send_stream(call: Call, connection) -> None:
     is_chunked = call.length is None
     async for piece in call.stream:
@@ -433,30 +398,3 @@
         await connection.send_body(piece)
     if is_chunked:
         await connection.send_body(b"0\r\n\r\n")
-
-
-async def stream_response(
-    request: web_request.BaseRequest, upstream_response: UpstreamResponse
-) -> web_response.StreamResponse:
-    """Streams a long response to the caller.
-
-    If either side fails, the caller's connection is aborted, so that the
-    truncated response doesn't appear complete.
-    """
-    response = web_response.StreamResponse(status=upstream_response.status)
-    for name, value in upstream_response.headers:
-        response.headers.add(name, value)
-    if upstream_response.length is not None:
-        response.content_length = upstream_response.length
-    is_whole = False
-    try:
-        await response.prepare(request)
-        async for piece in upstream_response.stream:
-            await response.write(piece)
-        await response.write_eof()
-        is_whole = True
-        return response
-    finally:
-        upstream_response.finish(is_whole)
-        if not is_whole and request.transport is not None:
-            request.transport.abort()
--- a/src/swiftstile/gateway/forwarding.py
+++ b/src/swiftstile/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import metrics
+from swiftstile.gateway import body_budget
 from swiftstile.gateway import connections
 from swiftstile.gateway import exchange
 from swiftstile.gateway import forward_headers
@@ -21,6 +22,7 @@
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import reports
+from swiftstile.gateway import responses
 
 __all__ = ["MAX_ASKED_VMS", "PeerForwarder"]
 
@@ -70,6 +72,7 @@
         pool: Connections to other VMs.
         dialect: Tells which headers apply to a single connection.
         meters: Counts forwarded requests.
+        budget: Memory of the bodies of all responses.
     """
 
     def __init__(
@@ -79,7 +82,9 @@
         pool: connections.ConnectionPool,
         dialect: interfaces.RequestDialect,
         meters: metrics.Meters,
+        budget: body_budget.BodyBudget,
     ):
+        self._budget = budget
         self.own_run = own_run
         self._selector = selector
         self._pool = pool
@@ -92,7 +97,7 @@
 
     async def forward(
         self, call: exchange.Call, arrived: float, origin
-    ) -> exchange.UpstreamResponse:
+    ) -> responses.UpstreamResponse:
         """Forwards a request and returns the upstream's response.
 
         Args:
@@ -147,7 +152,7 @@
 
     async def _send(
         self, call: exchange.Call, peer: reports.Peer, arrived: float, origin
-    ) -> exchange.UpstreamResponse:
+    ) -> responses.UpstreamResponse:
         node, address = peer.row.node, peer.row.forward_address
         self._selector.note_started(node)
         connection = None
@@ -163,7 +168,9 @@
                 max(0.0, call.deadline - now) + _DEADLINE_GRACE_S
             ):
                 response = await exchange.while_sending_body(
-                    call, connection, self._receive(connection, address, node)
+                    call,
+                    connection,
+                    self._receive(call, connection, address, node),
                 )
             keeps_connection = True
             return response
@@ -195,8 +202,8 @@
         return forward_headers.end_to_end(kept) + origin.headers()
 
     async def _receive(
-        self, connection, address: str, node: str
-    ) -> exchange.UpstreamResponse:
+        self, call: exchange.Call, connection, address: str, node: str
+    ) -> responses.UpstreamResponse:
         head = await connection.next_head()
         outcome = head.headers.get(forward_headers.OUTCOME_HEADER, "")
         headers = forward_headers.end_to_end(
@@ -211,8 +218,15 @@
                 connection.abort()
 
         if outcome == forward_headers.ANSWERED:
-            return await exchange.read_response(
-                head, connection.body, headers, None, finish
+            source = responses.ResponseSource(
+                node,
+                connection.body,
+                call.response_limits(head.length),
+                finish,
+                lambda: self._selector.avoid(node, clocks.monotonic()),
+            )
+            return await responses.read_response(
+                head, headers, None, source, self._budget.reserve()
             )
         body, is_whole = await connection.body.read(_MAX_ERROR_BYTES)
         finish(is_whole)
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -26,6 +26,7 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits as permits_lib
+from swiftstile.gateway import responses
 from swiftstile.gateway import retries
 from swiftstile.gateway import service_samples
 from swiftstile.gateway import service_times
@@ -39,6 +40,8 @@
 
 # Bodies up to this size are buffered, so that they can be sent again.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
+# Assumed patience of a caller that states none, in seconds.
+MAX_WAIT_S = 3600.0
 # Pause before a target that rejected a request for lack of slots gets another:
 # about the time until a slot becomes free.
 OVERLOADED_TARGET_PAUSE_S = 0.1
@@ -214,7 +217,7 @@
         if inbound.timeout_s is not None:
             wait_s = min(wait_s, inbound.timeout_s)
         call = await self._make_call(
-            request, inbound, route, config, arrived + wait_s
+            request, inbound, route, config, arrived, arrived + wait_s
         )
         if self._crash_guard.has_suspects:
             call.is_probe = self._crash_guard.check(call.digest(), arrived)
@@ -243,14 +246,8 @@
             except asyncio.CancelledError:
                 upstream_response.finish(False)
                 raise
-            return await exchange.stream_response(request, upstream_response)
-        response = web_response.Response(
-            status=upstream_response.status, body=upstream_response.body
-        )
-        response.headers.popall("Content-Type", None)
-        for name, value in upstream_response.headers:
-            response.headers.add(name, value)
-        return response
+            return await responses.stream_response(request, upstream_response)
+        return responses.whole_response(upstream_response)
 
     def _select_service(
         self,
@@ -271,7 +268,7 @@
         return self._round_robin.next_service(route)
 
     async def _make_call(
-        self, request, inbound, route, config, end
+        self, request, inbound, route, config, arrived, end
     ) -> exchange.Call:
         self._check_sizes(request, config.limits)
         limit = config.limits.max_body_bytes
@@ -292,6 +289,8 @@
             route.repeatability is model.Repeatability.IDEMPOTENT,
             first_part,
             inbound.caller or request.remote or "",
+            timeout_s=end - arrived,
+            gives_up_at=arrived + (inbound.timeout_s or MAX_WAIT_S),
         )
 
     def _check_sizes(
@@ -323,7 +322,7 @@
 
     async def _send_with_retries(
         self, call, waiter, origin, trace
-    ) -> exchange.UpstreamResponse:
+    ) -> responses.UpstreamResponse:
         state = retries.SendState(0 if origin is None else origin.sends)
         while True:
             if self._needs_other_vm(state):
@@ -404,7 +403,7 @@
 
     async def _forward(
         self, call, waiter, origin, state, trace
-    ) -> exchange.UpstreamResponse:
+    ) -> responses.UpstreamResponse:
         """Lets another VM send a request, unless another one forwarded it."""
         if origin is not None:
             raise self._retries.final_error(
--- a/src/swiftstile/gateway/response_bodies.py
+++ b/src/swiftstile/gateway/response_bodies.py
@@ -30,6 +30,11 @@
         """Whether it was received completely."""
         return self._has_ended
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether it was received and taken completely."""
+        return self._has_ended and not self._pieces
+
     @property
     def is_full(self) -> bool:
         """Whether no more should be received until a part of it was taken."""
@@ -99,7 +104,7 @@
                 return b"".join(pieces), True
             pieces.append(piece)
             size += len(piece)
-            if self._has_ended and not self._pieces:
+            if self.is_drained:
                 return b"".join(pieces), True
         return b"".join(pieces), False
 
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -14,6 +14,7 @@
 from swiftstile.gateway import arbiter as arbiter_lib
 from swiftstile.gateway import arbiter_selection
 from swiftstile.gateway import authority
+from swiftstile.gateway import body_budget
 from swiftstile.gateway import budget
 from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
@@ -335,8 +336,14 @@
             self._settings.vm.host,
             link_observers.ObserverChain(self._links, detector),
         )
+        bodies = body_budget.BodyBudget()
         client = exchange.UpstreamClient(
-            pool, adapters.dialect, self._advisories, self._drain_s
+            pool,
+            adapters.dialect,
+            self._advisories,
+            self._drain_s,
+            bodies,
+            self._settings.vm.link_mbps,
         )
         prober = link_probes.LinkProber(
             self._links,
@@ -352,6 +359,7 @@
             connections.ConnectionPool(self._settings.vm.host),
             adapters.dialect,
             self._meters,
+            bodies,
         )
         self._handler = handler = handler_lib.RequestHandler(
             permits.PermitClient(
--- a/tests/exchange_parts.py
+++ b/tests/exchange_parts.py
@@ -9,6 +9,7 @@
 from swiftstile import clocks
 from swiftstile import metrics
 from swiftstile.gateway import advisories
+from swiftstile.gateway import body_budget
 from swiftstile.gateway import connections
 from swiftstile.gateway import exchange
 from swiftstile.gateway import interfaces
@@ -94,6 +95,8 @@
         None,
         None,
         clocks.monotonic() + wait_s,
+        timeout_s=wait_s,
+        gives_up_at=clocks.monotonic() + wait_s,
     )
 
 
@@ -103,6 +106,7 @@
         dialect.UsersDialect(),
         advisories.AdvisoryTable(targets.TargetTable(), metrics.Meters()),
         2.0,
+        body_budget.BodyBudget(),
     )
 
 
--- a/tests/integration/test_foreign_answers.py
+++ b/tests/integration/test_foreign_answers.py
@@ -151,7 +151,7 @@
 
     async def scenario(site):
         await _add_orders(site)
-        _make_noise(site, endless_share=0.02)
+        _make_noise(site, endless_share=0.04)
         site.callers.outcomes.clear()
         await _load(site, 60, _LOAD_S)
         answers = [
@@ -169,7 +169,8 @@
         ]
         assert late == []
         peaks = [_peak_memory_bytes(gateway) for gateway in site.gateways]
-        assert max(peaks) < _MAX_MEMORY_BYTES, peaks
+        print(f"peak memory of the gateways: {peaks}")
+        assert max(peaks) < _MAX_MEMORY_BYTES
         outcomes = site.callers.outcomes
         served = sum(outcome.status == 200 for outcome in outcomes)
         assert served >= 0.95 * (len(outcomes) - len(answers))
