Take a body that was cut off by a reset of ours for incomplete

What callers saw: answers without a length that were cut short and passed on as whole with status 200 (MIXED), when a VM lost its links to all upstreams.

Cause: aborting a connection ends it without an error, like a close of the upstream, which is the end of a body without a length. Class: an end that this VM made itself is taken for one of the peer.

Change: a connection remembers that it was aborted here; its response is incomplete then.

Result: test_body_without_a_length_isnt_whole_once_its_connection_was_reset failed before, passes.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -219,6 +219,7 @@
         self.is_usable = True
         self.is_reused = False
         self.has_response = False
+        self._is_aborted = False
         self._has_received = False
         self.opened_at = clocks.monotonic()
         self.idle_since = 0.0
@@ -332,6 +333,8 @@
         if self.is_usable and not is_in_use and self._has_received:
             self._observer.on_closed(self.peer, clocks.monotonic())
         self.is_usable = False
+        if self._is_aborted:
+            exc = exc or ConnectionAbortedError("reset by this VM")
         if self._reader is not None and exc is None:
             exc = self._end_response(self._reader)
         self._fail(exc or ConnectionResetError("closed by the server"))
@@ -491,6 +494,7 @@
     def abort(self) -> None:
         """Resets the connection, discarding data that isn't delivered yet."""
         self.is_usable = False
+        self._is_aborted = True
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/integration/test_foreign_bytes.py
+++ b/tests/integration/test_foreign_bytes.py
@@ -279,3 +279,24 @@
         assert sent < _MAX_SENT_BYTES
 
     parts.run(script, scenario)
+
+
+def test_body_without_a_length_isnt_whole_once_its_connection_was_reset():
+    async def script(_number, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Signature: s"
+            b"\r\nConnection: close\r\n\r\nthe first"
+        )
+        await asyncio.sleep(5)
+
+    async def scenario(_server, sender, target):
+        call = parts.call("a1")
+        call.is_idempotent = True
+        sending = asyncio.create_task(sender.send(call, target))
+        await asyncio.sleep(0.1)
+        # As when this VM finds that it reaches no upstream.
+        sender.abandon_idempotent()
+        with pytest.raises(outcomes.UnknownOutcomeError):
+            await sending
+
+    parts.run(script, scenario)
