Send unsafe requests where no foreign bytes can be waiting

Cause: bytes of no request that are in the socket but not read yet, or that follow while the next request is on its way, cost that request its answer (502), though they are told from it. Class: a connection is taken for clean as nothing was read yet.

Change: before a request that may run once, or an order, takes an idle connection, its socket is polled. For 10 s after foreign bytes of an upstream such requests go to it on new connections. A line names the upstream.

Result: test_connection_with_unread_input_gets_no_unsafe_request and test_upstream_that_sent_foreign_bytes_gets_new_connections_for_a_while failed before, pass. Sound upstreams cost a system call of some microseconds.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -12,6 +12,7 @@
 import enum
 import functools
 import itertools
+import select
 import socket
 import struct
 
@@ -54,6 +55,9 @@
 UNSAFE_REUSE_PAUSE_S = 10.0
 MAX_SAFE_IDLE_S = 0.2
 _LINGER_RESET = struct.pack("ii", 1, 0)
+# For this long after an upstream sent foreign bytes, requests that may run once
+# and orders are sent to it on new connections, which hold none.
+DISTRUST_S = 10.0
 # Maximum attempts that a connection remembers; it isn't used beyond.
 MAX_REMEMBERED_ATTEMPTS = 256
 # Bytes of one connection that are read before others are served.
@@ -475,6 +479,13 @@
         """
         return hash(attempt_id) in self._attempts
 
+    def has_unread_input(self) -> bool:
+        """Whether the socket holds bytes, or an end, that wasn't read yet."""
+        sock = self.transport.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def can_reuse(self, now: float) -> bool:
         """Whether it is open and the server isn't about to close it."""
         return (
@@ -530,6 +541,7 @@
         ] = {}
         self.opened = 0
         self._restricted_until = 0.0
+        self._distrusted_until_by_address: dict[str, float] = {}
 
     async def acquire(
         self, address: str, is_idempotent: bool, attempt_id: str = ""
@@ -558,6 +570,8 @@
     ) -> UpstreamConnection | None:
         """Returns the newest idle connection that a request may be sent on."""
         now = clocks.monotonic()
+        if not is_idempotent and self._is_distrusted(address, now):
+            return None
         is_restricted = not is_idempotent and now < self._restricted_until
         idle = self._idle_by_address.get(address)
         passed_over: list[UpstreamConnection] = []
@@ -565,8 +579,10 @@
         while idle and found is None:
             connection = idle.pop()
             was_idle_long = now - connection.idle_since > MAX_SAFE_IDLE_S
-            if not connection.can_reuse(now) or (
-                is_restricted and was_idle_long
+            if (
+                not connection.can_reuse(now)
+                or (is_restricted and was_idle_long)
+                or (not is_idempotent and connection.has_unread_input())
             ):
                 connection.abort()
             elif attempt_id and connection.has_carried(attempt_id):
@@ -669,7 +685,11 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(
-                        loop, address, self._observer, is_probe
+                        loop,
+                        address,
+                        self._observer,
+                        is_probe,
+                        self._note_foreign_bytes,
                     ),
                     host,
                     int(port),
@@ -688,6 +708,23 @@
         self._observer.on_opened(address, clocks.monotonic())
         return connection
 
+    def _is_distrusted(self, address: str, now: float) -> bool:
+        return now < self._distrusted_until_by_address.get(address, 0.0)
+
+    def _note_foreign_bytes(self, address: str, kind: ForeignBytes) -> None:
+        """Distrusts an upstream that sent bytes that are no answer."""
+        now = clocks.monotonic()
+        if not self._is_distrusted(address, now):
+            logs.logger.warning(
+                "foreign bytes from upstream", peer=address, kind=kind.value
+            )
+        self._distrusted_until_by_address = {
+            known: until
+            for known, until in self._distrusted_until_by_address.items()
+            if until > now
+        }
+        self._distrusted_until_by_address[address] = now + DISTRUST_S
+
     def on_broken(self, connection: UpstreamConnection, now: float) -> None:
         """Records that a connection broke before its response was complete."""
         if connection.is_reused and not connection.has_response:
--- a/tests/integration/test_foreign_bytes.py
+++ b/tests/integration/test_foreign_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 
 import pytest
 from users_platform import control
@@ -300,3 +301,47 @@
             await sending
 
     parts.run(script, scenario)
+
+
+def test_connection_with_unread_input_gets_no_unsafe_request():
+    async def script(number, writer):
+        writer.write(parts.answer(f"a{number}"))
+        if number == 1:
+            foreign.append(writer.transport.get_extra_info("socket").fileno())
+
+    foreign: list[int] = []
+
+    async def scenario(server, sender, target):
+        await sender.send(parts.call("a1", "POST"), target)
+        # Behind the event loop's back: it is read only after the next send.
+        os.write(foreign[0], _MISDIRECTED)
+        response = await sender.send(parts.call("a2", "POST"), target)
+        assert (response.status, server.connections) == (200, 2)
+
+    parts.run(script, scenario)
+
+
+def test_upstream_that_sent_foreign_bytes_gets_new_connections_for_a_while(
+    monkeypatch,
+):
+    async def script(number, writer):
+        behind = b"nonsense" if number == 1 else b""
+        writer.write(parts.answer(f"a{number}") + behind)
+
+    async def scenario(server, sender, target):
+        for number in (1, 2, 3):
+            await sender.send(parts.call(f"a{number}", "POST"), target)
+        assert server.connections == 3
+        read = parts.call("a4")
+        read.is_idempotent = True
+        await sender.send(read, target)
+        assert server.connections == 3
+        monkeypatch.setattr(
+            clocks, "monotonic", lambda now=clocks.monotonic: now() + 10.0
+        )
+        server.connections = 0
+        for number in (5, 6):
+            await sender.send(parts.call(f"a{number}", "POST"), target)
+        assert server.connections <= 1
+
+    parts.run(script, scenario)
