Let the soak send foreign bytes, beside all other faults

Change: servers repeat answers, begin second ones in the same write or up to 50 ms later, also to grants and releases, and answer without end; all servers reject a share of the requests; unsafe requests with keys are sent, which go to the same upstream again. Beside kills, pauses, cuts and hand-overs.

--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -131,12 +131,17 @@
 
 
 class Callers:
-    """Sends requests and records their outcomes."""
+    """Sends requests and records their outcomes.
+
+    Attributes:
+        write_paths: Paths of the requests that run once.
+    """
 
     def __init__(self, gateways: list[Gateway], seed: int = 1):
         self._gateways = gateways
         self._random = random.Random(seed)
         self.outcomes: list[Outcome] = []
+        self.write_paths = ["/write/x"]
         # VM and time of each attempt.
         self.sends: dict[str, tuple[int, float]] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -157,7 +162,8 @@
         deadline_ms: int = 3000,
     ) -> Outcome:
         is_read = self._random.random() < 0.6
-        path = path or ("/read/x" if is_read else "/write/x")
+        if not path:
+            path = "/read/x" if is_read else self._write_path()
         method = "GET" if path.startswith("/read") else "POST"
         if key is None:
             key = self._random.randrange(users_standins.KEYS)
@@ -193,6 +199,11 @@
         self.outcomes.append(outcome)
         return outcome
 
+    def _write_path(self) -> str:
+        if len(self.write_paths) == 1:
+            return self.write_paths[0]
+        return self._random.choice(self.write_paths)
+
     def _note_send(self, attempt: str, gateway: Gateway) -> None:
         now = asyncio.get_running_loop().time()
         self.sends[attempt] = (gateway.number, now)
--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -9,8 +9,9 @@
 from older copies; servers crash, leave, join, restart under the same id and
 don't answer grants; callers repeat requests that crash servers or make them
 stop answering, and may leave before; servers state rate limits, announce their
-exit in answers or ask for pauses; callers pipeline. The checks use only what
-callers and servers observe.
+exit in answers or ask for pauses; they send bytes that belong to no request,
+also without end, and reject requests meanwhile; callers pipeline. The checks
+use only what callers and servers observe.
 """
 
 import argparse
@@ -23,6 +24,7 @@
 import tempfile
 import typing
 
+from tests.integration import foreign_bytes
 from tests.integration import gateways
 from tests.integration import link_cuts
 from tests.integration import statement_checks
@@ -204,6 +206,8 @@
                 self._cut_links,
                 self._return_store,
                 self._crash_by_requests,
+                self._send_foreign_bytes,
+                self._reject_requests,
             ]
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
@@ -433,6 +437,37 @@
         begun = len(cluster.begun_by_path.get(path, ()))
         self._record(f"{path} began {begun} times")
 
+    async def _send_foreign_bytes(self, duration_s: float) -> None:
+        """Lets a server send bytes besides its answers, some without end."""
+        server = self._any_server()
+        draw = self._random
+        endless_share = draw.choice((0.0, 0.0, 0.1))
+        server.noise = noise = foreign_bytes.Noise(
+            repeat_share=draw.uniform(0.0, 0.2),
+            second_share=draw.uniform(0.0, 0.2),
+            second_delay_s=draw.choice(((0.0, 0.0), (0.0, 0.05))),
+            endless_share=endless_share,
+            endless_bytes_per_s=1e7,
+            covers_orders=draw.random() < 0.5,
+            seed=draw.randrange(1 << 30),
+        )
+        server.echoes_ids_of_orders = draw.random() < 0.5
+        self._record(f"{server.name} sends {noise} for {duration_s:.1f}")
+        await asyncio.sleep(duration_s)
+        if server.noise is noise:
+            server.noise = None
+        self._record(f"{server.name} sent {noise.sent}, {len(noise.endless)}")
+
+    async def _reject_requests(self, duration_s: float) -> None:
+        servers = list(self._site.cluster.by_id.values())
+        share = self._random.uniform(0.1, 0.5)
+        self._record(f"rejections of {share:.2f} for {duration_s:.1f}")
+        for server in servers:
+            server.rejected_share = share
+        await asyncio.sleep(duration_s)
+        for server in servers:
+            server.rejected_share = 0.0
+
     async def _pipeline(self, duration_s: float) -> None:
         self._record(f"callers pipeline for {duration_s:.1f}")
         loop = asyncio.get_running_loop()
@@ -465,6 +500,10 @@
     """Runs one seed and returns the violated guarantees."""
     site = ProxiedSite(folder, 4, seed)
     async with site.running():
+        if has_all_kinds:
+            route = users_standins.keyed_write_route("/orders/")
+            site.store.put("op", "config", users_standins.config(2, route))
+            site.callers.write_paths.append("/orders/x")
         soak = Soak(site, seed, has_all_kinds)
         load_ended = asyncio.Event()
         load = asyncio.create_task(site.callers.load(_RATE, load_ended))
