Split connections, their pool and their observers into three modules

Change: connection_pool.py has the pool, link_observers.py the observers and the kinds of foreign bytes, connections.py one connection. One change of behaviour: an exchange that got bytes that are no response doesn't count as one whose connection broke before any response, which is taken for a sign of a crash, and of servers that drop idle connections.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -1,15 +1,12 @@
-"""Pooled HTTP/1.1 connections to upstreams, without pipelining.
+"""HTTP/1.1 connections to upstreams, without pipelining.
 
-A connection is reused only if no unexpected data was ever read from it. An
-abandoned connection is closed with a TCP reset, which discards data that is
-still in transit.
+A connection can be used again only if each request on it got one response, and
+nothing else was received. An abandoned connection is closed with a TCP reset,
+which discards data that is still in transit.
 """
 
-import abc
 import asyncio
-import collections
 import collections.abc
-import enum
 import functools
 import itertools
 import select
@@ -20,22 +17,19 @@
 
 from swiftstile import clocks
 from swiftstile import errors
-from swiftstile import logs
+from swiftstile.gateway import link_observers
 from swiftstile.gateway import response_bodies
 from swiftstile.gateway import response_heads
 from swiftstile.gateway import response_reader
 
 __all__ = [
-    "ConnectionPool",
-    "ForeignBytes",
-    "LinkObserver",
+    "EXCHANGE_ERRORS",
     "UpstreamConnection",
     "reset_on_close",
 ]
 
-# Timeout for opening a connection. Two round trips within a region take less
-# than 10 ms; a lost SYN is retransmitted after 1 s only.
-CONNECT_TIMEOUT_S = 0.4
+# Errors of an exchange that leave it unknown whether the request ran.
+EXCHANGE_ERRORS = (OSError, errors.MalformedResponseError, EOFError)
 # TCP_USER_TIMEOUT: a connection fails if sent data isn't acknowledged for this
 # long. Longer than one retransmission on a lossy link, shorter than the
 # shortest route timeout.
@@ -45,19 +39,7 @@
 IDLE_MARGIN_S = 1.5
 # Assumed idle timeout of a server that doesn't announce one.
 DEFAULT_IDLE_TIMEOUT_S = 5.0
-# Maximum idle connections to one upstream: its slots and some queued requests.
-MAX_IDLE_PER_ADDRESS = 6
-# After a reused connection broke before any response, connections that have
-# been idle for more than MAX_SAFE_IDLE_S aren't used for non-idempotent
-# requests for UNSAFE_REUSE_PAUSE_S: servers may have dropped them silently, and
-# a reset doesn't tell whether the request ran. Affected servers drop
-# connections that were idle for 0.3 s or more, over a period of some seconds.
-UNSAFE_REUSE_PAUSE_S = 10.0
-MAX_SAFE_IDLE_S = 0.2
 _LINGER_RESET = struct.pack("ii", 1, 0)
-# For this long after an upstream sent foreign bytes, requests that may run once
-# and orders are sent to it on new connections, which hold none.
-DISTRUST_S = 10.0
 # Maximum attempts that a connection remembers; it isn't used beyond.
 MAX_REMEMBERED_ATTEMPTS = 256
 # Bytes of one connection that are read before others are served.
@@ -76,105 +58,9 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
 
 
-class ForeignBytes(enum.Enum):
-    """Bytes from an upstream that are no answer to the request in progress."""
-
-    # A whole answer to an earlier request.
-    LATE_COPY = "late-copy"
-    # Another answer behind the one to the request.
-    SECOND_ANSWER = "second-answer"
-    # Data on a connection without a request.
-    UNSOLICITED = "unsolicited"
-    # No HTTP response.
-    MALFORMED = "malformed"
-
-
-class LinkObserver(abc.ABC):
-    """Is told what connections show about the paths to their peers."""
-
-    @abc.abstractmethod
-    def may_open(self) -> bool:
-        """Whether it is worth trying to open a connection for a request."""
-
-    @abc.abstractmethod
-    def on_opened(self, address: str, now: float) -> None:
-        """Called after a connection was opened."""
-
-    @abc.abstractmethod
-    def on_open_failed(self, address: str, now: float) -> None:
-        """Called after a connection couldn't be opened."""
-
-    @abc.abstractmethod
-    def on_sent(self, address: str, now: float) -> None:
-        """Called after a request was sent."""
-
-    @abc.abstractmethod
-    def on_received(self, address: str, opened_at: float, now: float) -> None:
-        """Called when data arrives on a connection opened at a time."""
-
-    @abc.abstractmethod
-    def on_broken(self, address: str, is_proven: bool, now: float) -> None:
-        """Called when a connection failed, or an exchange on it timed out.
-
-        Args:
-            address: Address of the peer.
-            is_proven: Whether the connection had delivered data before.
-            now: The time.
-        """
-
-    @abc.abstractmethod
-    def on_probe_failed(self, address: str, now: float) -> None:
-        """Called when a probe's connection wasn't opened, or failed.
-
-        It tells nothing of requests: `on_open_failed`, `on_sent` and
-        `on_broken` aren't called for probes.
-        """
-
-    @abc.abstractmethod
-    def on_closed(self, address: str, now: float) -> None:
-        """Called when the peer closed or reset an unused connection.
-
-        Only one that had delivered data: a device on the path may accept
-        connections and reset them, whatever becomes of the peer.
-        """
-
-    def on_foreign_bytes(self, address: str, kind: ForeignBytes) -> None:
-        """Called when bytes arrive that are no answer to a request."""
-
-
-class _Unobserved(LinkObserver):
-    """Ignores everything."""
-
-    def may_open(self) -> bool:
-        """See base class."""
-        return True
-
-    def on_opened(self, address: str, now: float) -> None:
-        """See base class."""
-
-    def on_open_failed(self, address: str, now: float) -> None:
-        """See base class."""
-
-    def on_sent(self, address: str, now: float) -> None:
-        """See base class."""
-
-    def on_received(self, address: str, opened_at: float, now: float) -> None:
-        """See base class."""
-
-    def on_broken(self, address: str, is_proven: bool, now: float) -> None:
-        """See base class."""
-
-    def on_probe_failed(self, address: str, now: float) -> None:
-        """See base class."""
-
-    def on_closed(self, address: str, now: float) -> None:
-        """See base class."""
-
-
-_UNOBSERVED = _Unobserved()
-
-
-def _ignore_foreign_bytes(_address: str, _kind: ForeignBytes) -> None:
+def _ignore_foreign_bytes(
+    _address: str, _kind: link_observers.ForeignBytes
+) -> None:
     """Does nothing."""
 
 
@@ -188,7 +74,8 @@
         is_probe: Whether it was opened to learn about its path, and hasn't been
             used for a request since.
         is_reused: Whether it came from the pool for the current request.
-        has_response: Whether any response to the current request was received.
+        has_response: Whether a response to the current request, or bytes in its
+            place, were received.
         opened_at: When it was opened, on the monotonic clock.
         idle_since: When it became idle.
         idle_timeout_s: Idle timeout of the server.
@@ -206,15 +93,15 @@
         self,
         loop: asyncio.AbstractEventLoop,
         peer: str,
-        observer: LinkObserver | None = None,
+        observer: link_observers.LinkObserver | None = None,
         is_probe: bool = False,
         on_foreign_bytes: collections.abc.Callable[
-            [str, ForeignBytes], None
+            [str, link_observers.ForeignBytes], None
         ] = _ignore_foreign_bytes,
     ):
         super().__init__(loop)
         self._loop = loop
-        self._observer = observer or _UNOBSERVED
+        self._observer = observer or link_observers.UNOBSERVED
         self._on_foreign_bytes = on_foreign_bytes
         self.peer = peer
         self.number = next(_numbers)
@@ -265,7 +152,7 @@
             self.peer, self.opened_at, clocks.monotonic()
         )
         if self._reader is None:
-            self.note_foreign_bytes(ForeignBytes.UNSOLICITED)
+            self.note_foreign_bytes(link_observers.ForeignBytes.UNSOLICITED)
             self.abort()
             return
         self._unread += data
@@ -283,7 +170,8 @@
             try:
                 self._unread = reader.feed(part) + behind
             except errors.MalformedResponseError as error:
-                self.note_foreign_bytes(ForeignBytes.MALFORMED)
+                self.note_foreign_bytes(link_observers.ForeignBytes.MALFORMED)
+                self.has_response = True
                 self._fail(error)
                 self.abort()
                 return
@@ -358,7 +246,7 @@
             self.has_response = True
         return None
 
-    def note_foreign_bytes(self, kind: ForeignBytes) -> None:
+    def note_foreign_bytes(self, kind: link_observers.ForeignBytes) -> None:
         """Reports bytes that are no answer to the request in progress."""
         self._observer.on_foreign_bytes(self.peer, kind)
         self._on_foreign_bytes(self.peer, kind)
@@ -433,7 +321,7 @@
             MalformedResponseError: No response can follow it, or too many
                 precede the one to the current request.
         """
-        self.note_foreign_bytes(ForeignBytes.LATE_COPY)
+        self.note_foreign_bytes(link_observers.ForeignBytes.LATE_COPY)
         reader = self._reader
         self._skipped += 1
         is_last = reader.head.should_close or self._skipped > MAX_SKIPPED
@@ -457,7 +345,7 @@
         """
         reader = self._reader
         if self._unread:
-            self.note_foreign_bytes(ForeignBytes.SECOND_ANSWER)
+            self.note_foreign_bytes(link_observers.ForeignBytes.SECOND_ANSWER)
         unsent = self.transport and self.transport.get_write_buffer_size()
         is_clean = reader.is_done and not self._unread and not unsent
         if not is_clean or reader.head.should_close or not self.is_usable:
@@ -521,229 +409,3 @@
         if name.lower() == "timeout" and value.isdigit():
             return float(value)
     return DEFAULT_IDLE_TIMEOUT_S
-
-
-class ConnectionPool:
-    """Idle connections to upstreams, by address.
-
-    Args:
-        local_host: Address that connections come from; empty for any.
-        observer: Is told what the connections show about the paths.
-    """
-
-    def __init__(
-        self, local_host: str = "", observer: LinkObserver | None = None
-    ):
-        self._local_address = (local_host, 0) if local_host else None
-        self._observer = observer or _UNOBSERVED
-        self._idle_by_address: dict[
-            str, collections.deque[UpstreamConnection]
-        ] = {}
-        self.opened = 0
-        self._restricted_until = 0.0
-        self._distrusted_until_by_address: dict[str, float] = {}
-
-    async def acquire(
-        self, address: str, is_idempotent: bool, attempt_id: str = ""
-    ) -> UpstreamConnection:
-        """Returns an idle connection, or a new one.
-
-        Args:
-            address: Address of the upstream.
-            is_idempotent: Whether the request may be sent more than once.
-            attempt_id: Id that its answer bears, if it isn't used only once.
-                Connections that carried it before aren't returned.
-
-        Raises:
-            PeerUnavailableError: No connection could be opened; nothing was
-                sent.
-        """
-        connection = self._take_idle(address, is_idempotent, attempt_id)
-        if connection is None:
-            connection = await self._open_for_request(address)
-        if attempt_id:
-            connection.note_attempt(attempt_id)
-        return connection
-
-    def _take_idle(
-        self, address: str, is_idempotent: bool, attempt_id: str
-    ) -> UpstreamConnection | None:
-        """Returns the newest idle connection that a request may be sent on."""
-        now = clocks.monotonic()
-        if not is_idempotent and self._is_distrusted(address, now):
-            return None
-        is_restricted = not is_idempotent and now < self._restricted_until
-        idle = self._idle_by_address.get(address)
-        passed_over: list[UpstreamConnection] = []
-        found = None
-        while idle and found is None:
-            connection = idle.pop()
-            was_idle_long = now - connection.idle_since > MAX_SAFE_IDLE_S
-            if (
-                not connection.can_reuse(now)
-                or (is_restricted and was_idle_long)
-                or (not is_idempotent and connection.has_unread_input())
-            ):
-                connection.abort()
-            elif attempt_id and connection.has_carried(attempt_id):
-                passed_over.append(connection)
-            else:
-                connection.is_reused = True
-                connection.is_probe = False
-                found = connection
-        if passed_over:
-            idle.extend(reversed(passed_over))
-        return found
-
-    async def open(self, address: str) -> UpstreamConnection:
-        """Returns a connection on which nothing was sent before.
-
-        Raises:
-            PeerUnavailableError: No connection could be opened.
-        """
-        return await self._open_for_request(address)
-
-    async def _open_for_request(self, address: str) -> UpstreamConnection:
-        if not self._observer.may_open():
-            raise errors.PeerUnreachableError(
-                "no new connection opens", step="connect", peer=address
-            )
-        return await self._open(address)
-
-    async def refuses_connections(self, address: str) -> bool:
-        """Returns whether an address refuses connections.
-
-        Returns False if this is unknown, as the address may be unreachable.
-        """
-        try:
-            connection = await self._open(address, is_probe=True)
-        except errors.PeerUnreachableError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        self.release(address, connection)
-        return False
-
-    async def opens(self, address: str, for_s: float) -> bool:
-        """Returns whether a new connection opens and stays open for a time.
-
-        Args:
-            address: Address of the upstream.
-            for_s: The time. Servers that are short of processor time reset
-                connections late.
-        """
-        try:
-            connection = await self._open(address, is_probe=True)
-        except errors.PeerUnreachableError:
-            return False
-        try:
-            await asyncio.sleep(for_s)
-        except asyncio.CancelledError:
-            connection.abort()
-            raise
-        is_open = connection.is_usable
-        self.release(address, connection)
-        return is_open
-
-    async def answers(self, address: str, path: str) -> bool:
-        """Returns whether a request on a new connection is answered.
-
-        Args:
-            address: Address of the upstream.
-            path: Path that any request may ask for.
-        """
-        try:
-            connection = await self._open(address, is_probe=True)
-        except errors.PeerUnreachableError:
-            return False
-        request = f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
-        is_complete = False
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                connection.send_request("GET", request.encode())
-                await connection.next_head()
-                is_complete = await connection.body.discard(MAX_SKIPPED_BYTES)
-        except (
-            TimeoutError,
-            errors.PeerUnavailableError,
-            *EXCHANGE_ERRORS,
-        ) as error:
-            logs.logger.debug("no answer", peer=address, error=repr(error))
-            return connection.has_response
-        finally:
-            if is_complete:
-                connection.finish()
-                self.release(address, connection)
-            else:
-                connection.abort()
-        return True
-
-    async def _open(
-        self, address: str, is_probe: bool = False
-    ) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(
-                        loop,
-                        address,
-                        self._observer,
-                        is_probe,
-                        self._note_foreign_bytes,
-                    ),
-                    host,
-                    int(port),
-                    local_addr=self._local_address,
-                )
-        except (OSError, TimeoutError, ValueError) as error:
-            now = clocks.monotonic()
-            if is_probe:
-                self._observer.on_probe_failed(address, now)
-            else:
-                self._observer.on_open_failed(address, now)
-            raise errors.PeerUnreachableError(
-                repr(error), step="connect", peer=address
-            ) from error
-        self.opened += 1
-        self._observer.on_opened(address, clocks.monotonic())
-        return connection
-
-    def _is_distrusted(self, address: str, now: float) -> bool:
-        return now < self._distrusted_until_by_address.get(address, 0.0)
-
-    def _note_foreign_bytes(self, address: str, kind: ForeignBytes) -> None:
-        """Distrusts an upstream that sent bytes that are no answer."""
-        now = clocks.monotonic()
-        if not self._is_distrusted(address, now):
-            logs.logger.warning(
-                "foreign bytes from upstream", peer=address, kind=kind.value
-            )
-        self._distrusted_until_by_address = {
-            known: until
-            for known, until in self._distrusted_until_by_address.items()
-            if until > now
-        }
-        self._distrusted_until_by_address[address] = now + DISTRUST_S
-
-    def on_broken(self, connection: UpstreamConnection, now: float) -> None:
-        """Records that a connection broke before its response was complete."""
-        if connection.is_reused and not connection.has_response:
-            self._restricted_until = now + UNSAFE_REUSE_PAUSE_S
-
-    def release(self, address: str, connection: UpstreamConnection) -> None:
-        """Returns a connection to the pool if it can be reused."""
-        if not connection.is_usable:
-            return
-        idle = self._idle_by_address.setdefault(address, collections.deque())
-        idle.append(connection)
-        while len(idle) > MAX_IDLE_PER_ADDRESS:
-            idle.popleft().abort()
-
-    def close_idle(self, address: str) -> None:
-        """Closes the idle connections to an address."""
-        for connection in self._idle_by_address.pop(address, ()):
-            connection.abort()
-
-
-# Errors of an exchange that leave it unknown whether the request ran.
-EXCHANGE_ERRORS = (OSError, errors.MalformedResponseError, EOFError)
--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -13,8 +13,8 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import causes
-from swiftstile.gateway import connections
 from swiftstile.gateway import fingerprint
+from swiftstile.gateway import link_observers
 from swiftstile.gateway import suspects
 from swiftstile.gateway import targets
 from swiftstile.gateway import unanswered
@@ -33,7 +33,7 @@
 _Check = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
 
 
-class CrashDetector(connections.LinkObserver):
+class CrashDetector(link_observers.LinkObserver):
     """Attributes ends of upstreams' processes to exchanges without an answer.
 
     Args:
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -9,6 +9,7 @@
 from swiftstile import errors
 from swiftstile.gateway import advisories
 from swiftstile.gateway import body_budget
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import interfaces
@@ -111,7 +112,7 @@
 
     def __init__(
         self,
-        pool: connections.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         dialect: interfaces.RequestDialect,
         advisory_table: advisories.AdvisoryTable,
         drain_s: float,
--- a/src/swiftstile/gateway/forwarding.py
+++ b/src/swiftstile/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from swiftstile import errors
 from swiftstile import metrics
 from swiftstile.gateway import body_budget
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
 from swiftstile.gateway import exchange
 from swiftstile.gateway import forward_headers
@@ -79,7 +80,7 @@
         self,
         own_run: str,
         selector: forward_selection.ForwardSelector,
-        pool: connections.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         dialect: interfaces.RequestDialect,
         meters: metrics.Meters,
         budget: body_budget.BodyBudget,
--- a/src/swiftstile/gateway/link_probes.py
+++ b/src/swiftstile/gateway/link_probes.py
@@ -9,7 +9,7 @@
 
 from swiftstile import clocks
 from swiftstile import logs
-from swiftstile.gateway import connections
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
 from swiftstile.gateway import upstream_sampling
@@ -32,7 +32,7 @@
 _STALL_S = 0.25
 # The last of several checks may take the time to connect and to be answered.
 _JUDGED_WITHIN_S = (
-    2 * connections.CONNECT_TIMEOUT_S
+    2 * connection_pool.CONNECT_TIMEOUT_S
     + _CHECKS * (_FIRST_TRY_S + _CHECK_INTERVAL_S)
     + _STALL_S
 )
@@ -62,7 +62,7 @@
     def __init__(
         self,
         links: upstream_links.UpstreamLinks,
-        pool: connections.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         target_table: targets.TargetTable,
         health_path: collections.abc.Callable[[str], str],
         on_isolated: collections.abc.Callable[[], None],
@@ -177,7 +177,7 @@
             if done and answers.result():
                 return True
             stays_open = asyncio.create_task(
-                self._pool.opens(address, connections.CONNECT_TIMEOUT_S)
+                self._pool.opens(address, connection_pool.CONNECT_TIMEOUT_S)
             )
             if await answers:
                 return True
--- a/src/swiftstile/gateway/upstream_links.py
+++ b/src/swiftstile/gateway/upstream_links.py
@@ -18,7 +18,7 @@
 from swiftstile import clocks
 from swiftstile import logs
 from swiftstile import metrics
-from swiftstile.gateway import connections
+from swiftstile.gateway import link_observers
 from swiftstile.gateway import model
 
 __all__ = [
@@ -91,7 +91,7 @@
     PEER = "peer"
 
 
-class UpstreamLinks(connections.LinkObserver):
+class UpstreamLinks(link_observers.LinkObserver):
     """Tracks which upstreams this VM reaches.
 
     Args:
@@ -185,7 +185,7 @@
         """See base class."""
 
     def on_foreign_bytes(
-        self, address: str, kind: connections.ForeignBytes
+        self, address: str, kind: link_observers.ForeignBytes
     ) -> None:
         """See base class."""
         self._meters.foreign_bytes.add(kind.value)
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -18,7 +18,7 @@
 from swiftstile.gateway import budget
 from swiftstile.gateway import caller_retries
 from swiftstile.gateway import coldstart
-from swiftstile.gateway import connections
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import counted_table
 from swiftstile.gateway import crash_detector
 from swiftstile.gateway import crash_guard
@@ -332,7 +332,7 @@
             lambda address: prober.reaches_another(address),
             self._meters,
         )
-        pool = connections.ConnectionPool(
+        pool = connection_pool.ConnectionPool(
             self._settings.vm.host,
             link_observers.ObserverChain(self._links, detector),
         )
@@ -356,7 +356,7 @@
         forwarder = forwarding.PeerForwarder(
             reports.short_run(self._node.incarnation),
             forward_selection.ForwardSelector(self._peers),
-            connections.ConnectionPool(self._settings.vm.host),
+            connection_pool.ConnectionPool(self._settings.vm.host),
             adapters.dialect,
             self._meters,
             bodies,
--- a/tests/exchange_parts.py
+++ b/tests/exchange_parts.py
@@ -10,7 +10,7 @@
 from swiftstile import metrics
 from swiftstile.gateway import advisories
 from swiftstile.gateway import body_budget
-from swiftstile.gateway import connections
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import exchange
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import targets
@@ -100,7 +100,7 @@
     )
 
 
-def client(pool: connections.ConnectionPool) -> exchange.UpstreamClient:
+def client(pool: connection_pool.ConnectionPool) -> exchange.UpstreamClient:
     return exchange.UpstreamClient(
         pool,
         dialect.UsersDialect(),
@@ -117,7 +117,7 @@
     port = listener.sockets[0].getsockname()[1]
     upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
     target = targets.Target(upstream, 0.0)
-    sender = client(connections.ConnectionPool())
+    sender = client(connection_pool.ConnectionPool())
     try:
         yield server, sender, target
     finally:
--- a/tests/foreign_bytes_simulation.py
+++ b/tests/foreign_bytes_simulation.py
@@ -15,6 +15,7 @@
 from swiftstile import metrics
 from swiftstile.gateway import advisories
 from swiftstile.gateway import body_budget
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
 from swiftstile.gateway import exchange
 from swiftstile.gateway import outcomes
@@ -181,7 +182,7 @@
     ).encode()
 
 
-class _Pool(connections.ConnectionPool):
+class _Pool(connection_pool.ConnectionPool):
     """Opens connections in memory."""
 
     def __init__(self, upstream: Upstream):
--- a/tests/integration/test_foreign_bytes.py
+++ b/tests/integration/test_foreign_bytes.py
@@ -9,6 +9,7 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outcomes
@@ -152,7 +153,7 @@
         writer.write(answer)
 
     async def scenario(_server, _sender, target):
-        calls = control.UpstreamCalls(connections.ConnectionPool())
+        calls = control.UpstreamCalls(connection_pool.ConnectionPool())
         address, keys = target.upstream.address, interfaces.KeyRange(16, 31)
         await calls.grant(address, "u-1", keys, 7, 4.0, "", lambda: None)
         with contextlib.suppress(errors.PeerUnavailableError):
--- a/tests/integration/test_gateway_exchange.py
+++ b/tests/integration/test_gateway_exchange.py
@@ -8,6 +8,7 @@
 
 from swiftstile import clocks
 from swiftstile import errors
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outcomes
@@ -197,7 +198,7 @@
 def test_refused_connection_is_unreachable():
     async def scenario():
         target = targets.Target(builders.upstream(address="127.0.0.1:1"), 0.0)
-        sender = _client(connections.ConnectionPool())
+        sender = _client(connection_pool.ConnectionPool())
         with pytest.raises(outcomes.UpstreamUnreachableError):
             await sender.send(_call("a1"), target)
 
@@ -254,7 +255,7 @@
     # Servers that silently dropped an idle connection reset it on the next
     # request. The reset doesn't tell whether that request ran, so that a
     # non-idempotent one can't be retried.
-    monkeypatch.setattr(connections, "MAX_SAFE_IDLE_S", -1.0)
+    monkeypatch.setattr(connection_pool, "MAX_SAFE_IDLE_S", -1.0)
 
     async def script(number, writer):
         if number == 2:
@@ -285,7 +286,7 @@
         listener = await asyncio.start_server(handle, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         upstream = builders.upstream(address=f"127.0.0.1:{port}")
-        pool = connections.ConnectionPool()
+        pool = connection_pool.ConnectionPool()
         sender = _client(pool)
         call = _call("a1", "POST", b"x" * (16 << 20))
         answer = await sender.send(call, targets.Target(upstream, 0.0))
@@ -307,7 +308,7 @@
         writer.write(head + b"Content-Length: 0\r\n\r\n")
 
     async def scenario(server, _sender, target):
-        calls = control.UpstreamCalls(connections.ConnectionPool())
+        calls = control.UpstreamCalls(connection_pool.ConnectionPool())
         address = target.upstream.address
         keys = interfaces.KeyRange(16, 31)
         assert (
@@ -343,7 +344,7 @@
     async def scenario():
         listener = await asyncio.start_server(handle, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
-        calls = control.UpstreamCalls(connections.ConnectionPool())
+        calls = control.UpstreamCalls(connection_pool.ConnectionPool())
         with pytest.raises(errors.PeerTimeoutError):
             await calls.grant(
                 f"127.0.0.1:{port}",
@@ -393,7 +394,7 @@
         port = listener.sockets[0].getsockname()[1]
         upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
         target = targets.Target(upstream, 0.0)
-        sender = _client(connections.ConnectionPool())
+        sender = _client(connection_pool.ConnectionPool())
         upload = _call("a1", "POST", None)
         upload.stream, upload.length = _slow_body(), 2000
         if status == 503:
--- a/tests/unanswered_simulation.py
+++ b/tests/unanswered_simulation.py
@@ -17,7 +17,7 @@
 from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import causes
-from swiftstile.gateway import connections
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import crash_detector
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import model
@@ -214,7 +214,7 @@
         opened_at, upstream = self._clock.now, self._by_address[address]
         await asyncio.sleep(_CHECK_S)
         if upstream.is_unresponsive:
-            await asyncio.sleep(connections.CONNECT_TIMEOUT_S)
+            await asyncio.sleep(connection_pool.CONNECT_TIMEOUT_S)
             return False
         if upstream.is_listening:
             vm.detector.on_received(address, opened_at, self._clock.now)
--- a/tests/unit/test_forward_listener.py
+++ b/tests/unit/test_forward_listener.py
@@ -10,7 +10,7 @@
 from swiftstile import clocks
 from swiftstile import metrics
 from swiftstile.gateway import caller_requests
-from swiftstile.gateway import connections
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import forward_headers
 from swiftstile.gateway import forward_listener
 from swiftstile.gateway import gossip
@@ -167,7 +167,7 @@
 ) -> link_probes.LinkProber:
     return link_probes.LinkProber(
         links,
-        connections.ConnectionPool("", links),
+        connection_pool.ConnectionPool("", links),
         table,
         lambda _: "/health",
         lambda: None,
--- a/tests/unit/test_gateway_crash_detector.py
+++ b/tests/unit/test_gateway_crash_detector.py
@@ -8,6 +8,7 @@
 
 from swiftstile import clocks
 from swiftstile import metrics
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
 from swiftstile.gateway import crash_detector
 from swiftstile.gateway import fingerprint
@@ -166,7 +167,7 @@
                 mock.AsyncMock(return_value=True),
                 metrics.Meters(),
             )
-            pool = connections.ConnectionPool(observer=detector)
+            pool = connection_pool.ConnectionPool(observer=detector)
             now = clocks.monotonic()
             target = target_table.put(builders.upstream(address=address), now)
             exchange = detector.begin(target, now)
--- a/tests/unit/test_gateway_foreign_bytes_simulation.py
+++ b/tests/unit/test_gateway_foreign_bytes_simulation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from swiftstile import clocks
+from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
 from swiftstile.gateway import response_heads
 from tests import foreign_bytes_simulation as simulation
@@ -59,6 +60,6 @@
 
 def test_new_connections_after_foreign_bytes_save_answers(monkeypatch, clock):
     before = sum(_play(seed, clock).unknown for seed in _SEEDS)
-    monkeypatch.setattr(connections, "DISTRUST_S", 0.0)
+    monkeypatch.setattr(connection_pool, "DISTRUST_S", 0.0)
     after = sum(_play(seed, clock).unknown for seed in _SEEDS)
     assert before < after
