--- a/src/swiftstile/gateway/connection_pool.py
+++ b/src/swiftstile/gateway/connection_pool.py
@@ -110,7 +110,9 @@
         """
         return await self._open_for_request(address)
 
-    async def _open_for_request(self, address: str) -> connections.UpstreamConnection:
+    async def _open_for_request(
+        self, address: str
+    ) -> connections.UpstreamConnection:
         if not self._observer.may_open():
             raise errors.PeerUnreachableError(
                 "no new connection opens", step="connect", peer=address
@@ -167,7 +169,9 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection.send_request("GET", request.encode())
                 await connection.next_head()
-                is_complete = await connection.body.discard(connections.MAX_SKIPPED_BYTES)
+                is_complete = await connection.body.discard(
+                    connections.MAX_SKIPPED_BYTES
+                )
         except (
             TimeoutError,
             errors.PeerUnavailableError,
@@ -218,7 +222,9 @@
     def _is_distrusted(self, address: str, now: float) -> bool:
         return now < self._distrusted_until_by_address.get(address, 0.0)
 
-    def _note_foreign_bytes(self, address: str, kind: link_observers.ForeignBytes) -> None:
+    def _note_foreign_bytes(
+        self, address: str, kind: link_observers.ForeignBytes
+    ) -> None:
         """Distrusts an upstream that sent bytes that are no answer."""
         now = clocks.monotonic()
         if not self._is_distrusted(address, now):
@@ -232,7 +238,9 @@
         }
         self._distrusted_until_by_address[address] = now + DISTRUST_S
 
-    def on_broken(self, connection: connections.UpstreamConnection, now: float) -> None:
+    def on_broken(
+        self, connection: connections.UpstreamConnection, now: float
+    ) -> None:
         """Records that a connection broke before its response was complete."""
         if connection.is_reused and not connection.has_response:
             self._restricted_until = now + UNSAFE_REUSE_PAUSE_S
