--- a/src/swiftstile/gateway/link_observers.py
+++ b/src/swiftstile/gateway/link_observers.py
@@ -153,9 +153,7 @@
         for one in self._observers:
             one.on_closed(address, now)
 
-    def on_foreign_bytes(
-        self, address: str, kind: ForeignBytes
-    ) -> None:
+    def on_foreign_bytes(self, address: str, kind: ForeignBytes) -> None:
         """See base class."""
         for one in self._observers:
             one.on_foreign_bytes(address, kind)
