Test that slow long answers are still delivered beyond the timeout

Cause: limits on streamed responses could cut off a sound upstream that sends a long answer slowly, or a caller that reads slowly. Change: stand-ins can send a long answer over a time; a site with each.

--- a/tests/integration/test_foreign_answers.py
+++ b/tests/integration/test_foreign_answers.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from swiftstile import clocks
 from tests.integration import foreign_bytes
 from tests.integration import gateways
 from tests.integration import users_standins
@@ -176,3 +177,45 @@
         assert served >= 0.95 * (len(outcomes) - len(answers))
 
     _run(tmp_path, scenario)
+
+
+async def _read_long_answer(site, pause_s: float) -> int:
+    """Reads a long answer with pauses; returns the length of its body."""
+    host, _, port = site.gateways[0].front.rpartition(":")
+    reader, writer = await asyncio.open_connection(
+        host, int(port), limit=1 << 16
+    )
+    writer.write(
+        b"GET /read/long HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a1\r\n"
+        b"X-Deadline-Ms: 9000\r\nX-Shard-Key: 7\r\n\r\n"
+    )
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    expected = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    size = 0
+    while size < expected and (piece := await reader.read(1 << 16)):
+        size += len(piece)
+        await asyncio.sleep(pause_s)
+    writer.close()
+    return size
+
+
+@pytest.mark.parametrize(
+    ("answer_s", "pause_s"),
+    [(4.0, 0.0), (0.0, 0.08)],
+    ids=["slow-upstream", "slow-caller"],
+)
+def test_slow_long_answers_are_delivered_beyond_the_timeout(
+    tmp_path, answer_s, pause_s
+):
+    timeout_s = 2.0
+
+    async def scenario(site):
+        for server in site.cluster.by_id.values():
+            server.long_answer_s = answer_s
+        started = clocks.monotonic()
+        size = await _read_long_answer(site, pause_s)
+        assert size > users_standins.LONG_ANSWER_BYTES
+        assert clocks.monotonic() - started > timeout_s
+
+    _run(tmp_path, scenario)
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -383,6 +383,7 @@
         crashing: Paths of the requests in progress that will crash it.
         arrivals: All requests that reached its current run, run or not.
         listener: Where it listens.
+        long_answer_s: Time that it takes to send a long answer.
         noise: What it sends besides its answers, if anything.
         echoes_ids_of_orders: Whether it returns the ids of grants and releases.
     """
@@ -425,6 +426,7 @@
         self._request_ended = asyncio.Condition()
         self._runner: web.AppRunner | None = None
         self.listener: asyncio.Server | None = None
+        self.long_answer_s = 0.0
         self.noise: foreign_bytes.Noise | None = None
         self.echoes_ids_of_orders = False
         self._is_restarting = False
@@ -663,12 +665,26 @@
         answer = f"{attempt}:{len(body)}".encode()
         if request.path.endswith(LONG_ANSWER):
             answer += bytes(LONG_ANSWER_BYTES)
-        return web.Response(
-            body=answer,
-            headers=headers
-            | self._statements()
-            | {"X-Server-Signature": "s", "X-Instance-Load": load},
-        )
+        headers |= self._statements()
+        headers |= {"X-Server-Signature": "s", "X-Instance-Load": load}
+        if request.path.endswith(LONG_ANSWER) and self.long_answer_s:
+            return await self._answer_slowly(request, headers, answer)
+        return web.Response(body=answer, headers=headers)
+
+    async def _answer_slowly(
+        self, request: web.Request, headers, body: bytes
+    ) -> web.StreamResponse:
+        """Sends a long answer in equal pieces over a time."""
+        answer = web.StreamResponse(headers=headers)
+        answer.content_length = len(body)
+        await answer.prepare(request)
+        pieces = 20
+        size = len(body) // pieces + 1
+        for start in range(0, len(body), size):
+            await answer.write(body[start : start + size])
+            await asyncio.sleep(self.long_answer_s / pieces)
+        await answer.write_eof()
+        return answer
 
 
 def _now() -> float:
