Keep a response that was received before its connection was reset

Cause: received bytes wait to be read while other connections are served or their body isn't taken, and were dropped when the connection was reset meanwhile, though the response may have been whole.

Change: what was received is read before the end of a connection counts.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -228,24 +228,33 @@
         self.is_usable = False
         if self._is_aborted:
             exc = exc or ConnectionAbortedError("reset by this VM")
-        if self._reader is not None and exc is None:
-            exc = self._end_response(self._reader)
+        elif self._reader is not None:
+            exc = self._end_response(self._reader, exc)
         self._fail(exc or ConnectionResetError("closed by the server"))
         super().connection_lost(exc)
 
     def _end_response(
-        self, reader: response_reader.ResponseReader
+        self, reader: response_reader.ResponseReader, exc: BaseException | None
     ) -> BaseException | None:
-        """Ends the response of a closed connection; returns why it can't."""
+        """Reads what was received before the end of the connection.
+
+        Args:
+            reader: Reads the current response.
+            exc: Why the connection ended; None if the server closed it.
+
+        Returns:
+            Why the response isn't complete, unless it is.
+        """
         try:
             while self._unread and not reader.is_done:
                 self._unread = reader.feed(self._unread)
-            reader.feed_end()
+            if exc is None:
+                reader.feed_end()
         except errors.MalformedResponseError as error:
             return error
         if reader.head is not None:
             self.has_response = True
-        return None
+        return exc
 
     def note_foreign_bytes(self, kind: link_observers.ForeignBytes) -> None:
         """Reports bytes that are no answer to the request in progress."""
@@ -371,6 +380,8 @@
     def has_unread_input(self) -> bool:
         """Whether the socket holds bytes, or an end, that wasn't read yet."""
         sock = self.transport.get_extra_info("socket")
+        if sock is None:
+            return False
         poll = select.poll()
         poll.register(sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
