Reset the connection of a caller whose answer was cut off

Cause: an answer without a length is streamed since its body is bounded, and to a caller of HTTP/1.0 it ends with its connection. When it was cut off the connection was aborted, which closes it like an end that is complete.

Change: the connection is reset.

--- a/src/swiftstile/gateway/responses.py
+++ b/src/swiftstile/gateway/responses.py
@@ -188,8 +188,9 @@
 ) -> web_response.StreamResponse:
     """Streams a long response to the caller.
 
-    If either side fails, the caller's connection is aborted, so that the
-    truncated response doesn't appear complete.
+    If either side fails, the caller's connection is reset, so that the
+    truncated response doesn't appear complete, also if it ends with its
+    connection.
     """
     response = web_response.StreamResponse(status=upstream_response.status)
     for name, value in upstream_response.headers:
@@ -207,4 +208,5 @@
     finally:
         upstream_response.finish(is_whole)
         if not is_whole and request.transport is not None:
+            connections.reset_on_close(request.transport)
             request.transport.abort()
--- a/tests/integration/test_foreign_answers.py
+++ b/tests/integration/test_foreign_answers.py
@@ -219,3 +219,28 @@
         assert clocks.monotonic() - started > timeout_s
 
     _run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_answer_that_was_cut_off_never_looks_complete(tmp_path, version):
+    async def scenario(site):
+        for server in site.cluster.by_id.values():
+            server.noise = foreign_bytes.Noise(
+                endless_share=1.0,
+                endless_kinds=(foreign_bytes.Endless.CHUNKS,),
+            )
+        host, _, port = site.gateways[0].front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"GET /read/x HTTP/{version}\r\nHost: a.example\r\n"
+            "X-Attempt-Id: a1\r\nX-Deadline-Ms: 3000\r\nX-Shard-Key: 7"
+            "\r\n\r\n".encode()
+        )
+        size = 0
+        with pytest.raises(ConnectionResetError):
+            while piece := await reader.read(1 << 16):
+                size += len(piece)
+        assert size > 1 << 20
+        writer.transport.abort()
+
+    _run(tmp_path, scenario)
