--- a/tests/integration/test_foreign_bytes.py
+++ b/tests/integration/test_foreign_bytes.py
@@ -163,6 +163,49 @@
     parts.run(script, scenario)
 
 
+def _release_answer(token: str) -> bytes:
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Handover: {token}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+def test_releases_share_a_connection_while_their_tokens_differ():
+    async def script(number, writer):
+        writer.write(_release_answer(f"token-{number}"))
+
+    async def scenario(server, _sender, target):
+        calls = control.UpstreamCalls(connection_pool.ConnectionPool())
+        address, keys = target.upstream.address, interfaces.KeyRange(16, 31)
+        for number in (1, 2, 3):
+            token = await calls.release(address, "u-1", keys, 7)
+            assert token == f"token-{number}"
+        assert server.connections == 1
+
+    parts.run(script, scenario)
+
+
+def test_late_copy_of_a_release_is_not_taken_for_the_next_one():
+    async def script(number, writer):
+        if writer.exchanges == 2:
+            writer.write(_release_answer("token-1"))
+            return
+        writer.write(_release_answer(f"token-{number}"))
+
+    async def scenario(server, _sender, target):
+        calls = control.UpstreamCalls(connection_pool.ConnectionPool())
+        address, keys = target.upstream.address, interfaces.KeyRange(16, 31)
+        assert await calls.release(address, "u-1", keys, 7) == "token-1"
+        with pytest.raises(errors.PeerTimeoutError):
+            await calls.release(address, "u-1", keys, 8)
+        # New connections from now on.
+        for number in (3, 4):
+            token = await calls.release(address, "u-1", keys, 8)
+            assert token == f"token-{number}"
+        assert server.connections == 3
+
+    parts.run(script, scenario)
+
+
 @pytest.mark.parametrize(
     "foreign",
     [b"\x00\xff\x00", b"nonsense", b"HTTP/1.1 200", b"\r\n", _MISDIRECTED],
