Let scripted servers of tests close their connections

The AttributeError ended the script.

Change: the wrapper closes the connection. The tests are unchanged, and test now what their names say.

--- a/tests/exchange_parts.py
+++ b/tests/exchange_parts.py
@@ -55,6 +55,9 @@
     async def drain(self) -> None:
         await self._writer.drain()
 
+    def close(self) -> None:
+        self._writer.close()
+
 
 class Server:
     """A server that handles each request with a function.
