--- a/tests/integration/test_foreign_bytes.py
+++ b/tests/integration/test_foreign_bytes.py
@@ -1,11 +1,13 @@
 """Exchanges on connections with bytes that belong to no request."""
 
 import asyncio
+import collections.abc
 import contextlib
 import os
 
 import pytest
 from users_platform import control
+from users_platform import unproven_answers
 
 from swiftstile import clocks
 from swiftstile import errors
@@ -206,6 +208,57 @@
     parts.run(script, scenario)
 
 
+def _release(calls, target) -> collections.abc.Awaitable[str]:
+    keys = interfaces.KeyRange(16, 31)
+    return calls.release(target.upstream.address, "u-1", keys, 7)
+
+
+def test_one_answer_without_proof_costs_no_connections_for_life(monkeypatch):
+    # Guards against releases on new connections for the life of the VM.
+    monkeypatch.setattr(unproven_answers, "REMEMBERED_S", 0.1)
+
+    async def script(number, writer):
+        token = f"token-{max(1, number - 1)}"
+        writer.write(_release_answer(token))
+
+    async def scenario(server, _sender, target):
+        calls = control.UpstreamCalls(connection_pool.ConnectionPool())
+        await _release(calls, target)
+        with pytest.raises(errors.PeerTimeoutError):
+            await _release(calls, target)
+        await _release(calls, target)
+        assert server.connections == 2
+        await asyncio.sleep(0.1)
+        for _ in range(4):
+            await _release(calls, target)
+        assert server.connections == 2
+
+    parts.run(script, scenario)
+
+
+@pytest.mark.parametrize("token", ["", "always-the-same"])
+def test_upstream_without_proof_answers_each_release_on_a_new_connection(
+    monkeypatch, token
+):
+    # Guards against a failed release each time the upstream is forgotten.
+    monkeypatch.setattr(unproven_answers, "REMEMBERED_S", 0.2)
+
+    async def script(_number, writer):
+        writer.write(_release_answer(token))
+
+    async def scenario(server, _sender, target):
+        calls = control.UpstreamCalls(connection_pool.ConnectionPool())
+        await _release(calls, target)
+        with pytest.raises(errors.PeerTimeoutError):
+            await _release(calls, target)
+        for number in range(3, 9):
+            assert await _release(calls, target) == token
+            assert server.connections == number - 1
+            await asyncio.sleep(0.1)
+
+    parts.run(script, scenario)
+
+
 @pytest.mark.parametrize(
     "foreign",
     [b"\x00\xff\x00", b"nonsense", b"HTTP/1.1 200", b"\r\n", _MISDIRECTED],
