Bound the size of the store's answers

Cause: an answer of the store had limits of time only. One that is sent without end, or is far too long, was read for 30 s and kept whole: on loopback 12.1 GB in one process, which would end a VM at once. A feed of changes has no stated size.

Change: bodies read by progress.read_body end at 32 MB, an eighth of a node's memory for control. A write then counts as unknown, a query as unavailable. The same limit applies to the product's own interface (provider/http.py), which reads by the same function.

Evidence: test_answer_of_the_store_without_end_is_given_up, three ways to frame a body for reads, feeds and writes.

--- a/src/swiftstile/errors.py
+++ b/src/swiftstile/errors.py
@@ -1,6 +1,7 @@
 """Exception hierarchy. Each error names the failed step and the peer."""
 
 __all__ = [
+    "AnswerTooLargeError",
     "BundleError",
     "ConflictError",
     "ControlMessageError",
@@ -59,6 +60,10 @@
     """A write may or may not have taken effect."""
 
 
+class AnswerTooLargeError(OutcomeUnknownError):
+    """An answer exceeds the size limit; a write may have taken effect."""
+
+
 class ControlMessageError(SwiftstileError):
     """A control message is malformed or unexpected."""
 
--- a/src/swiftstile/gateway/interfaces.py
+++ b/src/swiftstile/gateway/interfaces.py
@@ -86,8 +86,9 @@
                 once.
 
         Returns:
-            The changes; None if the store no longer has the changes since then
-            and the whole table has to be read.
+            The changes; None if the store no longer has the changes since then,
+            or they are too many for one answer, and the whole table has to be
+            read.
 
         Raises:
             PlatformUnavailableError: No usable answer.
--- a/src/swiftstile/progress.py
+++ b/src/swiftstile/progress.py
@@ -1,4 +1,4 @@
-"""Reads bodies with a limit on stalls instead of the total time.
+"""Reads bodies with limits on stalls and size instead of the total time.
 
 A limit on the total time also limits the size: a body that is too large for the
 link never arrives, and each retry fills the link again. A stall timeout works
@@ -10,7 +10,13 @@
 
 import aiohttp
 
-__all__ = ["read_body"]
+from swiftstile import errors
+
+__all__ = ["MAX_BODY_BYTES", "read_body"]
+
+# An eighth of the memory of a node for control. A body is held twice while it
+# is joined, and once more while it is decoded.
+MAX_BODY_BYTES = 1 << 25
 
 # The stall timeout is split into this many waits. After a pause of the process
 # the current wait has expired, but the next one can still read bytes that
@@ -33,17 +39,25 @@
 
     Raises:
         TimeoutError: The transfer stalled; names the number of bytes read.
+        AnswerTooLargeError: It has more than `MAX_BODY_BYTES`.
         aiohttp.ClientError: The connection broke.
     """
     chunks: list[bytes] = []
+    received = 0
     while not content.at_eof():
-        if not await _read_more(
+        already_read = len(chunks)
+        is_progressing = await _read_more(
             content, chunks, stall_timeout_s / _WAITS_PER_TIMEOUT
-        ):
-            received = sum(map(len, chunks))
+        )
+        received += sum(map(len, chunks[already_read:]))
+        if not is_progressing:
             raise TimeoutError(
                 f"stalled for {stall_timeout_s:g} s after {received} bytes"
             )
+        if received > MAX_BODY_BYTES:
+            raise errors.AnswerTooLargeError(
+                f"over {MAX_BODY_BYTES} bytes", step="read body"
+            )
     return b"".join(chunks)
 
 
--- a/src/swiftstile/provider/http.py
+++ b/src/swiftstile/provider/http.py
@@ -14,7 +14,12 @@
 __all__ = ["HttpObjectStore", "HttpTable", "HttpVmList", "TransactBody"]
 
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.InvalidURL)
-_TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+_TRANSPORT_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    errors.AnswerTooLargeError,
+)
 # Limit for a whole request, whatever its size.
 _TOTAL_TIMEOUT_S = 60.0
 # Uploads may be as slow as a tenth of the narrowest link. Data accepted by the
