--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -359,6 +359,11 @@
                 self.violations.append(
                     f"{server.name} and {other.name} hold {first} to {last}"
                 )
+            if other.is_working_in_hold(first, last, now):
+                self.violations.append(
+                    f"{server.name} is granted {first} to {last} while"
+                    f" {other.name} works on them"
+                )
 
     async def close(self) -> None:
         for task in list(self._crashes):
@@ -420,6 +425,8 @@
         # Number of starts; no state is kept across restarts.
         self.incarnation = 1
         self.held_until = [0.0] * KEYS
+        # Ends of the holds, also of those whose release isn't answered yet.
+        self._lease_ends = [0.0] * KEYS
         self.fences = [0] * KEYS
         self.running = 0
         self.waiting = 0
@@ -485,11 +492,12 @@
         if self._is_restarting:
             return
         self._is_restarting = True
-        self._break_connections()
-        await self.stop()
+        await self.exit()
         await asyncio.sleep(pause_s)
         self.incarnation += 1
         self.held_until = [0.0] * KEYS
+        # Ends of the holds, also of those whose release isn't answered yet.
+        self._lease_ends = [0.0] * KEYS
         self.fences = [0] * KEYS
         self.limit_per_s = self.backoff_s = None
         self.announces_exit = self.is_unresponsive = False
@@ -509,6 +517,11 @@
     def unregister(self) -> None:
         self.cluster.store.remove("servers", self.name)
 
+    async def exit(self) -> None:
+        """Stops the server as the exit of its process does."""
+        self._break_connections()
+        await self.stop()
+
     async def stop(self) -> None:
         """Stops the server like a crash: its registration remains."""
         if self.is_up:
@@ -547,8 +560,21 @@
         for key in range(first, last + 1):
             self.fences[key] = fence
             self.held_until[key] = max(self.held_until[key], until)
+            self._lease_ends[key] = max(self._lease_ends[key], until)
         return 200
 
+    def is_working_in_hold(self, first: int, last: int, now: float) -> bool:
+        """Whether it works on keys before their hold has ended.
+
+        A hold ends with the answer to its release, or with its duration.
+        """
+        return any(
+            key is not None
+            and first <= key <= last
+            and self._lease_ends[key] > now
+            for key in self._working
+        )
+
     async def _release(self, request: web.Request) -> web.Response:
         call = await request.json()
         await self._wait_if_unresponsive()
@@ -562,6 +588,9 @@
             await self._request_ended.wait_for(
                 lambda: not any(key in keys for key in self._working)
             )
+        for key in keys:
+            if not self.held_until[key]:
+                self._lease_ends[key] = 0.0
         return web.Response(headers={"X-Handover": uuid.uuid4().hex[:16]})
 
     async def _wait_if_unresponsive(self) -> None:
