--- a/tests/integration/test_crashes_without_exchange.py
+++ b/tests/integration/test_crashes_without_exchange.py
@@ -176,3 +176,21 @@
 
 def test_crash_of_an_upstream_that_is_back_at_once_is_counted(tmp_path):
     _run(tmp_path, Case(dataclasses.replace(_LATE_EXIT, downtime_s=0.15)))
+
+
+def test_crash_of_an_upstream_that_registered_as_draining_is_counted(tmp_path):
+    notice = users_standins.LeavingNotice.REGISTRATION
+    plan = dataclasses.replace(_LATE_EXIT, notice=notice)
+    _run(tmp_path, Case(plan))
+
+
+def test_crash_of_an_upstream_that_answers_with_its_leaving_is_counted(
+    tmp_path,
+):
+    notice = users_standins.LeavingNotice.ANSWERS
+    plan = dataclasses.replace(_LATE_EXIT, notice=notice, notice_s=1.0)
+    _run(tmp_path, Case(plan))
+
+
+def test_crash_of_an_upstream_that_is_back_under_a_new_id_is_counted(tmp_path):
+    _run(tmp_path, Case(dataclasses.replace(_LATE_STOP, renames=True)))
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -237,6 +237,14 @@
     STOPS_ANSWERING = "stops-answering"
 
 
+class LeavingNotice(enum.Enum):
+    """How a server states that it is leaving."""
+
+    NONE = "none"
+    REGISTRATION = "registration"
+    ANSWERS = "answers"
+
+
 @dataclasses.dataclass(frozen=True)
 class CrashPlan:
     """How requests for crashing paths crash the servers that run them.
@@ -244,12 +252,18 @@
     Attributes:
         kind: What the server does.
         after_s: Least and most time from the start of a request to the crash.
-        downtime_s: Time until the server is back under the same id.
+        downtime_s: Time until the server is back.
+        notice: How the server states before the crash that it is leaving.
+        notice_s: How long before.
+        renames: Whether it is back under a new id.
     """
 
     kind: CrashKind = CrashKind.EXITS
     after_s: tuple[float, float] = (0.0, 0.0)
     downtime_s: float = 2.0
+    notice: LeavingNotice = LeavingNotice.NONE
+    notice_s: float = 0.3
+    renames: bool = False
 
 
 @dataclasses.dataclass
@@ -336,6 +350,9 @@
         plan, incarnation = self.crash_plan, server.incarnation
         if plan.after_s[1]:
             await asyncio.sleep(random.uniform(*plan.after_s))
+        if plan.notice is not LeavingNotice.NONE:
+            server.give_notice(plan.notice)
+            await asyncio.sleep(plan.notice_s)
         if server.incarnation != incarnation or not server.is_serving:
             return
         for crashing in server.crashing:
@@ -343,9 +360,9 @@
         if plan.kind is CrashKind.STOPS_ANSWERING:
             server.is_unresponsive = True
             await asyncio.sleep(plan.downtime_s)
-            await server.restart(0.0)
+            await server.restart(0.0, plan.renames)
         else:
-            await server.restart(plan.downtime_s)
+            await server.restart(plan.downtime_s, plan.renames)
 
     def check_grant(self, server: "Server", first: int, last: int, now: float):
         for other in self.by_id.values():
@@ -487,14 +504,31 @@
             },
         )
 
-    async def restart(self, pause_s: float) -> None:
-        """Crashes the server and restarts it with the same id and address."""
+    def give_notice(self, notice: LeavingNotice) -> None:
+        """States that it is leaving."""
+        if notice is LeavingNotice.REGISTRATION:
+            self.register("draining")
+        else:
+            self.announces_exit = True
+
+    async def restart(self, pause_s: float, renames: bool = False) -> None:
+        """Crashes the server and restarts it at the same address.
+
+        Args:
+            pause_s: Time until it is back.
+            renames: Whether it gets a new id.
+        """
         if self._is_restarting:
             return
         self._is_restarting = True
         await self.exit()
         await asyncio.sleep(pause_s)
         self.incarnation += 1
+        if renames:
+            self.unregister()
+            del self.cluster.by_id[self.name]
+            self.name = f"{self.name.partition('-r')[0]}-r{self.incarnation}"
+            self.cluster.by_id[self.name] = self
         self.held_until = [0.0] * KEYS
         # Ends of the holds, also of those whose release isn't answered yet.
         self._lease_ends = [0.0] * KEYS
