Play random ends of upstreams with random troubles, without a network

Histories now draw how an upstream ends, as what it is back, what it stated before, and what goes on besides.

--- a/tests/unanswered_simulation.py
+++ b/tests/unanswered_simulation.py
@@ -9,6 +9,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import enum
 import itertools
 import random
 from unittest import mock
@@ -27,7 +28,14 @@
 from tests import gateway_builders
 from tests import virtual_time
 
-__all__ = ["Scenario", "Simulation", "random_scenario"]
+__all__ = [
+    "Notice",
+    "Return",
+    "Scenario",
+    "Simulation",
+    "random_crash_scenario",
+    "random_scenario",
+]
 
 _REPORT_INTERVAL_S = 0.35
 _URGENT_INTERVAL_S = 0.05
@@ -37,10 +45,31 @@
 _PENALTY_S = 0.5
 # Initial period without crashes and crashing requests.
 _WARM_UP_S = 2.0
+# Time until the store removes the registration of an ended upstream.
+_EXPIRY_S = 2.0
 # Requests that wait for an unresponsive upstream time out.
 _TIMEOUT_S = 2.0
 
 
+class Notice(enum.Enum):
+    """How upstreams state before a crash that they are leaving."""
+
+    NONE = "none"
+    REGISTRATION = "registration"
+    ANSWERS = "answers"
+
+
+class Return(enum.Enum):
+    """As what an upstream is back after a crash."""
+
+    SAME = "same"
+    # Its registration doesn't tell one run from the next.
+    SAME_WITHOUT_START = "same-without-start"
+    NEW_ID = "new-id"
+    # At another address. The old one is unresponsive if the upstream was.
+    NEW_ADDRESS = "new-address"
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     """Parameters of a simulation.
@@ -73,6 +102,12 @@
             removed first, and which are replaced by others at their addresses.
         lapses_per_s: Registrations per second that the store loses for a while.
         loss_rate: Fraction of reports that are lost.
+        notice: How upstreams state before the crashes by requests that they
+            are leaving.
+        notice_s: How long before.
+        returns_as: As what upstreams are back after a crash.
+        drop_share: Share of the crashing requests that an upstream drops when
+            their caller leaves.
     """
 
     seed: int = 1
@@ -98,6 +133,35 @@
     unannounced_exits_per_s: float = 0.0
     lapses_per_s: float = 0.0
     loss_rate: float = 0.0
+    notice: Notice = Notice.NONE
+    notice_s: float = 0.3
+    returns_as: Return = Return.SAME
+    drop_share: float = 0.0
+
+
+def random_crash_scenario(seed: int) -> Scenario:
+    """Returns a site with crashing requests: any end, with any trouble."""
+    draw = random.Random(seed)
+    leaves_after_s = draw.choice([None, None, (0.05, 0.3), (0.2, 0.6)])
+    return Scenario(
+        seed=seed,
+        vms=draw.choice([2, 4, 8, 12]),
+        upstreams=draw.choice([6, 9, 12]),
+        length_s=30.0,
+        crashers=draw.choice([1, 2, 5]),
+        unresponsive_share=draw.choice([0, 0.5, 1.0]),
+        downtime_s=draw.choice([(0.15, 0.3), (2.0, 2.5), (1.0, 6.0)]),
+        registration_lag_s=draw.choice([0.1, 0.5, 1.2, 4.0]),
+        leaves_after_s=leaves_after_s,
+        pause_s=draw.choice([(0.1, 0.2), (0.4, 0.4), (1.0, 3.0)]),
+        per_s=draw.choice([5, 45]),
+        hot_per_s=20.0,
+        loss_rate=draw.choice([0, 0, 0.3]),
+        notice=draw.choice(list(Notice)),
+        notice_s=draw.choice([0.05, 0.3, 1.0]),
+        returns_as=draw.choice(list(Return)),
+        drop_share=draw.choice([0, 0.3, 0.6]) if leaves_after_s else 0.0,
+    )
 
 
 def random_scenario(seed: int) -> Scenario:
@@ -199,6 +263,9 @@
         self._clock = virtual_time.Clock()
         self._upstreams = [_Upstream(n) for n in range(scenario.upstreams)]
         self._by_address = {one.address: one for one in self._upstreams}
+        # Addresses that no upstream uses any more, and whether connections to
+        # them are refused.
+        self._left_addresses: dict[str, bool] = {}
         self._vms: list[_Vm] = []
         # Callers that wait for the end of an exchange.
         self._waiting: dict[int, asyncio.Future[None]] = {}
@@ -213,7 +280,7 @@
         """Returns whether an upstream answers a health check of a VM."""
         opened_at, upstream = self._clock.now, self._by_address[address]
         await asyncio.sleep(_CHECK_S)
-        if upstream.is_unresponsive:
+        if address in self._left_addresses or upstream.is_unresponsive:
             await asyncio.sleep(connection_pool.CONNECT_TIMEOUT_S)
             return False
         if upstream.is_listening:
@@ -223,6 +290,8 @@
     async def refuses_connections(self, address: str) -> bool:
         """Returns whether an address refuses connections."""
         await asyncio.sleep(_CHECK_S)
+        if address in self._left_addresses:
+            return self._left_addresses[address]
         return not self._by_address[address].is_listening
 
     async def reaches_another(self, address: str) -> bool:
@@ -387,7 +456,10 @@
         idle = vm.idle[upstream.address]
         if idle:
             connection = idle.pop()
-        elif upstream.is_listening:
+        elif (
+            upstream.is_listening
+            and target.upstream.address == upstream.address
+        ):
             connection = _Connection(now, upstream.run)
         else:
             vm.avoided_until[upstream.address] = now + _PENALTY_S
@@ -442,7 +514,12 @@
             return
         send.is_open = False
         now, vm = self._clock.now, send.vm
-        if send.digest not in self._crashers:
+        is_dropped = (
+            self._scenario.drop_share > 0
+            and how is unanswered.ExchangeEnd.ABANDONED
+            and self._random.random() < self._scenario.drop_share
+        )
+        if send.digest not in self._crashers or is_dropped:
             # The upstream stops when the connection is closed.
             send.upstream.working.pop(id(send), None)
         if how is not unanswered.ExchangeEnd.ABANDONED:
@@ -460,9 +537,41 @@
     # Upstreams.
 
     def _crash_by(self, send: _Send) -> None:
+        """Lets a request crash its upstream, maybe after a notice."""
+        notice = self._scenario.notice
+        if notice is Notice.NONE or id(send) not in send.upstream.working:
+            self._crash_now(send)
+            return
+        if send.run == send.upstream.run:
+            self._give_notice(send.upstream, notice)
+            asyncio.get_running_loop().call_later(
+                self._scenario.notice_s, self._crash_now, send
+            )
+
+    def _give_notice(self, upstream: _Upstream, notice: Notice) -> None:
+        now = self._clock.now
+        leaving = gateway_builders.upstream(
+            upstream.row.id,
+            state=model.UpstreamState.DRAINING,
+            address=upstream.address,
+            started_ms=upstream.row.started_ms,
+        )
+        for vm in self._vms:
+            target = vm.target_table.by_id.get(upstream.row.id)
+            if target is None:
+                continue
+            if notice is Notice.REGISTRATION:
+                vm.target_table.put(leaving, now)
+                vm.detector.on_registrations(now)
+            else:
+                target.announce_leaving(now)
+
+    def _crash_now(self, send: _Send) -> None:
         upstream = send.upstream
         if send.run != upstream.run or upstream.is_unresponsive:
             return
+        if id(send) not in upstream.working:
+            return
         for other in upstream.working.values():
             if other.digest in self._crashers:
                 times = self.crashed_at.setdefault(other.digest, [])
@@ -480,6 +589,7 @@
 
     def _end_process(self, upstream: _Upstream, downtime_s: float) -> None:
         """Ends a process, which closes its connections, and restarts it."""
+        was_closed = not upstream.is_unresponsive
         upstream.is_listening = upstream.is_unresponsive = False
         upstream.run += 1
         working, upstream.working = upstream.working, {}
@@ -490,17 +600,51 @@
         for send in working.values():
             self._end(send, unanswered.ExchangeEnd.BROKEN)
         asyncio.get_running_loop().call_later(
-            max(downtime_s, 0.01), self._restart, upstream
+            max(downtime_s, 0.01), self._restart, upstream, was_closed
         )
 
-    def _restart(self, upstream: _Upstream) -> None:
+    def _restart(self, upstream: _Upstream, was_closed: bool) -> None:
         upstream.is_listening = True
+        if self._scenario.returns_as is not Return.SAME:
+            self._replace(upstream, was_closed)
+            return
         row = {"started_ms": upstream.run, "address": upstream.address}
         upstream.row = gateway_builders.upstream(upstream.row.id, **row)
         asyncio.get_running_loop().call_later(
             self._scenario.registration_lag_s, self._register, upstream
         )
 
+    def _replace(self, upstream: _Upstream, was_closed: bool) -> None:
+        """Lets an upstream be back otherwise than as a known next run.
+
+        Args:
+            upstream: The upstream.
+            was_closed: Whether its connections were closed at its end.
+        """
+        returns_as, name = self._scenario.returns_as, upstream.row.id
+        address = upstream.address
+        if returns_as is not Return.SAME_WITHOUT_START:
+            name = f"{name.partition('/')[0]}/{upstream.run}"
+            asyncio.get_running_loop().call_later(
+                _EXPIRY_S, self._unregister_id, upstream.row.id
+            )
+        if returns_as is Return.NEW_ADDRESS:
+            host = "10.0.0.2" if upstream.run % 2 else "10.0.0.3"
+            address = f"{host}:{address.rpartition(':')[2]}"
+            self._left_addresses[upstream.address] = was_closed
+            self._left_addresses.pop(address, None)
+            self._by_address[address] = upstream
+        upstream.row = gateway_builders.upstream(name, address=address)
+        asyncio.get_running_loop().call_later(
+            self._scenario.registration_lag_s, self._register, upstream
+        )
+
+    def _unregister_id(self, name: model.UpstreamId) -> None:
+        now = self._clock.now
+        for vm in self._vms:
+            vm.target_table.mark_unregistered(name, now)
+            vm.detector.on_registrations(now)
+
     def _register(self, upstream: _Upstream) -> None:
         now = self._clock.now
         for vm in self._vms:
