--- a/src/swiftstile/gateway/crash_detector.py
+++ b/src/swiftstile/gateway/crash_detector.py
@@ -62,7 +62,7 @@
         self._refuses_connections = refuses_connections
         self._reaches_another = reaches_another
         self._meters = meters
-        self._exchanges = unanswered.UnansweredExchanges(self._note_outlived)
+        self._exchanges = unanswered.UnansweredExchanges(self._note_settled)
         self._checks: dict[targets.Target, asyncio.Task[bool]] = {}
         self._follow_ups: dict[targets.Target, asyncio.Task[None]] = {}
 
@@ -310,10 +310,17 @@
             is_cause=digest in table.identified_causes(),
         )
 
-    def _note_outlived(self, exchange: unanswered.Exchange, now: float) -> None:
-        """Records that an upstream's process outlived a request."""
-        self._suspect_table.record_outlived(exchange.digest, now)
-        self._log_uncounted(exchange, "outlived")
+    def _note_settled(
+        self,
+        exchange: unanswered.Exchange,
+        fate: unanswered.Fate,
+        now: float,
+    ) -> None:
+        """Records what became of an upstream's process."""
+        is_outlived = fate is unanswered.Fate.OUTLIVED
+        if is_outlived or not exchange.is_run_uncertain:
+            self._suspect_table.record_outlived(exchange.digest, now)
+        self._log_uncounted(exchange, fate.value)
 
     def _discard_if_unknowable(self, target: targets.Target) -> bool:
         """Drops exchanges with an upstream whose end says nothing of them.
--- a/src/swiftstile/gateway/unanswered.py
+++ b/src/swiftstile/gateway/unanswered.py
@@ -24,6 +24,7 @@
     "Evidence",
     "Exchange",
     "ExchangeEnd",
+    "Fate",
     "UnansweredExchanges",
     "how_ended",
 ]
@@ -59,6 +60,18 @@
     INVALID = "invalid-answer"
 
 
+class Fate(enum.Enum):
+    """What became of the process that may have had an exchange.
+
+    The process of an exchange may also be known to have ended; see `Evidence`.
+    """
+
+    # It lived on after the exchange, for longer than the request has an effect.
+    OUTLIVED = "outlived"
+    # Nothing was found out within the retention time.
+    UNKNOWN = "nothing found out"
+
+
 class Evidence(enum.Enum):
     """What shows that the process of an upstream has ended."""
 
@@ -215,15 +228,15 @@
     """Exchanges in progress, and ended ones whose outcome is unknown.
 
     Args:
-        on_outlived: Called with an exchange and the time when the upstream's
-            process has outlived it.
+        on_settled: Called with an exchange that isn't kept any longer, what
+            became of the upstream's process, and the time.
     """
 
     def __init__(
         self,
-        on_outlived: collections.abc.Callable[["Exchange", float], None],
+        on_settled: collections.abc.Callable[["Exchange", Fate, float], None],
     ):
-        self._on_outlived = on_outlived
+        self._on_settled = on_settled
         self._by_address: dict[str, dict[Exchange, None]] = {}
         # Ended exchanges, the oldest first.
         self._ended: dict[Exchange, None] = {}
@@ -291,7 +304,7 @@
                 outlived.append(exchange)
         for exchange in outlived:
             self.discard(exchange)
-            self._on_outlived(exchange, now)
+            self._on_settled(exchange, Fate.OUTLIVED, now)
 
     def has_ended(self, address: str, since: float) -> bool:
         """Whether an exchange with an address ended since a time."""
@@ -329,7 +342,7 @@
         for exchange in exchanges:
             if exchange.is_outlived(end.found_at):
                 self.discard(exchange)
-                self._on_outlived(exchange, end.found_at)
+                self._on_settled(exchange, Fate.OUTLIVED, end.found_at)
                 continue
             if is_down and exchange.served_at is not None:
                 # It outlived the request, or ended before; then the
@@ -365,8 +378,9 @@
         ]
         for exchange in expired:
             self.discard(exchange)
-            if exchange.is_outlived(now) or not exchange.is_run_uncertain:
-                self._on_outlived(exchange, now)
+            is_outlived = exchange.is_outlived(now)
+            fate = Fate.OUTLIVED if is_outlived else Fate.UNKNOWN
+            self._on_settled(exchange, fate, now)
 
 
 def _attribute(ended: list[Exchange], end: EndOfRun) -> Attribution:
--- a/tests/unit/test_gateway_crash_detector.py
+++ b/tests/unit/test_gateway_crash_detector.py
@@ -7,6 +7,7 @@
 import pytest
 
 from swiftstile import clocks
+from swiftstile import logs
 from swiftstile import metrics
 from swiftstile.gateway import connection_pool
 from swiftstile.gateway import connections
@@ -415,6 +416,27 @@
     _run(scenario)
 
 
+def test_an_unknown_fate_is_logged_otherwise_than_an_outlived_request():
+    """Guards against reading lost evidence as proof that an upstream lived."""
+    reasons = []
+
+    async def scenario(vm: _Vm) -> None:
+        vm.is_unresponsive = True
+        vm.send(_LEFT)
+        await asyncio.sleep(unanswered.RETENTION_S + 1.0)
+        vm.detector.on_registrations(vm.clock.now)
+
+    sink = logs.logger.add(
+        lambda line: reasons.append(line.record["extra"].get("reason"))
+    )
+    try:
+        _run(scenario)
+    finally:
+        logs.logger.remove(sink)
+    assert unanswered.Fate.UNKNOWN.value in reasons
+    assert unanswered.Fate.OUTLIVED.value not in reasons
+
+
 def test_exchanges_without_an_answer_are_bounded():
     async def scenario(vm: _Vm) -> None:
         for number in range(3 * unanswered.MAX_ENDED):
