Remember how many upstreams ended, beyond the crashes that are stored

Callers saw a request go on that upstreams had outlived at first: of its crashes eight are kept, of the times that upstreams outlived it there is no bound, and a cause needs five crashes more than those. So eight ends could never outweigh four exchanges that had been outlived, however many upstreams the request ended afterwards.

Both sides are counted alike now: all crashes of a suspect are in a sketch of 64 bits, which reports carry (9 bytes at most) and merge by OR. It counts once more crashes were seen than are stored.

test_a_request_that_was_outlived_at_first_is_rejected_once_it_crashes fails before (20 crashes, outlived 8 times). Reports stay under 1,500 bytes (the tests of their size pass).

--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -84,6 +84,7 @@
         abandoned: Which of the crashes came after its caller had left; a bit
             for each, in their order.
         presumed: Which of them are presumed, likewise.
+        unanswered: Sketch of all its crashes since it was last answered.
     """
 
     digest: fingerprint.Digest
@@ -92,6 +93,7 @@
     outlived: int = 0
     abandoned: int = 0
     presumed: int = 0
+    unanswered: int = 0
 
     @property
     def found_crashes(self) -> dict[causes.CrashId, tuple[int, int]]:
@@ -143,6 +145,7 @@
         "outlived",
         "probed_at",
         "suspected_since",
+        "unanswered",
     )
 
     def __init__(self, now: float):
@@ -154,6 +157,8 @@
         # a response has cleared since.
         self.max_crashes = 0
         self.outlived = 0
+        # Sketch of all its crashes, also those that aren't stored any more.
+        self.unanswered = 0
         self.changed_at = now
         self.probed_at = float("-inf")
         # Time of its first crash since it was last cleared.
@@ -209,11 +214,14 @@
 
     @property
     def unanswered_runs(self) -> float:
-        """How many runs of upstreams it may have ended.
+        """About how many runs of upstreams it may have ended.
 
         Presumed crashes count as well.
         """
-        return len(self._independent(self.by_crash))
+        count = len(self._independent(self.by_crash))
+        if len(self.by_crash) < MAX_CRASHES_PER_SUSPECT:
+            return count
+        return max(count, event_sketch.estimate(self.unanswered))
 
     @property
     def is_unanswered_by_many(self) -> bool:
@@ -275,6 +283,7 @@
             return False
         if not self.by_crash:
             self.suspected_since = crash.at
+        self.unanswered = event_sketch.add(self.unanswered, f"{name}")
         if known is None and len(self.by_crash) >= MAX_CRASHES_PER_SUSPECT:
             oldest = min(self.by_crash, key=self.by_crash.get)
             if crash.at < self.by_crash[oldest].at:
@@ -296,6 +305,9 @@
             return False
         self.answered_at = max(self.answered_at, at)
         self.by_crash = later
+        self.unanswered = 0
+        for name in later:
+            self.unanswered = event_sketch.add(self.unanswered, f"{name}")
         if not later:
             self.outlived = 0
         return True
@@ -306,6 +318,12 @@
         self.outlived |= outlived
         return self.outlived != known
 
+    def merge_unanswered(self, unanswered: int) -> bool:
+        """Adds crashes of a sketch; returns whether that changed anything."""
+        known = self.unanswered
+        self.unanswered |= unanswered
+        return self.unanswered != known
+
 
 class SuspectTable:
     """Identifies requests that crash upstreams, from reports of all VMs."""
@@ -590,6 +608,8 @@
                 )
                 changed |= suspect.add_crash(name, crash)
             if suspect.by_crash:
+                if report.answered_ms is None:
+                    changed |= suspect.merge_unanswered(report.unanswered)
                 changed |= suspect.merge_outlived(
                     report.outlived
                     | self._recently_outlived(report.digest, now)
@@ -688,6 +708,7 @@
         suspect.outlived,
         _bits(crash.is_abandoned for crash in suspect.by_crash.values()),
         _bits(crash.is_presumed for crash in suspect.by_crash.values()),
+        suspect.unanswered,
     )
 
 
--- a/tests/unit/test_gateway_suspects.py
+++ b/tests/unit/test_gateway_suspects.py
@@ -215,6 +215,33 @@
     assert _verdict(table, "bad") is _NO_RETRY
 
 
+def test_a_request_that_was_outlived_at_first_is_rejected_once_it_crashes():
+    """Guards against counterevidence without a bound: crashes had one."""
+    table = suspects.SuspectTable()
+    table.record_crash(_digest("bad"), _crash_id(0), 0.1, _NOW)
+    for number in range(8):
+        table.record_outlived(_digest("bad"), _NOW + 0.1 * number)
+    for number in range(1, 20):
+        at = _NOW + number
+        table.record_crash(
+            _digest("bad"), _crash_id(number), 0.1, at, is_abandoned=True
+        )
+    assert _verdict(table, "bad", _NOW + 20) is _REJECT
+    other = suspects.SuspectTable()
+    other.receive(table.report(_NOW + 20), _NOW + 20)
+    assert _verdict(other, "bad", _NOW + 24) is _REJECT
+
+
+def test_reports_tell_which_crashes_are_presumed():
+    """Guards against presumed crashes that other VMs take for certain ones."""
+    table, other = suspects.SuspectTable(), suspects.SuspectTable()
+    table.record_presumed_crash(_digest("bad"), _crash_id(0), _NOW, _NOW - 0.1)
+    table.record_crash(_digest("bad"), _crash_id(1), 0.1, _NOW + 1)
+    other.receive(table.report(_NOW + 2), _NOW + 2)
+    assert other.crashes(_digest("bad")) == 1
+    assert other.possible_crashes(_digest("bad")) == 2
+
+
 def test_recently_answered_request_is_not_suspected():
     table = suspects.SuspectTable()
     table.record_response(_digest("good"), _NOW)
