Bound the numbers and names that other writers' documents hold

What operators saw: one entry of another writer among the registrations, with an integer of 31 digits as 'born', ended the leader (OverflowError where the key map is encoded), then the next leader, until no VM ran.

Class: a value that a decoder takes and an encoder, a socket or a header doesn't.

--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -126,6 +126,8 @@
     ("store", "address"),
 )
 _DURATIONS = ("drain", "grace", "retry_window")
+# Longer ones are malformed: what waits for them would wait for ever.
+MAX_DURATION_S = 366 * 86400.0
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _UNITS_S = {"ms": 0.001, "s": 1.0}
 
@@ -139,7 +141,10 @@
     match = _DURATION.fullmatch(text)
     if match is None:
         raise ValueError(f"expected a time such as 1500ms or 2s, got {text!r}")
-    return float(match[1]) * _UNITS_S[match[2]]
+    seconds = float(match[1]) * _UNITS_S[match[2]]
+    if seconds > MAX_DURATION_S:
+        raise ValueError(f"longer than {MAX_DURATION_S:.0f} s: {text[:40]!r}")
+    return seconds
 
 
 def load(path: pathlib.Path) -> GatewaySettings:
--- a/src/swiftstile/gateway/store_versions.py
+++ b/src/swiftstile/gateway/store_versions.py
@@ -13,14 +13,20 @@
 
 import typing
 
-__all__ = ["Generation", "generation_of", "number_of", "version_of"]
+__all__ = [
+    "MAX_NUMBER",
+    "Generation",
+    "generation_of",
+    "number_of",
+    "version_of",
+]
 
 # Counts the returns of the store from older copies; 0 if it doesn't say.
 Generation = typing.NewType("Generation", int)
 
 # The store's own numbers are lower than two to the power of this.
 _NUMBER_BITS = 40
-_NUMBER_MASK = (1 << _NUMBER_BITS) - 1
+MAX_NUMBER = (1 << _NUMBER_BITS) - 1
 
 
 def version_of(generation: Generation, number: int) -> int:
@@ -35,4 +41,4 @@
 
 def number_of(version: int) -> int:
     """Returns the store's own number of a version."""
-    return version & _NUMBER_MASK
+    return version & MAX_NUMBER
--- a/src/swiftstile/settings.py
+++ b/src/swiftstile/settings.py
@@ -154,7 +154,8 @@
         ValueError: The address isn't of this form.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not host or not is_number or int(port) > 65535:
         raise ValueError(f"expected host:port, got {address!r}")
     return host, int(port)
 
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -77,7 +77,7 @@
             await runner.cleanup()
 
     def put(self, table: str, key: str, document) -> int:
-        value = json.dumps(document).encode()
+        value = encode(document)
         self.intended[table, key] = value
         return self.write([(table, key, value)])
 
@@ -751,6 +751,11 @@
         return answer
 
 
+def encode(document) -> bytes:
+    """Returns the value of a row."""
+    return json.dumps(document).encode()
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -5,17 +5,22 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import multidict
 import pytest
 from users_platform import dialect
 from users_platform import documents
 from users_platform import store
 
+from swiftstile import clocks
 from swiftstile import errors
+from swiftstile import settings as settings_lib
 from swiftstile.gateway import interfaces
+from swiftstile.gateway import keymap
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import settings
+from tests import gateway_builders
 
 
 def _headers(**values) -> multidict.CIMultiDict:
@@ -102,6 +107,135 @@
     assert caught.value.step and caught.value.peer
 
 
+_REGISTRATION = {
+    "service": "s1",
+    "address": "127.0.0.1:80",
+    "zone": "z1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining": "0ms",
+    "born": 1,
+}
+_NUMBERS = strategies.one_of(
+    strategies.integers(),
+    strategies.integers(10**18, 10**40),
+    strategies.floats(),
+)
+_ANY_JSON = strategies.recursive(
+    strategies.none() | strategies.booleans() | _NUMBERS | strategies.text(),
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3),
+    max_leaves=5,
+)
+_LONG_TIMES = strategies.integers(1, 400).map(lambda n: "9" * n + "s")
+_ADDRESSES = strategies.tuples(
+    strategies.ip_addresses(v=4).map(str),
+    strategies.integers(-1, 100_000).map(str)
+    | strategies.text("0123456789\u0660\u00b2", max_size=6),
+).map(":".join)
+
+
+@hypothesis.settings(max_examples=300, deadline=None)
+@hypothesis.given(
+    strategies.text(max_size=12),
+    strategies.dictionaries(
+        strategies.sampled_from(sorted(_REGISTRATION)),
+        _ANY_JSON | _LONG_TIMES | _ADDRESSES,
+    ),
+)
+def test_an_accepted_registration_can_be_passed_on(name, changes):
+    """Guards against numbers that a decoder accepts and an encoder doesn't."""
+    data = json.dumps(_REGISTRATION | changes).encode()
+    try:
+        upstream = documents.decode_upstream(model.UpstreamId(name), data)
+    except errors.ControlMessageError:
+        return
+    target = gateway_builders.target_table(upstream).by_id[upstream.id]
+    owners = dict.fromkeys(range(4), upstream.id)
+    started_ms = {upstream.id: upstream.started_ms}
+    key_map = keymap.KeyMap.empty(4).assign({}, owners, started_ms)
+    decoded = keymap.decode(key_map.encode("a"), 1)
+    assert decoded.started_ms[upstream.id] == upstream.started_ms
+    assert msgspec.msgpack.encode(upstream)
+    assert clocks.milliseconds(target.cold_until) >= 0
+    assert 0 < settings_lib.split_address(upstream.address)[1] < 65536
+    sent = dialect.UsersDialect().upstream_headers(_headers(), upstream.id, 1.0)
+    assert all(value.isascii() and value.isprintable() for _, value in sent)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("born", 10**30),
+        ("born", 2**64 - 1),
+        ("cold_remaining", "9" * 300 + "s"),
+        ("cold_remaining", "9" * 5000 + "s"),
+        ("address", "127.0.0.1:\u0668\u0660"),
+        ("address", "0.0.0.0:80"),
+        ("address", "224.0.0.1:80"),
+        ("address", "255.255.255.255:80"),
+        ("service", "s" * 201),
+    ],
+)
+def test_a_registration_out_of_bounds_is_an_error(field, value):
+    """Guards against values that end a duty far from where they are read."""
+    data = json.dumps(_REGISTRATION | {field: value}).encode()
+    with pytest.raises(errors.ControlMessageError):
+        documents.decode_upstream(model.UpstreamId("u"), data)
+
+
+@pytest.mark.parametrize("name", ["", "a\r\nB: c", "\u0661", "u" * 201])
+def test_an_id_that_is_no_header_value_is_an_error(name):
+    """Guards against ids that end requests to the upstream, or split them."""
+    data = json.dumps(_REGISTRATION).encode()
+    with pytest.raises(errors.ControlMessageError):
+        documents.decode_upstream(model.UpstreamId(name), data)
+
+
+@pytest.mark.parametrize(
+    ("entry", "field", "value"),
+    [
+        (_ROUTE, "priority", 10**30),
+        (_ROUTE, "max_attempts", 10**30),
+        (_ROUTE, "timeout", "9" * 400 + "s"),
+        (_ROUTE, "traffic_split", [{"service": "s1", "weight": 1e300}]),
+        (_SERVICE, "max_connections", 10**30),
+        (_SERVICE, "cold_per_s", 1e300),
+    ],
+)
+def test_a_configuration_out_of_bounds_is_an_error(entry, field, value):
+    """Guards against numbers that reports and permits can't carry."""
+    changed = entry | {"spec": entry["spec"] | {field: value}}
+    others = [one for one in (_ROUTE, _SERVICE) if one is not entry]
+    with pytest.raises(errors.BundleError):
+        documents.decode_config(_config(changed, *others))
+
+
+@pytest.mark.parametrize("version", ["1" * 40, "+1", "1_0", " 1"])
+def test_a_version_that_is_no_number_of_eight_digits_is_an_error(version):
+    """Guards against versions that reports can't carry."""
+    with pytest.raises(errors.BundleError):
+        documents.decode_config(_config(_ROUTE, _SERVICE, version=version))
+
+
+@pytest.mark.parametrize(
+    "text", ["\u00b2,0,3", "9" * 5000 + ",0,3", "1,0,3," + "9" * 400]
+)
+def test_a_load_out_of_bounds_is_ignored(text):
+    """Guards against statements of an upstream that end a request to it."""
+    answer = dialect.UsersDialect().parse_answer(
+        200, _headers(X_Instance_Load=text)
+    )
+    assert answer.load is None
+
+
+@pytest.mark.parametrize("text", ["000000000070000", "9" * 5000])
+def test_a_key_out_of_bounds_is_a_bad_request(text):
+    """Guards against keys that are checked by their first digits only."""
+    with pytest.raises(outcomes.BadRequestError):
+        dialect.UsersDialect().parse_request(_headers(X_Shard_Key=text))
+
+
 @hypothesis.given(strategies.binary(max_size=100))
 def test_any_bytes_for_a_registration_are_an_error(data):
     with pytest.raises(errors.ControlMessageError):
