Keep a failing duty from ending the process and the duties beside it

What operators saw: one odd entry ended the machines that read it, one after the other. An error of the program in any duty ended the process: the leader's step for one service ended the leader, then the next leader met the same map.

Class: an exception of one duty, over one upstream, service, row or peer, that costs everything. What one of them may cost now is itself: the supervisor logs the error with its traceback, counts it (swiftstile.duty.failures, worth an alert) and tries again, after a second or with the next change of the row. Each row of the tables, each report of a peer and each service's step of assigning keys is a step of its own; a whole duty that fails is run again. Settings that a process can't work with still end it. The leader's assigners move to key_assignment.py.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -1,6 +1,7 @@
 """The gateway daemon of an entry VM."""
 
 import asyncio
+import collections.abc
 
 from swiftstile import clocks
 from swiftstile import errors
@@ -23,6 +24,7 @@
 from swiftstile.gateway import gate as gate_lib
 from swiftstile.gateway import gossip
 from swiftstile.gateway import handler as handler_lib
+from swiftstile.gateway import key_assignment
 from swiftstile.gateway import key_load
 from swiftstile.gateway import leadership as leadership_lib
 from swiftstile.gateway import link_probes
@@ -36,6 +38,7 @@
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
 from swiftstile.gateway import speeds
+from swiftstile.gateway import supervision
 from swiftstile.gateway import suspects
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
@@ -95,10 +98,12 @@
         forwarder: forwarding.PeerForwarder,
         forwards: forward_listener.ForwardListener,
         log: decision_log.BoundedLog,
-        make_key_assigner,
+        assignment: key_assignment.KeyAssignment,
         grace_s: float,
         meters: metrics.Meters,
+        supervisor: supervision.Supervisor,
     ):
+        self._supervisor = supervisor
         self._node = node
         self._frontend = frontend
         self._ready = frontend_lib.ReadinessServer(ready_listen, self._is_ready)
@@ -133,10 +138,9 @@
         self._forwarder = forwarder
         self._forwards = forwards
         self._log = log
-        self._make_key_assigner = make_key_assigner
+        self._key_assignment = assignment
         self._grace_s = grace_s
         self.meters = meters
-        self._key_assigners: dict[ids.ServiceName, object] = {}
         self._started = clocks.monotonic()
         self._is_leaving = False
 
@@ -145,24 +149,11 @@
         await self._frontend.start()
         await self._forwards.start()
         await self._ready.start()
-        runs = [
-            *(follower.run() for follower in self._followers.values()),
-            self._peers.run(self._report),
-            self._server.run(),
-            self._relay.run(),
-            self._map_catch_up.run(),
-            self._renewer.run(),
-            self._vm_membership.run(),
-            self._gate.run(),
-            self._arbiter.run(),
-            self._prober.run(),
-            self._forwards.run(),
-            self._log.run(),
-            self._frontend.enforce_timeouts(),
-            self._run_housekeeping(),
-            self._run_leader_duties(),
+        keep_running = self._supervisor.keep_running
+        tasks = [
+            asyncio.create_task(keep_running(duty, run))
+            for duty, run in self._run_by_duty().items()
         ]
-        tasks = [asyncio.create_task(run) for run in runs]
         logs.logger.info("gateway started")
         stop = asyncio.create_task(stopping.wait())
         await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -175,6 +166,32 @@
         await asyncio.wait(tasks, timeout=0.1)
         logs.logger.info("gateway stopped")
 
+    def _run_by_duty(
+        self,
+    ) -> dict[
+        str, collections.abc.Callable[[], collections.abc.Awaitable[None]]
+    ]:
+        """Returns all that this process does until it stops."""
+        return {
+            f"follow-{name}": follower.run
+            for name, follower in self._followers.items()
+        } | {
+            "reports": lambda: self._peers.run(self._report),
+            "control-server": self._server.run,
+            "row-relay": self._relay.run,
+            "map-catch-up": self._map_catch_up.run,
+            "renewals": self._renewer.run,
+            "vm-membership": self._vm_membership.run,
+            "gate": self._gate.run,
+            "arbiter": self._arbiter.run,
+            "link-probes": self._prober.run,
+            "forwards": self._forwards.run,
+            "request-log": self._log.run,
+            "caller-timeouts": self._frontend.enforce_timeouts,
+            "housekeeping": self._run_housekeeping,
+            "leader-duties": self._run_leader_duties,
+        }
+
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
@@ -200,8 +217,7 @@
         self._is_leaving = True
         self._frontend.is_leaving = True
         self._forwards.is_leaving = True
-        for assigner in self._key_assigners.values():
-            assigner.drop_leader_state()
+        self._key_assignment.drop_leader_state()
         self._renewer.stop(started)
         self._peers.send_now(self._report(self._peers.next_sequence()))
         step_down = asyncio.create_task(self._leadership.step_down())
@@ -364,22 +380,17 @@
                 continue
             await self._leadership.tick()
             if not self._leadership.is_leader:
-                for assigner in self._key_assigners.values():
-                    assigner.drop_leader_state()
+                self._key_assignment.drop_leader_state()
                 continue
-            await self._vm_membership.retire_unresponsive()
-            await asyncio.gather(
-                *(assigner.tick() for assigner in self._current_key_assigners())
-            )
+            with self._supervisor.isolate("vm-retirement"):
+                await self._vm_membership.retire_unresponsive()
+            self._key_assignment.add_services(self._keyed_services())
+            await self._key_assignment.tick()
 
-    def _current_key_assigners(self) -> list:
+    def _keyed_services(self) -> list[ids.ServiceName]:
         config = self._handler.config
-        if config is None:
-            return []
-        for name, service in config.services_by_name.items():
-            if service.is_keyed and name not in self._key_assigners:
-                self._key_assigners[name] = self._make_key_assigner(name)
-        return list(self._key_assigners.values())
+        services = {} if config is None else config.services_by_name
+        return [name for name, service in services.items() if service.is_keyed]
 
     def apply_config(self, config: model.Config) -> None:
         """Puts a configuration in force, unless a newer one already is."""
--- a/src/swiftstile/gateway/registry.py
+++ b/src/swiftstile/gateway/registry.py
@@ -16,6 +16,7 @@
 from swiftstile.gateway import follow
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
+from swiftstile.gateway import supervision
 from swiftstile.gateway import targets
 
 __all__ = ["Registry"]
@@ -56,6 +57,7 @@
         decode: Returns an upstream from its id and the row's value.
         on_change: Called after targets changed.
         meters: Counts entries that are ignored.
+        supervisor: Keeps an entry's failure from the others.
 
     Attributes:
         follower: Follows the table.
@@ -67,7 +69,9 @@
         decode,
         on_change,
         meters: metrics.Meters,
+        supervisor: supervision.Supervisor,
     ):
+        self._supervisor = supervisor
         self._target_table = target_table
         self._decode = decode
         self._on_change = on_change
@@ -92,14 +96,24 @@
         now = clocks.monotonic()
         earliest_departure_at = self.follower.earliest_change_at
         for change in changes:
-            upstream_id = model.UpstreamId(change.key)
-            self._unconfigured.pop(upstream_id, None)
-            self._distrusted.pop(upstream_id, None)
-            if change.value is None:
-                self._record_missing(upstream_id, now, earliest_departure_at)
-            else:
-                self._put(upstream_id, change.value, now, earliest_departure_at)
-        self._on_change()
+            with self._supervisor.isolate("registrations", change.key):
+                self._apply(change, now, earliest_departure_at)
+        with self._supervisor.isolate("registrations"):
+            self._on_change()
+
+    def _apply(
+        self,
+        change: interfaces.Change,
+        now: float,
+        earliest_departure_at: float,
+    ) -> None:
+        upstream_id = model.UpstreamId(change.key)
+        self._unconfigured.pop(upstream_id, None)
+        self._distrusted.pop(upstream_id, None)
+        if change.value is None:
+            self._record_missing(upstream_id, now, earliest_departure_at)
+        else:
+            self._put(upstream_id, change.value, now, earliest_departure_at)
 
     def set_services(self, services: frozenset[ids.ServiceName]) -> None:
         """Sets the services that the configuration names."""
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -36,6 +36,7 @@
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import key_assigner
+from swiftstile.gateway import key_assignment
 from swiftstile.gateway import key_load
 from swiftstile.gateway import keymap
 from swiftstile.gateway import leadership as leadership_lib
@@ -65,6 +66,7 @@
 from swiftstile.gateway import speeds
 from swiftstile.gateway import store_polling
 from swiftstile.gateway import succession
+from swiftstile.gateway import supervision
 from swiftstile.gateway import suspects
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
@@ -148,6 +150,7 @@
         self._settings = settings
         self._adapters = adapters
         self._meters = metrics.Meters()
+        self._supervisor = supervision.Supervisor(self._meters.duty_failures)
         # An earlier run of this VM may have made grants before this time.
         self._started = self._now()
         vm = settings.vm
@@ -288,6 +291,7 @@
             adapters.decode_upstream,
             on_registrations,
             self._meters,
+            self._supervisor,
         )
         registrations = follow.TableFollower(
             "registrations",
@@ -465,9 +469,12 @@
                 self._meters,
             ),
             self._request_log,
-            self._make_key_assigner,
+            key_assignment.KeyAssignment(
+                self._make_key_assigner, self._supervisor
+            ),
             settings_lib.parse_seconds(bounds.grace),
             self._meters,
+            self._supervisor,
         )
         return self._daemon
 
@@ -537,18 +544,24 @@
         return renewal_budget.max_ranges([self._node, *rows])
 
     def _on_report(self, peer: reports.Peer, now: float) -> None:
-        self._succession.note_report(peer, now)
-        self._map_catch_up.on_report(peer, now)
-        self._daemon.on_report(peer, now)
+        for apply in (
+            self._succession.note_report,
+            self._map_catch_up.on_report,
+            self._daemon.on_report,
+        ):
+            with self._supervisor.isolate("peer-reports", peer.row.node):
+                apply(peer, now)
 
     def _apply_state(self, changes: list[interfaces.Change]) -> None:
         for change in changes:
-            try:
-                self._apply_state_row(change)
-            except (errors.ControlMessageError, msgspec.MsgspecError) as error:
-                logs.logger.error(
-                    "row dropped", key=change.key, error=str(error)
-                )
+            with self._supervisor.isolate("state-rows", change.key):
+                self._apply_state_row_if_valid(change)
+
+    def _apply_state_row_if_valid(self, change: interfaces.Change) -> None:
+        try:
+            self._apply_state_row(change)
+        except (errors.ControlMessageError, msgspec.MsgspecError) as error:
+            logs.logger.error("row dropped", key=change.key, error=str(error))
 
     def _apply_state_row(self, change: interfaces.Change) -> None:
         key = change.key
@@ -573,13 +586,17 @@
 
     def _apply_operations(self, changes: list[interfaces.Change]) -> None:
         for change in changes:
-            domain = self._adapters.evacuated_domain(change.key)
-            if domain is not None:
-                self._registry.set_evacuated(
-                    domain, change.value is not None, self._is_returning()
-                )
-            elif change.key == self._adapters.config_key:
-                self._apply_config(change)
+            with self._supervisor.isolate("operations", change.key):
+                self._apply_operation(change)
+
+    def _apply_operation(self, change: interfaces.Change) -> None:
+        domain = self._adapters.evacuated_domain(change.key)
+        if domain is not None:
+            self._registry.set_evacuated(
+                domain, change.value is not None, self._is_returning()
+            )
+        elif change.key == self._adapters.config_key:
+            self._apply_config(change)
 
     def _is_returning(self) -> bool:
         """Whether the operator's rows are those of an older copy."""
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -87,6 +87,7 @@
         self.store_calls = LabelledCounter()
         self.returning = LabelledCounter()
         self.queue_limits = LabelledCounter()
+        self.duty_failures = LabelledCounter()
 
     def count_http(
         self, kind: str, response: aiohttp.ClientResponse, sent: int
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -33,6 +33,7 @@
     "store_calls": ("swiftstile.store.calls", "{call}", "reason"),
     "returning": ("swiftstile.returning.callers", "{request}", "kind"),
     "queue_limits": ("swiftstile.queue.limits", "{request}", "rule"),
+    "duty_failures": ("swiftstile.duty.failures", "{failure}", "duty"),
     "crashes": ("swiftstile.crashing.requests", "{request}", "kind"),
     "unanswered": ("swiftstile.exchanges.unanswered", "{exchange}", "how"),
 }
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -4,10 +4,12 @@
 
 from swiftstile import errors
 from swiftstile import ids
+from swiftstile import metrics
 from swiftstile.gateway import admission
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import model
 from swiftstile.gateway import reports
+from swiftstile.gateway import supervision
 from swiftstile.gateway import targets
 
 HOME = ids.FailureDomain("home")
@@ -66,6 +68,10 @@
     return model.Upstream(**(fields | changes))
 
 
+def supervisor() -> supervision.Supervisor:
+    return supervision.Supervisor(metrics.LabelledCounter())
+
+
 def target_table(
     *upstreams: model.Upstream, now: float = 0.0
 ) -> targets.TargetTable:
--- a/tests/unit/test_gateway_drain.py
+++ b/tests/unit/test_gateway_drain.py
@@ -220,7 +220,11 @@
         self.store = _Store(self.clock)
         self.target_table = targets.TargetTable()
         self.registry = registry.Registry(
-            self.target_table, _decode, lambda: None, metrics.Meters()
+            self.target_table,
+            _decode,
+            lambda: None,
+            metrics.Meters(),
+            builders.supervisor(),
         )
         self.registry.set_services(frozenset([builders.LOOKUPS]))
         self.follower = follow.TableFollower(
--- a/tests/unit/test_gateway_evacuation.py
+++ b/tests/unit/test_gateway_evacuation.py
@@ -111,7 +111,11 @@
     checks = []
     table = _table(builders.AWAY)
     made = registry.Registry(
-        table, None, lambda: checks.append(1), metrics.Meters()
+        table,
+        None,
+        lambda: checks.append(1),
+        metrics.Meters(),
+        builders.supervisor(),
     )
     made.set_evacuated(builders.AWAY, False)
     assert not checks
--- a/tests/unit/test_gateway_store.py
+++ b/tests/unit/test_gateway_store.py
@@ -16,6 +16,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import registry
 from swiftstile.gateway import settle
+from swiftstile.gateway import supervision
 from swiftstile.gateway import targets
 from tests import gateway_builders as builders
 
@@ -179,6 +180,7 @@
         decode or (lambda name, _: builders.upstream(name)),
         lambda: None,
         meters,
+        supervision.Supervisor(meters.duty_failures),
     )
     made.set_services(frozenset([builders.LOOKUPS]))
     made.follower = follow.TableFollower("t", builders.MemoryTable(), None)
@@ -463,3 +465,18 @@
     peers.detect_stall(107.19)
     peers._receive(b"rh" + encoder.encode(builders.report(row, 3)), "x")
     assert received == [3]
+
+
+def test_an_entry_that_fails_leaves_the_others_applied():
+    """Guards against rows that are lost behind one that raises an error."""
+
+    def decode(name, _):
+        if name == "u-2":
+            raise OverflowError("int too large")
+        return builders.upstream(name)
+
+    made, target_table, meters = _registry(decode=decode)
+    names = ("u-1", "u-2", "u-3")
+    made.apply([interfaces.Change(name, b"row", 1) for name in names])
+    assert target_table.by_id.keys() == {"u-1", "u-3"}
+    assert meters.duty_failures.get("registrations") == 1
--- a/tests/unit/test_store_generations.py
+++ b/tests/unit/test_store_generations.py
@@ -216,6 +216,7 @@
             lambda _, value: self.registered[value],
             lambda: None,
             metrics.Meters(),
+            builders.supervisor(),
         )
         self.registry.follower = types.SimpleNamespace(
             earliest_change_at=float("-inf"),
