Bound what rows, maps and reports of other builds may hold

Class of the fault before: a value that the codec takes and what follows it doesn't. Rows of VMs with a port out of range, an address that is none or a bandwidth that is no number ended the reports to all VMs, key maps with a fence that can't be encoded ended the leader, reports with ages near 2**63 kept their receivers from reporting, and a Retry-After of another VM that is no number failed the caller's request. A key map that expands to more than 16 MiB is an error before it takes the memory.

--- a/src/swiftstile/gateway/advisories.py
+++ b/src/swiftstile/gateway/advisories.py
@@ -5,6 +5,8 @@
 too. A report carries the age of the evidence; the newest evidence counts.
 """
 
+import typing
+
 import msgspec
 
 from swiftstile import clocks
@@ -44,7 +46,7 @@
     upstream: model.UpstreamId
     started_ms: int
     limit_age_ms: int | None
-    limit_per_s: float | None
+    limit_per_s: typing.Annotated[float, msgspec.Meta(gt=0, le=1e9)] | None
     leaving_ms: int | None
 
 
--- a/src/swiftstile/gateway/forwarding.py
+++ b/src/swiftstile/gateway/forwarding.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import re
 
 import msgspec
 
@@ -25,7 +26,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import responses
 
-__all__ = ["MAX_ASKED_VMS", "PeerForwarder"]
+__all__ = ["MAX_ASKED_VMS", "PeerForwarder", "retry_after_s"]
 
 # VMs that are asked for one request.
 MAX_ASKED_VMS = 3
@@ -33,6 +34,7 @@
 _DEADLINE_GRACE_S = 0.08
 # Maximum size of the body of an error.
 _MAX_ERROR_BYTES = 1 << 16
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 # Reasons for which a VM didn't handle a request and another one may.
 _UNABLE = frozenset(
     error.reason
@@ -252,6 +254,12 @@
         f"by {node}: {stated.message}", step=stated.step, peer=stated.peer
     )
     result.status, result.reason = head.status, stated.reason
-    retry_after = head.headers.get("Retry-After")
-    result.retry_after_s = None if retry_after is None else float(retry_after)
+    result.retry_after_s = retry_after_s(head.headers.get("Retry-After"))
     return result
+
+
+def retry_after_s(text: str | None) -> float | None:
+    """Returns the wait that a VM states, or None if there is none."""
+    if text is None or not _DECIMAL.fullmatch(text):
+        return None
+    return float(text)
--- a/src/swiftstile/gateway/key_load.py
+++ b/src/swiftstile/gateway/key_load.py
@@ -4,6 +4,10 @@
 requests to an owner. Only slots with several requests per second are reported.
 """
 
+import typing
+
+import msgspec
+
 from swiftstile import ids
 from swiftstile.gateway import model
 
@@ -22,7 +26,10 @@
 _DECAY = 0.693 / HALF_LIFE_S
 
 # Requests/s by service and slot.
-KeyLoad = dict[ids.ServiceName, dict[int, float]]
+KeyLoad = dict[
+    ids.ServiceName,
+    dict[int, typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]],
+]
 
 
 class KeyLoadTable:
--- a/src/swiftstile/gateway/keymap.py
+++ b/src/swiftstile/gateway/keymap.py
@@ -7,6 +7,7 @@
 
 import array
 import bisect
+import typing
 import zlib
 
 import msgspec
@@ -19,6 +20,9 @@
 __all__ = ["KeyMap", "KeySlot", "decode"]
 
 _NO_OWNER = 0xFFFF
+_MAX_FENCE = 0xFFFFFFFF
+# Largest document; that of a row of the store, uncompressed, is far smaller.
+_MAX_BYTES = 1 << 24
 _COMPRESSION = 1
 # Owners are encoded as 2-byte indices, fences as 4-byte numbers.
 _OWNER_CODE, _FENCE_CODE = "H", "I"
@@ -47,7 +51,7 @@
 
 class _Document(msgspec.Struct, array_like=True, frozen=True):
     attempt: str
-    next_fence: int
+    next_fence: typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_FENCE)]
     upstreams: list[str]
     owners: bytes
     fences: bytes
@@ -327,7 +331,7 @@
         ControlMessageError: The document is malformed.
     """
     try:
-        document = msgspec.msgpack.decode(zlib.decompress(data), type=_Document)
+        document = msgspec.msgpack.decode(_decompress(data), type=_Document)
         columns = _Columns(document)
         result = _changed_map(columns, version, known)
         if result is None:
@@ -348,6 +352,15 @@
     return result
 
 
+def _decompress(data: bytes) -> bytes:
+    """Returns a document; a longer one than any map's is an error."""
+    decompressor = zlib.decompressobj()
+    plain = decompressor.decompress(data, _MAX_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"incomplete, or more than {_MAX_BYTES} bytes")
+    return plain
+
+
 class _Columns:
     """The columns of a document, by slot.
 
@@ -366,6 +379,7 @@
                 f"{len(self.owners)} owners and {len(self.fences)} fences"
             )
         named = self._leaving | document.tokens.keys()
+        named |= set(document.uncertain)
         if named and not 0 <= min(named) <= max(named) < len(self.owners):
             raise IndexError(f"not all are below {len(self.owners)}: {named}")
 
--- a/src/swiftstile/gateway/membership.py
+++ b/src/swiftstile/gateway/membership.py
@@ -1,6 +1,7 @@
 """Registers this VM in the platform's table and retires unresponsive VMs."""
 
 import asyncio
+import ipaddress
 
 import msgspec
 
@@ -8,6 +9,7 @@
 from swiftstile import errors
 from swiftstile import logs
 from swiftstile import pacing
+from swiftstile import settings as settings_lib
 from swiftstile.gateway import follow
 from swiftstile.gateway import gossip
 from swiftstile.gateway import interfaces
@@ -15,7 +17,7 @@
 from swiftstile.gateway import reports
 from swiftstile.gateway import settle
 
-__all__ = ["NODE_PREFIX", "Membership"]
+__all__ = ["NODE_PREFIX", "Membership", "decode_row"]
 
 NODE_PREFIX = "node/"
 # A VM that doesn't report for this long is retired: longer than a restart
@@ -54,7 +56,7 @@
         """Applies a change of a VM's row."""
         row = None
         if change.value is not None:
-            row = msgspec.msgpack.decode(change.value, type=reports.NodeRow)
+            row = decode_row(change)
         node = model.NodeId(change.key.removeprefix(NODE_PREFIX))
         if node == self._peers.me.node:
             self._registered_row = row
@@ -124,3 +126,22 @@
             if not peer.row.is_retired and now - last > RETIRE_AFTER_S:
                 retired = msgspec.structs.replace(peer.row, is_retired=True)
                 await self._write(NODE_PREFIX + peer.row.node, retired)
+
+
+def decode_row(change: interfaces.Change) -> reports.NodeRow:
+    """Returns the row of a VM.
+
+    Raises:
+        ControlMessageError: It is malformed, or nothing can be sent to it.
+    """
+    try:
+        row = msgspec.msgpack.decode(change.value, type=reports.NodeRow)
+        host, port = settings_lib.split_address(row.address)
+        ipaddress.ip_address(host)
+        if port == 0:
+            raise ValueError(f"port out of range: {row.address!r}")
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise errors.ControlMessageError(
+            str(error), step="decode row of a VM", peer=change.key
+        ) from error
+    return row
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -1,6 +1,7 @@
 """Reports that VMs exchange, and the state that a VM keeps of each peer."""
 
 from collections import abc
+import typing
 
 import msgspec
 
@@ -18,6 +19,7 @@
     "NodeRow",
     "Peer",
     "Report",
+    "Seconds",
     "TableStatus",
     "live_peers",
     "short_run",
@@ -29,6 +31,13 @@
 SHORT_RUN_LENGTH = 8
 
 
+# Excludes infinity and what is no number, which other builds may send: a report
+# beyond these bounds is dropped as malformed.
+Seconds = typing.Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+_Bandwidth = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
 class NodeRow(msgspec.Struct, array_like=True):
     """A VM's registration in the platform's table.
 
@@ -47,8 +56,8 @@
     domain: ids.FailureDomain
     address: str
     is_retired: bool = False
-    link_mbps: float = 0.0
-    forward_port: int = 0
+    link_mbps: _Bandwidth = 0.0
+    forward_port: _Port = 0
 
     @property
     def host(self) -> str:
@@ -71,8 +80,8 @@
             aren't listed, so that it may be any.
     """
 
-    held_s: float
-    unanswered_s: float
+    held_s: Seconds
+    unanswered_s: Seconds
     unanswered_slots: list[int] | None = None
 
 
@@ -85,7 +94,7 @@
     """
 
     version: int
-    age_s: float
+    age_s: Seconds
 
 
 # By upstream: requests in flight there, and requests queued for it alone.
@@ -144,7 +153,7 @@
     is_leaving: bool
     can_renew: bool
     leader_version: int
-    store_unresponsive_s: float
+    store_unresponsive_s: Seconds
     shared: Counts
     local: Counts
     speeds: speeds.Samples
@@ -156,8 +165,8 @@
     is_reader: bool = False
     near_live: int = 0
     far_live: dict[ids.FailureDomain, int] = {}
-    uptime_s: float = 0.0
-    grants_end_s: float | None = None
+    uptime_s: Seconds = 0.0
+    grants_end_s: Seconds | None = None
     suspicions: list[suspects.SuspectReport] = []
     advisories: list[advisories_lib.AdvisoryReport] = []
     is_isolated: bool = False
--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -60,6 +60,11 @@
 MAX_CHANGED_REPORTED, MAX_OTHERS_REPORTED = 8, 2
 
 
+# Bounds what other builds may send: times stay exact, bitmaps are positive.
+_Milliseconds = typing.Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+_Bitmap = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Verdict(enum.Enum):
     """What to do with a request."""
 
@@ -88,12 +93,12 @@
     """
 
     digest: fingerprint.Digest
-    crashes: dict[causes.CrashId, tuple[int, int]]
-    answered_ms: int | None = None
-    outlived: int = 0
-    abandoned: int = 0
-    presumed: int = 0
-    unanswered: int = 0
+    crashes: dict[causes.CrashId, tuple[_Milliseconds, _Milliseconds]]
+    answered_ms: _Milliseconds | None = None
+    outlived: _Bitmap = 0
+    abandoned: _Bitmap = 0
+    presumed: _Bitmap = 0
+    unanswered: _Bitmap = 0
 
     @property
     def found_crashes(self) -> dict[causes.CrashId, tuple[int, int]]:
