Test that no reader takes an answer that stops within its head

Other operators saw a 200 with an empty or short body, framed as whole, after a target had stopped in the middle of its answer's head. It can't happen here: each reader was given answers cut at each byte of the head, closed and reset: answers to GET, HEAD and POST with a length, interim responses, trailers and without a length; forwarded ones, grants, releases, health checks, and the store's by aiohttp's C parser and its Python parser. None was taken for an answer; the upstream's and VM's cut answers are unknown outcomes.

--- a/tests/exchange_parts.py
+++ b/tests/exchange_parts.py
@@ -113,16 +113,19 @@
     )
 
 
+def target(address: str) -> targets.Target:
+    """Returns an upstream at an address."""
+    return targets.Target(builders.upstream("u-1", address=address), 0.0)
+
+
 @contextlib.asynccontextmanager
 async def running(script):
     server = Server(script)
     listener = await asyncio.start_server(server.handle, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
-    upstream = builders.upstream("u-1", address=f"127.0.0.1:{port}")
-    target = targets.Target(upstream, 0.0)
     sender = client(connection_pool.ConnectionPool())
     try:
-        yield server, sender, target
+        yield server, sender, target(f"127.0.0.1:{port}")
     finally:
         listener.close()
 
