Accept holds without an end in reports of other VMs

While a grant is in flight, the hold that a VM reports for a leaving slot is infinite, and so is the end of its grants when it stops. Only what is no number is rejected there now.

Names as addresses of VMs are accepted again as well; a port that nothing can be sent to isn't.

--- a/src/swiftstile/gateway/membership.py
+++ b/src/swiftstile/gateway/membership.py
@@ -1,7 +1,6 @@
 """Registers this VM in the platform's table and retires unresponsive VMs."""
 
 import asyncio
-import ipaddress
 
 import msgspec
 
@@ -137,9 +136,8 @@
     try:
         row = msgspec.msgpack.decode(change.value, type=reports.NodeRow)
         host, port = settings_lib.split_address(row.address)
-        ipaddress.ip_address(host)
-        if port == 0:
-            raise ValueError(f"port out of range: {row.address!r}")
+        if port == 0 or not (host.isascii() and host.isprintable()):
+            raise ValueError(f"not an address: {row.address!r}")
     except (msgspec.MsgspecError, ValueError) as error:
         raise errors.ControlMessageError(
             str(error), step="decode row of a VM", peer=change.key
--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -16,6 +16,7 @@
     "PEER_TIMEOUT_S",
     "Counts",
     "Hold",
+    "HoldSeconds",
     "NodeRow",
     "Peer",
     "Report",
@@ -31,9 +32,11 @@
 SHORT_RUN_LENGTH = 8
 
 
-# Excludes infinity and what is no number, which other builds may send: a report
+# Excludes what can't be rounded or compared, which other builds may send: a report
 # beyond these bounds is dropped as malformed.
 Seconds = typing.Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+# Infinite while a grant is in flight.
+HoldSeconds = typing.Annotated[float, msgspec.Meta(ge=-1e9)]
 _Bandwidth = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 _Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
@@ -80,8 +83,8 @@
             aren't listed, so that it may be any.
     """
 
-    held_s: Seconds
-    unanswered_s: Seconds
+    held_s: HoldSeconds
+    unanswered_s: HoldSeconds
     unanswered_slots: list[int] | None = None
 
 
@@ -166,7 +169,7 @@
     near_live: int = 0
     far_live: dict[ids.FailureDomain, int] = {}
     uptime_s: Seconds = 0.0
-    grants_end_s: Seconds | None = None
+    grants_end_s: HoldSeconds | None = None
     suspicions: list[suspects.SuspectReport] = []
     advisories: list[advisories_lib.AdvisoryReport] = []
     is_isolated: bool = False
