--- a/src/swiftstile/gateway/reports.py
+++ b/src/swiftstile/gateway/reports.py
@@ -32,8 +32,8 @@
 SHORT_RUN_LENGTH = 8
 
 
-# Excludes what can't be rounded or compared, which other builds may send: a report
-# beyond these bounds is dropped as malformed.
+# Excludes what can't be rounded or compared, which other builds may send. A
+# report beyond these bounds is dropped as malformed.
 Seconds = typing.Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
 # Infinite while a grant is in flight.
 HoldSeconds = typing.Annotated[float, msgspec.Meta(ge=-1e9)]
