Keep a cause of many crashes until it is answered

By its lines one VM identified a request as a cause at its fifth crash, and sent it three times more within 5 s.

Cause: causes that crash the same upstreams explain each other's crashes. Each report of another cause could take the mark from one that had been found, and the next crash gave it back; between the two it was sent.

A cause of five crashes stays one until it is answered. That is the design's bound: what is found can't be outweighed by what is learnt later.

test_a_cause_of_five_crashes_stays_one_though_others_explain_them_later fails before.

--- a/src/swiftstile/gateway/suspects.py
+++ b/src/swiftstile/gateway/suspects.py
@@ -650,7 +650,14 @@
                 suspect.is_unanswered_by_many
                 and bool(suspect.presumed_crashes or unexplained[digest])
             )
-            if not is_cause:
+            # VMs learn of crashes and other causes in different orders. A cause
+            # of many crashes that was cleared by later ones would be sent on by
+            # some VM at any time.
+            is_settled = (
+                suspect.cause_since is not None
+                and len(suspect.by_crash) >= causes.CERTAIN_CRASHES
+            )
+            if not is_cause and not is_settled:
                 suspect.cause_since = None
             elif suspect.cause_since is None:
                 suspect.cause_since = now
--- a/tests/unit/test_gateway_suspects.py
+++ b/tests/unit/test_gateway_suspects.py
@@ -232,6 +232,21 @@
     assert _verdict(other, "bad", _NOW + 24) is _REJECT
 
 
+def test_a_cause_of_five_crashes_stays_one_though_others_explain_them_later():
+    """Guards against causes that explain each other's crashes by turns."""
+    table = _make_table({"bad": list(range(5))})
+    assert _verdict(table, "bad") is _REJECT
+    for number in range(5):
+        at = _NOW + 10 + number
+        table.record_crash(
+            _digest("other"), _crash_id(number), 0.05, at, _NOW + number - 0.01
+        )
+    assert _digest("other") in table.identified_causes()
+    assert _verdict(table, "bad") is _REJECT
+    table.record_response(_digest("bad"), _NOW + 30)
+    assert _verdict(table, "bad", _NOW + 31) is _PASS
+
+
 def test_reports_tell_which_crashes_are_presumed():
     """Guards against presumed crashes that other VMs take for certain ones."""
     table, other = suspects.SuspectTable(), suspects.SuspectTable()
