Read the memory and the descriptors that the platform allows

Cause: the platform states memory_mb and max_fds to each process, and the template dropped both, so that nothing could be bounded by them or lowered in a test. Change: section [limits], checked; no behaviour follows from it yet. Sites of the tests can state other limits.

--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+import typing
 
 import msgspec
 
@@ -14,6 +15,7 @@
 __all__ = [
     "BoundSettings",
     "GatewaySettings",
+    "LimitSettings",
     "NodeSettings",
     "StoreSettings",
     "load",
@@ -21,6 +23,11 @@
 ]
 
 
+# A process needs this much before it serves anybody.
+MIN_MEMORY_MB = 96
+MIN_FDS = 400
+
+
 class NodeSettings(msgspec.Struct, frozen=True):
     """Section [vm]: identity and addresses of this VM.
 
@@ -90,11 +97,24 @@
     retry_window: str = "10s"
 
 
+class LimitSettings(msgspec.Struct, frozen=True):
+    """Section [limits]: what the platform lets a process use.
+
+    Attributes:
+        memory_mb: Memory above which the process is killed, in MiB.
+        max_fds: File descriptors, those of files included.
+    """
+
+    memory_mb: typing.Annotated[float, msgspec.Meta(ge=MIN_MEMORY_MB)] = 256.0
+    max_fds: typing.Annotated[int, msgspec.Meta(ge=MIN_FDS)] = 4096
+
+
 class GatewaySettings(msgspec.Struct, frozen=True):
     """All settings of one gateway process."""
 
     vm: NodeSettings
     store: StoreSettings
+    limits: LimitSettings = LimitSettings()
     bounds: BoundSettings = BoundSettings()
     load: load_settings.LoadSettings = load_settings.LoadSettings()
     log: settings_lib.LogSettings = settings_lib.LogSettings()
@@ -103,6 +123,7 @@
 _SECTIONS: dict[str, type[msgspec.Struct]] = {
     "vm": NodeSettings,
     "store": StoreSettings,
+    "limits": LimitSettings,
     "bounds": BoundSettings,
     "load": load_settings.LoadSettings,
     "log": settings_lib.LogSettings,
--- a/tests/integration/gateways.py
+++ b/tests/integration/gateways.py
@@ -25,6 +25,7 @@
 ZONES = ("z1", "z2", "z3")
 # Length of the log excerpt shown for a gateway that exited unexpectedly.
 _LOG_TAIL_CHARS = 2000
+_LIMITS = {"memory_mb": 300, "max_fds": 4100}
 
 
 def render(template: str, fields: dict) -> str:
@@ -55,6 +56,9 @@
     host: str
     store: str
     folder: pathlib.Path
+    limits: dict[str, float] = dataclasses.field(
+        default_factory=lambda: dict(_LIMITS)
+    )
     process: asyncio.subprocess.Process | None = None
     front: str = ""
     ready: str = ""
@@ -76,7 +80,7 @@
             "listen": {"front": self.front, "ready": self.ready},
             "internal_ports": ports[2:],
             "seeds": "",
-            "limits": {"link_mbps": 1000.0},
+            "limits": {"link_mbps": 1000.0} | self.limits,
             "platform": {"address": self.store, "row_bytes": 65536},
             "bounds": {
                 "drain": "2000ms",
@@ -301,8 +305,10 @@
         seed: int = 1,
         has_narrow_links: bool = False,
         settings: str = "",
+        limits: dict[str, float] | None = None,
     ):
         self._has_narrow_links = has_narrow_links
+        self._limits = _LIMITS | (limits or {})
         self._extra_settings = settings
         self._links = contextlib.AsyncExitStack()
         self.store = users_standins.Store()
@@ -347,7 +353,7 @@
         if self._has_narrow_links:
             link = narrow_link.NarrowLink(endpoint)
             endpoint = (await self._links.enter_async_context(link)).address
-        gateway = Gateway(number, host, endpoint, self._folder)
+        gateway = Gateway(number, host, endpoint, self._folder, self._limits)
         with gateway.settings.open("a") as settings:
             settings.write(self._extra_settings)
         await gateway.start()
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -46,6 +46,16 @@
             "[load] placement: Invalid enum value 'maybe'; expected one of "
             "auto, on, off",
         ),
+        (
+            "[store]",
+            "[limits]\nmemory_mb = 20\n[store]",
+            "[limits] memory_mb: Expected `float` >= 96.0",
+        ),
+        (
+            "[store]",
+            "[limits]\nmax_fds = 100\n[store]",
+            "[limits] max_fds: Expected `int` >= 400",
+        ),
         ("[store]", "[shop]", "[store]: section missing"),
         ("id = vm-1", "id = vm-1\nodd = 1", "[vm] odd: unknown option"),
     ],
@@ -56,6 +66,18 @@
     assert problem in str(caught.value)
 
 
+def test_limits_of_the_platform_are_read(tmp_path):
+    text = _GOOD + "\n[limits]\nmemory_mb = 300\nmax_fds = 4100\n"
+    limits = _load(tmp_path, text).limits
+    assert (limits.memory_mb, limits.max_fds) == (300.0, 4100)
+
+
+def test_limits_that_the_platform_leaves_empty_have_defaults(tmp_path):
+    text = _GOOD + "\n[limits]\nmemory_mb =\nmax_fds =\n"
+    limits = _load(tmp_path, text).limits
+    assert (limits.memory_mb, limits.max_fds) == (256.0, 4096)
+
+
 def test_load_decisions_are_automatic_unless_set(tmp_path):
     loaded = _load(tmp_path, _GOOD).load
     assert loaded.placement is load_settings.Switch.AUTO
