--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # `install` creates .venv with the locked dependencies for the other targets.
 ORGANISATION ?= himal
 PYTHON ?= python3
+# Processes that run the unit tests; integration tests run one at a time.
+WORKERS ?= 5
 STAMP := .venv/.installed
 
 .PHONY: install test demo lint format
@@ -13,7 +15,8 @@
 	touch $(STAMP)
 
 test: install
-	.venv/bin/python -m pytest -q $(PYTEST_ARGS)
+	.venv/bin/python -m pytest -q -n $(WORKERS) tests/unit $(PYTEST_ARGS)
+	.venv/bin/python -m pytest -q tests/integration $(PYTEST_ARGS)
 
 demo: install
 	.venv/bin/python -m benchmarks demo --organisation $(ORGANISATION)
