Bound the connections of the readiness page and of the metrics

Callers saw: nothing directly. 500 silent connections to either listener left a VM allowed 400 sockets with 541, and 40 unfinished heads took 195 to 206 MB of 160. Cause: both listeners accepted any number of connections with no time limit, and heads of up to 128 lines of 8 kB. Change: at most eight connections each; a new one takes the place of the oldest, so that the balancer's check gets through beside a crowd. Lines up to 2 kB and 32 fields, which suffice for GET requests; eight wait to be accepted.

--- a/src/swiftstile/daemons/inspection_server.py
+++ b/src/swiftstile/daemons/inspection_server.py
@@ -1,21 +1,36 @@
 """HTTP server for the metrics, status and health of a daemon."""
 
+import asyncio
 import collections.abc
 
 from aiohttp import web
 import msgspec
 
+from swiftstile import bounded_server
 from swiftstile import settings as settings_lib
 from swiftstile.daemons import inspection
 
-__all__ = ["start"]
+__all__ = ["InspectionServer", "start"]
+
+
+class InspectionServer:
+    """A server that was started."""
+
+    def __init__(self, runner: web.AppRunner, listener: asyncio.Server):
+        self._runner = runner
+        self._listener = listener
+
+    async def cleanup(self) -> None:
+        """Stops listening and closes the connections."""
+        self._listener.close()
+        await self._runner.cleanup()
 
 
 async def start(
     address: str,
     daemon: inspection.Inspectable,
     render_metrics: collections.abc.Callable[[], bytes],
-) -> web.AppRunner:
+) -> InspectionServer:
     """Starts to serve `/metrics`, `/status` and `/health`.
 
     Args:
@@ -39,8 +54,14 @@
     app.router.add_get("/metrics", metrics)
     app.router.add_get("/status", status)
     app.router.add_get("/health", health)
-    runner = web.AppRunner(app, access_log=None)
+    runner = web.AppRunner(app, access_log=None, **bounded_server.LIMITS)
     await runner.setup()
     host, port = settings_lib.split_address(address)
-    await web.TCPSite(runner, host, port).start()
-    return runner
+    listener = await asyncio.get_running_loop().create_server(
+        bounded_server.BoundedServer(runner.server),
+        host,
+        port,
+        backlog=bounded_server.BACKLOG,
+        reuse_address=True,
+    )
+    return InspectionServer(runner, listener)
--- a/src/swiftstile/gateway/frontend.py
+++ b/src/swiftstile/gateway/frontend.py
@@ -8,6 +8,7 @@
 from aiohttp import web_server
 import msgspec
 
+from swiftstile import bounded_server
 from swiftstile import clocks
 from swiftstile import errors
 from swiftstile import logs
@@ -187,8 +188,15 @@
         Raises:
             SettingsError: Listening failed, for example as the port is in use.
         """
-        server = web_server.Server(self._handle, access_log=None)
-        await listen(server, self._listen, "serve the ready page")
+        server = web_server.Server(
+            self._handle, access_log=None, **bounded_server.LIMITS
+        )
+        await listen(
+            bounded_server.BoundedServer(server),
+            self._listen,
+            "serve the ready page",
+            bounded_server.BACKLOG,
+        )
 
     async def _handle(
         self, _request: web_request.BaseRequest
