Account for all memory that callers and other VMs make a VM hold

Callers saw: VMs killed for their memory by crowds of clients that send much and finish little, and no answer at all to a body that stops. Cause: each request's body was buffered up to 1 MB before admission, without a time limit and without a sum; a head was limited once it was complete, and pipelined heads by their number only; responses and forwards had limits of their own that followed no setting. What a caller held outlived it: the body's exception, the refusal and the cancelled tasks refer to frames that refer to the connection, and only the cyclic collector frees that. By a run with four crowds of 150: 198 MB at rest after them, 171 after a collection, 60 after malloc_trim; the rest was a buffer that grew by reallocation. Change: one account in three parts (callers, forwards, responses) that are shares of memory_mb. Connections record heads, unparsed input, bodies and what waits to be sent. A full part evicts what holds most bytes for most seconds: with 503 and Retry-After if nothing of the request was passed on, and a connection that stays open for a second so that the refusal arrives. A body has the time of its request, then 408. A head is refused once it is longer than any head may be. A caller that reads nothing of its answer for idle_timeout is reset. What a connection holds is freed with it. Ruled out: refusing the newest (ordinary uploads then pay for the crowd), a minimum rate (slow callers inside the limits would meet it).

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -5,12 +5,15 @@
 delay those behind it; all others wait for their turn. Responses are always sent
 in the order of the requests.
 
+What a connection holds is recorded in an account. If that is full, or too many
+connections are open, requests that weren't sent to an upstream yet are refused
+and the connection closes.
+
 Uses the parser, requests and responses of `aiohttp`, but not its server
 connection, which handles one request at a time.
 """
 
 import asyncio
-import collections
 
 import aiohttp
 from aiohttp import base_protocol
@@ -24,18 +27,16 @@
 
 from swiftstile import clocks
 from swiftstile import logs
+from swiftstile.gateway import caller_input
 from swiftstile.gateway import caller_requests
+from swiftstile.gateway import memory_account
+from swiftstile.gateway import open_connections
+from swiftstile.gateway import outcomes
+from swiftstile.gateway import request_holds
+from swiftstile.gateway import request_queue
 
 __all__ = ["CallerConnection"]
 
-# Maximum requests of one connection that are handled at the same time. A
-# browser sends about six. Without a limit one caller could take all slots.
-MAX_CONCURRENT_REQUESTS = 8
-# Maximum size of the finished responses of one connection that wait for earlier
-# ones. Above it, no further request of the connection is started.
-MAX_FINISHED_BYTES = 1 << 18
-# Maximum unanswered requests of one connection. Reading pauses above it.
-MAX_PENDING_REQUESTS = 32
 # Longest line that the parser accepts, in bytes. The operator's limit is lower
 # and may change, so it is checked for each request.
 MAX_LINE_BYTES = 65536
@@ -44,6 +45,13 @@
 # How long the rest of a body is read and discarded after the response was sent:
 # a caller that is still sending might not read the response otherwise.
 BODY_DRAIN_TIMEOUT_S = 5.0
+# How long a connection stays open for its last response to arrive although the
+# caller may still send: a close with unread input resets it.
+LINGER_S = 1.0
+# Memory of a connection, without what was received.
+_CONNECTION_BYTES = 8192
+# Less unparsed input than this isn't worth closing a connection for.
+_MIN_EVICTED_BYTES = 4096
 # Idle connections are closed this much later than the limit, so that a caller
 # that respects the limit never uses a closed connection.
 _IDLE_TOLERANCE_S = 0.5
@@ -62,13 +70,18 @@
 )
 
 
-class CallerConnection(base_protocol.BaseProtocol):
+class CallerConnection(
+    base_protocol.BaseProtocol,
+    memory_account.Holder,
+    open_connections.LimitedConnection,
+):
     """One connection of a caller.
 
     Args:
         loop: The event loop.
         responder: Handles requests.
-        connections: Set that contains this connection while it is open.
+        connections: Contains this connection while it is open.
+        memory: Records what it holds.
 
     Attributes:
         last_response_at: When the last request was answered.
@@ -81,11 +94,13 @@
         self,
         loop: asyncio.AbstractEventLoop,
         responder: caller_requests.Responder,
-        connections: set["CallerConnection"],
+        connections: set["CallerConnection"] | open_connections.ConnectionTable,
+        memory: memory_account.AccountPart | None = None,
     ):
         super().__init__(loop)
         self._responder = responder
         self._connections = connections
+        self._memory = memory or memory_account.AccountPart()
         self._parser = http.HttpRequestParser(
             self,
             loop,
@@ -96,17 +111,23 @@
             auto_decompress=False,
             max_msg_queue_size=1,
         )
-        self._pending: collections.deque[caller_requests.PendingRequest] = (
-            collections.deque()
-        )
+        self._queue = request_queue.RequestQueue()
         self._request_received: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._is_reading_paused = False
         self._unparsed = b""
+        self._input = caller_input.UnparsedInput()
         self._is_closing = False
         self._ignores_input = False
+        self._has_ended = False
+        # The request that `_task` handles, until its response is known.
+        self._handled: caller_requests.PendingRequest | None = None
+        self._has_responded = False
         self.last_response_at = clocks.monotonic()
         self.head_started_at: float | None = None
+        self._head_bytes = 0
+        self._unsent_bytes = 0
+        self._unsent_since = 0.0
         self.ssl_context = None
         self.peername = None
         self.sockname = None
@@ -114,13 +135,13 @@
     @property
     def pending_count(self) -> int:
         """Number of requests that have been read but not answered."""
-        return len(self._pending)
+        return len(self._queue)
 
     def has_timed_out(
         self, header_timeout_s: float, idle_timeout_s: float, now: float
     ) -> bool:
         """Whether the connection exceeds the header or idle timeout."""
-        if self._pending:
+        if self._queue:
             return False
         if self.head_started_at is not None:
             overdue_s = now - self.head_started_at - header_timeout_s
@@ -128,6 +149,117 @@
             overdue_s = now - self.last_response_at - idle_timeout_s
         return overdue_s > _IDLE_TOLERANCE_S
 
+    def has_stopped_reading(self, timeout_s: float, now: float) -> bool:
+        """Whether the caller took nothing of its responses for too long.
+
+        Has to be called regularly, as it compares with the last call.
+        """
+        self._update_unsent(now)
+        stopped_s = now - self._unsent_since
+        return self._unsent_bytes > 0 and stopped_s > timeout_s
+
+    def _update_unsent(self, now: float) -> None:
+        unsent = 0
+        if self.transport is not None:
+            unsent = self.transport.get_write_buffer_size()
+        if unsent == self._unsent_bytes == 0:
+            return
+        if not unsent or unsent < self._unsent_bytes or not self._unsent_bytes:
+            self._unsent_since = now
+        self._unsent_bytes = unsent
+        self._record_held()
+
+    @property
+    def _accepts_input(self) -> bool:
+        return not self._ignores_input and not self._is_closing
+
+    def idle_since(self) -> tuple[bool, float] | None:
+        """See base class."""
+        if self._queue or self._head_bytes or self._is_closing:
+            return None
+        return self._has_responded, self.last_response_at
+
+    def arriving_since(self) -> float | None:
+        """See base class."""
+        if not self._accepts_input:
+            return None
+        if not self._queue:
+            return self.head_started_at
+        last = self._queue.last
+        is_arriving = last.hold.is_receiving and last.can_refuse
+        return last.arrived if is_arriving else None
+
+    def held_since(self) -> float | None:
+        """See base class."""
+        if not self._accepts_input:
+            return None
+        first = self._queue.first_refusable()
+        if first is not None:
+            return first.arrived
+        if self._unsent_bytes >= _MIN_EVICTED_BYTES:
+            return self._unsent_since
+        if self._input.count >= _MIN_EVICTED_BYTES:
+            return self.head_started_at or self.last_response_at
+        return None
+
+    def evict(self) -> None:
+        """See base class."""
+        if self._queue.first_refusable() is None and self._unsent_bytes:
+            self.abort()
+            self._memory.record(self, 0)
+            return
+        self.refuse(
+            outcomes.MemoryLimitError(
+                f"its connection holds {self.held_bytes} bytes", step="receive"
+            )
+        )
+
+    def refuse(self, error: outcomes.GatewayError) -> None:
+        """See base class."""
+        first = self._queue.first_refusable()
+        if first is None:
+            self._append_placeholder(None)
+            first = self._queue.last
+        self._stop_input()
+        self._queue.drop_behind(first)
+        first.is_last = True
+        first.hold.refuse(error)
+        self._record_held()
+        # Not at once, as this may be called by the task that it cancels.
+        self._loop.call_soon(self._cancel_refused, first)
+
+    def _cancel_refused(self, pending: caller_requests.PendingRequest) -> None:
+        if pending.task is not None:
+            pending.task.cancel()
+        elif self._handled is pending:
+            self._task.cancel()
+
+    def _stop_input(self) -> None:
+        """Drops what wasn't parsed, and what the caller still sends."""
+        self._ignores_input = True
+        self._parser = None
+        self._unparsed = b""
+        self._input.clear()
+        self._head_bytes = 0
+        self._is_reading_paused = False
+        if self.transport is not None:
+            super().resume_reading(resume_parser=False)
+
+    def _record_held(self) -> None:
+        if self._has_ended:
+            self._memory.record(self, 0)
+            return
+        copies = 1 if self._queue else caller_input.HEAD_COPIES
+        held = _CONNECTION_BYTES + self._unsent_bytes
+        held += copies * self._input.count
+        self._memory.record(self, held + self._queue.held_bytes)
+
+    def abort(self) -> None:
+        """Resets the connection and cancels its requests."""
+        self._is_closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def close(self) -> None:
         """Closes the connection and cancels its requests."""
         self._is_closing = True
@@ -139,44 +271,59 @@
         super().connection_made(transport)
         self.peername = transport.get_extra_info("peername")
         self.sockname = transport.get_extra_info("sockname")
-        self._connections.add(self)
         self._task = self._loop.create_task(self._run())
+        self._memory.watch(self)
+        self._record_held()
+        self._connections.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """See base class."""
         super().connection_lost(exc)
         self._connections.discard(self)
         self._is_closing = True
+        self._has_ended = True
         error = exc or ConnectionResetError("the caller closed the connection")
-        for pending in self._pending:
-            if not pending.payload.is_eof():
-                pending.payload.set_exception(error)
-            if pending.task is not None:
-                pending.task.cancel()
+        incomplete = self._queue.incomplete_bodies()
+        self._queue.cancel_all()
+        for payload in incomplete:
+            payload.set_exception(error)
         self._task.cancel()
+        # These refer to this object, and all would wait for the collector.
+        self._parser = self._handled = None
+        self._input.clear()
+        self._unparsed = b""
+        self._record_held()
+        self._memory.unwatch(self)
 
     def data_received(self, data: bytes) -> None:
         """See base class."""
-        if self._is_closing or self._ignores_input:
+        if not self._accepts_input:
             return
-        now = clocks.monotonic()
-        has_messages = False
+        self._input.on_received(len(data))
         if self._is_reading_paused:
             # Reading is paused; this data was received before that.
             self._unparsed += data
-            return
-        data, self._unparsed = self._unparsed + data, b""
-        while len(self._pending) < MAX_PENDING_REQUESTS:
-            if not self._parse_one(data, now):
+        else:
+            self._parse(self._unparsed + data)
+        self._record_held()
+
+    def _parse(self, data: bytes) -> None:
+        now = clocks.monotonic()
+        self._unparsed = b""
+        has_messages = False
+        read_bytes = len(data)
+        unread = data
+        while not self._queue.is_full:
+            if not self._parse_one(unread, read_bytes, now):
                 break
-            has_messages, data = True, b""
-        self._track_head(has_messages, bool(data), now)
-        if len(self._pending) >= MAX_PENDING_REQUESTS and self.transport:
+            has_messages, unread = True, b""
+        self._track_head(has_messages, read_bytes, now)
+        if self._queue.is_full and self.transport and self._accepts_input:
             self._is_reading_paused = True
             self.transport.pause_reading()
         self._start_concurrent()
 
-    def _parse_one(self, data: bytes, now: float) -> bool:
+    def _parse_one(self, data: bytes, read_bytes: int, now: float) -> bool:
         """Parses up to the end of one request; returns whether a head was read.
 
         The parser stops after each request and keeps the remaining data, so
@@ -185,18 +332,17 @@
         try:
             messages, is_upgrade, _ = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
-            self._ignores_input = True
-            self._append_request(
-                _MALFORMED_PLACEHOLDER, streams.EMPTY_PAYLOAD, now, error
-            )
+            self._append_placeholder(error)
+            self._stop_input()
             return False
         self._parser.message_consumed()
+        self._input.on_parsed(messages, read_bytes)
         for message, payload in messages:
             self._append_request(message, payload, now)
-        if is_upgrade and self._pending:
+        if is_upgrade and self._queue:
             # Any further data would be of another protocol.
-            self._pending[-1].is_last = True
-            self._ignores_input = True
+            self._queue.last.is_last = True
+            self._stop_input()
         return bool(messages) and not self._ignores_input
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -205,8 +351,19 @@
         if self._is_reading_paused and self.transport is not None:
             self.transport.pause_reading()
 
+    def _append_placeholder(self, error: Exception | None) -> None:
+        """Adds a request in place of one that can't be read.
+
+        Args:
+            error: Why it can't be parsed, if it was tried.
+        """
+        now = clocks.monotonic()
+        self._append_request(
+            _MALFORMED_PLACEHOLDER, streams.EMPTY_PAYLOAD, now, error
+        )
+
     def _append_request(self, message, payload, now: float, error=None) -> None:
-        if self._pending and self._pending[-1].is_last:
+        if self._queue and self._queue.last.is_last:
             # Pipelined after a request that closes the connection.
             return
         request = web_request.BaseRequest(
@@ -217,9 +374,14 @@
             self._task,
             self._loop,
         )
-        self._pending.append(
+        hold = request_holds.RequestHold(
+            caller_input.head_memory(message),
+            None if payload is streams.EMPTY_PAYLOAD else payload,
+            self._record_held,
+        )
+        self._queue.append(
             caller_requests.PendingRequest(
-                request, payload, now, error, message.should_close
+                request, payload, now, error, message.should_close, hold
             )
         )
         if (
@@ -228,42 +390,50 @@
         ):
             self._request_received.set_result(None)
 
-    def _track_head(self, has_messages: bool, has_data: bool, now: float):
-        if has_messages:
+    def _track_head(
+        self, has_messages: bool, read_bytes: int, now: float
+    ) -> None:
+        """Records when a head began and what was read of it."""
+        if not self._accepts_input:
+            return
+        is_body = bool(self._queue) and self._queue.last.hold.is_receiving
+        if has_messages or is_body:
             self.head_started_at = None
-        elif has_data and not self._pending and self.head_started_at is None:
+            self._head_bytes = 0
+            return
+        if not read_bytes:
+            return
+        if self.head_started_at is None:
             self.head_started_at = now
+        self._head_bytes += read_bytes
+        if self._head_bytes > self._responder.max_header_bytes + MAX_LINE_BYTES:
+            self._append_placeholder(
+                http_exceptions.LineTooLong(
+                    b"a head that doesn't end", self._responder.max_header_bytes
+                )
+            )
+            self._stop_input()
 
     def _start_concurrent(self) -> None:
         """Starts requests behind the first one that may run concurrently."""
-        if len(self._pending) < 2 or self._responder.is_leaving:
-            return
-        buffered = 0
-        for position, pending in enumerate(self._pending):
-            if not pending.may_run_concurrently(self._responder):
-                return
-            buffered += pending.response_bytes()
-            if (
-                position >= MAX_CONCURRENT_REQUESTS
-                or buffered > MAX_FINISHED_BYTES
-            ):
-                return
-            if position and pending.task is None:
-                pending.task = self._loop.create_task(self._respond(pending))
+        for pending in self._queue.startable(self._responder):
+            pending.task = self._loop.create_task(self._respond(pending))
 
     async def _respond(
         self, pending: caller_requests.PendingRequest
     ) -> web_response.StreamResponse:
         if pending.error is not None:
             return self._responder.respond_malformed(pending.error)
+        if pending.hold.is_refused and not pending.request.raw_headers:
+            return self._responder.refuse(pending.hold.take_refusal())
 
         async def wait_for_turn() -> None:
-            while self._pending[0] is not pending:
+            while self._queue.first is not pending:
                 pending.turn_reached = self._loop.create_future()
                 await pending.turn_reached
 
         incoming = caller_requests.IncomingRequest(
-            pending.request, pending.arrived, wait_for_turn
+            pending.request, pending.arrived, wait_for_turn, hold=pending.hold
         )
         return await self._responder.respond(incoming)
 
@@ -273,25 +443,37 @@
             while not self._is_closing:
                 pending = await self._next_request()
                 await self._send_response(pending)
-                self._finish_request(pending)
+                self._finish_request()
+            if self._ignores_input:
+                await self._linger()
         except ConnectionError as error:
             # The caller closed the connection during the response.
             logs.logger.debug("response not delivered", error=repr(error))
+        except asyncio.CancelledError:
+            # Not raised again: the task would keep it, and with it the frames
+            # that refer to the task.
+            logs.logger.debug("caller connection ended")
         except Exception:
             logs.logger.exception("caller connection failed")
         finally:
-            self._cancel_pending()
+            self._queue.cancel_all()
             if self.transport is not None:
                 self.transport.close()
 
     async def _next_request(self) -> caller_requests.PendingRequest:
-        while not self._pending:
+        while not self._queue:
             self._request_received = self._loop.create_future()
             try:
                 await self._request_received
             finally:
                 self._request_received = None
-        return self._pending[0]
+        return self._queue.first
+
+    async def _linger(self) -> None:
+        """Lets the last response arrive before the connection closes."""
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+            await asyncio.sleep(LINGER_S)
 
     async def _send_response(
         self, pending: caller_requests.PendingRequest
@@ -299,7 +481,10 @@
         if pending.task is not None:
             response = await pending.task
         else:
+            self._handled = pending
             response = await self._respond(pending)
+            self._handled = None
+        pending.has_response = True
         if self._is_last_response(pending):
             response.force_close()
         await response.prepare(pending.request)
@@ -317,44 +502,32 @@
         any upstream.
         """
         is_leaving = self._responder.is_leaving
-        return pending.is_last or (is_leaving and not self._has_started_next())
-
-    def _has_started_next(self) -> bool:
-        behind = self._pending[1] if len(self._pending) > 1 else None
-        return behind is not None and behind.task is not None
+        return pending.is_last or (
+            is_leaving and not self._queue.has_started_second
+        )
 
     async def _discard_body(
         self, pending: caller_requests.PendingRequest
     ) -> None:
         payload = pending.payload
-        if payload.is_eof():
+        if payload.is_eof() or self._ignores_input:
             return
         try:
             async with asyncio.timeout(BODY_DRAIN_TIMEOUT_S):
                 while not payload.is_eof():
-                    await payload.readany()
+                    pending.hold.release(len(await payload.readany()))
         except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
             logs.logger.debug("request body not drained", error=repr(error))
             self._is_closing = True
 
-    def _finish_request(self, pending: caller_requests.PendingRequest) -> None:
-        self._pending.popleft()
-        self.last_response_at = clocks.monotonic()
-        if self._pending:
-            first = self._pending[0]
-            if first.turn_reached is not None and not first.turn_reached.done():
-                first.turn_reached.set_result(None)
-        if (
-            self._is_reading_paused
-            and len(self._pending) <= MAX_PENDING_REQUESTS // 2
-        ):
+    def _finish_request(self) -> None:
+        self._queue.remove_first()
+        self._has_responded = True
+        self.last_response_at = now = clocks.monotonic()
+        self._update_unsent(now)
+        if self._is_reading_paused and self._queue.has_space:
             self._is_reading_paused = False
             # The parser has kept the data behind the last request it returned.
             self.resume_reading()
         self._start_concurrent()
-
-    def _cancel_pending(self) -> None:
-        for pending in self._pending:
-            if pending.task is not None:
-                pending.task.cancel()
-        self._pending.clear()
+        self._record_held()
--- a/src/swiftstile/gateway/exchange.py
+++ b/src/swiftstile/gateway/exchange.py
@@ -14,6 +14,7 @@
 from swiftstile.gateway import fingerprint
 from swiftstile.gateway import interfaces
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import request_holds
 from swiftstile.gateway import responses
 from swiftstile.gateway import stream_limits
 from swiftstile.gateway import targets
@@ -55,6 +56,8 @@
         exchange: Number of that send on the connection, starting at 1.
         timeout_s: Time from its arrival to `deadline`.
         gives_up_at: When the caller gives up.
+        known_digest: Its digest, if `first_part` was dropped.
+        hold: What this process holds of it.
     """
 
     method: str
@@ -66,7 +69,7 @@
     length: int | None
     deadline: float
     is_idempotent: bool = False
-    first_part: bytes = b""
+    first_part: bytes | memoryview = b""
     caller: str = ""
     is_probe: bool = False
     sent_at: float | None = None
@@ -74,6 +77,10 @@
     exchange: int = 0
     timeout_s: float = float("inf")
     gives_up_at: float = float("inf")
+    known_digest: fingerprint.Digest | None = None
+    hold: request_holds.RequestHold = msgspec.field(
+        default_factory=request_holds.RequestHold
+    )
 
     def response_limits(self, length: int | None) -> stream_limits.StreamLimits:
         """Returns the time limits of a response with a stated length."""
@@ -83,6 +90,8 @@
 
     def digest(self) -> fingerprint.Digest:
         """Returns a digest that recognises repetitions of the request."""
+        if self.known_digest is not None:
+            return self.known_digest
         return fingerprint.digest(
             self.method,
             self.headers.get("Host", ""),
@@ -92,6 +101,19 @@
             self.length,
         )
 
+    def begin_send(self) -> None:
+        """Prepares for being sent, after which it can't be refused any more.
+
+        The start of a streamed body is freed; its digest remains.
+
+        Raises:
+            GatewayError: It was refused meanwhile.
+        """
+        self.hold.pass_on()
+        if self.body is None and self.known_digest is None:
+            self.known_digest = self.digest()
+            self.first_part = b""
+
     @property
     def can_resend(self) -> bool:
         """Whether the body can be sent more than once."""
--- a/src/swiftstile/gateway/fingerprint.py
+++ b/src/swiftstile/gateway/fingerprint.py
@@ -16,7 +16,7 @@
     host: str,
     target: str,
     caller: str,
-    body: bytes,
+    body: bytes | memoryview,
     length: int | None = None,
 ) -> Digest:
     """Returns the digest of a request.
--- a/src/swiftstile/gateway/forward_listener.py
+++ b/src/swiftstile/gateway/forward_listener.py
@@ -20,17 +20,23 @@
 from swiftstile.gateway import gossip
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import model
+from swiftstile.gateway import open_connections
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import peer_limits
+from swiftstile.gateway import request_bodies
 
 __all__ = ["ForwardListener"]
 
 # Requests of other VMs in progress. This VM's own callers need its processor
 # time as well.
 MAX_REQUESTS = 96
-# Announced lengths of their bodies together: well below the memory of a VM.
+# Announced lengths of their bodies together; what is held of them has a limit
+# of its own.
 MAX_BODY_BYTES = 48 << 20
 # Counted for a body of unknown length: what is buffered of it.
-_UNKNOWN_BODY_BYTES = handler_lib.MAX_BUFFERED_BODY_BYTES
+_UNKNOWN_BODY_BYTES = request_bodies.MAX_BUFFERED_BYTES
+# Length of the header fields that other VMs add.
+_FORWARD_HEADER_BYTES = 4096
 # Connections of other VMs that are idle for longer are closed.
 IDLE_TIMEOUT_S = 10.0
 _SWEEP_INTERVAL_S = 1.0
@@ -52,13 +58,18 @@
         handler: handler_lib.RequestHandler,
         peers: gossip.Peers,
         meters: metrics.Meters,
+        limits: peer_limits.ListenerLimits | None = None,
     ):
         self._listen = listen
         self._handler = handler
         self._peers = peers
         self._meters = meters
-        self._connections: set[callers.CallerConnection] = set()
+        self._limits = limits or peer_limits.unlimited()
+        self._connections: open_connections.ConnectionTable[
+            callers.CallerConnection
+        ] = self._limits.connections
         self._listener: asyncio.Server | None = None
+        self._malformed = frontend.MalformedLog(meters)
         self._requests = 0
         self._body_bytes = 0
 
@@ -75,16 +86,19 @@
         """
         loop = asyncio.get_running_loop()
         self._listener = await frontend.listen(
-            lambda: callers.CallerConnection(loop, self, self._connections),
+            lambda: callers.CallerConnection(
+                loop, self, self._connections, self._limits.memory
+            ),
             self._listen,
             "listen for forwarded requests",
+            self._limits.backlog,
         )
 
     def stop_listening(self) -> None:
         """Refuses new connections and closes those without a request."""
         if self._listener is not None:
             self._listener.close()
-        for connection in list(self._connections):
+        for connection in self._connections:
             if not connection.pending_count:
                 connection.close()
 
@@ -93,8 +107,10 @@
         while True:
             await pacing.sleep_aligned(_SWEEP_INTERVAL_S)
             now = clocks.monotonic()
-            for connection in list(self._connections):
-                if connection.has_timed_out(
+            for connection in self._connections:
+                if connection.has_stopped_reading(IDLE_TIMEOUT_S, now):
+                    connection.abort()
+                elif connection.has_timed_out(
                     IDLE_TIMEOUT_S, IDLE_TIMEOUT_S, now
                 ):
                     connection.close()
@@ -107,9 +123,25 @@
         self, error: Exception
     ) -> web_response.StreamResponse:
         """See base class."""
-        logs.logger.warning("malformed forwarded request", error=repr(error))
+        self._malformed.record(400, error)
         return web_response.Response(status=400, text="malformed request")
 
+    @property
+    def max_header_bytes(self) -> int:
+        """See base class."""
+        config = self._handler.config
+        limits = model.Limits() if config is None else config.limits
+        return limits.max_header_bytes + _FORWARD_HEADER_BYTES
+
+    def refuse(
+        self, error: outcomes.GatewayError
+    ) -> web_response.StreamResponse:
+        """See base class."""
+        self._meters.refusals.add(error.reason)
+        response = frontend.error_response(error)
+        response.headers[forward_headers.OUTCOME_HEADER] = error.reason
+        return response
+
     async def respond(
         self, incoming: caller_requests.IncomingRequest
     ) -> web_response.StreamResponse:
@@ -156,6 +188,7 @@
             incoming.arrived - origin.age_s,
             incoming.wait_for_turn,
             origin,
+            incoming.hold,
         )
         return await self._handler.handle(forwarded)
 
--- a/src/swiftstile/gateway/frontend.py
+++ b/src/swiftstile/gateway/frontend.py
@@ -19,7 +19,9 @@
 from swiftstile.gateway import callers
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import model
+from swiftstile.gateway import open_connections
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import peer_limits
 
 __all__ = ["Frontend", "ReadinessServer", "error_response", "listen"]
 
@@ -50,11 +52,16 @@
         listen: str,
         handler: handler_lib.RequestHandler,
         meters: metrics.Meters,
+        limits: peer_limits.ListenerLimits | None = None,
     ):
         self._listen = listen
         self._handler = handler
         self._meters = meters
-        self._connections: set[callers.CallerConnection] = set()
+        self._limits = limits or peer_limits.unlimited()
+        self._connections: open_connections.ConnectionTable[
+            callers.CallerConnection
+        ] = self._limits.connections
+        self._malformed = MalformedLog(meters)
         self._listener: asyncio.Server | None = None
         self.is_leaving = False
         self.is_closed = False
@@ -72,9 +79,12 @@
         """
         loop = asyncio.get_running_loop()
         self._listener = await listen(
-            lambda: callers.CallerConnection(loop, self, self._connections),
+            lambda: callers.CallerConnection(
+                loop, self, self._connections, self._limits.memory
+            ),
             self._listen,
             "listen for callers",
+            self._limits.backlog,
         )
 
     def stop_listening(self) -> None:
@@ -83,7 +93,7 @@
 
     def close_idle(self) -> None:
         """Closes connections without requests in progress."""
-        for connection in list(self._connections):
+        for connection in self._connections:
             if (
                 not connection.pending_count
                 and connection.head_started_at is None
@@ -97,13 +107,23 @@
             config = self._handler.config
             limits = model.Limits() if config is None else config.limits
             now = clocks.monotonic()
-            for connection in list(self._connections):
-                if connection.has_timed_out(
+            for connection in self._connections:
+                if connection.has_stopped_reading(limits.idle_timeout_s, now):
+                    self._meters.refusals.add("connection-limit")
+                    connection.abort()
+                elif connection.has_timed_out(
                     limits.header_timeout_s, limits.idle_timeout_s, now
                 ):
                     self._meters.refusals.add("connection-limit")
                     connection.close()
 
+    @property
+    def max_header_bytes(self) -> int:
+        """See base class."""
+        config = self._handler.config
+        limits = model.Limits() if config is None else config.limits
+        return limits.max_header_bytes
+
     def may_run_concurrently(self, request: web_request.BaseRequest) -> bool:
         """See base class."""
         return self._handler.may_run_concurrently(request)
@@ -114,9 +134,16 @@
         """See base class."""
         is_long = isinstance(error, http_exceptions.LineTooLong)
         status = _HEADER_TOO_LARGE if is_long else _BAD_REQUEST
-        logs.logger.info("malformed request", status=status, error=repr(error))
+        self._malformed.record(status, error)
         return web_response.Response(status=status, text="malformed request")
 
+    def refuse(
+        self, error: outcomes.GatewayError
+    ) -> web_response.StreamResponse:
+        """See base class."""
+        self._meters.refusals.add(error.reason)
+        return error_response(error)
+
     async def respond(
         self, incoming: caller_requests.IncomingRequest
     ) -> web_response.StreamResponse:
@@ -141,16 +168,45 @@
         return response
 
 
-async def listen(make_protocol, address: str, step: str) -> asyncio.Server:
+class MalformedLog:
+    """Counts malformed requests, and logs one of them a second.
+
+    Clients can cause any number of them; the other lines have to remain.
+    """
+
+    def __init__(self, meters: metrics.Meters):
+        self._meters = meters
+        self._logged_s = 0
+
+    def record(self, status: int, error: Exception) -> None:
+        """Records one."""
+        self._meters.refusals.add("malformed")
+        now_s = int(clocks.monotonic())
+        if now_s != self._logged_s:
+            self._logged_s = now_s
+            logs.logger.info(
+                "malformed request", status=status, error=repr(error)
+            )
+
+
+async def listen(
+    make_protocol, address: str, step: str, backlog: int = _BACKLOG
+) -> asyncio.Server:
     """Starts to listen at an address.
 
+    Args:
+        make_protocol: Returns the protocol of a new connection.
+        address: `host:port`.
+        step: What it is for, for errors.
+        backlog: Connections that wait to be accepted.
+
     Raises:
         SettingsError: Listening failed, for example as the port is in use.
     """
     host, port = settings_lib.split_address(address)
     try:
         return await asyncio.get_running_loop().create_server(
-            make_protocol, host, port, backlog=_BACKLOG, reuse_address=True
+            make_protocol, host, port, backlog=backlog, reuse_address=True
         )
     except OSError as error:
         raise errors.SettingsError(
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -5,7 +5,6 @@
 
 from aiohttp import web_request
 from aiohttp import web_response
-import aiohttp.http_exceptions
 
 from swiftstile import clocks
 from swiftstile import ids
@@ -26,6 +25,7 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits as permits_lib
+from swiftstile.gateway import request_bodies
 from swiftstile.gateway import responses
 from swiftstile.gateway import retries
 from swiftstile.gateway import service_samples
@@ -38,20 +38,12 @@
 
 __all__ = ["RequestHandler"]
 
-# Bodies up to this size are buffered, so that they can be sent again.
-MAX_BUFFERED_BODY_BYTES = 1 << 20
 # Assumed patience of a caller that states none, in seconds.
 MAX_WAIT_S = 3600.0
 # Pause before a target that rejected a request for lack of slots gets another:
 # about the time until a slot becomes free.
 OVERLOADED_TARGET_PAUSE_S = 0.1
 _FIRST_ERROR_STATUS = 400
-_READ_ERRORS = (
-    aiohttp.ClientError,
-    aiohttp.http_exceptions.HttpProcessingError,
-    ConnectionError,
-    ValueError,
-)
 
 
 class RequestHandler:
@@ -128,12 +120,27 @@
         Raises:
             GatewayError: No upstream responded to the request.
         """
+        try:
+            return await self._handle(incoming)
+        except asyncio.CancelledError:
+            if not incoming.hold.is_refused:
+                raise
+            asyncio.current_task().uncancel()
+        # Not in the handler above, as the cancellation refers to the frames
+        # that hold the body.
+        raise incoming.hold.take_refusal()
+
+    async def _handle(
+        self, incoming: caller_requests.IncomingRequest
+    ) -> web_response.StreamResponse:
         request, arrived = incoming.request, incoming.arrived
         inbound = self._dialect.parse_request(request.headers)
         trace = decision_log.RequestTrace(self._log)
         succeeded = False
         route = None
         try:
+            if incoming.hold.is_refused:
+                raise incoming.hold.take_refusal()
             route, config = self._route(request)
             self._check_informed(arrived)
             response = await self._serve(
@@ -145,15 +152,11 @@
             self._record_error(inbound, route, error, arrived, trace)
             raise
         except asyncio.CancelledError:
-            trace.add(
-                decision_log.RequestDecision(
-                    id=inbound.attempt_id,
-                    event="abandoned",
-                    reason="the caller left",
-                    waited_ms=clocks.milliseconds(clocks.monotonic() - arrived),
-                    key=inbound.key,
-                )
-            )
+            refusal = incoming.hold.refusal
+            if refusal is not None:
+                self._record_error(inbound, route, refusal, arrived, trace)
+            else:
+                _record_abandoned(inbound, arrived, trace)
             raise
         finally:
             trace.finish(succeeded)
@@ -217,7 +220,7 @@
         if inbound.timeout_s is not None:
             wait_s = min(wait_s, inbound.timeout_s)
         call = await self._make_call(
-            request, inbound, route, config, arrived, arrived + wait_s
+            incoming, inbound, route, config, arrived + wait_s
         )
         if self._crash_guard.has_suspects:
             call.is_probe = self._crash_guard.check(call.digest(), arrived)
@@ -268,29 +271,34 @@
         return self._round_robin.next_service(route)
 
     async def _make_call(
-        self, request, inbound, route, config, arrived, end
+        self, incoming, inbound, route, config, end
     ) -> exchange.Call:
+        request, arrived = incoming.request, incoming.arrived
         self._check_sizes(request, config.limits)
-        limit = config.limits.max_body_bytes
-        length = request.content_length
-        body, stream, first_part = b"", None, b""
+        body = request_bodies.RequestBody()
         if request.body_exists:
             await _send_continue(request)
-            body, stream, first_part = await self._read_body(request, limit)
+            body = await request_bodies.read_body(
+                request.content,
+                incoming.hold,
+                end,
+                config.limits.max_body_bytes,
+            )
         return exchange.Call(
             request.method,
             request.raw_path,
             request.headers,
             inbound,
-            body,
-            stream,
-            length,
+            body.whole,
+            body.stream,
+            request.content_length,
             end,
             route.repeatability is model.Repeatability.IDEMPOTENT,
-            first_part,
+            body.first_part,
             inbound.caller or request.remote or "",
             timeout_s=end - arrived,
             gives_up_at=arrived + (inbound.timeout_s or MAX_WAIT_S),
+            hold=incoming.hold,
         )
 
     def _check_sizes(
@@ -302,30 +310,13 @@
         except outcomes.GatewayError as error:
             raise self._disallowed_error(error) from error
 
-    async def _read_body(self, request, limit: int):
-        """Returns the body, or a stream of it and its first part."""
-        pieces, size = [], 0
-        content = request.content
-        try:
-            while size <= MAX_BUFFERED_BODY_BYTES:
-                piece = await content.readany()
-                if not piece:
-                    return b"".join(pieces), None, b""
-                pieces.append(piece)
-                size += len(piece)
-        except _READ_ERRORS as error:
-            raise outcomes.BadRequestError(
-                repr(error), step="read body"
-            ) from error
-        first_part = b"".join(pieces)[:MAX_BUFFERED_BODY_BYTES]
-        return None, _remaining_body(pieces, content, limit), first_part
-
     async def _send_with_retries(
         self, call, waiter, origin, trace
     ) -> responses.UpstreamResponse:
         state = retries.SendState(0 if origin is None else origin.sends)
         while True:
             if self._needs_other_vm(state):
+                call.begin_send()
                 return await self._forward(call, waiter, origin, state, trace)
             try:
                 target = await self._permits.acquire(waiter)
@@ -342,6 +333,11 @@
                     raise self._retries.final_error(
                         error, waiter, state
                     ) from error
+            try:
+                call.begin_send()
+            except outcomes.GatewayError:
+                self._permits.release(waiter, target)
+                raise
             state.sends += 1
             self._record_send(call, waiter, target, state, trace)
             sent = clocks.monotonic()
@@ -664,6 +660,23 @@
         )
 
 
+def _record_abandoned(
+    inbound: interfaces.RequestMetadata,
+    arrived: float,
+    trace: decision_log.RequestTrace,
+) -> None:
+    """Records that a caller left before its answer."""
+    trace.add(
+        decision_log.RequestDecision(
+            id=inbound.attempt_id,
+            event="abandoned",
+            reason="the caller left",
+            waited_ms=clocks.milliseconds(clocks.monotonic() - arrived),
+            key=inbound.key,
+        )
+    )
+
+
 def _record_rejection(
     call: exchange.Call,
     error: outcomes.GatewayError,
@@ -754,17 +767,3 @@
     if load is None or not load.slowdown:
         return 1.0
     return target.reported_slowdown(now) or 1.0
-
-
-async def _remaining_body(pieces: list[bytes], content, limit: int):
-    size = 0
-    for piece in pieces:
-        size += len(piece)
-        yield piece
-    async for piece in content.iter_any():
-        size += len(piece)
-        if size > limit:
-            raise outcomes.BodyTooLargeError(
-                f"more than {limit} bytes", step="read body"
-            )
-        yield piece
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -6,12 +6,15 @@
 
 __all__ = [
     "BadRequestError",
+    "BodyTimeoutError",
     "BodyTooLargeError",
+    "ConnectionLimitError",
     "CrashingRequestError",
     "ForwardLimitError",
     "ForwardedError",
     "GatewayError",
     "HeaderTooLargeError",
+    "MemoryLimitError",
     "MisdirectedError",
     "NoRouteError",
     "NoUpstreamPathError",
@@ -34,7 +37,7 @@
 
     Attributes:
         status: HTTP status. 503 guarantees that the request never ran and never
-            will; 502 and 504 guarantee nothing.
+            will, and so does 408; 502 and 504 guarantee nothing.
         reason: Short name for logs and counters.
         retry_after_s: Value of Retry-After; None to omit the header.
         rejections: How often the caller was rejected before this attempt, as
@@ -49,7 +52,7 @@
     @property
     def promises_not_run(self) -> bool:
         """Whether its status promises that the request never ran."""
-        return self.status == 503
+        return self.status in (408, 503)
 
 
 class BadRequestError(GatewayError):
@@ -66,6 +69,16 @@
     reason = "no-route"
 
 
+class BodyTimeoutError(GatewayError):
+    """The body didn't arrive within the time of the request.
+
+    Nothing was sent to an upstream, so that the status is a promise.
+    """
+
+    status = 408
+    reason = "body-timeout"
+
+
 class BodyTooLargeError(GatewayError):
     """The body exceeds the configured limit."""
 
@@ -88,6 +101,22 @@
     retry_after_s = 0.3
 
 
+class MemoryLimitError(GatewayError):
+    """Peers hold as much memory as they may, and this one most for longest."""
+
+    status = 503
+    reason = "memory-limit"
+    retry_after_s = 1.0
+
+
+class ConnectionLimitError(GatewayError):
+    """As many connections are open as may be, and no other could be closed."""
+
+    status = 503
+    reason = "too-many-connections"
+    retry_after_s = 0.3
+
+
 class StaleConfigError(GatewayError):
     """The configuration disallows the request, but may be outdated.
 
--- /dev/null
+++ b/src/swiftstile/gateway/request_holds.py
@@ -0,0 +1,115 @@
+"""What this process holds of one request until it was answered."""
+
+import collections.abc
+import contextlib
+
+from aiohttp import streams
+
+from swiftstile.gateway import outcomes
+from swiftstile.gateway import piece_buffers
+
+__all__ = ["RequestHold"]
+
+
+def _ignore_change() -> None:
+    """Does nothing."""
+
+
+class RequestHold:
+    """The memory of one request, and whether it may still be refused.
+
+    Args:
+        head_bytes: Memory of its head.
+        payload: Its body; None if it has none.
+        on_change: Called when less is held.
+
+    Attributes:
+        head_bytes: As above.
+        buffer: What was read of its body and is neither assembled nor sent.
+        is_passed_on: Whether a part of it may have been sent to an upstream or
+            to another VM. Only until then it can be refused with the promise
+            that it never runs.
+        is_refused: Whether it was refused.
+        refusal: Why, until `take_refusal` was called.
+    """
+
+    __slots__ = (
+        "_on_change",
+        "_payload",
+        "_released_bytes",
+        "buffer",
+        "head_bytes",
+        "is_passed_on",
+        "is_refused",
+        "refusal",
+    )
+
+    def __init__(
+        self,
+        head_bytes: int = 0,
+        payload: streams.StreamReader | None = None,
+        on_change: collections.abc.Callable[[], None] = _ignore_change,
+    ):
+        self.head_bytes = head_bytes
+        self._payload = payload
+        self._on_change = on_change
+        self._released_bytes = 0
+        self.buffer = piece_buffers.PieceBuffer()
+        self.is_passed_on = False
+        self.is_refused = False
+        self.refusal: outcomes.GatewayError | None = None
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that it holds."""
+        if self._payload is None:
+            return self.head_bytes
+        received = self._payload.total_bytes
+        return self.head_bytes + max(0, received - self._released_bytes)
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether its body hasn't arrived completely."""
+        return self._payload is not None and not self._payload.is_eof()
+
+    @property
+    def can_refuse(self) -> bool:
+        """Whether it was neither sent anywhere nor refused yet."""
+        return not self.is_passed_on and not self.is_refused
+
+    def pass_on(self) -> None:
+        """Records that it is about to be sent.
+
+        Raises:
+            GatewayError: It was refused before.
+        """
+        if self.is_refused:
+            raise self.take_refusal()
+        self.is_passed_on = True
+
+    def take_refusal(self) -> outcomes.GatewayError:
+        """Returns why it was refused, and forgets that.
+
+        The error, once raised, refers to the frames that refer to this object.
+        """
+        error, self.refusal = self.refusal, None
+        return error or outcomes.MemoryLimitError("refused", step="receive")
+
+    def release(self, count: int) -> None:
+        """Records that a number of bytes of its body aren't held any more."""
+        self._released_bytes += count
+        self._on_change()
+
+    def refuse(self, error: outcomes.GatewayError) -> None:
+        """Refuses it and frees its body."""
+        self.is_refused, self.refusal = True, error
+        self.discard()
+
+    def discard(self) -> None:
+        """Frees its body; the connection must not receive more of it."""
+        self.buffer.clear()
+        payload, self._payload = self._payload, None
+        if payload is not None and payload.exception() is None:
+            # Raised while somebody waits for bytes: there are none to free.
+            with contextlib.suppress(RuntimeError):
+                payload.read_nowait()
--- a/src/swiftstile/gateway/responses.py
+++ b/src/swiftstile/gateway/responses.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "MAX_BUFFERED_BYTES",
+    "STREAM_BUFFER_BYTES",
     "ResponseSource",
     "UpstreamResponse",
     "read_response",
@@ -28,6 +29,8 @@
 # Responses up to this size are read completely before their head is sent to the
 # caller, so that a truncated one can still be reported as an error.
 MAX_BUFFERED_BYTES = 1 << 20
+# Memory of a stream: what isn't taken of its connection, and a send buffer.
+STREAM_BUFFER_BYTES = response_bodies.MAX_UNREAD_BYTES + (1 << 16)
 
 
 class UpstreamResponse(msgspec.Struct):
@@ -164,10 +167,19 @@
 
 
 class _WholeResponse(web_response.Response):
-    """Keeps the memory of its body reserved."""
+    """Keeps the memory of its body reserved until it was written."""
 
     reservation: body_budget.Reservation | None = None
 
+    async def write_eof(self, data: bytes = b"") -> None:
+        """See base class."""
+        transport = self._req.transport if self._req is not None else None
+        if transport is None or self.reservation is None:
+            await super().write_eof(data)
+            return
+        with self.reservation.sent_by(transport.abort):
+            await super().write_eof(data)
+
 
 def whole_response(
     upstream_response: UpstreamResponse,
@@ -198,11 +210,19 @@
     if upstream_response.length is not None:
         response.content_length = upstream_response.length
     is_whole = False
+    reservation = upstream_response.reservation
+    reservation.add(STREAM_BUFFER_BYTES)
+
+    def abort() -> None:
+        if request.transport is not None:
+            request.transport.abort()
+
     try:
-        await response.prepare(request)
-        async for piece in upstream_response.stream:
-            await response.write(piece)
-        await response.write_eof()
+        with reservation.sent_by(abort):
+            await response.prepare(request)
+            async for piece in upstream_response.stream:
+                await response.write(piece)
+            await response.write_eof()
         is_whole = True
         return response
     finally:
--- a/src/swiftstile/gateway/settings.py
+++ b/src/swiftstile/gateway/settings.py
@@ -25,7 +25,7 @@
 
 # A process needs this much before it serves anybody.
 MIN_MEMORY_MB = 96
-MIN_FDS = 400
+MIN_FDS = 600
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -50,6 +50,7 @@
 from swiftstile.gateway import model
 from swiftstile.gateway import outage
 from swiftstile.gateway import owners
+from swiftstile.gateway import peer_limits
 from swiftstile.gateway import permits
 from swiftstile.gateway import queue_limits
 from swiftstile.gateway import ratelimits
@@ -154,6 +155,9 @@
         # An earlier run of this VM may have made grants before this time.
         self._started = self._now()
         vm = settings.vm
+        self._peer_limits = peer_limits.PeerLimits(
+            settings.limits, self._meters
+        )
         self._drain_s = settings_lib.parse_seconds(settings.bounds.drain)
         incarnation = ids.new_incarnation(ids.VmId(vm.id))
         self._node = reports.NodeRow(
@@ -340,7 +344,7 @@
             self._settings.vm.host,
             link_observers.ObserverChain(self._links, detector),
         )
-        bodies = body_budget.BodyBudget()
+        bodies = body_budget.BodyBudget(self._peer_limits.response_bytes)
         client = exchange.UpstreamClient(
             pool,
             adapters.dialect,
@@ -428,7 +432,12 @@
         )
         self._daemon = daemon_lib.GatewayDaemon(
             self._node,
-            frontend.Frontend(self._settings.vm.listen, handler, self._meters),
+            frontend.Frontend(
+                self._settings.vm.listen,
+                handler,
+                self._meters,
+                self._peer_limits.callers,
+            ),
             self._settings.vm.ready,
             handler,
             gate,
@@ -467,6 +476,7 @@
                 handler,
                 self._peers,
                 self._meters,
+                self._peer_limits.forwards,
             ),
             self._request_log,
             key_assignment.KeyAssignment(
--- a/src/swiftstile/metrics.py
+++ b/src/swiftstile/metrics.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-__all__ = ["MAX_BUFFERED", "Durations", "LabelledCounter", "Meters"]
+__all__ = ["MAX_BUFFERED", "Durations", "LabelledCounter", "Levels", "Meters"]
 
 # Most durations buffered until an instrument is bound. This covers the first
 # seconds of a process at a few hundred requests/s.
@@ -38,6 +38,23 @@
         return dict(self._by_label)
 
 
+class Levels:
+    """Current values by label, read when they are scraped."""
+
+    def __init__(self):
+        self._read_by_label: dict[str, collections.abc.Callable[[], float]] = {}
+
+    def track(
+        self, label: str, read: collections.abc.Callable[[], float]
+    ) -> None:
+        """Sets the function that returns the value of a label."""
+        self._read_by_label[label] = read
+
+    def by_label(self) -> dict[str, float]:
+        """Returns all current values."""
+        return {label: read() for label, read in self._read_by_label.items()}
+
+
 class Durations:
     """Request durations, buffered until an instrument is bound.
 
@@ -88,6 +105,8 @@
         self.returning = LabelledCounter()
         self.queue_limits = LabelledCounter()
         self.duty_failures = LabelledCounter()
+        self.peer_bytes = Levels()
+        self.connections = Levels()
 
     def count_http(
         self, kind: str, response: aiohttp.ClientResponse, sent: int
@@ -109,9 +128,9 @@
         self.control_messages.add(kind)
 
     def snapshot(self) -> dict[str, dict[str, float]]:
-        """Returns all counters by metric name and label."""
+        """Returns all counters and levels by metric name and label."""
         return {
             name: counts.by_label()
             for name, counts in vars(self).items()
-            if isinstance(counts, LabelledCounter)
+            if isinstance(counts, LabelledCounter | Levels)
         }
--- a/src/swiftstile/telemetry.py
+++ b/src/swiftstile/telemetry.py
@@ -38,6 +38,11 @@
     "unanswered": ("swiftstile.exchanges.unanswered", "{exchange}", "how"),
 }
 
+_LEVELS = {
+    "peer_bytes": ("swiftstile.peer.bytes", "By", "peers"),
+    "connections": ("swiftstile.connections", "{connection}", "peers"),
+}
+
 
 def expose(meters: metrics.Meters) -> None:
     """Registers OpenTelemetry instruments for the meters of a process."""
@@ -48,6 +53,11 @@
         meter.create_observable_counter(
             metric, [_observer(counts, label)], unit=unit
         )
+    for name, (metric, unit, label) in _LEVELS.items():
+        levels = getattr(meters, name)
+        meter.create_observable_gauge(
+            metric, [_observer(levels, label)], unit=unit
+        )
     latency = meter.create_histogram(
         "swiftstile.request.duration",
         unit="s",
@@ -61,7 +71,7 @@
     return prometheus_client.generate_latest()
 
 
-def _observer(counts: metrics.LabelledCounter, label: str):
+def _observer(counts: metrics.LabelledCounter | metrics.Levels, label: str):
     def observe(_options):
         for value, amount in counts.by_label().items():
             yield otel.Observation(amount, {label: value})
--- a/tests/integration/test_gateway_callers.py
+++ b/tests/integration/test_gateway_callers.py
@@ -10,6 +10,7 @@
 
 from swiftstile.gateway import caller_requests
 from swiftstile.gateway import callers
+from swiftstile.gateway import request_queue
 
 # Long enough to reveal responses in the wrong order.
 _SLOW_S = 0.05
@@ -243,12 +244,18 @@
 
 def test_concurrent_requests_of_one_caller_are_limited():
     async def scenario(responder, caller):
-        paths = [f"/a{i}/2/0" for i in range(3 * callers.MAX_PENDING_REQUESTS)]
+        paths = [
+            f"/a{i}/2/0" for i in range(3 * request_queue.MAX_PENDING_REQUESTS)
+        ]
         caller.send(*paths)
         for path in paths:
             assert (await caller.answer())[1] == path + "0"
         assert responder.started == paths
-        assert 1 < responder.max_concurrent <= callers.MAX_CONCURRENT_REQUESTS
+        assert (
+            1
+            < responder.max_concurrent
+            <= request_queue.MAX_CONCURRENT_REQUESTS
+        )
 
     _run(scenario)
 
@@ -256,7 +263,7 @@
 def test_size_of_waiting_responses_is_limited():
     async def scenario(responder, caller):
         gate = _gate(responder, "/slow/0/0")
-        size = callers.MAX_FINISHED_BYTES
+        size = request_queue.MAX_FINISHED_BYTES
         paths = [f"/a{i}/0/{size}" for i in range(4)]
         caller.send("/slow/0/0", paths[0])
         await _until(lambda: len(responder.started) == 2)
@@ -275,7 +282,7 @@
 
 def test_arrival_time_is_the_time_of_the_head():
     async def scenario(responder, caller):
-        count = callers.MAX_CONCURRENT_REQUESTS + 4
+        count = request_queue.MAX_CONCURRENT_REQUESTS + 4
         paths = [f"/a{i}/20/0" for i in range(count)]
         caller.send(*paths)
         for _ in paths:
--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -87,7 +87,9 @@
         return True
 
     handler._check_for_crash = may_resend
-    call = types.SimpleNamespace(digest=lambda: b"d" * 16, is_probe=is_probe)
+    call = types.SimpleNamespace(
+        digest=lambda: b"d" * 16, is_probe=is_probe, begin_send=lambda: None
+    )
     waiter = builders.waiter(clocks.monotonic(), None)
     run = handler_lib.RequestHandler._send_with_retries(
         handler, call, waiter, None, None
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -54,7 +54,7 @@
         (
             "[store]",
             "[limits]\nmax_fds = 100\n[store]",
-            "[limits] max_fds: Expected `int` >= 400",
+            "[limits] max_fds: Expected `int` >= 600",
         ),
         ("[store]", "[shop]", "[store]: section missing"),
         ("id = vm-1", "id = vm-1\nodd = 1", "[vm] odd: unknown option"),
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -62,7 +62,7 @@
     Mechanism(_BASELINE),
     _mechanism(
         "requests overlap on a connection",
-        "callers",
+        "request_queue",
         "MAX_CONCURRENT_REQUESTS = 8",
         "MAX_CONCURRENT_REQUESTS = 1",
     ),
