Limit the connections of callers and of other VMs

Callers saw: with 900 silent connections at a VM of 600 descriptors one of 43 ordinary requests was served, as no descriptor was left for upstreams, the store and other VMs. Cause: connections were accepted up to the limit of the process. Change: 0.4 of the sockets are for callers, 0.08 for forwards, with the connections that wait to be accepted beside them; about a quarter remains for the process itself. At the limit the idle connections used longest ago are closed, those that never carried a request first; then requests that arrive for over a second are refused, then the new connection, with 503.

--- a/src/swiftstile/gateway/peer_limits.py
+++ b/src/swiftstile/gateway/peer_limits.py
@@ -82,8 +82,8 @@
 
     def _listener(self, name: str, share: ListenerShare) -> ListenerLimits:
         refusals = self._meters.refusals
-        max_open = 1 << 30
-        backlog = _MAX_BACKLOG
+        max_open = int(share.connections * self._sockets)
+        backlog = int(share.backlog * self._sockets)
         part = memory_account.AccountPart(share.memory * self._memory_bytes)
         connections = open_connections.ConnectionTable(
             max_open,
