Give slots of stalled uploads to requests that wait for them

Callers saw: 1 of 23 ordinary requests served beside 1,200 stalled uploads of 8 MB. Cause: a body that is too long to buffer is sent while it arrives, so that a client that stops sending kept a slot of an upstream until its time was up. Change: a request whose body brought less than 16 kB in a second ends with 502 (a part was passed on) while another request waits here for a slot of the same service. Nobody waits in calm, so that a caller may pause then. Ruled out: a fixed share of slots for unfinished uploads, as several slow ones inside the limits would wait for each other. Uploads that other VMs forward aren't covered: their slots end with their time.

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -222,11 +222,37 @@
             first = self._queue.last
         self._stop_input()
         self._queue.drop_behind(first)
-        first.is_last = True
-        first.hold.refuse(error)
+        self._end_request(first, error)
+
+    def stalled_request(self, now: float) -> request_holds.RequestHold | None:
+        """Returns the request whose body stopped arriving, if any.
+
+        Has to be called regularly, as it compares with earlier calls.
+        """
+        if not self._queue or not self._accepts_input:
+            return None
+        hold = self._queue.last.hold
+        return hold if hold.is_stalled(now) else None
+
+    def end_upload(self, error: outcomes.GatewayError) -> None:
+        """Ends the request that arrives, of which a part was passed on.
+
+        Args:
+            error: Its answer, which promises nothing.
+        """
+        self._stop_input()
+        self._end_request(self._queue.last, error)
+
+    def _end_request(
+        self,
+        pending: caller_requests.PendingRequest,
+        error: outcomes.GatewayError,
+    ) -> None:
+        pending.is_last = True
+        pending.hold.refuse(error)
         self._record_held()
         # Not at once, as this may be called by the task that it cancels.
-        self._loop.call_soon(self._cancel_refused, first)
+        self._loop.call_soon(self._cancel_refused, pending)
 
     def _cancel_refused(self, pending: caller_requests.PendingRequest) -> None:
         if pending.task is not None:
--- a/src/swiftstile/gateway/frontend.py
+++ b/src/swiftstile/gateway/frontend.py
@@ -44,6 +44,8 @@
     Attributes:
         is_leaving: Whether connections are closed once the requests in progress
             have been answered.
+        is_draining: Whether requests whose bodies stall are ended, as the
+            process waits for its last requests.
         is_closed: Whether new requests are rejected.
     """
 
@@ -64,6 +66,7 @@
         self._malformed = MalformedLog(meters)
         self._listener: asyncio.Server | None = None
         self.is_leaving = False
+        self.is_draining = False
         self.is_closed = False
 
     @property
@@ -116,6 +119,25 @@
                 ):
                     self._meters.refusals.add("connection-limit")
                     connection.close()
+                self._end_if_stalled(connection, now)
+
+    def _end_if_stalled(
+        self, connection: callers.CallerConnection, now: float
+    ) -> None:
+        """Ends a request whose body stopped arriving, if that helps others."""
+        hold = connection.stalled_request(now)
+        if hold is None:
+            return
+        if self.is_draining and hold.can_refuse:
+            connection.refuse(
+                outcomes.NotReadyError("about to stop", step="read body")
+            )
+        elif self.is_draining or self._handler.upload_slots.is_wanted(hold):
+            connection.end_upload(
+                outcomes.StalledUploadError(
+                    "other requests wait for its slot", step="read body"
+                )
+            )
 
     @property
     def max_header_bytes(self) -> int:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -33,6 +33,7 @@
 from swiftstile.gateway import speeds
 from swiftstile.gateway import targets
 from swiftstile.gateway import unanswered
+from swiftstile.gateway import upload_slots
 from swiftstile.gateway import upstream_links
 from swiftstile.gateway import weighted_round_robin
 
@@ -53,6 +54,7 @@
         config: The configuration; None until one was received.
         is_new_config_invalid: Whether the operator published a newer one
             that is invalid.
+        upload_slots: Uploads that hold slots others may wait for.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self._meters = meters
         self._sampler = sampler
         self._service_times = service_times.ServiceTimeEstimates()
+        self.upload_slots = upload_slots.UploadSlots()
         self._round_robin = weighted_round_robin.WeightedRoundRobin()
 
     def may_run_concurrently(self, request: web_request.BaseRequest) -> bool:
@@ -319,7 +322,8 @@
                 call.begin_send()
                 return await self._forward(call, waiter, origin, state, trace)
             try:
-                target = await self._permits.acquire(waiter)
+                with self.upload_slots.waiting(waiter.service):
+                    target = await self._permits.acquire(waiter)
             except outcomes.RejectedError as error:
                 error.peer = error.peer or self._owners.owner_name(waiter)
                 raise self._retries.final_error(error, waiter, state) from error
@@ -343,7 +347,8 @@
             sent = clocks.monotonic()
             sending = self._crash_detector.begin(target, sent)
             try:
-                response = await self._client.send(call, target)
+                with self.upload_slots.used_by(call.hold, waiter.service):
+                    response = await self._client.send(call, target)
             except outcomes.GatewayError as error:
                 now = clocks.monotonic()
                 self._record_end(
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -24,6 +24,7 @@
     "RejectedError",
     "ReplacedError",
     "StaleConfigError",
+    "StalledUploadError",
     "TimedOutError",
     "UnknownOutcomeError",
     "UnknownVmError",
@@ -201,6 +202,13 @@
     is_connection_broken = False
 
 
+class StalledUploadError(GatewayError):
+    """A body stopped arriving, and other requests waited for its slot."""
+
+    status = 502
+    reason = "upload-stalled"
+
+
 class TimedOutError(GatewayError):
     """The request was sent and no response was received in time."""
 
--- a/src/swiftstile/gateway/request_holds.py
+++ b/src/swiftstile/gateway/request_holds.py
@@ -5,10 +5,16 @@
 
 from aiohttp import streams
 
+from swiftstile import clocks
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import piece_buffers
 
-__all__ = ["RequestHold"]
+__all__ = ["STALL_S", "RequestHold"]
+
+# A body is stalled if less than this arrived of it in this time. It is less
+# than a body that is too long to buffer needs to arrive within a minute.
+STALL_S = 1.0
+_MIN_PROGRESS_BYTES = 1 << 14
 
 
 def _ignore_change() -> None:
@@ -36,6 +42,8 @@
     __slots__ = (
         "_on_change",
         "_payload",
+        "_progress_at",
+        "_progress_bytes",
         "_released_bytes",
         "buffer",
         "head_bytes",
@@ -54,6 +62,8 @@
         self._payload = payload
         self._on_change = on_change
         self._released_bytes = 0
+        self._progress_bytes = 0
+        self._progress_at = clocks.monotonic()
         self.buffer = piece_buffers.PieceBuffer()
         self.is_passed_on = False
         self.is_refused = False
@@ -72,6 +82,18 @@
         """Whether its body hasn't arrived completely."""
         return self._payload is not None and not self._payload.is_eof()
 
+    def is_stalled(self, now: float) -> bool:
+        """Whether its body stopped arriving.
+
+        Has to be called regularly, as it compares with earlier calls.
+        """
+        if not self.is_receiving:
+            return False
+        received = self._payload.total_bytes
+        if received - self._progress_bytes >= _MIN_PROGRESS_BYTES:
+            self._progress_bytes, self._progress_at = received, now
+        return now - self._progress_at >= STALL_S
+
     @property
     def can_refuse(self) -> bool:
         """Whether it was neither sent anywhere nor refused yet."""
--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import uuid
 
 import aiohttp
@@ -202,6 +203,31 @@
     _run(tmp_path, scenario)
 
 
+async def _use_uploads(site, timeout: str = "30000ms", **limits) -> None:
+    """Puts a route of uploads in force that wait for long."""
+    site.store.put("op", "config", _legal_config(timeout, **limits))
+    await site.until(_has_route(site), _SERVED_TIMEOUT_S)
+
+
+def test_stalled_uploads_leave_slots_to_ordinary_requests(tmp_path):
+    # Each kept a slot of an upstream until its time was up, and all others of
+    # the service were refused meanwhile.
+    async def scenario(site):
+        await _use_uploads(site, timeout="120000ms")
+        behaviour = crowds.ShortBody(
+            8_000_000, path="/upload/x", deadline_ms=120_000
+        )
+        address = site.gateways[0].front
+        async with contextlib.AsyncExitStack() as stack:
+            # A part of each crowd is refused, and the others get slots.
+            for _ in range(8):
+                crowd = crowds.Crowd(address, 30, behaviour)
+                await stack.enter_async_context(crowd.present())
+            await _ordinary_requests_are_served(site)
+
+    _run(tmp_path, scenario)
+
+
 async def _wait_for_metrics(site) -> None:
     """Waits until the VM serves its metrics."""
     url = f"http://{site.gateways[0].metrics}/health"
@@ -217,10 +243,10 @@
     await site.until(is_served, _SERVED_TIMEOUT_S)
 
 
-def _legal_config(**limits) -> dict:
+def _legal_config(timeout: str, **limits) -> dict:
     """Returns a configuration with a route of uploads and other limits."""
     route = users_standins.plain_route("/upload/", "upload")
-    route["spec"] |= {"timeout": "30000ms", "objective": "600ms"}
+    route["spec"] |= {"timeout": timeout, "objective": "600ms"}
     document = users_standins.config(2, route)
     document["resources"][-1]["spec"] |= limits
     return document
@@ -255,8 +281,7 @@
 
 def test_an_upload_of_the_longest_body_is_served(tmp_path):
     async def scenario(site):
-        site.store.put("op", "config", _legal_config(max_body_bytes=1 << 26))
-        await site.until(_has_route(site), _SERVED_TIMEOUT_S)
+        await _use_uploads(site, max_body_bytes=1 << 26)
         await _upload(site, 1 << 26, 64, 0.05)
 
     _run(tmp_path, scenario)
@@ -264,8 +289,7 @@
 
 def test_several_slow_uploads_at_once_are_served(tmp_path):
     async def scenario(site):
-        site.store.put("op", "config", _legal_config())
-        await site.until(_has_route(site), _SERVED_TIMEOUT_S)
+        await _use_uploads(site)
         async with asyncio.TaskGroup() as group:
             for _ in range(4):
                 group.create_task(_upload(site, 1 << 23, 8, 0.8))
@@ -307,9 +331,7 @@
 
 def test_a_connection_is_used_again_shortly_before_its_idle_timeout(tmp_path):
     async def scenario(site):
-        config = _legal_config(idle_timeout="2500ms")
-        site.store.put("op", "config", config)
-        await site.until(_has_route(site), _SERVED_TIMEOUT_S)
+        await _use_uploads(site, idle_timeout="2500ms")
         host, _, port = site.gateways[0].front.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         for number in range(2):
--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -21,7 +21,9 @@
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import request_holds
 from swiftstile.gateway import suspects
+from swiftstile.gateway import upload_slots
 from swiftstile.gateway import upstream_links
 from tests import gateway_builders as builders
 
@@ -73,6 +75,7 @@
         _client=client,
         _crash_guard=crash_guard,
         _links=upstream_links.UpstreamLinks(),
+        upload_slots=upload_slots.UploadSlots(),
         _needs_other_vm=lambda _: False,
         _record_send=lambda *_: None,
         _crash_detector=types.SimpleNamespace(begin=lambda *_: None),
@@ -88,7 +91,10 @@
 
     handler._check_for_crash = may_resend
     call = types.SimpleNamespace(
-        digest=lambda: b"d" * 16, is_probe=is_probe, begin_send=lambda: None
+        digest=lambda: b"d" * 16,
+        is_probe=is_probe,
+        begin_send=lambda: None,
+        hold=request_holds.RequestHold(),
     )
     waiter = builders.waiter(clocks.monotonic(), None)
     run = handler_lib.RequestHandler._send_with_retries(
