Refuse stalled bodies while the process stops

Callers saw: requests whose bodies stopped arriving got no answer when a VM was stopped, and the process lived until shortly before it is killed. Cause: the drain waits for all requests in flight, and a request counts as such from its head on. Change: once the linger time is over, a request whose body stalls is refused with 503 if nothing of it was passed on, else it ends with 502.

--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -225,6 +225,7 @@
         self._frontend.stop_listening()
         self._forwards.stop_listening()
         self._frontend.close_idle()
+        self._frontend.is_draining = True
         end = started + self._grace_s - GRACE_MARGIN_S
         while self._in_flight and clocks.monotonic() < end:
             await asyncio.sleep(TICK_S / 2)
--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import signal
 import uuid
 
 import aiohttp
@@ -228,6 +229,22 @@
     _run(tmp_path, scenario)
 
 
+def test_stalled_bodies_are_refused_when_the_process_stops(tmp_path):
+    # They used up the time until the process is killed, and got no answer.
+    async def scenario(site):
+        await _use_uploads(site)
+        gateway = site.gateways[0]
+        behaviour = crowds.ShortBody(1000, path="/upload/x", deadline_ms=60_000)
+        crowd = crowds.Crowd(gateway.front, 20, behaviour)
+        async with crowd.present():
+            assert await gateway.stop(signal.SIGTERM) == 0
+            await asyncio.sleep(0.1)
+        assert [client.statuses for client in crowd.clients] == [[503]] * 20
+        assert crowd.broken_promises(site.cluster.runs) == []
+
+    _run(tmp_path, scenario)
+
+
 async def _wait_for_metrics(site) -> None:
     """Waits until the VM serves its metrics."""
     url = f"http://{site.gateways[0].metrics}/health"
