Evict what makes no progress, and refuse what holds most of a connection

Callers saw: beside a crowd that comes back, slow uploads inside the limits were refused as long as the account was full. Cause: bytes times age names whoever began first, and a crowd that returns is always younger than a slow upload. On a connection with pipelined requests the first that wasn't passed on was refused for a body behind it. And a connection that owed the answer of its last request, already passed on, could have been given a refusal in its place.

--- a/src/swiftstile/gateway/body_budget.py
+++ b/src/swiftstile/gateway/body_budget.py
@@ -80,7 +80,7 @@
             self._budget.part.unwatch(self)
             self._abort = None
 
-    def held_since(self) -> float | None:
+    def progressed_at(self) -> float | None:
         """See base class."""
         return None if self._abort is None else self._sent_since
 
--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -28,6 +28,7 @@
 from swiftstile import clocks
 from swiftstile import logs
 from swiftstile.gateway import caller_input
+from swiftstile.gateway import caller_output
 from swiftstile.gateway import caller_requests
 from swiftstile.gateway import memory_account
 from swiftstile.gateway import open_connections
@@ -126,8 +127,7 @@
         self.last_response_at = clocks.monotonic()
         self.head_started_at: float | None = None
         self._head_bytes = 0
-        self._unsent_bytes = 0
-        self._unsent_since = 0.0
+        self._output = caller_output.UnsentOutput()
         self.ssl_context = None
         self.peername = None
         self.sockname = None
@@ -154,20 +154,9 @@
 
         Has to be called regularly, as it compares with the last call.
         """
-        self._update_unsent(now)
-        stopped_s = now - self._unsent_since
-        return self._unsent_bytes > 0 and stopped_s > timeout_s
-
-    def _update_unsent(self, now: float) -> None:
-        unsent = 0
-        if self.transport is not None:
-            unsent = self.transport.get_write_buffer_size()
-        if unsent == self._unsent_bytes == 0:
-            return
-        if not unsent or unsent < self._unsent_bytes or not self._unsent_bytes:
-            self._unsent_since = now
-        self._unsent_bytes = unsent
-        self._record_held()
+        if self._output.update(self.transport, now):
+            self._record_held()
+        return self._output.is_stuck(timeout_s, now)
 
     @property
     def _accepts_input(self) -> bool:
@@ -189,22 +178,22 @@
         is_arriving = last.hold.is_receiving and last.can_refuse
         return last.arrived if is_arriving else None
 
-    def held_since(self) -> float | None:
+    def progressed_at(self) -> float | None:
         """See base class."""
         if not self._accepts_input:
             return None
-        first = self._queue.first_refusable()
-        if first is not None:
-            return first.arrived
-        if self._unsent_bytes >= _MIN_EVICTED_BYTES:
-            return self._unsent_since
+        refusable = self._queue.largest_refusable()
+        if refusable is not None:
+            return refusable.hold.progress_at
+        if self._output.count >= _MIN_EVICTED_BYTES:
+            return self._output.since
         if self._input.count >= _MIN_EVICTED_BYTES:
             return self.head_started_at or self.last_response_at
         return None
 
     def evict(self) -> None:
         """See base class."""
-        if self._queue.first_refusable() is None and self._unsent_bytes:
+        if self._queue.largest_refusable() is None and self._output.count:
             self.abort()
             self._memory.record(self, 0)
             return
@@ -216,19 +205,18 @@
 
     def refuse(self, error: outcomes.GatewayError) -> None:
         """See base class."""
-        first = self._queue.first_refusable()
-        if first is None:
-            self._append_placeholder(None)
-            first = self._queue.last
+        refused = self._queue.largest_refusable()
         self._stop_input()
-        self._queue.drop_behind(first)
-        self._end_request(first, error)
+        if refused is None and self._append_placeholder(None):
+            refused = self._queue.last
+        if refused is None:
+            # The connection closes after a response that it owes.
+            return
+        self._queue.drop_behind(refused)
+        self._end_request(refused, error)
 
     def stalled_request(self, now: float) -> request_holds.RequestHold | None:
-        """Returns the request whose body stopped arriving, if any.
-
-        Has to be called regularly, as it compares with earlier calls.
-        """
+        """Returns the request whose body stopped arriving, if any."""
         if not self._queue or not self._accepts_input:
             return None
         hold = self._queue.last.hold
@@ -276,7 +264,7 @@
             self._memory.record(self, 0)
             return
         copies = 1 if self._queue else caller_input.HEAD_COPIES
-        held = _CONNECTION_BYTES + self._unsent_bytes
+        held = _CONNECTION_BYTES + self._output.count
         held += copies * self._input.count
         self._memory.record(self, held + self._queue.held_bytes)
 
@@ -331,6 +319,10 @@
             self._unparsed += data
         else:
             self._parse(self._unparsed + data)
+        if self._queue:
+            hold = self._queue.last.hold
+            if hold.is_receiving:
+                hold.note_received(clocks.monotonic())
         self._record_held()
 
     def _parse(self, data: bytes) -> None:
@@ -377,21 +369,24 @@
         if self._is_reading_paused and self.transport is not None:
             self.transport.pause_reading()
 
-    def _append_placeholder(self, error: Exception | None) -> None:
+    def _append_placeholder(self, error: Exception | None) -> bool:
         """Adds a request in place of one that can't be read.
 
         Args:
             error: Why it can't be parsed, if it was tried.
+
+        Returns:
+            Whether it is answered.
         """
         now = clocks.monotonic()
-        self._append_request(
+        return self._append_request(
             _MALFORMED_PLACEHOLDER, streams.EMPTY_PAYLOAD, now, error
         )
 
-    def _append_request(self, message, payload, now: float, error=None) -> None:
+    def _append_request(self, message, payload, now: float, error=None) -> bool:
         if self._queue and self._queue.last.is_last:
             # Pipelined after a request that closes the connection.
-            return
+            return False
         request = web_request.BaseRequest(
             message,
             payload,
@@ -415,6 +410,7 @@
             and not self._request_received.done()
         ):
             self._request_received.set_result(None)
+        return True
 
     def _track_head(
         self, has_messages: bool, read_bytes: int, now: float
@@ -550,7 +546,7 @@
         self._queue.remove_first()
         self._has_responded = True
         self.last_response_at = now = clocks.monotonic()
-        self._update_unsent(now)
+        self._output.update(self.transport, now)
         if self._is_reading_paused and self._queue.has_space:
             self._is_reading_paused = False
             # The parser has kept the data behind the last request it returned.
--- a/src/swiftstile/gateway/memory_account.py
+++ b/src/swiftstile/gateway/memory_account.py
@@ -2,8 +2,7 @@
 
 An account has a part for each kind of peer, so that a crowd of one kind can't
 use up the memory of another. A part that is full evicts what holds most for
-longest without being done: bytes times seconds decide, so that a client gains
-nothing by sending a byte now and then.
+longest without progress: bytes times seconds decide.
 """
 
 import abc
@@ -29,8 +28,8 @@
     held_bytes = 0
 
     @abc.abstractmethod
-    def held_since(self) -> float | None:
-        """Returns since when it holds them; None if it can't be evicted."""
+    def progressed_at(self) -> float | None:
+        """Returns when it last made progress; None if it can't be evicted."""
 
     @abc.abstractmethod
     def evict(self) -> None:
@@ -90,7 +89,7 @@
     def _worst_first(self, now: float) -> list[Holder]:
         costs = []
         for holder in self._watched:
-            since = holder.held_since()
+            since = holder.progressed_at()
             if since is not None:
                 cost = (holder.held_bytes * (now - since), holder.held_bytes)
                 costs.append((cost, id(holder), holder))
--- a/src/swiftstile/gateway/request_holds.py
+++ b/src/swiftstile/gateway/request_holds.py
@@ -35,6 +35,8 @@
         is_passed_on: Whether a part of it may have been sent to an upstream or
             to another VM. Only until then it can be refused with the promise
             that it never runs.
+        progress_at: When enough of its body had arrived since the time before;
+            a few bytes now and then don't count.
         is_refused: Whether it was refused.
         refusal: Why, until `take_refusal` was called.
     """
@@ -42,13 +44,13 @@
     __slots__ = (
         "_on_change",
         "_payload",
-        "_progress_at",
         "_progress_bytes",
         "_released_bytes",
         "buffer",
         "head_bytes",
         "is_passed_on",
         "is_refused",
+        "progress_at",
         "refusal",
     )
 
@@ -63,7 +65,7 @@
         self._on_change = on_change
         self._released_bytes = 0
         self._progress_bytes = 0
-        self._progress_at = clocks.monotonic()
+        self.progress_at = clocks.monotonic()
         self.buffer = piece_buffers.PieceBuffer()
         self.is_passed_on = False
         self.is_refused = False
@@ -82,17 +84,15 @@
         """Whether its body hasn't arrived completely."""
         return self._payload is not None and not self._payload.is_eof()
 
-    def is_stalled(self, now: float) -> bool:
-        """Whether its body stopped arriving.
-
-        Has to be called regularly, as it compares with earlier calls.
-        """
-        if not self.is_receiving:
-            return False
+    def note_received(self, now: float) -> None:
+        """Records progress if enough of its body arrived since the last."""
         received = self._payload.total_bytes
         if received - self._progress_bytes >= _MIN_PROGRESS_BYTES:
-            self._progress_bytes, self._progress_at = received, now
-        return now - self._progress_at >= STALL_S
+            self._progress_bytes, self.progress_at = received, now
+
+    def is_stalled(self, now: float) -> bool:
+        """Whether its body stopped arriving."""
+        return self.is_receiving and now - self.progress_at >= STALL_S
 
     @property
     def can_refuse(self) -> bool:
--- a/src/swiftstile/gateway/request_queue.py
+++ b/src/swiftstile/gateway/request_queue.py
@@ -91,14 +91,20 @@
         if self._pending:
             self._pending[0].note_turn()
 
-    def first_refusable(self) -> caller_requests.PendingRequest | None:
-        """Returns the first request behind all that can't be refused."""
-        first = None
+    def largest_refusable(self) -> caller_requests.PendingRequest | None:
+        """Returns the request that holds most behind all that must be answered.
+
+        Returns:
+            The first of these that holds so much; None if there is none.
+        """
+        largest = None
         for pending in reversed(self._pending):
             if not pending.can_refuse:
                 break
-            first = pending
-        return first
+            held = pending.hold.held_bytes
+            if largest is None or held >= largest.hold.held_bytes:
+                largest = pending
+        return largest
 
     def drop_behind(self, pending: caller_requests.PendingRequest) -> None:
         """Drops the requests behind one."""
