Play crowds of clients beside the faults of a soak

Cause: the soak's callers behaved, and its VMs had more memory and descriptors than they could use. Crowds have a seed of their own, so that the faults of a seed stay the same.

--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -10,8 +10,9 @@
 don't answer grants; callers repeat requests that crash servers or make them
 stop answering, and may leave before; servers state rate limits, announce their
 exit in answers or ask for pauses; they send bytes that belong to no request,
-also without end, and reject requests meanwhile; callers pipeline. The checks
-use only what callers and servers observe.
+also without end, and reject requests meanwhile; callers pipeline; crowds of
+clients hold much and finish little at VMs with little memory. The checks use
+only what callers and servers observe, and the memory of the VMs.
 """
 
 import argparse
@@ -27,6 +28,7 @@
 from tests.integration import foreign_bytes
 from tests.integration import gateways
 from tests.integration import link_cuts
+from tests.integration import soak_crowds
 from tests.integration import statement_checks
 from tests.integration import users_standins
 
@@ -481,8 +483,14 @@
 class ProxiedSite(gateways.Site):
     """A site whose servers are behind proxies."""
 
-    def __init__(self, folder: pathlib.Path, count: int, seed: int):
-        super().__init__(folder, count, seed)
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        count: int,
+        seed: int,
+        limits: dict[str, float] | None = None,
+    ):
+        super().__init__(folder, count, seed, limits=limits)
         self.proxies: list[Proxy] = []
 
     async def add_server(self, service: str, zone: str):
@@ -511,7 +519,9 @@
         has_all_kinds: Whether all kinds of faults are drawn.
         vms: Number of VMs, each a process.
     """
-    site = ProxiedSite(folder, vms, seed)
+    limits = soak_crowds.LIMITS if has_all_kinds else None
+    site = ProxiedSite(folder, vms, seed, limits)
+    visits = soak_crowds.CrowdVisits(site, seed)
     async with site.running():
         if has_all_kinds:
             route = users_standins.keyed_write_route("/orders/")
@@ -520,7 +530,11 @@
         soak = Soak(site, seed, has_all_kinds)
         load_ended = asyncio.Event()
         load = asyncio.create_task(site.callers.load(_RATE, load_ended))
+        crowds = asyncio.create_task(visits.run()) if has_all_kinds else None
         await soak.run(seconds)
+        if crowds is not None:
+            crowds.cancel()
+            await asyncio.wait([crowds])
         load_ended.set()
         await load
         violations = site.violated_guarantees()
@@ -531,9 +545,11 @@
             violations.append(f"not all keys are served after {_RECOVERY_S} s")
         violations += site.violated_guarantees()
         violations += _wrongly_refused(site)
+        violations += visits.violations()
         for proxy in site.proxies:
             proxy.close()
-    (folder / "history").write_text("\n".join(soak.history))
+    history = soak.history + visits.history
+    (folder / "history").write_text("\n".join(history))
     (folder / "counts").write_text(str(site.callers.counts()))
     (folder / "stalls").write_text("\n".join(map(str, site.stalls.stalls)))
     return sorted(set(violations))
