Read the answer of a crowd's own request behind pipelined ones

Cause: the check of broken promises took a client's first answer for that of its request. With 20 pipelined reads in front it is the first read's, which may be refused while the request runs. Change: a client knows how many requests it sends in front of its own, and the check takes the answer at that place. It is as strict: every promising answer to a request that ran is still reported.

--- a/tests/integration/crowds.py
+++ b/tests/integration/crowds.py
@@ -28,12 +28,20 @@
 
     Attributes:
         attempt: Id of its request.
+        position: Number of requests that it sends in front of that.
         statuses: Statuses that it was answered, in order.
     """
 
     attempt: str
+    position: int = 0
     statuses: list[int] = dataclasses.field(default_factory=list)
 
+    @property
+    def status(self) -> int | None:
+        """Status of the answer to its request; None if there was none."""
+        answers = self.statuses[self.position : self.position + 1]
+        return answers[0] if answers else None
+
 
 class Behaviour(abc.ABC):
     """What a client does on its connection.
@@ -97,6 +105,7 @@
 
     async def send(self, writer, client) -> None:
         """See base class."""
+        client.position = self.before
         for _ in range(self.before):
             attempt = Client(uuid.uuid4().hex[:16])
             writer.write(
@@ -299,10 +308,9 @@
         """
         ran = {run.attempt for run in runs}
         return [
-            f"{client.attempt} was refused with {client.statuses[0]} and ran"
+            f"{client.attempt} was refused with {client.status} and ran"
             for client in self.clients
-            if client.attempt in ran
-            and PROMISING_STATUSES.intersection(client.statuses[:1])
+            if client.attempt in ran and client.status in PROMISING_STATUSES
         ]
 
 
