Log each request that a stopping process leaves unanswered

Cause: a request that was open when the process ended left no line: the last flush of the log came before the event loop cancelled its task, and that task would have reported that its caller had left. Change: each request has a stage (RequestStage). At its end the process writes one line for each open request (event cut, with stage, upstream and the number of earlier requests on its connection), counts them as cut, and flushes the log last. The lines of the stop carry the stages, the connections closed as idle and those on which a part of a head arrived. No decision changes.

--- a/src/swiftstile/explain.py
+++ b/src/swiftstile/explain.py
@@ -38,6 +38,7 @@
     "registration of an older copy not believed": "upstream",
     "gateway started": "",
     "gateway drains": "",
+    "idle connections closed": "",
     "process stood still": "",
     "moves wait for the store": "service",
     "release unanswered": "upstream",
--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -86,6 +86,7 @@
 
     Attributes:
         last_response_at: When the last request was answered.
+        answered_count: Requests that were answered.
         head_started_at: When reading an incomplete head started, if there is
             one.
         ssl_context, peername, sockname: Attributes that `aiohttp` requires.
@@ -123,7 +124,7 @@
         self._has_ended = False
         # The request that `_task` handles, until its response is known.
         self._handled: caller_requests.PendingRequest | None = None
-        self._has_responded = False
+        self.answered_count = 0
         self.last_response_at = clocks.monotonic()
         self.head_started_at: float | None = None
         self._head_bytes = 0
@@ -166,7 +167,7 @@
         """See base class."""
         if self._queue or self._head_bytes or self._is_closing:
             return None
-        return self._has_responded, self.last_response_at
+        return self.answered_count > 0, self.last_response_at
 
     def arriving_since(self) -> float | None:
         """See base class."""
@@ -280,6 +281,10 @@
         if self.transport is not None:
             self.transport.close()
 
+    def unanswered(self) -> list[caller_requests.PendingRequest]:
+        """Returns the requests that were read and not answered, in order."""
+        return list(self._queue)
+
     def connection_made(self, transport) -> None:
         """See base class."""
         super().connection_made(transport)
@@ -507,10 +512,12 @@
             response = await self._respond(pending)
             self._handled = None
         pending.has_response = True
+        pending.hold.stage = request_holds.RequestStage.ANSWERING
         if self._is_last_response(pending):
             response.force_close()
         await response.prepare(pending.request)
         await response.write_eof()
+        pending.hold.stage = request_holds.RequestStage.ANSWERED
         self._is_closing |= not response.keep_alive
         await self._discard_body(pending)
 
@@ -544,7 +551,7 @@
 
     def _finish_request(self) -> None:
         self._queue.remove_first()
-        self._has_responded = True
+        self.answered_count += 1
         self.last_response_at = now = clocks.monotonic()
         self._output.update(self.transport, now)
         if self._is_reading_paused and self._queue.has_space:
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -31,6 +31,7 @@
 from swiftstile.gateway import map_catch_up as map_catch_up_lib
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
+from swiftstile.gateway import open_requests as open_requests_lib
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
@@ -98,6 +99,7 @@
         forwarder: forwarding.PeerForwarder,
         forwards: forward_listener.ForwardListener,
         log: decision_log.BoundedLog,
+        open_requests: open_requests_lib.OpenRequests,
         assignment: key_assignment.KeyAssignment,
         grace_s: float,
         meters: metrics.Meters,
@@ -138,6 +140,7 @@
         self._forwarder = forwarder
         self._forwards = forwards
         self._log = log
+        self._open_requests = open_requests
         self._key_assignment = assignment
         self._grace_s = grace_s
         self.meters = meters
@@ -161,10 +164,15 @@
             if task.done():
                 task.result()
         await self._drain()
+        cut = self._open_requests.cut()
         for task in tasks:
             task.cancel()
         await asyncio.wait(tasks, timeout=0.1)
-        logs.logger.info("gateway stopped")
+        logs.logger.info(
+            "gateway stopped",
+            cut=cut,
+            requests=self.meters.requests.by_label(),
+        )
 
     def _run_by_duty(
         self,
@@ -213,7 +221,11 @@
 
     async def _drain(self) -> None:
         started = clocks.monotonic()
-        logs.logger.info("gateway drains", in_flight=self._frontend.in_flight)
+        logs.logger.info(
+            "gateway drains",
+            in_flight=self._frontend.in_flight,
+            stages=self._open_requests.count_by_stage(),
+        )
         self._is_leaving = True
         self._frontend.is_leaving = True
         self._forwards.is_leaving = True
@@ -224,7 +236,12 @@
         await asyncio.sleep(LINGER_S)
         self._frontend.stop_listening()
         self._forwards.stop_listening()
-        self._frontend.close_idle()
+        logs.logger.info(
+            "idle connections closed",
+            closed=self._frontend.close_idle(),
+            stages=self._open_requests.count_by_stage(),
+            partial_heads=self._frontend.partial_heads,
+        )
         self._frontend.is_draining = True
         end = started + self._grace_s - GRACE_MARGIN_S
         while self._in_flight and clocks.monotonic() < end:
--- a/src/swiftstile/gateway/decision_log.py
+++ b/src/swiftstile/gateway/decision_log.py
@@ -37,7 +37,8 @@
         vm: The VM that decided.
         at_ms: Time in milliseconds since the Unix epoch.
         event: `sent`, `not-run` (an upstream rejected it), `answered`,
-            `unanswered`, `refused`, `failed` or `abandoned`.
+            `unanswered`, `refused`, `failed`, `abandoned` or `cut` (the process
+            stopped before it was answered).
         route: Name of the route.
         service: The service selected by the route's traffic split.
         upstream: The upstream that it was or would have been sent to.
@@ -75,6 +76,8 @@
         sent_ms: Time since the request was sent, of all exchanges.
         connection: Number of the connection to the upstream.
         exchange: Number of the request on that connection, starting at 1.
+        stage: What it waited for when it was cut; a `RequestStage`.
+        earlier: Requests that its caller's connection carried before it.
     """
 
     id: str
@@ -112,6 +115,8 @@
     sent_ms: float = 0
     connection: int = 0
     exchange: int = 0
+    stage: str = ""
+    earlier: int = 0
 
 
 class RequestTrace:
--- a/src/swiftstile/gateway/frontend.py
+++ b/src/swiftstile/gateway/frontend.py
@@ -94,14 +94,29 @@
         """Stops accepting connections."""
         self._listener.close()
 
-    def close_idle(self) -> None:
-        """Closes connections without requests in progress."""
-        for connection in self._connections:
-            if (
-                not connection.pending_count
-                and connection.head_started_at is None
-            ):
-                connection.close()
+    def close_idle(self) -> int:
+        """Closes connections without requests in progress.
+
+        Returns:
+            The number of connections.
+        """
+        idle = [
+            connection
+            for connection in self._connections
+            if not connection.pending_count
+            and connection.head_started_at is None
+        ]
+        for connection in idle:
+            connection.close()
+        return len(idle)
+
+    @property
+    def partial_heads(self) -> int:
+        """Number of connections on which only a part of a head arrived."""
+        return sum(
+            connection.head_started_at is not None
+            for connection in self._connections
+        )
 
     async def enforce_timeouts(self) -> None:
         """Closes connections that exceed the idle or header timeout."""
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -26,6 +26,7 @@
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits as permits_lib
 from swiftstile.gateway import request_bodies
+from swiftstile.gateway import request_holds
 from swiftstile.gateway import responses
 from swiftstile.gateway import retries
 from swiftstile.gateway import service_samples
@@ -159,7 +160,7 @@
             if refusal is not None:
                 self._record_error(inbound, route, refusal, arrived, trace)
             else:
-                _record_abandoned(inbound, arrived, trace)
+                _record_abandoned(incoming.hold, inbound, arrived, trace)
             raise
         finally:
             trace.finish(succeeded)
@@ -280,6 +281,7 @@
         self._check_sizes(request, config.limits)
         body = request_bodies.RequestBody()
         if request.body_exists:
+            incoming.hold.stage = request_holds.RequestStage.RECEIVING
             await _send_continue(request)
             body = await request_bodies.read_body(
                 request.content,
@@ -321,6 +323,7 @@
             if self._needs_other_vm(state):
                 call.begin_send()
                 return await self._forward(call, waiter, origin, state, trace)
+            call.hold.stage = request_holds.RequestStage.WAITING
             try:
                 with self.upload_slots.waiting(waiter.service):
                     target = await self._permits.acquire(waiter)
@@ -567,6 +570,7 @@
     def _record_send(self, call, waiter, target, state, trace) -> None:
         """Records that a request is sent, or forwarded if `target` is None."""
         now = clocks.monotonic()
+        call.hold.upstream = "" if target is None else target.id
         config = self.config
         trace.add(
             decision_log.RequestDecision(
@@ -666,11 +670,17 @@
 
 
 def _record_abandoned(
+    hold: request_holds.RequestHold,
     inbound: interfaces.RequestMetadata,
     arrived: float,
     trace: decision_log.RequestTrace,
 ) -> None:
-    """Records that a caller left before its answer."""
+    """Records that a caller left before its answer.
+
+    Requests that end with the process have a line already.
+    """
+    if hold.is_cut:
+        return
     trace.add(
         decision_log.RequestDecision(
             id=inbound.attempt_id,
--- a/src/swiftstile/gateway/request_holds.py
+++ b/src/swiftstile/gateway/request_holds.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import enum
 
 from aiohttp import streams
 
@@ -9,7 +10,7 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import piece_buffers
 
-__all__ = ["STALL_S", "RequestHold"]
+__all__ = ["STALL_S", "RequestHold", "RequestStage"]
 
 # A body is stalled if less than this arrived of it in this time. It is less
 # than a body that is too long to buffer needs to arrive within a minute.
@@ -17,6 +18,17 @@
 _MIN_PROGRESS_BYTES = 1 << 14
 
 
+class RequestStage(enum.Enum):
+    """What a request that was read waits for."""
+
+    QUEUED = "queued"  # for earlier requests of its connection
+    RECEIVING = "receiving"  # for its body
+    WAITING = "waiting"  # for a slot
+    SENT = "sent"  # for an upstream, or the VM that it was forwarded to
+    ANSWERING = "answering"  # for its response to be written
+    ANSWERED = "answered"  # for the rest of its body, which is discarded
+
+
 def _ignore_change() -> None:
     """Does nothing."""
 
@@ -38,6 +50,9 @@
         progress_at: When enough of its body had arrived since the time before;
             a few bytes now and then don't count.
         is_refused: Whether it was refused.
+        is_cut: Whether the process stopped before it was answered.
+        stage: What it waits for.
+        upstream: The upstream or VM that it was sent to last.
         refusal: Why, until `take_refusal` was called.
     """
 
@@ -48,10 +63,13 @@
         "_released_bytes",
         "buffer",
         "head_bytes",
+        "is_cut",
         "is_passed_on",
         "is_refused",
         "progress_at",
         "refusal",
+        "stage",
+        "upstream",
     )
 
     def __init__(
@@ -69,6 +87,9 @@
         self.buffer = piece_buffers.PieceBuffer()
         self.is_passed_on = False
         self.is_refused = False
+        self.is_cut = False
+        self.stage = RequestStage.QUEUED
+        self.upstream = ""
         self.refusal: outcomes.GatewayError | None = None
 
     @property
@@ -108,6 +129,7 @@
         if self.is_refused:
             raise self.take_refusal()
         self.is_passed_on = True
+        self.stage = RequestStage.SENT
 
     def take_refusal(self) -> outcomes.GatewayError:
         """Returns why it was refused, and forgets that.
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -48,6 +48,7 @@
 from swiftstile.gateway import measurements
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
+from swiftstile.gateway import open_requests
 from swiftstile.gateway import outage
 from swiftstile.gateway import owners
 from swiftstile.gateway import peer_limits
@@ -479,6 +480,15 @@
                 self._peer_limits.forwards,
             ),
             self._request_log,
+            open_requests.OpenRequests(
+                [
+                    self._peer_limits.callers.connections,
+                    self._peer_limits.forwards.connections,
+                ],
+                adapters.dialect,
+                self._request_log,
+                self._meters,
+            ),
             key_assignment.KeyAssignment(
                 self._make_key_assigner, self._supervisor
             ),
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -764,7 +764,7 @@
     return {"entry_type": entry_type, "metadata": {"name": name}, "spec": spec}
 
 
-def plain_route(prefix: str, kind: str) -> dict:
+def plain_route(prefix: str, kind: str, timeout: str = "2000ms") -> dict:
     """Returns an additional route to the plain service, with one attempt."""
     return _entry(
         "routes",
@@ -772,7 +772,7 @@
         host="a.example",
         prefix=prefix,
         kind=kind,
-        timeout="2000ms",
+        timeout=timeout,
         service="plain",
         max_attempts=1,
     )
