--- a/tests/integration/test_late_requests.py
+++ b/tests/integration/test_late_requests.py
@@ -93,3 +93,83 @@
         assert {"cut", "failed"} & set(events), events
 
     asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
+
+
+def test_uploads_whose_bodies_end_late_in_a_stop_are_not_cut(tmp_path):
+    async def scenario(site):
+        gateway = await _prepare(site, work_s=0.5)
+        channel = await _Channel.open(gateway)
+        gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(2.9)
+        attempt = channel.send_head(60_000)
+        answer = asyncio.create_task(channel.status())
+        for _ in range(25):
+            await asyncio.sleep(0.1)
+            channel.send_body(2400)
+        assert await answer in (200, 503), _events(gateway, attempt)
+
+    asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
+
+
+def test_requests_that_wait_for_slots_in_a_stop_are_refused_in_time(tmp_path):
+    async def scenario(site):
+        gateway = await _prepare(site, work_s=1.5)
+        channels = [await _Channel.open(gateway) for _ in range(60)]
+        gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(2.5)
+        sent_at = asyncio.get_running_loop().time()
+
+        async def upload(channel: _Channel) -> tuple[int, float]:
+            _, status = await channel.upload(1000)
+            return status, asyncio.get_running_loop().time() - sent_at
+
+        ended = await asyncio.gather(*map(upload, channels))
+        assert {status for status, _ in ended} <= {200, 503}, ended
+        # At the half of the time left at the latest, a caller goes elsewhere.
+        refused_s = [after_s for status, after_s in ended if status == 503]
+        assert max(refused_s, default=0) < 3.0, refused_s
+
+    asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
+
+
+def test_requests_for_a_silent_upstream_are_answered_before_the_exit(tmp_path):
+    async def scenario(site):
+        gateway = await _prepare(site, work_s=30)
+        channel = await _Channel.open(gateway)
+        gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        # What became of it is unknown, and its caller learns that.
+        assert (await channel.upload(1000))[1] == 502
+
+    asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
+
+
+def test_requests_read_behind_another_one_in_a_stop_are_answered(tmp_path):
+    async def scenario(site):
+        gateway = await _prepare(site, work_s=0.5)
+        channel = await _Channel.open(gateway)
+        gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(1)
+        for _ in range(2):
+            channel.send_head(1000)
+            channel.send_body(1000)
+        statuses = [await channel.status() for _ in range(2)]
+        assert statuses[0] == 200
+        assert statuses[1] in (200, 503)
+
+    asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
+
+
+def test_stop_ends_before_a_short_grace(tmp_path):
+    async def scenario(site):
+        gateway = site.gateways[0]
+        text = gateway.settings.read_text().replace("grace = 6s", "grace = 1s")
+        gateway.settings.write_text(text)
+        await gateway.stop(signal.SIGTERM)
+        await gateway.start()
+        await site.until(site.is_serving, 20)
+        started = asyncio.get_running_loop().time()
+        assert await gateway.stop(signal.SIGTERM) == 0
+        assert asyncio.get_running_loop().time() - started < 1
+
+    asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
