Send no request that a stopping VM can't expect to answer

What callers saw: around a planned stop of their VM, requests that had been read and sent to an upstream ended with their channel, without an answer (LOST); so did requests that waited for slots, and requests behind another one. Cause: nobody owned the end of a request at a stop. Three flags and a count of requests decided: requests were taken and sent until the last moment, waits went on to the end, and what was left at grace - 0.4 s was dropped with the event loop. Change: PlannedStop names the phases of a stop and its times as shares of the grace. A request that was received in the first half of the grace is sent while its usual time is left; a later one only if even its deadline is within the stop; all others are refused at once with 503, whether their body arrives, they wait for a slot or are to be sent again (SendLimits). At the end (0.9 of the grace) requests without an answer get one: 503 if nothing was sent, else 502. While a VM leaves, all requests that were read are answered before their channel closes, its sending side first, and the process waits until its answers are delivered. An upload that was passed on isn't ended any more for a pause during the stop. A test changes: requests that were read behind the closing response of a leaving VM were dropped by design (test_started_requests_are_answered_before_...); now all are answered in order and only the last answer closes the channel.

--- a/src/swiftstile/gateway/caller_output.py
+++ b/src/swiftstile/gateway/caller_output.py
@@ -28,6 +28,11 @@
         self.count = count
         return True
 
+    @staticmethod
+    def is_unsent(transport: asyncio.Transport | None) -> bool:
+        """Whether a connection's send buffer holds anything now."""
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def is_stuck(self, timeout_s: float, now: float) -> bool:
         """Whether nothing of it was taken for a time."""
         return self.count > 0 and now - self.since > timeout_s
--- a/src/swiftstile/gateway/caller_requests.py
+++ b/src/swiftstile/gateway/caller_requests.py
@@ -56,8 +56,7 @@
     """Handles the requests of callers.
 
     Attributes:
-        is_leaving: Whether connections are closed once the requests in progress
-            have been answered.
+        is_leaving: Whether connections close once their requests are answered.
     """
 
     is_leaving = False
--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import collections.abc
 
 import aiohttp
 from aiohttp import base_protocol
@@ -121,6 +122,7 @@
         self._input = caller_input.UnparsedInput()
         self._is_closing = False
         self._ignores_input = False
+        self._is_lingering = False
         self._has_ended = False
         # The request that `_task` handles, until its response is known.
         self._handled: caller_requests.PendingRequest | None = None
@@ -281,6 +283,31 @@
         if self.transport is not None:
             self.transport.close()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request isn't answered, or an answer isn't delivered."""
+        return (
+            bool(self._queue)
+            or self._is_lingering
+            or self._output.is_unsent(self.transport)
+        )
+
+    def end_requests(
+        self,
+        make_error: collections.abc.Callable[
+            [request_holds.RequestHold], outcomes.GatewayError
+        ],
+    ) -> None:
+        """Answers all requests that have no response yet with errors.
+
+        Args:
+            make_error: Returns the error of a request.
+        """
+        for pending in self._queue:
+            if not pending.has_response:
+                pending.hold.refuse(make_error(pending.hold))
+                self._loop.call_soon(self._cancel_refused, pending)
+
     def unanswered(self) -> list[caller_requests.PendingRequest]:
         """Returns the requests that were read and not answered, in order."""
         return list(self._queue)
@@ -471,7 +498,7 @@
                 pending = await self._next_request()
                 await self._send_response(pending)
                 self._finish_request()
-            if self._ignores_input:
+            if self._ignores_input or self._responder.is_leaving:
                 await self._linger()
         except ConnectionError as error:
             # The caller closed the connection during the response.
@@ -498,6 +525,8 @@
 
     async def _linger(self) -> None:
         """Lets the last response arrive before the connection closes."""
+        self._stop_input()
+        self._is_lingering = True
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
             await asyncio.sleep(LINGER_S)
@@ -514,6 +543,8 @@
         pending.has_response = True
         pending.hold.stage = request_holds.RequestStage.ANSWERING
         if self._is_last_response(pending):
+            # No request is read behind it.
+            pending.is_last = True
             response.force_close()
         await response.prepare(pending.request)
         await response.write_eof()
@@ -526,14 +557,10 @@
     ) -> bool:
         """Whether a response is the last one on its connection.
 
-        While this VM drains, all started requests are answered first, so that
-        requests behind the closing response are known not to have been sent to
-        any upstream.
+        While this VM leaves, all requests that were read are answered first.
         """
-        is_leaving = self._responder.is_leaving
-        return pending.is_last or (
-            is_leaving and not self._queue.has_started_second
-        )
+        is_alone = self._queue.last is pending
+        return pending.is_last or (self._responder.is_leaving and is_alone)
 
     async def _discard_body(
         self, pending: caller_requests.PendingRequest
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -32,12 +32,14 @@
 from swiftstile.gateway import membership
 from swiftstile.gateway import model
 from swiftstile.gateway import open_requests as open_requests_lib
+from swiftstile.gateway import planned_stop
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
 from swiftstile.gateway import registry as registry_lib
 from swiftstile.gateway import relay
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
+from swiftstile.gateway import send_limits as send_limits_lib
 from swiftstile.gateway import speeds
 from swiftstile.gateway import supervision
 from swiftstile.gateway import suspects
@@ -51,11 +53,6 @@
 TICK_S = 0.1
 # Interval of updates of targets' slowness; measurements stay valid for seconds.
 SLOWNESS_INTERVAL_S = 0.5
-# Callers keep arriving for this long after the signal to stop: the load
-# balancer checks once a second and removes a VM after two failures.
-LINGER_S = 3.2
-# A stopping process aborts what is still running this long before it is killed.
-GRACE_MARGIN_S = 0.4
 
 
 class GatewayDaemon(inspection.Inspectable):
@@ -101,7 +98,7 @@
         log: decision_log.BoundedLog,
         open_requests: open_requests_lib.OpenRequests,
         assignment: key_assignment.KeyAssignment,
-        grace_s: float,
+        send_limits: send_limits_lib.SendLimits,
         meters: metrics.Meters,
         supervisor: supervision.Supervisor,
     ):
@@ -142,10 +139,9 @@
         self._log = log
         self._open_requests = open_requests
         self._key_assignment = assignment
-        self._grace_s = grace_s
+        self._send_limits = send_limits
         self.meters = meters
         self._started = clocks.monotonic()
-        self._is_leaving = False
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until `stopping` is set, then completes requests in flight."""
@@ -202,7 +198,7 @@
 
     def _is_ready(self) -> bool:
         return (
-            not self._is_leaving
+            not self.is_leaving
             and self._handler.config is not None
             and self._handler.is_informed(clocks.monotonic())
             and self._can_send()
@@ -217,23 +213,32 @@
     @property
     def is_leaving(self) -> bool:
         """Whether it is shutting down."""
-        return self._is_leaving
+        return self._send_limits.stop.has_begun
 
     async def _drain(self) -> None:
-        started = clocks.monotonic()
+        now = clocks.monotonic()
+        stop = self._send_limits.stop
+        self._send_limits.begin_stop(now)
         logs.logger.info(
             "gateway drains",
             in_flight=self._frontend.in_flight,
             stages=self._open_requests.count_by_stage(),
         )
-        self._is_leaving = True
-        self._frontend.is_leaving = True
-        self._forwards.is_leaving = True
         self._key_assignment.drop_leader_state()
-        self._renewer.stop(started)
+        self._renewer.stop(now)
         self._peers.send_now(self._report(self._peers.next_sequence()))
         step_down = asyncio.create_task(self._leadership.step_down())
-        await asyncio.sleep(LINGER_S)
+        await self._wait_until_answered(stop.arrivals_end_at, is_early=False)
+        self._stop_arrivals()
+        await self._wait_until_answered(stop.ends_at)
+        stop.phase = planned_stop.Phase.ENDED
+        self._open_requests.end()
+        self._frontend.close_idle()
+        await self._wait_until_answered(stop.exits_at)
+        step_down.cancel()
+
+    def _stop_arrivals(self) -> None:
+        self._send_limits.stop.phase = planned_stop.Phase.FINISHING
         self._frontend.stop_listening()
         self._forwards.stop_listening()
         logs.logger.info(
@@ -242,17 +247,20 @@
             stages=self._open_requests.count_by_stage(),
             partial_heads=self._frontend.partial_heads,
         )
-        self._frontend.is_draining = True
-        end = started + self._grace_s - GRACE_MARGIN_S
-        while self._in_flight and clocks.monotonic() < end:
-            await asyncio.sleep(TICK_S / 2)
-        self._frontend.is_closed = True
-        self._frontend.close_idle()
-        step_down.cancel()
 
-    @property
-    def _in_flight(self) -> int:
-        return self._frontend.in_flight + self._forwards.in_flight
+    async def _wait_until_answered(
+        self, until: float, is_early: bool = True
+    ) -> None:
+        """Waits until a time, or until all requests are answered.
+
+        Args:
+            until: The time, on the monotonic clock.
+            is_early: Whether to return before it.
+        """
+        while (left_s := until - clocks.monotonic()) > 0:
+            if is_early and self._open_requests.are_answered:
+                return
+            await asyncio.sleep(min(left_s, TICK_S / 2))
 
     def _report(self, sequence: int, is_full: bool = True) -> reports.Report:
         """Returns this VM's report.
@@ -272,7 +280,7 @@
             reports.short_run(self._node.incarnation),
             sequence,
             self._leadership.is_leader,
-            self._is_leaving,
+            self.is_leaving,
             self._authority.is_authorised(now),
             self._leadership.version,
             round(store.failing_s(now), 1),
@@ -394,7 +402,7 @@
         while True:
             is_leader = self._leadership.is_leader
             await pacing.sleep_aligned(TICK_S / 2 if is_leader else TICK_S)
-            if self._is_leaving:
+            if self.is_leaving:
                 continue
             await self._leadership.tick()
             if not self._leadership.is_leader:
--- a/src/swiftstile/gateway/forward_listener.py
+++ b/src/swiftstile/gateway/forward_listener.py
@@ -23,6 +23,7 @@
 from swiftstile.gateway import open_connections
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import peer_limits
+from swiftstile.gateway import planned_stop
 from swiftstile.gateway import request_bodies
 
 __all__ = ["ForwardListener"]
@@ -50,6 +51,8 @@
         handler: Handles the requests.
         peers: The registered VMs.
         meters: Counts requests by result.
+        stop: The stop of this process.
+        limits: Limits of connections and memory.
     """
 
     def __init__(
@@ -58,9 +61,11 @@
         handler: handler_lib.RequestHandler,
         peers: gossip.Peers,
         meters: metrics.Meters,
+        stop: planned_stop.PlannedStop,
         limits: peer_limits.ListenerLimits | None = None,
     ):
         self._listen = listen
+        self._stop = stop
         self._handler = handler
         self._peers = peers
         self._meters = meters
@@ -73,6 +78,11 @@
         self._requests = 0
         self._body_bytes = 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """See base class."""
+        return self._stop.has_begun
+
     @property
     def in_flight(self) -> int:
         """Number of requests in progress."""
--- a/src/swiftstile/gateway/forwarding.py
+++ b/src/swiftstile/gateway/forwarding.py
@@ -43,6 +43,7 @@
         outcomes.ForwardLimitError,
         outcomes.NotReadyError,
         outcomes.StaleConfigError,
+        outcomes.StoppingError,
         outcomes.UnknownVmError,
     )
 )
--- a/src/swiftstile/gateway/frontend.py
+++ b/src/swiftstile/gateway/frontend.py
@@ -22,6 +22,7 @@
 from swiftstile.gateway import open_connections
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import peer_limits
+from swiftstile.gateway import planned_stop
 
 __all__ = ["Frontend", "ReadinessServer", "error_response", "listen"]
 
@@ -39,35 +40,31 @@
 
 
 class Frontend(caller_requests.Responder):
-    """Serves callers over HTTP.
-
-    Attributes:
-        is_leaving: Whether connections are closed once the requests in progress
-            have been answered.
-        is_draining: Whether requests whose bodies stall are ended, as the
-            process waits for its last requests.
-        is_closed: Whether new requests are rejected.
-    """
+    """Serves callers over HTTP."""
 
     def __init__(
         self,
         listen: str,
         handler: handler_lib.RequestHandler,
         meters: metrics.Meters,
+        stop: planned_stop.PlannedStop,
         limits: peer_limits.ListenerLimits | None = None,
     ):
         self._listen = listen
         self._handler = handler
         self._meters = meters
+        self._stop = stop
         self._limits = limits or peer_limits.unlimited()
         self._connections: open_connections.ConnectionTable[
             callers.CallerConnection
         ] = self._limits.connections
         self._malformed = MalformedLog(meters)
         self._listener: asyncio.Server | None = None
-        self.is_leaving = False
-        self.is_draining = False
-        self.is_closed = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """See base class."""
+        return self._stop.has_begun
 
     @property
     def in_flight(self) -> int:
@@ -143,11 +140,11 @@
         hold = connection.stalled_request(now)
         if hold is None:
             return
-        if self.is_draining and hold.can_refuse:
+        if self._stop.is_finishing and hold.can_refuse:
             connection.refuse(
-                outcomes.NotReadyError("about to stop", step="read body")
+                outcomes.StoppingError("the VM stops", step="read body")
             )
-        elif self.is_draining or self._handler.upload_slots.is_wanted(hold):
+        elif self._handler.upload_slots.is_wanted(hold):
             connection.end_upload(
                 outcomes.StalledUploadError(
                     "other requests wait for its slot", step="read body"
@@ -186,8 +183,6 @@
     ) -> web_response.StreamResponse:
         """See base class."""
         try:
-            if self.is_closed:
-                raise outcomes.NotReadyError("about to stop", step="accept")
             response = await self._handler.handle(incoming)
             outcome = "answered"
         except outcomes.GatewayError as error:
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -25,10 +25,12 @@
 from swiftstile.gateway import outcomes
 from swiftstile.gateway import owners
 from swiftstile.gateway import permits as permits_lib
+from swiftstile.gateway import planned_stop
 from swiftstile.gateway import request_bodies
 from swiftstile.gateway import request_holds
 from swiftstile.gateway import responses
 from swiftstile.gateway import retries
+from swiftstile.gateway import send_limits as send_limits_lib
 from swiftstile.gateway import service_samples
 from swiftstile.gateway import service_times
 from swiftstile.gateway import speeds
@@ -46,6 +48,8 @@
 # about the time until a slot becomes free.
 OVERLOADED_TARGET_PAUSE_S = 0.1
 _FIRST_ERROR_STATUS = 400
+# Most answers take less than this many times the mean.
+_USUAL_TIMES = 2
 
 
 class RequestHandler:
@@ -79,7 +83,11 @@
         prefers_returning: collections.abc.Callable[
             [], bool
         ] = caller_retries.never_enabled,
+        send_limits: send_limits_lib.SendLimits | None = None,
     ):
+        self._send_limits = send_limits or send_limits_lib.SendLimits(
+            planned_stop.PlannedStop()
+        )
         self.config: model.Config | None = None
         self.is_new_config_invalid = False
         self._permits = permits
@@ -145,6 +153,8 @@
         try:
             if incoming.hold.is_refused:
                 raise incoming.hold.take_refusal()
+            if self._stop.phase is planned_stop.Phase.ENDED:
+                raise outcomes.StoppingError("the VM stops", step="accept")
             route, config = self._route(request)
             self._check_informed(arrived)
             response = await self._serve(
@@ -283,12 +293,16 @@
         if request.body_exists:
             incoming.hold.stage = request_holds.RequestStage.RECEIVING
             await _send_continue(request)
-            body = await request_bodies.read_body(
-                request.content,
-                incoming.hold,
-                end,
-                config.limits.max_body_bytes,
-            )
+            async with self._send_limits.limited(
+                lambda: self._stop.latest_receive(end), "read body"
+            ):
+                body = await request_bodies.read_body(
+                    request.content,
+                    incoming.hold,
+                    end,
+                    config.limits.max_body_bytes,
+                )
+            incoming.hold.received_at = clocks.monotonic()
         return exchange.Call(
             request.method,
             request.raw_path,
@@ -319,15 +333,33 @@
         self, call, waiter, origin, trace
     ) -> responses.UpstreamResponse:
         state = retries.SendState(0 if origin is None else origin.sends)
+
+        def latest_send() -> float:
+            return self._latest_send(call, waiter)
+
         while True:
+            waiter.deadline = min(
+                call.deadline, latest_send() + waiter.expected_s
+            )
             if self._needs_other_vm(state):
+                self._check_time_left(latest_send, waiter, state)
                 call.begin_send()
                 return await self._forward(call, waiter, origin, state, trace)
             call.hold.stage = request_holds.RequestStage.WAITING
             try:
-                with self.upload_slots.waiting(waiter.service):
-                    target = await self._permits.acquire(waiter)
+                async with self._send_limits.limited(
+                    latest_send, "wait for a slot"
+                ):
+                    with self.upload_slots.waiting(waiter.service):
+                        target = await self._permits.acquire(waiter)
+            except outcomes.StoppingError as error:
+                raise self._retries.final_error(error, waiter, state) from error
             except outcomes.RejectedError as error:
+                if waiter.deadline < call.deadline:
+                    # It could wait at a VM that doesn't stop.
+                    error = outcomes.StoppingError(
+                        str(error), step=error.step, peer=error.peer
+                    )
                 error.peer = error.peer or self._owners.owner_name(waiter)
                 raise self._retries.final_error(error, waiter, state) from error
             if self._crash_guard.has_suspects and not call.is_probe:
@@ -396,6 +428,28 @@
             finally:
                 self._permits.release(waiter, target)
 
+    @property
+    def _stop(self) -> planned_stop.PlannedStop:
+        return self._send_limits.stop
+
+    def _latest_send(
+        self, call: exchange.Call, waiter: admission.Waiter
+    ) -> float:
+        """Returns until when a request may be sent before this VM stops."""
+        received_at = call.hold.received_at
+        return self._stop.latest_send(
+            clocks.monotonic() if received_at is None else received_at,
+            call.deadline,
+            max(waiter.route.objective_s, _USUAL_TIMES * waiter.expected_s),
+        )
+
+    def _check_time_left(self, latest_send, waiter, state) -> None:
+        """Raises the final error if this VM stops before an answer."""
+        try:
+            self._send_limits.check(latest_send, "forward")
+        except outcomes.StoppingError as error:
+            raise self._retries.final_error(error, waiter, state) from error
+
     def _needs_other_vm(self, state: retries.SendState) -> bool:
         """Whether only another VM can send a request to an upstream.
 
--- a/src/swiftstile/gateway/open_requests.py
+++ b/src/swiftstile/gateway/open_requests.py
@@ -12,6 +12,7 @@
 from swiftstile.gateway import callers
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import interfaces
+from swiftstile.gateway import outcomes
 from swiftstile.gateway import request_holds
 
 __all__ = ["OpenRequests"]
@@ -19,6 +20,18 @@
 _ANSWERED = request_holds.RequestStage.ANSWERED
 
 
+def _error_at_end(
+    hold: request_holds.RequestHold,
+) -> outcomes.GatewayError:
+    if hold.is_passed_on:
+        return outcomes.UnknownOutcomeError(
+            "the VM stopped before the answer",
+            step="read answer",
+            peer=hold.upstream,
+        )
+    return outcomes.StoppingError("the VM stops", step=hold.stage.value)
+
+
 class OpenRequests:
     """The requests of all connections of this VM that aren't answered.
 
@@ -55,6 +68,20 @@
             )
         )
 
+    @property
+    def are_answered(self) -> bool:
+        """Whether all requests are answered, and all answers delivered."""
+        return not any(connection.is_busy for connection in self)
+
+    def end(self) -> None:
+        """Answers all requests that have no response yet.
+
+        Those that weren't passed on are refused; the outcome of the others is
+        unknown.
+        """
+        for connection in self:
+            connection.end_requests(_error_at_end)
+
     def cut(self) -> int:
         """Closes all connections and records each request that ends by it.
 
--- a/src/swiftstile/gateway/outcomes.py
+++ b/src/swiftstile/gateway/outcomes.py
@@ -25,6 +25,7 @@
     "ReplacedError",
     "StaleConfigError",
     "StalledUploadError",
+    "StoppingError",
     "TimedOutError",
     "UnknownOutcomeError",
     "UnknownVmError",
@@ -95,13 +96,21 @@
 
 
 class NotReadyError(GatewayError):
-    """This VM has no configuration yet, or is shutting down."""
+    """This VM has no configuration yet, or no report of another VM."""
 
     status = 503
     reason = "not-ready"
     retry_after_s = 0.3
 
 
+class StoppingError(GatewayError):
+    """This VM stops before it could answer; others can serve the request."""
+
+    status = 503
+    reason = "stopping"
+    retry_after_s = 0.0
+
+
 class MemoryLimitError(GatewayError):
     """Peers hold as much memory as they may, and this one most for longest."""
 
--- /dev/null
+++ b/src/swiftstile/gateway/planned_stop.py
@@ -0,0 +1,106 @@
+"""Decides until when a stopping VM takes requests and sends them to upstreams.
+
+Pure decision code: it does no I/O and takes the current time as an argument. A
+stop begins with the signal and has to end within the grace. Until the load
+balancer has removed the VM, callers keep arriving; then the VM only finishes
+what it has. At its end, requests without an answer get one of the VM's own.
+
+A request may be sent if its answer can be expected before the end. One that was
+received in the first half of the grace is given its usual time; a later one,
+which could have been refused at once, all the time that it may take. The others
+are refused while their callers have the time to go elsewhere.
+"""
+
+import enum
+import math
+
+__all__ = ["Phase", "PlannedStop"]
+
+# The load balancer checks each VM once a second and removes it after two
+# failures, so that callers keep arriving for this long after the signal.
+ARRIVALS_S = 3.2
+# Time limits as shares of the grace: requests received later count as late,
+# the last answers are sent, and the process exits.
+_LATE_SHARE, _END_SHARE, _EXIT_SHARE = 0.5, 0.9, 0.95
+
+
+class Phase(enum.Enum):
+    """Phase of a process, in the order in which it passes through them."""
+
+    SERVING = 0
+    LEAVING = 1  # callers still arrive
+    FINISHING = 2  # no new connections
+    ENDED = 3  # all requests are refused
+
+
+class PlannedStop:
+    """The one stop of this process.
+
+    Args:
+        grace_s: Time from the signal until the platform kills the process.
+
+    Attributes:
+        phase: Set by the daemon.
+    """
+
+    def __init__(self, grace_s: float = math.inf):
+        self._grace_s = grace_s
+        self._began: float | None = None
+        self.phase = Phase.SERVING
+
+    def begin(self, now: float) -> None:
+        """Records the signal to stop."""
+        self._began = now
+        self.phase = Phase.LEAVING
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether this VM is leaving."""
+        return self._began is not None
+
+    @property
+    def is_finishing(self) -> bool:
+        """Whether no new callers arrive."""
+        return self.phase in (Phase.FINISHING, Phase.ENDED)
+
+    @property
+    def arrivals_end_at(self) -> float:
+        """When idle connections are closed, and no new ones are accepted."""
+        return self._began + min(ARRIVALS_S, _LATE_SHARE * self._grace_s)
+
+    @property
+    def ends_at(self) -> float:
+        """When requests without an answer get one of this VM's own."""
+        return self._began + _END_SHARE * self._grace_s
+
+    @property
+    def exits_at(self) -> float:
+        """When the process exits although answers aren't delivered yet."""
+        return self._began + _EXIT_SHARE * self._grace_s
+
+    def latest_receive(self, deadline: float) -> float:
+        """Returns when a request is refused whose body is still arriving.
+
+        Args:
+            deadline: When its time is up.
+        """
+        if self._began is None or deadline <= self.ends_at:
+            return math.inf
+        return self._began + _LATE_SHARE * self._grace_s
+
+    def latest_send(
+        self, received_at: float, deadline: float, usual_s: float
+    ) -> float:
+        """Returns until when a request may be sent to an upstream.
+
+        Args:
+            received_at: When all of it had been received.
+            deadline: When its time is up, so that it ends in any case.
+            usual_s: Time within which its answer is expected.
+        """
+        if self._began is None or deadline <= self.ends_at:
+            return math.inf
+        late_from = self._began + _LATE_SHARE * self._grace_s
+        if received_at > late_from:
+            return -math.inf
+        return max(late_from, self.ends_at - usual_s)
--- a/src/swiftstile/gateway/request_holds.py
+++ b/src/swiftstile/gateway/request_holds.py
@@ -51,6 +51,7 @@
             a few bytes now and then don't count.
         is_refused: Whether it was refused.
         is_cut: Whether the process stopped before it was answered.
+        received_at: When all of it had been received; None before.
         stage: What it waits for.
         upstream: The upstream or VM that it was sent to last.
         refusal: Why, until `take_refusal` was called.
@@ -67,6 +68,7 @@
         "is_passed_on",
         "is_refused",
         "progress_at",
+        "received_at",
         "refusal",
         "stage",
         "upstream",
@@ -83,7 +85,8 @@
         self._on_change = on_change
         self._released_bytes = 0
         self._progress_bytes = 0
-        self.progress_at = clocks.monotonic()
+        self.progress_at = now = clocks.monotonic()
+        self.received_at = now if payload is None else None
         self.buffer = piece_buffers.PieceBuffer()
         self.is_passed_on = False
         self.is_refused = False
--- a/src/swiftstile/gateway/request_queue.py
+++ b/src/swiftstile/gateway/request_queue.py
@@ -52,11 +52,6 @@
         """The request that arrived last."""
         return self._pending[-1]
 
-    @property
-    def has_started_second(self) -> bool:
-        """Whether the request behind the first one is being handled."""
-        return len(self._pending) > 1 and self._pending[1].task is not None
-
     @property
     def is_full(self) -> bool:
         """Whether no further request should be read."""
@@ -130,7 +125,7 @@
     ) -> list[caller_requests.PendingRequest]:
         """Returns requests behind the first one that may be started now."""
         found: list[caller_requests.PendingRequest] = []
-        if len(self._pending) < 2 or responder.is_leaving:
+        if len(self._pending) < 2:
             return found
         finished_bytes = 0
         for position, pending in enumerate(self._pending):
--- a/src/swiftstile/gateway_wiring.py
+++ b/src/swiftstile/gateway_wiring.py
@@ -53,6 +53,7 @@
 from swiftstile.gateway import owners
 from swiftstile.gateway import peer_limits
 from swiftstile.gateway import permits
+from swiftstile.gateway import planned_stop
 from swiftstile.gateway import queue_limits
 from swiftstile.gateway import ratelimits
 from swiftstile.gateway import readers
@@ -62,6 +63,7 @@
 from swiftstile.gateway import renewals
 from swiftstile.gateway import reports
 from swiftstile.gateway import retry_schedule
+from swiftstile.gateway import send_limits
 from swiftstile.gateway import service_samples
 from swiftstile.gateway import settings as settings_lib
 from swiftstile.gateway import slotplan
@@ -160,6 +162,11 @@
             settings.limits, self._meters
         )
         self._drain_s = settings_lib.parse_seconds(settings.bounds.drain)
+        self._send_limits = send_limits.SendLimits(
+            planned_stop.PlannedStop(
+                settings_lib.parse_seconds(settings.bounds.grace)
+            )
+        )
         incarnation = ids.new_incarnation(ids.VmId(vm.id))
         self._node = reports.NodeRow(
             vm.id,
@@ -403,6 +410,7 @@
                 self._is_on(self._settings.load.placement)
             ),
             self._is_on(self._settings.load.returning_callers),
+            self._send_limits,
         )
         self._renewer = renewals.GrantRenewer(
             self._maps,
@@ -437,6 +445,7 @@
                 self._settings.vm.listen,
                 handler,
                 self._meters,
+                self._send_limits.stop,
                 self._peer_limits.callers,
             ),
             self._settings.vm.ready,
@@ -477,6 +486,7 @@
                 handler,
                 self._peers,
                 self._meters,
+                self._send_limits.stop,
                 self._peer_limits.forwards,
             ),
             self._request_log,
@@ -492,7 +502,7 @@
             key_assignment.KeyAssignment(
                 self._make_key_assigner, self._supervisor
             ),
-            settings_lib.parse_seconds(bounds.grace),
+            self._send_limits,
             self._meters,
             self._supervisor,
         )
--- a/tests/integration/test_gateway_callers.py
+++ b/tests/integration/test_gateway_callers.py
@@ -189,7 +189,7 @@
     _run(scenario)
 
 
-def test_started_requests_are_answered_before_a_draining_vm_closes():
+def test_requests_read_before_a_draining_vm_closes_are_all_answered():
     async def scenario(responder, caller):
         gate = _gate(responder, "/slow/0/0")
         caller.send("/slow/0/0", "/a/0/0")
@@ -199,10 +199,13 @@
         await asyncio.sleep(_SLOW_S)
         gate.set()
         assert await caller.answer() == (200, "/slow/0/00", False)
-        assert await caller.answer() == (200, "/a/0/00", True)
+        assert await caller.answer() == (200, "/a/0/00", False)
+        assert await caller.answer() == (200, "/b/0/00", False)
+        assert await caller.answer() == (200, "/c/0/00", True)
+        caller.send("/d/0/0")
         assert await caller.is_closed()
-        # Requests behind the closing response were not handled.
-        assert responder.started == ["/slow/0/0", "/a/0/0"]
+        # A request behind the closing response isn't handled.
+        assert responder.started == ["/slow/0/0", "/a/0/0", "/b/0/0", "/c/0/0"]
 
     _run(scenario)
 
--- a/tests/unit/test_forward_listener.py
+++ b/tests/unit/test_forward_listener.py
@@ -16,6 +16,7 @@
 from swiftstile.gateway import gossip
 from swiftstile.gateway import link_probes
 from swiftstile.gateway import model
+from swiftstile.gateway import planned_stop
 from swiftstile.gateway import targets
 from swiftstile.gateway import upstream_links
 from tests import gateway_builders as builders
@@ -39,7 +40,11 @@
     row = builders.node_row("vm-2", _RUN, address=f"{_HOST}:7000")
     peers.apply(row, row.node, 0.0)
     return forward_listener.ForwardListener(
-        "127.0.0.1:1", handler, peers, metrics.Meters()
+        "127.0.0.1:1",
+        handler,
+        peers,
+        metrics.Meters(),
+        planned_stop.PlannedStop(),
     )
 
 
