Keep trailers of a caller's request out of the next one's fields

Nothing ends the fields behind a body of chunks, so that the last of them becomes the first field of the next request on the connection. A caller's trailer named like a field that upstreams read was forwarded with another request.

Change: a request with trailers is followed by a new parser.

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -349,6 +349,9 @@
         messages, is_upgrade, _ = self._parser.feed_data(part)
         head_bytes = self._framing.head_bytes
         self._framing.on_parsed(messages, self._reading_paused)
+        if self._framing.has_ended_with_trailers:
+            # A used one would add the last of them to the next request.
+            self._parser = self._make_parser()
         for message, payload in messages:
             if not self._append_request(message, payload, now, head_bytes):
                 self._stop_input()
--- a/src/swiftstile/gateway/request_framing.py
+++ b/src/swiftstile/gateway/request_framing.py
@@ -60,6 +60,7 @@
         self._given_bytes = 0
         self._taken_bytes = 0
         self._has_head_ended = False
+        self._has_trailers = False
         # The end of an unfinished head, or the start of an unfinished line.
         self._line = b""
         # Bytes of the body or chunk that weren't given yet.
@@ -73,6 +74,11 @@
         """Whether a body hasn't ended."""
         return self._place not in (_Place.BETWEEN, _Place.HEAD)
 
+    @property
+    def has_ended_with_trailers(self) -> bool:
+        """Whether the last request had fields behind its body."""
+        return self._has_trailers and self._place is _Place.BETWEEN
+
     @property
     def count(self) -> int:
         """Number of bytes that belong to no parsed head or body.
@@ -113,7 +119,7 @@
         if not data:
             return None
         if self._place is _Place.BETWEEN:
-            self._place = _Place.HEAD
+            self._place, self._has_trailers = _Place.HEAD, False
             self.head_started_at = now
         end = self._take_end(data)
         if end == len(data):
@@ -228,6 +234,8 @@
             elif line == _LINE_END:
                 self._place, self.head_bytes = _Place.BODY_END, 0
                 break
+            else:
+                self._has_trailers = True
         return position
 
     def _begin_chunk(self, line: bytes) -> None:
--- a/tests/caller_stream_builders.py
+++ b/tests/caller_stream_builders.py
@@ -237,15 +237,22 @@
 
 
 def upload_stream(
-    sizes: list[int], framing: str, kind: str = "whole", reads: int = 0
+    sizes: list[int],
+    framing: str,
+    kind: str = "whole",
+    reads: int = 0,
+    chunk_bytes: int | None = None,
+    trailers: bytes = b"",
 ) -> CallerStream:
     """Returns uploads with requests without a body behind them.
 
     Args:
         sizes: Lengths of the bodies.
-        framing: `length`, or `chunks` for a single chunk.
+        framing: `length` or `chunks`.
         kind: `whole` or `early`, as in the paths.
         reads: Number of the requests behind them.
+        chunk_bytes: Length of the chunks; a body is one chunk by default.
+        trailers: Fields behind each body of chunks.
     """
     writer, requests = _StreamWriter(), []
     for number, size in enumerate(sizes):
@@ -261,8 +268,11 @@
         writer.write(head.encode())
         request.head_end = writer.size
         if is_chunked:
-            writer.write(f"{size:x}\r\n".encode())
-            writer.write(request.body + b"\r\n0\r\n\r\n")
+            step = chunk_bytes or size
+            for start in range(0, size, step):
+                chunk = request.body[start : start + step]
+                writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
+            writer.write(b"0\r\n" + trailers + b"\r\n")
         else:
             writer.write(request.body)
         request.end = writer.size
--- a/tests/unit/test_caller_streams.py
+++ b/tests/unit/test_caller_streams.py
@@ -371,3 +371,24 @@
     )
     ends = range(1 << 18, len(stream.data), 1 << 18)
     assert not _problems(loop, stream, *ends)
+
+
+def test_trailers_are_not_fields_of_the_next_request(loop):
+    # The parser of aiohttp adds the last trailer to the next head.
+    stream = caller_stream_builders.upload_stream(
+        [10, 10],
+        "chunks",
+        reads=1,
+        trailers=b"X-Trailer: a\r\nX-Trailer: b\r\n",
+    )
+    assert not _problems(loop, stream)
+
+
+@pytest.mark.parametrize("chunks", [4096, 4097, 5000, 9000])
+def test_upload_behind_one_of_many_small_chunks_is_answered(loop, chunks):
+    # The parser of aiohttp stops within a body if the one before it had as many
+    # chunks as make it pause; nothing would make it go on.
+    stream = caller_stream_builders.upload_stream(
+        [chunks, 300, 3000], "chunks", reads=1, chunk_bytes=1
+    )
+    assert not _problems(loop, stream, stream.requests[0].end - 9)
