Answer a request with a malformed body once, and at once

Cause: an error of the parser within a body was taken for a further, malformed request. The request itself never learned of it: it waited for the rest of its body until its time was up, and a 400 that nobody had asked for followed its answer.

Change: the body ends with an error, so that the request is answered with 400 unless it has another answer by then; nothing follows. The error is set in the next turn of the loop, as aiohttp's StreamReader waits without an error if it was woken without data.

Ruled out: ending the request as a stalled upload is (RequestHold.refuse), as its answer may be on its way.

By reading, not by a run: an upload of over 1 MB that was passed on in part still gets its answer only when its time is up: its exchange doesn't end as its body does.

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -327,8 +327,7 @@
             while not self._queue.is_full and self._parse_part(now):
                 pass
         except http_exceptions.HttpProcessingError as error:
-            self._append_placeholder(error)
-            self._stop_input()
+            self._end_malformed(error)
         if self._queue.is_full and self.transport and self._accepts_input:
             self._is_reading_paused = True
             self.transport.pause_reading()
@@ -366,6 +365,22 @@
             raise http_exceptions.LineTooLong(b"a head that doesn't end", limit)
         return True
 
+    def _end_malformed(
+        self, error: http_exceptions.HttpProcessingError
+    ) -> None:
+        """Ends the input at bytes that aren't legal."""
+        if self._framing.is_inside_body and self._queue:
+            last = self._queue.last
+            # The request is already there to be answered.
+            last.is_last = True
+            problem = aiohttp.ClientPayloadError(repr(error))
+            # Not at once: a reader that was just woken without data would wait
+            # again and not see it.
+            self._loop.call_soon(last.payload.set_exception, problem)
+        else:
+            self._append_placeholder(error)
+        self._stop_input()
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """See base class; called when a body's buffer has space again."""
         super().resume_reading(resume_parser)
--- a/tests/caller_stream_builders.py
+++ b/tests/caller_stream_builders.py
@@ -16,6 +16,8 @@
     "StreamRequest",
     "answer_text",
     "divide",
+    "long_heads_stream",
+    "malformed_upload_stream",
     "random_stream",
     "read_answers",
     "upload_stream",
@@ -286,6 +288,38 @@
     return CallerStream(b"".join(writer.pieces), requests, Ending.NOTHING)
 
 
+def long_heads_stream() -> CallerStream:
+    """Returns two requests whose heads fill a queue, the second an upload."""
+    writer = _StreamWriter()
+    read = StreamRequest("GET", "/whole/0/" + "p" * 60_000, [])
+    upload = StreamRequest("POST", "/whole/1/" + "p" * 60_000, [], b"b" * 3000)
+    for request in (read, upload):
+        request.head_start = writer.size
+        line = f"{request.method} {request.path} HTTP/1.1\r\nHost: a\r\n"
+        length = f"Content-Length: {len(request.body)}\r\n\r\n"
+        writer.write((line + length).encode())
+        request.head_end = writer.size
+        writer.write(request.body)
+        request.end = writer.size
+    return CallerStream(b"".join(writer.pieces), [read, upload], Ending.NOTHING)
+
+
+def malformed_upload_stream(rng: random.Random, kind: str) -> CallerStream:
+    """Returns one request whose body of chunks is malformed.
+
+    Args:
+        rng: Draws the body.
+        kind: `whole` or `early`, as in the paths.
+    """
+    writer = _StreamWriter()
+    request = StreamRequest("POST", f"/{kind}/malformed", [])
+    request.is_malformed = True
+    _write_malformed_body(rng, writer, request)
+    return CallerStream(
+        b"".join(writer.pieces), [request], Ending.MALFORMED_BODY
+    )
+
+
 _HOST = b"Host: a\r\n"
 _MALFORMED_HEADS = (
     b"no request\r\n\r\n",
--- a/tests/unit/test_caller_streams.py
+++ b/tests/unit/test_caller_streams.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 from aiohttp import http_exceptions
+from aiohttp import streams
 from aiohttp import web
 import pytest
 
@@ -95,7 +96,7 @@
         if request.path.startswith("/early"):
             return web.Response(text=f"{request.path} early")
         try:
-            body = await request.read()
+            body = await _read(request.content)
         except (aiohttp.ClientError, http_exceptions.HttpProcessingError):
             return web.Response(status=400, text="malformed body")
         await _random_wait(self._rng)
@@ -116,6 +117,13 @@
         return request.method in ("GET", "HEAD")
 
 
+async def _read(content: streams.StreamReader) -> bytes:
+    pieces = []
+    while piece := await content.readany():
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
 class _Play:
     """One stream on one connection.
 
@@ -392,3 +400,13 @@
         [chunks, 300, 3000], "chunks", reads=1, chunk_bytes=1
     )
     assert not _problems(loop, stream, stream.requests[0].end - 9)
+
+
+@pytest.mark.parametrize("kind", ["whole", "early"])
+@pytest.mark.parametrize("seed", range(40))
+def test_request_with_a_malformed_body_gets_one_answer(loop, kind, seed):
+    # It waited for the rest of its body until its time was up, and a 400 that
+    # nobody had asked for followed its answer.
+    rng = random.Random(seed)
+    stream = caller_stream_builders.malformed_upload_stream(rng, kind)
+    assert not _problems(loop, stream, stream.requests[0].head_end)
