Read the body of a request whose head alone is long

Cause: reading pauses while the heads of two or more requests take over 256 kB, and went on only once those left took 128 kB. A last request with a head of over 43 kB (counted three times) never got there: its body wasn't read, and it waited for it.

Change: reading goes on when one request is left, as it doesn't pause for one.

--- a/src/swiftstile/gateway/request_queue.py
+++ b/src/swiftstile/gateway/request_queue.py
@@ -67,8 +67,11 @@
 
     @property
     def has_space(self) -> bool:
-        """Whether reading may go on after it was full."""
-        return not self._pending or (
+        """Whether reading may go on after it was full.
+
+        The body of a single request has to be read however long its head is.
+        """
+        return len(self._pending) <= 1 or (
             len(self._pending) <= MAX_PENDING_REQUESTS // 2
             and self._head_bytes() <= MAX_PENDING_HEAD_BYTES // 2
         )
--- a/tests/unit/test_caller_streams.py
+++ b/tests/unit/test_caller_streams.py
@@ -410,3 +410,10 @@
     rng = random.Random(seed)
     stream = caller_stream_builders.malformed_upload_stream(rng, kind)
     assert not _problems(loop, stream, stream.requests[0].head_end)
+
+
+def test_body_of_a_request_with_a_long_head_is_read(loop):
+    # Reading paused as the heads filled the queue, and went on only once the
+    # heads of all but answered requests were short.
+    stream = caller_stream_builders.long_heads_stream()
+    assert not _problems(loop, stream, stream.requests[1].head_end)
