--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -794,7 +794,25 @@
     )
 
 
-def config(version: int, *extra: dict) -> dict:
+def route(
+    name: str, prefix: str, kind: str, service: str, timeout_s: float
+) -> dict:
+    """Returns an additional route."""
+    return _entry(
+        "routes",
+        name,
+        host="a.example",
+        prefix=prefix,
+        kind=kind,
+        timeout=f"{timeout_s * 1000:.0f}ms",
+        objective="1300ms",
+        priority=1,
+        service=service,
+        max_attempts=2,
+    )
+
+
+def config(version: int, *extra: dict, **limits) -> dict:
     """Returns the operator's configuration with a keyed and a plain service."""
 
     common = {"timeout": "2000ms", "objective": "600ms", "max_attempts": 2}
@@ -825,6 +843,6 @@
             *extra,
             _entry("services", "keyed", sharded=True, warm="1s"),
             _entry("services", "plain"),
-            _entry("limits", "", max_body_bytes=1 << 24),
+            _entry("limits", "", max_body_bytes=1 << 24, **limits),
         ],
     }
