--- a/src/swiftstile/gateway/send_limits.py
+++ b/src/swiftstile/gateway/send_limits.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 
 from swiftstile import clocks
 from swiftstile.gateway import outcomes
@@ -13,6 +12,38 @@
 LatestTime = collections.abc.Callable[[], float]
 
 
+class _LimitedWait:
+    """A wait that ends with `StoppingError` when the stop leaves no time."""
+
+    __slots__ = ("_latest", "_latest_by_timeout", "_step", "_stop", "_timeout")
+
+    def __init__(
+        self,
+        stop: planned_stop.PlannedStop,
+        latest_by_timeout: dict[asyncio.Timeout, LatestTime],
+        latest: LatestTime,
+        step: str,
+    ):
+        self._stop = stop
+        self._latest_by_timeout = latest_by_timeout
+        self._latest = latest
+        self._step = step
+        self._timeout = asyncio.timeout(None)
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+        self._latest_by_timeout[self._timeout] = self._latest
+        if self._stop.has_begun:
+            _reschedule(self._timeout, self._latest)
+
+    async def __aexit__(self, kind, error, traceback) -> None:
+        del self._latest_by_timeout[self._timeout]
+        try:
+            await self._timeout.__aexit__(kind, error, traceback)
+        except TimeoutError as expired:
+            raise _stopping_error(self._step) from expired
+
+
 class SendLimits:
     """The waits of requests that weren't sent, or are to be sent again.
 
@@ -22,13 +53,10 @@
 
     def __init__(self, stop: planned_stop.PlannedStop):
         self.stop = stop
-        self._latest_by_wait: dict[asyncio.Timeout, LatestTime] = {}
+        self._latest_by_timeout: dict[asyncio.Timeout, LatestTime] = {}
 
-    @contextlib.asynccontextmanager
-    async def limited(
-        self, latest: LatestTime, step: str
-    ) -> collections.abc.AsyncIterator[None]:
-        """Limits a wait to the time that the stop leaves for it.
+    def limited(self, latest: LatestTime, step: str) -> _LimitedWait:
+        """Returns a context that limits a wait to the time the stop leaves.
 
         Args:
             latest: Returns the end of the wait, on the monotonic clock.
@@ -38,20 +66,7 @@
             StoppingError: The stop has begun and leaves no time, now or later.
         """
         self.check(latest, step)
-        wait = asyncio.timeout(None)
-        try:
-            async with wait:
-                self._latest_by_wait[wait] = latest
-                if self.stop.has_begun:
-                    _reschedule(wait, latest)
-                try:
-                    yield
-                finally:
-                    del self._latest_by_wait[wait]
-        except TimeoutError as error:
-            if not wait.expired():
-                raise
-            raise _stopping_error(step) from error
+        return _LimitedWait(self.stop, self._latest_by_timeout, latest, step)
 
     def check(self, latest: LatestTime, step: str) -> None:
         """Raises `StoppingError` if no time is left."""
@@ -61,17 +76,17 @@
     def begin_stop(self, now: float) -> None:
         """Records the signal to stop, and limits all present waits."""
         self.stop.begin(now)
-        for wait, latest in self._latest_by_wait.items():
-            _reschedule(wait, latest)
+        for timeout, latest in self._latest_by_timeout.items():
+            _reschedule(timeout, latest)
 
 
 def _stopping_error(step: str) -> outcomes.StoppingError:
     return outcomes.StoppingError("the VM stops", step=step)
 
 
-def _reschedule(wait: asyncio.Timeout, latest: LatestTime) -> None:
+def _reschedule(timeout: asyncio.Timeout, latest: LatestTime) -> None:
     """Ends a wait at a time on the monotonic clock."""
     loop = asyncio.get_running_loop()
     left_s = latest() - clocks.monotonic()
     at = None if left_s == float("inf") else loop.time() + max(0.0, left_s)
-    wait.reschedule(at)
+    timeout.reschedule(at)
