--- a/tests/integration/kept_channels.py
+++ b/tests/integration/kept_channels.py
@@ -14,6 +14,7 @@
 import enum
 import random
 import signal
+import typing
 import uuid
 
 from tests.integration import gateways
@@ -25,15 +26,16 @@
 # Requests that were sent later than this after SIGTERM have to be answered
 # even if their upstream is still at work at the end of the grace.
 _LAST_EXCUSED_S = 3.0
-IDLE_TIMEOUT_S = 15.0
+_IDLE_TIMEOUT_S = 15.0
 # Callers reuse channels that have been idle for up to this long.
-_REUSED_S = 0.8 * IDLE_TIMEOUT_S
+_REUSED_S = 0.8 * _IDLE_TIMEOUT_S
 _ROUTE_TIMEOUT_S = 8.0
 _MEAN_BODY_BYTES, _MAX_BODY_BYTES = 60_000, 400_000
 _PIECE_BYTES = 32_768
 _TRICKLE_INTERVAL_S = 0.05
 # Callers may finish their requests for so long at the end of a play.
 _FINISH_S = 1.0
+_WORK_S = (0.03, 0.1, 0.3, 1.0)
 _PROMISES = (408, 421, 429, 503)
 
 
@@ -47,6 +49,7 @@
     PIPELINED_READ = "pipelined-read"
 
 
+_READS = (Kind.READ, Kind.PIPELINED_READ)
 _UPLOADS = (Kind.UPLOAD, Kind.CHUNKED_UPLOAD)
 
 
@@ -91,11 +94,6 @@
     is_own: bool = False
     ended_at: float = float("inf")
 
-    @property
-    def is_promised(self) -> bool:
-        """Whether its answer promises that it doesn't run."""
-        return self.status in _PROMISES
-
 
 @dataclasses.dataclass(frozen=True)
 class Stop:
@@ -109,6 +107,29 @@
         return request.vm == self.vm and self.at <= request.ended_at <= end
 
 
+class Stops:
+    """Stops VMs as the platform does: SIGTERM, then SIGKILL after the grace.
+
+    Attributes:
+        all: All SIGTERMs that began a stop.
+        overdue: Numbers of the VMs that had to be killed.
+    """
+
+    def __init__(self):
+        self.all: list[Stop] = []
+        self.overdue: list[int] = []
+
+    async def stop(self, gateway: gateways.Gateway) -> None:
+        self.all.append(Stop(gateway.number, _now()))
+        gateway.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await gateway.process.wait()
+        except TimeoutError:
+            self.overdue.append(gateway.number)
+            await gateway.stop(signal.SIGKILL)
+
+
 class _Protocol(asyncio.StreamReaderProtocol):
     """Records when and how a channel ended."""
 
@@ -159,12 +180,10 @@
         """
         host, _, port = self.gateway.front.rpartition(":")
         self._reader = asyncio.StreamReader()
-        (
-            self._transport,
-            self._protocol,
-        ) = await asyncio.get_running_loop().create_connection(
+        pair = await asyncio.get_running_loop().create_connection(
             lambda: _Protocol(self._reader), host, int(port)
         )
+        self._transport, self._protocol = pair
         self._opened_at = self._used_at = _now()
 
     @property
@@ -254,11 +273,8 @@
 
     async def _receive_body(self, request, status: int, headers) -> None:
         await self._reader.readexactly(int(headers["content-length"]))
-        request.end, request.ended_at, request.status = (
-            End.ANSWERED,
-            _now(),
-            status,
-        )
+        request.end, request.ended_at = End.ANSWERED, _now()
+        request.status = status
         request.is_own = "x-server-signature" not in headers
         self._must_close |= headers.get("connection", "").lower() == "close"
 
@@ -284,12 +300,12 @@
         self, attempt: str
     ) -> collections.abc.Iterator[tuple[float, bytes]]:
         """Yields what is written, each with the pause before it."""
-        is_read = self.kind in (Kind.READ, Kind.PIPELINED_READ)
-        path = "/kept-read/x" if is_read else "/kept-write/x"
+        is_read = self.kind in _READS
+        route = "read" if is_read else "write"
         if self.kind in _UPLOADS:
-            path = "/kept-upload/x"
+            route = "upload"
         lines = [
-            f"{'GET' if is_read else 'POST'} {path} HTTP/1.1",
+            f"{'GET' if is_read else 'POST'} /kept-{route}/x HTTP/1.1",
             "Host: a.example",
             f"X-Attempt-Id: {attempt}",
             f"X-Deadline-Ms: {self.deadline_s * 1000:.0f}",
@@ -306,10 +322,9 @@
         while left:
             size = min(piece, left)
             data = b"x" * size
-            yield pause_s, b"%x\r\n%s\r\n" % (
-                size,
-                data,
-            ) if is_chunked else data
+            if is_chunked:
+                data = b"%x\r\n%s\r\n" % (size, data)
+            yield pause_s, data
             left -= size
             pause_s = _TRICKLE_INTERVAL_S if self.rate else 0.0
         if is_chunked:
@@ -328,7 +343,7 @@
             plan,
             body_bytes=max(1, min(size, _MAX_BODY_BYTES)),
             body_pause_s=draw.choice((0.0, 0.002, 0.02, 0.2)),
-            rate=draw.choice((0.0, 0.0, 0.0, draw.uniform(4e4, 4e5))),
+            rate=draw.choice((0.0, 0.0, 4e4 * 10 ** draw.random())),
         )
     reads = draw.randint(1, 3) if has_pipelining and kind in _UPLOADS else 0
     read = Plan(Kind.PIPELINED_READ, draw.randrange(users_standins.KEYS))
@@ -340,7 +355,6 @@
 
     Attributes:
         requests: All requests, in the order of their first bytes.
-        refused_channels: Number of channels that VMs refused.
     """
 
     def __init__(
@@ -350,7 +364,12 @@
         self._seed = seed
         self._has_pipelining = has_pipelining
         self.requests: list[Request] = []
-        self.refused_channels = 0
+
+    def vary_work(self) -> None:
+        """Lets the servers take different times for a request."""
+        draw = random.Random(f"work-{self._seed}")
+        for server in self._site.cluster.by_id.values():
+            server.work_s = draw.choice(_WORK_S)
 
     @contextlib.asynccontextmanager
     async def present(self, per_vm: int):
@@ -399,7 +418,6 @@
             try:
                 await channel.open()
             except OSError:
-                self.refused_channels += 1
                 continue
             return channel
         return None
@@ -410,52 +428,52 @@
             for r in self.requests
         )
 
+    def violations(self, stops: Stops) -> list[str]:
+        """Returns lost requests, broken promises and stops that took long."""
+        cluster = self._site.cluster
+        return [
+            *(
+                f"lost: {s}"
+                for s in lost_requests(self.requests, stops.all, cluster)
+            ),
+            *broken_promises(self.requests, cluster),
+            *(f"vm-{number} outlived its grace" for number in stops.overdue),
+        ]
 
-class _Journal:
-    """What servers did with the requests, by attempt."""
-
-    def __init__(self, cluster: users_standins.Cluster):
-        self._cluster = cluster
-        self.arrivals_by_attempt = collections.defaultdict(list)
-        self.run_by_attempt = {run.attempt: run for run in cluster.runs}
-        for server in cluster.by_id.values():
-            for arrival in server.arrivals:
-                self.arrivals_by_attempt[arrival.attempt].append(arrival)
-
-    def is_passed_on(self, attempt: str) -> bool:
-        return (
-            attempt in self.run_by_attempt
-            or attempt in self.arrivals_by_attempt
-        )
-
-    def answered_at(self, attempt: str) -> float:
-        arrivals = self.arrivals_by_attempt.get(attempt, ())
-        return min((a.answered_at for a in arrivals), default=float("inf"))
 
-    def is_at_work_at(self, attempt: str, at: float) -> bool:
-        run = self.run_by_attempt.get(attempt)
-        return (
-            run is not None
-            and run.started <= at
-            and self.answered_at(attempt) > at
+class _Work(typing.NamedTuple):
+    """What servers did with a request; infinite for what didn't happen."""
+
+    is_passed_on: bool = False
+    began_at: float = float("inf")
+    answered_at: float = float("inf")
+    broke_off_at: float = float("inf")
+
+
+def _work_by_attempt(cluster: users_standins.Cluster) -> dict[str, _Work]:
+    """Returns what the journal of the servers says about each request."""
+    found: dict[str, _Work] = {}
+    for server in cluster.by_id.values():
+        for arrival in server.arrivals:
+            known = found.get(arrival.attempt, _Work())
+            answered_at = min(known.answered_at, arrival.answered_at)
+            found[arrival.attempt] = _Work(True, answered_at=answered_at)
+    for run in cluster.runs:
+        server = cluster.by_id.get(run.server)
+        work = found.get(run.attempt)
+        # A server that was restarted has forgotten its arrivals.
+        is_kept = server is not None and work is not None
+        found[run.attempt] = _Work(
+            True,
+            run.started,
+            work.answered_at if work else float("inf"),
+            server.stopped_at if is_kept else run.started,
         )
-
-    def is_broken_off(self, attempt: str) -> bool:
-        """Whether the server that ran a request broke it off."""
-        run = self.run_by_attempt.get(attempt)
-        if run is None or self.answered_at(attempt) < float("inf"):
-            return False
-        server = self._cluster.by_id.get(run.server)
-        # A restarted server has no record of earlier arrivals.
-        is_known = attempt in self.arrivals_by_attempt
-        return server is None or not server.is_up or not is_known
+    return found
 
 
 def lost_requests(
-    requests: list[Request],
-    stops: list[Stop],
-    cluster: users_standins.Cluster,
-    is_impaired: collections.abc.Callable[[Request], bool] = lambda _: False,
+    requests: list[Request], stops: list[Stop], cluster: users_standins.Cluster
 ) -> list[str]:
     """Returns the requests that the rule LOST counts, each with its story.
 
@@ -463,15 +481,48 @@
         requests: The requests of kept channels.
         stops: All SIGTERMs.
         cluster: The servers, whose journal tells what was passed on.
-        is_impaired: Whether an unplanned fault of the VM excuses a request.
     """
-    journal = _Journal(cluster)
-    return [
-        _story(request, _stop_of(request, stops), journal)
-        for request in requests
-        if _is_lost(request, _stop_of(request, stops), journal)
-        and not is_impaired(request)
-    ]
+    work_by_attempt = _work_by_attempt(cluster)
+    lost = []
+    for request in requests:
+        # Others repeat the first SIGTERM.
+        stop = next((stop for stop in stops if stop.covers(request)), None)
+        work = work_by_attempt.get(request.attempt, _Work())
+        if _is_lost(request, stop, work):
+            lost.append(_story(request, stop, work))
+    return lost
+
+
+def _is_lost(request: Request, stop: Stop | None, work: _Work) -> bool:
+    ended_at = request.ended_at
+    if request.last_byte_at is None or request.end is End.ABANDONED:
+        return False
+    if request.end is End.ANSWERED:
+        # An answer of the gateway's own while an upstream is at work.
+        is_own = stop is not None and request.is_own
+        is_unanswered = is_own and work.began_at <= ended_at < work.answered_at
+    else:
+        # A channel that closes with unread input is reset.
+        is_read = request.end is End.CLOSED or work.began_at < ended_at
+        is_late = ended_at - request.last_byte_at > LOSS_SLACK_S
+        is_unanswered = is_read and (work.is_passed_on or is_late)
+    return (
+        is_unanswered
+        and ended_at - request.first_byte_at < request.deadline_s
+        and ended_at < work.broke_off_at
+        and not _is_at_work_in_last_sixth(request, stop, work)
+    )
+
+
+def _is_at_work_in_last_sixth(
+    request: Request, stop: Stop | None, work: _Work
+) -> bool:
+    """Whether its server works at the end of the grace, and it came early."""
+    if stop is None or request.last_byte_at - stop.at > _LAST_EXCUSED_S:
+        return False
+    worked_until = min(request.ended_at, work.answered_at)
+    last_sixth_at = stop.at + GRACE_S * 5 / 6
+    return work.began_at <= worked_until and worked_until >= last_sixth_at
 
 
 def broken_promises(
@@ -482,96 +533,27 @@
     return [
         f"{request.kind.value} {request.attempt} got {request.status} and ran"
         for request in requests
-        if request.is_promised
-        and request.kind not in (Kind.READ, Kind.PIPELINED_READ)
+        if request.status in _PROMISES
+        and request.kind not in _READS
         and request.attempt in ran
     ]
 
 
-async def stop(
-    gateway: gateways.Gateway, stops: list[Stop], overdue: list[int]
-) -> None:
-    """Stops a VM as the platform does: SIGTERM, then SIGKILL after the grace.
-
-    Args:
-        gateway: The VM.
-        stops: Gets the SIGTERM.
-        overdue: Gets the number of the VM if it has to be killed.
-    """
-    stops.append(Stop(gateway.number, _now()))
-    gateway.send_signal(signal.SIGTERM)
-    try:
-        async with asyncio.timeout(GRACE_S):
-            await gateway.process.wait()
-    except TimeoutError:
-        overdue.append(gateway.number)
-        await gateway.stop(signal.SIGKILL)
-
-
-def _stop_of(request: Request, stops: list[Stop]) -> Stop | None:
-    """Returns the first SIGTERM that covers a request; others repeat it."""
-    return next((stop for stop in stops if stop.covers(request)), None)
-
-
-def _is_lost(request: Request, stop: Stop | None, journal: _Journal) -> bool:
-    attempt, ended_at = request.attempt, request.ended_at
-    if request.last_byte_at is None or request.end is End.ABANDONED:
-        return False
-    if ended_at - request.first_byte_at >= request.deadline_s:
-        return False
-    is_begun = attempt in journal.run_by_attempt
-    if request.end is End.ANSWERED:
-        # An own answer in place of that of an upstream at work.
-        if stop is None or not request.is_own:
-            return False
-        if not journal.is_at_work_at(attempt, ended_at):
-            return False
-    else:
-        is_read = request.end is End.CLOSED or is_begun
-        is_late = ended_at - request.last_byte_at > LOSS_SLACK_S
-        is_passed_on = journal.is_passed_on(attempt)
-        if not is_read or not (is_passed_on or is_late):
-            return False
-    return not (
-        journal.is_broken_off(attempt) or _is_excused(request, stop, journal)
-    )
-
-
-def _is_excused(request: Request, stop: Stop | None, journal: _Journal) -> bool:
-    """Whether its upstream worked on it in the last sixth of the grace."""
-    if stop is None or request.last_byte_at - stop.at > _LAST_EXCUSED_S:
-        return False
-    run = journal.run_by_attempt.get(request.attempt)
-    worked_until = min(request.ended_at, journal.answered_at(request.attempt))
-    last_sixth_at = stop.at + GRACE_S * 5 / 6
-    return (
-        run is not None
-        and run.started <= worked_until
-        and worked_until >= last_sixth_at
-    )
-
-
-def _story(request: Request, stop: Stop | None, journal: _Journal) -> str:
-    attempt, run = request.attempt, journal.run_by_attempt.get(request.attempt)
+def _story(request: Request, stop: Stop | None, work: _Work) -> str:
     start = request.first_byte_at if stop is None else stop.at
-    times = (
-        request.first_byte_at,
-        request.last_byte_at,
-        request.ended_at,
-        float("inf") if run is None else run.started,
-        journal.answered_at(attempt),
-    )
-    first, last, end, begun, answered = (
+    times = (request.first_byte_at, request.last_byte_at, request.ended_at)
+    times += (work.began_at, work.answered_at)
+    first, last, end, began, answered = (
         "never" if at == float("inf") else f"{at - start:.3f}" for at in times
     )
     return (
-        f"{request.kind.value} {attempt} at vm-{request.vm}"
+        f"{request.kind.value} {request.attempt} at vm-{request.vm}"
         f" {'without stop' if stop is None else 'after SIGTERM'}:"
         f" sent {first}..{last} {request.end.value} {request.status} {end};"
         f" channel {request.channel_age_s:.1f} s, idle {request.idle_s:.2f} s,"
         f" carried {list(request.carried[-3:])};"
-        f" passed on {journal.is_passed_on(attempt)},"
-        f" upstream began {begun} answered {answered}"
+        f" passed on {work.is_passed_on}, upstream began {began}"
+        f" answered {answered}"
     )
 
 
@@ -588,7 +570,11 @@
         )
     ]
     return users_standins.config(
-        version, *routes, *extra, idle_timeout="15000ms", **limits
+        version,
+        *routes,
+        *extra,
+        idle_timeout=f"{_IDLE_TIMEOUT_S:.0f}s",
+        **limits,
     )
 
 
--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -13,6 +13,10 @@
 also without end, and reject requests meanwhile; callers pipeline; crowds of
 clients hold much and finish little at VMs with little memory. The checks use
 only what callers and servers observe, and the memory of the VMs.
+
+`--planned` injects planned work only, in overlapping series: stops, repeated
+signals, changes of the configuration and leaving servers, while callers keep
+channels that no request may be lost on. They pipeline in even seeds.
 """
 
 import argparse
@@ -27,6 +31,7 @@
 
 from tests.integration import foreign_bytes
 from tests.integration import gateways
+from tests.integration import kept_channels
 from tests.integration import link_cuts
 from tests.integration import soak_crowds
 from tests.integration import statement_checks
@@ -43,6 +48,8 @@
 # Requests per second during the faults.
 _RATE = 40
 _VMS = 4
+# Callers of each VM that keep channels, during planned work.
+_KEPT_PER_VM = 12
 # Time after the last fault within which all keys must be served again.
 _RECOVERY_S = 30.0
 
@@ -150,12 +157,23 @@
         has_all_kinds: Whether all kinds of faults are drawn; False excludes
             server restarts, pipelining and statements of servers, which were
             added later, so that older seeds still draw the same faults.
+        is_planned: Whether only planned work is drawn.
+
+    Attributes:
+        planned_stops: Stops of VMs during planned work.
     """
 
     def __init__(
-        self, site: gateways.Site, seed: int, has_all_kinds: bool = True
+        self,
+        site: gateways.Site,
+        seed: int,
+        has_all_kinds: bool = True,
+        is_planned: bool = False,
     ):
         self._site = site
+        self._is_planned = is_planned
+        self._config_version = 2
+        self.planned_stops = kept_channels.Stops()
         self._has_all_kinds = has_all_kinds
         self._random = random.Random(seed)
         self._tasks: set[asyncio.Task] = set()
@@ -212,6 +230,14 @@
                 self._send_foreign_bytes,
                 self._reject_requests,
             ]
+        if self._is_planned:
+            faults = [
+                self._stop_in_series,
+                self._stop_in_series,
+                self._change_config,
+                self._drain_server,
+                self._announce_exit,
+            ]
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         while loop.time() < end:
@@ -272,6 +298,27 @@
             await gateway.stop(signal.SIGTERM)
             await gateway.start()
 
+    async def _stop_in_series(self, _duration_s: float) -> None:
+        """Restarts a VM that gets more signals as it stops."""
+        with self._gateway() as gateway:
+            if gateway is None:
+                return
+            self._record(f"stop vm-{gateway.number}")
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.planned_stops.stop(gateway))
+                for _ in range(self._random.randint(0, 3)):
+                    await asyncio.sleep(self._random.uniform(0.0, 1.5))
+                    gateway.send_signal(
+                        self._random.choice((signal.SIGTERM, signal.SIGHUP))
+                    )
+            await gateway.start()
+
+    async def _change_config(self, _duration_s: float) -> None:
+        self._config_version += 1
+        self._record(f"configuration {self._config_version}")
+        document = kept_channels.config(self._config_version)
+        self._site.store.put("op", "config", document)
+
     async def _inject_connection_fault(self, duration_s: float) -> None:
         proxy = self._random.choice(self._site.proxies)
         mode = self._random.choice(("delay", "reset", "stalled", "one-way"))
@@ -509,6 +556,7 @@
     folder: pathlib.Path,
     has_all_kinds: bool = True,
     vms: int = _VMS,
+    is_planned: bool = False,
 ) -> list[str]:
     """Runs one seed and returns the violated guarantees.
 
@@ -518,7 +566,9 @@
         folder: Folder of the logs.
         has_all_kinds: Whether all kinds of faults are drawn.
         vms: Number of VMs, each a process.
+        is_planned: Whether only planned work is drawn.
     """
+    has_all_kinds = has_all_kinds and not is_planned
     limits = soak_crowds.LIMITS if has_all_kinds else None
     site = ProxiedSite(folder, vms, seed, limits)
     visits = soak_crowds.CrowdVisits(site, seed)
@@ -527,11 +577,17 @@
             route = users_standins.keyed_write_route("/orders/")
             site.store.put("op", "config", users_standins.config(2, route))
             site.callers.write_paths.append("/orders/x")
-        soak = Soak(site, seed, has_all_kinds)
+        soak = Soak(site, seed, has_all_kinds, is_planned)
+        kept = kept_channels.KeptChannels(site, seed, seed % 2 == 0)
         load_ended = asyncio.Event()
         load = asyncio.create_task(site.callers.load(_RATE, load_ended))
         crowds = asyncio.create_task(visits.run()) if has_all_kinds else None
-        await soak.run(seconds)
+        async with contextlib.AsyncExitStack() as stack:
+            if is_planned:
+                site.store.put("op", "config", kept_channels.config(2))
+                kept.vary_work()
+                await stack.enter_async_context(kept.present(_KEPT_PER_VM))
+            await soak.run(seconds)
         if crowds is not None:
             crowds.cancel()
             await asyncio.wait([crowds])
@@ -546,11 +602,14 @@
         violations += site.violated_guarantees()
         violations += _wrongly_refused(site)
         violations += visits.violations()
+        violations += kept.violations(soak.planned_stops)
         for proxy in site.proxies:
             proxy.close()
     history = soak.history + visits.history
     (folder / "history").write_text("\n".join(history))
-    (folder / "counts").write_text(str(site.callers.counts()))
+    counts = site.callers.counts() + kept.counts()
+    (folder / "counts").write_text(str(counts))
+    (folder / "violations").write_text("\n".join(violations))
     (folder / "stalls").write_text("\n".join(map(str, site.stalls.stalls)))
     return sorted(set(violations))
 
@@ -575,6 +634,7 @@
     parser.add_argument("--seeds", type=_seeds, default=range(1, 6))
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--vms", type=int, default=_VMS, help="processes")
+    parser.add_argument("--planned", action="store_true", help="stops only")
     parser.add_argument("--folder", type=pathlib.Path)
     args = parser.parse_args()
     folder = args.folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
@@ -583,7 +643,13 @@
         seed_folder = folder / str(seed)
         seed_folder.mkdir(parents=True, exist_ok=True)
         violations = asyncio.run(
-            run_seed(seed, args.seconds, seed_folder, vms=args.vms)
+            run_seed(
+                seed,
+                args.seconds,
+                seed_folder,
+                vms=args.vms,
+                is_planned=args.planned,
+            )
         )
         counts = (seed_folder / "counts").read_text()
         print(f"seed {seed}: {'FAILED' if violations else 'ok'} {counts}")
--- a/tests/integration/test_kept_channels.py
+++ b/tests/integration/test_kept_channels.py
@@ -47,7 +47,7 @@
 def _lost(changes, is_begun: bool, broken_off: bool = False) -> int:
     cluster = users_standins.Cluster(users_standins.Store())
     server = users_standins.Server(cluster, "i-0", "keyed", "z1")
-    server.is_up = not broken_off
+    server.stopped_at = 105.5 if broken_off else float("inf")
     cluster.by_id["i-0"] = server
     if is_begun:
         server.arrivals.append(users_standins.Arrival(103.5, "a"))
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -19,35 +19,29 @@
 _MIN_LATE_REQUESTS = 20
 
 
-class _Operator:
-    """Signals the VMs of a site and records what it did."""
+class _Operator(kept_channels.Stops):
+    """Stops VMs of a site and draws what else it does."""
 
     def __init__(self, site: gateways.Site, draw: random.Random):
+        super().__init__()
         self.site = site
         self.draw = draw
-        self.stops: list[kept_channels.Stop] = []
-        # VMs that were still running at the end of their grace.
-        self.overdue: list[int] = []
+        self._tasks: list[asyncio.Task] = []
 
-    async def stop(self, gateway: gateways.Gateway) -> None:
-        """Stops a VM as the platform does."""
-        await kept_channels.stop(gateway, self.stops, self.overdue)
+    def start_stop(self, gateway: gateways.Gateway) -> None:
+        self._tasks.append(asyncio.create_task(self.stop(gateway)))
 
-    async def restart(self, gateway: gateways.Gateway) -> None:
-        await self.stop(gateway)
-        await gateway.start()
-
-    def any_gateway(self) -> gateways.Gateway:
-        return self.draw.choice(self.site.gateways)
+    async def wait(self) -> None:
+        """Waits until all VMs have stopped."""
+        await asyncio.gather(*self._tasks)
 
     def leader(self) -> gateways.Gateway:
         name = self.site.log_lines("leader changed")[-1]["leader"]
         return self.site.gateways[int(name.rpartition("-")[2])]
 
 
-_Scenario = collections.abc.Callable[
-    [_Operator], collections.abc.Awaitable[None]
-]
+# Called at drawn times during the stop of a VM.
+_Disturb = collections.abc.Callable[[_Operator, gateways.Gateway], None]
 
 
 async def _serves_added_routes(site: gateways.Site) -> bool:
@@ -71,153 +65,134 @@
 
 async def _play(
     folder,
-    scenario: _Scenario,
+    disturb: _Disturb | None,
+    pauses_s: tuple[tuple[float, float], ...],
     seed: int,
     has_pipelining: bool,
     has_new_vm: bool,
 ) -> None:
     draw = random.Random(f"planned-{seed}")
     async with _running_site(folder) as site:
-        for server in site.cluster.by_id.values():
-            server.work_s = draw.choice((0.03, 0.1, 0.3, 1.0))
         callers = kept_channels.KeptChannels(site, seed, has_pipelining)
+        callers.vary_work()
         operator = _Operator(site, draw)
+        # Disturbed stops are those of the leader, whose duties move meanwhile.
+        stopped = operator.leader() if disturb else draw.choice(site.gateways)
         if has_new_vm:
-            await site.gateways[0].stop(signal.SIGKILL)
-            await site.gateways[0].start()
+            await stopped.stop(signal.SIGKILL)
+            await stopped.start()
         async with callers.present(_CALLERS_PER_VM):
-            await asyncio.sleep(1.0)
-            await scenario(operator)
-        lost = kept_channels.lost_requests(
-            callers.requests, operator.stops, site.cluster
-        )
-        violations = site.violated_guarantees()
-    violations += kept_channels.broken_promises(callers.requests, site.cluster)
-    print(callers.counts(), f"refused channels {callers.refused_channels}")
-    first_stop_at = min(stop.at for stop in operator.stops)
+            if not has_new_vm:
+                await asyncio.sleep(1.0)
+            await site.until(lambda: _accepts(stopped), 10)
+            operator.start_stop(stopped)
+            for pause_s in pauses_s:
+                await asyncio.sleep(draw.uniform(*pause_s))
+                disturb(operator, stopped)
+            await operator.wait()
+            await stopped.start()
+        site.store.is_away = False
+        violations = site.violated_guarantees() + callers.violations(operator)
+    print(callers.counts())
+    first_stop_at = operator.all[0].at
     late = [r for r in callers.requests if r.first_byte_at > first_stop_at]
     assert len(late) >= _MIN_LATE_REQUESTS
-    assert not lost, "\n".join([f"{len(lost)} lost", *lost])
-    assert violations == []
-    assert operator.overdue == []
+    assert not violations, "\n".join(violations)
 
 
 def _run(
     folder,
-    scenario: _Scenario,
+    disturb: _Disturb | None = None,
+    pauses_s: tuple[tuple[float, float], ...] = (),
     seed: int = _SEED,
     has_pipelining: bool = False,
     has_new_vm: bool = False,
 ) -> None:
-    """Plays a scenario; a new VM starts as the callers come."""
-    asyncio.run(_play(folder, scenario, seed, has_pipelining, has_new_vm))
+    """Stops and restarts a VM while callers keep channels.
+
+    Args:
+        folder: Folder of the logs.
+        disturb: What else happens during the stop.
+        pauses_s: Least and most time before each call of `disturb`.
+        seed: Seed of the callers and of what is drawn.
+        has_pipelining: Whether reads are pipelined behind uploads.
+        has_new_vm: Whether the VM has just been started, as it is stopped.
+    """
+    asyncio.run(
+        _play(folder, disturb, pauses_s, seed, has_pipelining, has_new_vm)
+    )
+
+
+async def _accepts(gateway: gateways.Gateway) -> bool:
+    channel = kept_channels.Channel(gateway, lambda _: None)
+    with contextlib.suppress(OSError):
+        await channel.open()
+        channel.close()
+        return True
+    return False
 
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_no_request_is_lost_as_a_vm_is_restarted(tmp_path, seed):
-    async def scenario(operator):
-        await operator.restart(operator.any_gateway())
-
-    _run(tmp_path, scenario, seed)
+    _run(tmp_path, seed=seed)
 
 
 def test_no_read_behind_an_upload_is_lost_as_a_vm_stops(tmp_path):
-    async def scenario(operator):
-        await operator.stop(operator.any_gateway())
+    _run(tmp_path, has_pipelining=True)
+
 
-    _run(tmp_path, scenario, has_pipelining=True)
+def test_no_request_is_lost_as_a_vm_stops_right_after_its_start(tmp_path):
+    _run(tmp_path, has_new_vm=True)
 
 
 def test_no_request_is_lost_as_the_leader_and_another_vm_stop(tmp_path):
-    async def scenario(operator):
-        leader = operator.leader()
-        other = operator.draw.choice(
-            [g for g in operator.site.gateways if g is not leader]
-        )
-        async with asyncio.TaskGroup() as group:
-            group.create_task(operator.stop(leader))
-            await asyncio.sleep(1.0)
-            group.create_task(operator.stop(other))
+    def disturb(operator, stopped):
+        others = [g for g in operator.site.gateways if g is not stopped]
+        operator.start_stop(operator.draw.choice(others))
 
-    _run(tmp_path, scenario)
+    _run(tmp_path, disturb, ((1.0, 1.0),))
 
 
 def test_no_request_is_lost_as_sigterm_comes_twice(tmp_path):
-    async def scenario(operator):
-        gateway = operator.any_gateway()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(operator.stop(gateway))
-            await asyncio.sleep(operator.draw.uniform(0.1, 3.0))
-            gateway.send_signal(signal.SIGTERM)
+    def disturb(_, stopped):
+        stopped.send_signal(signal.SIGTERM)
 
-    _run(tmp_path, scenario)
+    _run(tmp_path, disturb, ((0.1, 3.0),))
 
 
 def test_no_request_is_lost_as_sighup_comes_during_a_stop(tmp_path):
-    async def scenario(operator):
-        gateway = operator.any_gateway()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(operator.stop(gateway))
-            for _ in range(3):
-                await asyncio.sleep(operator.draw.uniform(0.1, 1.0))
-                for each in operator.site.gateways:
-                    each.send_signal(signal.SIGHUP)
+    def disturb(operator, _):
+        for gateway in operator.site.gateways:
+            gateway.send_signal(signal.SIGHUP)
 
-    _run(tmp_path, scenario)
+    _run(tmp_path, disturb, ((0.1, 1.0),) * 3)
 
 
 def test_no_request_is_lost_as_the_configuration_changes_in_a_stop(tmp_path):
-    async def scenario(operator):
-        store = operator.site.store
-        async with asyncio.TaskGroup() as group:
-            group.create_task(operator.stop(operator.any_gateway()))
-            for version in (3, 4, 5):
-                await asyncio.sleep(operator.draw.uniform(0.3, 1.2))
-                store.put("op", "config", kept_channels.config(version))
+    versions = iter((3, 4, 5))
 
-    _run(tmp_path, scenario)
+    def disturb(operator, _):
+        document = kept_channels.config(next(versions))
+        operator.site.store.put("op", "config", document)
 
+    _run(tmp_path, disturb, ((0.3, 1.0),) * 3)
 
-def test_no_request_is_lost_as_an_upstream_leaves_in_a_stop(tmp_path):
-    async def scenario(operator):
+
+def test_no_request_is_lost_as_upstreams_leave_in_a_stop(tmp_path):
+    def disturb(operator, _):
         servers = list(operator.site.cluster.by_id.values())
-        async with asyncio.TaskGroup() as group:
-            group.create_task(operator.stop(operator.any_gateway()))
-            await asyncio.sleep(0.5)
-            for server in operator.draw.sample(servers, 2):
-                server.is_leaving = server.announces_exit = True
-                server.register("draining")
+        for server in operator.draw.sample(servers, 2):
+            server.is_leaving = server.announces_exit = True
+            server.register("draining")
 
-    _run(tmp_path, scenario)
+    _run(tmp_path, disturb, ((0.0, 2.0),))
 
 
 def test_no_request_is_lost_as_the_store_is_away_in_a_stop(tmp_path):
-    async def scenario(operator):
+    def disturb(operator, _):
         operator.site.store.is_away = True
-        try:
-            await operator.stop(operator.any_gateway())
-        finally:
-            operator.site.store.is_away = False
-
-    _run(tmp_path, scenario)
-
-
-def test_no_request_is_lost_as_a_vm_stops_right_after_its_start(tmp_path):
-    async def scenario(operator):
-        gateway = operator.site.gateways[0]
-        await operator.site.until(lambda: _accepts(gateway), 10)
-        await operator.stop(gateway)
-
-    _run(tmp_path, scenario, has_new_vm=True)
 
-
-async def _accepts(gateway: gateways.Gateway) -> bool:
-    channel = kept_channels.Channel(gateway, lambda _: None)
-    with contextlib.suppress(OSError):
-        await channel.open()
-        channel.close()
-        return True
-    return False
+    _run(tmp_path, disturb, ((0.0, 0.5),))
 
 
 _CHANNELS = 12
@@ -245,7 +220,7 @@
     A request whose upstream works for long keeps the process running.
     """
     requests: list[kept_channels.Request] = []
-    stops: list[kept_channels.Stop] = []
+    stops = kept_channels.Stops()
     async with _running_site(folder, **limits) as site:
         gateway = site.gateways[0]
         channels = [
@@ -271,14 +246,14 @@
         set_work_s(0.02)
         await _exchange_all(channels, carried)
         set_work_s(work_s)
-        stopping = asyncio.create_task(kept_channels.stop(gateway, stops, []))
+        stopping = asyncio.create_task(stops.stop(gateway))
         await asyncio.sleep(after_s)
         assert gateway.is_running
         usable = [channel for channel in channels if channel.is_usable]
         if usable:
             await _exchange_all(usable, plan)
         await asyncio.gather(held, stopping)
-        return kept_channels.lost_requests(requests, stops, site.cluster)
+        return kept_channels.lost_requests(requests, stops.all, site.cluster)
 
 
 @pytest.mark.parametrize("kind", _UPLOAD_KINDS)
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -23,3 +23,11 @@
 
 def test_a_seed_of_all_kinds_violates_no_guarantee(tmp_path):
     assert asyncio.run(soak.run_seed(2, 12.0, tmp_path)) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_planned_work_loses_no_request(tmp_path, seed):
+    violations = asyncio.run(
+        soak.run_seed(seed, 12.0, tmp_path, is_planned=True)
+    )
+    assert violations == []
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -429,6 +429,8 @@
         self.address = ""
         self._port = 0
         self.is_up = False
+        # When it ended, if it has.
+        self.stopped_at = float("inf")
         self.is_leaving = False
         self.delayed_grant_share = 0.0
         self.limit_per_s: float | None = None
@@ -485,6 +487,7 @@
         self._port = self.listener.sockets[0].getsockname()[1]
         self.address = self.address or f"127.0.0.1:{self._port}"
         self.is_up = True
+        self.stopped_at = float("inf")
         self.register("ready")
 
     def register(self, state: str) -> None:
@@ -560,6 +563,7 @@
         """Stops the server like a crash: its registration remains."""
         if self.is_up:
             self.is_up = False
+            self.stopped_at = _now()
             self.listener.close()
             self.cluster.links.remove(self.listener)
             await self._runner.cleanup()
