Free the stand-ins of closed sites in the integration tests

Cause: the stand-in servers added their foreign bytes by an aiohttp middleware. For applications with one, aiohttp caches up to 1,024 handlers for the whole process, and with them the servers of closed sites, each with three lists of 65,536 keys.

Change: each handler is wrapped in place of the middleware; no other application of the tests or stand-ins has one.

--- a/tests/integration/foreign_bytes.py
+++ b/tests/integration/foreign_bytes.py
@@ -25,8 +25,6 @@
     ("HTTP/1.1 103 Early Hints", "Link: </a>\r\n"),
 )
 _PIECE_BYTES = 1 << 16
-# The server that an application belongs to.
-SERVER = web.AppKey("server", object)
 
 
 class Framing(enum.Enum):
@@ -238,16 +236,22 @@
     return head if is_to_head else head + body
 
 
-@web.middleware
-async def middleware(request: web.Request, handler) -> web.StreamResponse:
-    """Adds the noise of a server to its answers; echoes the ids of orders."""
-    server = request.app[SERVER]
-    noise = server.noise
-    is_covered = noise is not None and noise.covers(request)
-    if is_covered:
-        await noise.before(request)
-    answer = await handler(request)
-    attempt = request.headers.get("X-Attempt-Id")
-    if attempt and server.echoes_ids_of_orders:
-        answer.headers.setdefault("X-Attempt-Id", attempt)
-    return noise.after(request, answer) if is_covered else answer
+def with_noise(server, handler):
+    """Wraps a server's handler: adds noise to answers, echoes ids of orders.
+
+    Isn't a middleware: aiohttp caches the handlers of applications that have
+    one, and with them servers that were closed long ago.
+    """
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        noise = server.noise
+        is_covered = noise is not None and noise.covers(request)
+        if is_covered:
+            await noise.before(request)
+        answer = await handler(request)
+        attempt = request.headers.get("X-Attempt-Id")
+        if attempt and server.echoes_ids_of_orders:
+            answer.headers.setdefault("X-Attempt-Id", attempt)
+        return noise.after(request, answer) if is_covered else answer
+
+    return handle
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -4,6 +4,7 @@
 state; the gateways under test are separate processes.
 """
 
+import array
 import asyncio
 import base64
 import contextlib
@@ -386,7 +387,7 @@
         for task in list(self._crashes):
             task.cancel()
         for server in self.by_id.values():
-            await server.stop()
+            await server.close()
 
 
 class Server:
@@ -441,10 +442,10 @@
         self.arrivals: list[Arrival] = []
         # Number of starts; no state is kept across restarts.
         self.incarnation = 1
-        self.held_until = [0.0] * KEYS
+        self.held_until = _zeros("d")
         # Ends of the holds, also of those whose release isn't answered yet.
-        self._lease_ends = [0.0] * KEYS
-        self.fences = [0] * KEYS
+        self._lease_ends = _zeros("d")
+        self.fences = _zeros("q")
         self.running = 0
         self.waiting = 0
         self._working: list[int | None] = []
@@ -462,13 +463,14 @@
         return self.is_up and not self.is_unresponsive
 
     async def start(self) -> None:
-        app = web.Application(
-            client_max_size=1 << 26, middlewares=[foreign_bytes.middleware]
-        )
-        app[foreign_bytes.SERVER] = self
-        app.router.add_post("/swiftstile/grant", self._grant)
-        app.router.add_post("/swiftstile/release", self._release)
-        app.router.add_route("*", "/{tail:.*}", self._request)
+        app = web.Application(client_max_size=1 << 26)
+        for method, path, handler in (
+            ("POST", "/swiftstile/grant", self._grant),
+            ("POST", "/swiftstile/release", self._release),
+            ("*", "/{tail:.*}", self._request),
+        ):
+            handler = foreign_bytes.with_noise(self, handler)
+            app.router.add_route(method, path, handler)
         self._runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0
         )
@@ -529,10 +531,10 @@
             del self.cluster.by_id[self.name]
             self.name = f"{self.name.partition('-r')[0]}-r{self.incarnation}"
             self.cluster.by_id[self.name] = self
-        self.held_until = [0.0] * KEYS
+        self.held_until = _zeros("d")
         # Ends of the holds, also of those whose release isn't answered yet.
-        self._lease_ends = [0.0] * KEYS
-        self.fences = [0] * KEYS
+        self._lease_ends = _zeros("d")
+        self.fences = _zeros("q")
         self.limit_per_s = self.backoff_s = None
         self.announces_exit = self.is_unresponsive = False
         self.arrivals = []
@@ -564,6 +566,12 @@
             self.cluster.links.remove(self.listener)
             await self._runner.cleanup()
 
+    async def close(self) -> None:
+        """Stops the server for good and frees its records of keys."""
+        await self.stop()
+        for record in (self.held_until, self._lease_ends, self.fences):
+            del record[:]
+
     async def _grant(self, request: web.Request) -> web.Response:
         call = await request.json()
         await self._wait_if_unresponsive()
@@ -756,6 +764,15 @@
     return json.dumps(document).encode()
 
 
+def _zeros(typecode: str) -> array.array:
+    """Returns a record of a zero for each key.
+
+    The garbage collector doesn't traverse the elements of arrays, unlike those
+    of lists.
+    """
+    return array.array(typecode, [0]) * KEYS
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
