Give the handler of test_gateway_crash_check.py what a stop needs

Cause: its stand-in of the handler lacks the limits of a planned stop. Change: the stand-in has them, and its call a deadline; no check changes.

--- a/tests/unit/test_gateway_crash_check.py
+++ b/tests/unit/test_gateway_crash_check.py
@@ -21,7 +21,9 @@
 from swiftstile.gateway import handler as handler_lib
 from swiftstile.gateway import model
 from swiftstile.gateway import outcomes
+from swiftstile.gateway import planned_stop
 from swiftstile.gateway import request_holds
+from swiftstile.gateway import send_limits
 from swiftstile.gateway import suspects
 from swiftstile.gateway import upload_slots
 from swiftstile.gateway import upstream_links
@@ -76,6 +78,8 @@
         _crash_guard=crash_guard,
         _links=upstream_links.UpstreamLinks(),
         upload_slots=upload_slots.UploadSlots(),
+        _send_limits=send_limits.SendLimits(planned_stop.PlannedStop()),
+        _latest_send=lambda *_: float("inf"),
         _needs_other_vm=lambda _: False,
         _record_send=lambda *_: None,
         _crash_detector=types.SimpleNamespace(begin=lambda *_: None),
@@ -94,6 +98,7 @@
         digest=lambda: b"d" * 16,
         is_probe=is_probe,
         begin_send=lambda: None,
+        deadline=clocks.monotonic() + 1,
         hold=request_holds.RequestHold(),
     )
     waiter = builders.waiter(clocks.monotonic(), None)
