Let answers in progress go on while the last requests of a stop end

What callers saw: at the end of a stop, requests without an answer get one of the VM's own; an answer that was being streamed was reset at that moment, though the process had time to finish it.

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -303,8 +303,9 @@
         Args:
             make_error: Returns the error of a request.
         """
+        answering = request_holds.RequestStage.ANSWERING
         for pending in self._queue:
-            if not pending.has_response:
+            if not pending.has_response and pending.hold.stage != answering:
                 pending.hold.refuse(make_error(pending.hold))
                 self._loop.call_soon(self._cancel_refused, pending)
 
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -169,6 +169,8 @@
             cut=cut,
             requests=self.meters.requests.by_label(),
         )
+        # The process may be killed before its event loop has closed.
+        self._log.flush()
 
     def _run_by_duty(
         self,
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -263,6 +263,7 @@
             except asyncio.CancelledError:
                 upstream_response.finish(False)
                 raise
+            incoming.hold.stage = request_holds.RequestStage.ANSWERING
             return await responses.stream_response(request, upstream_response)
         return responses.whole_response(upstream_response)
 
--- a/src/swiftstile/gateway/planned_stop.py
+++ b/src/swiftstile/gateway/planned_stop.py
@@ -20,8 +20,9 @@
 # failures, so that callers keep arriving for this long after the signal.
 ARRIVALS_S = 3.2
 # Time limits as shares of the grace: requests received later count as late,
-# the last answers are sent, and the process exits.
-_LATE_SHARE, _END_SHARE, _EXIT_SHARE = 0.5, 0.9, 0.95
+# requests without an answer get one, and the process exits. Closing the event
+# loop takes some of the rest.
+_LATE_SHARE, _END_SHARE, _EXIT_SHARE = 0.5, 0.85, 0.9
 
 
 class Phase(enum.Enum):
--- a/tests/integration/test_late_requests.py
+++ b/tests/integration/test_late_requests.py
@@ -173,3 +173,19 @@
         assert asyncio.get_running_loop().time() - started < 1
 
     asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
+
+
+def test_answers_in_progress_are_not_cut_as_the_last_requests_end(tmp_path):
+    async def scenario(site):
+        gateway = await _prepare(site, work_s=2.4)
+        for server in site.cluster.by_id.values():
+            # From 4.9 s to 5.3 s after the signal; requests end at 5.1 s.
+            server.long_answer_s = 0.4
+        channel = await _Channel.open(gateway)
+        gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(2.5)
+        channel.send_head(1000, "/slow" + users_standins.LONG_ANSWER)
+        channel.send_body(1000)
+        assert await channel.status() == 200
+
+    asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
--- a/tests/unit/test_planned_stop.py
+++ b/tests/unit/test_planned_stop.py
@@ -33,6 +33,12 @@
     )
 
 
+@pytest.mark.parametrize("grace_s", [0.5, 1.0, 6.0, 10.0, 60.0])
+def test_no_request_ends_before_the_last_sixth_of_the_grace(grace_s):
+    stop = _stop(grace_s)
+    assert stop.ends_at >= _SIGNAL_AT + grace_s * 5 / 6
+
+
 def test_a_vm_that_does_not_stop_sends_at_any_time():
     stop = planned_stop.PlannedStop(6.0)
     assert stop.latest_send(0.0, math.inf, 1.0) == math.inf
