--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -65,12 +65,22 @@
 
 async def _play(
     folder,
-    disturb: _Disturb | None,
-    pauses_s: tuple[tuple[float, float], ...],
-    seed: int,
-    has_pipelining: bool,
-    has_new_vm: bool,
+    disturb: _Disturb | None = None,
+    pauses_s: tuple[tuple[float, float], ...] = (),
+    seed: int = _SEED,
+    has_pipelining: bool = False,
+    has_new_vm: bool = False,
 ) -> None:
+    """Stops and restarts a VM while callers keep channels.
+
+    Args:
+        folder: Folder of the logs.
+        disturb: What else happens during the stop.
+        pauses_s: Least and most time before each call of `disturb`.
+        seed: Seed of the callers and of what is drawn.
+        has_pipelining: Whether reads are pipelined behind uploads.
+        has_new_vm: Whether the VM has just been started, as it is stopped.
+    """
     draw = random.Random(f"planned-{seed}")
     async with _running_site(folder) as site:
         callers = kept_channels.KeptChannels(site, seed, has_pipelining)
@@ -100,27 +110,8 @@
     assert not violations, "\n".join(violations)
 
 
-def _run(
-    folder,
-    disturb: _Disturb | None = None,
-    pauses_s: tuple[tuple[float, float], ...] = (),
-    seed: int = _SEED,
-    has_pipelining: bool = False,
-    has_new_vm: bool = False,
-) -> None:
-    """Stops and restarts a VM while callers keep channels.
-
-    Args:
-        folder: Folder of the logs.
-        disturb: What else happens during the stop.
-        pauses_s: Least and most time before each call of `disturb`.
-        seed: Seed of the callers and of what is drawn.
-        has_pipelining: Whether reads are pipelined behind uploads.
-        has_new_vm: Whether the VM has just been started, as it is stopped.
-    """
-    asyncio.run(
-        _play(folder, disturb, pauses_s, seed, has_pipelining, has_new_vm)
-    )
+def _run(folder, *args, **kwargs) -> None:
+    asyncio.run(_play(folder, *args, **kwargs))
 
 
 async def _accepts(gateway: gateways.Gateway) -> bool:
