Refuse pipelined requests that start as a stop ends

What callers saw: four pipelined requests got two answers, and their channel ended, if the end of a stop came in the loop pass in which the request before them was answered. Cause: the tasks of the requests behind were cancelled before their first step, so that no handler turned that into the refusal. Change: only tasks that have started are cancelled; the others find the refusal.

--- a/src/swiftstile/gateway/caller_requests.py
+++ b/src/swiftstile/gateway/caller_requests.py
@@ -101,6 +101,7 @@
         task: Handles it, if it was started before its turn.
         hold: What this process holds of it.
         has_response: Whether its response is known.
+        has_started: Whether handling it has started.
     """
 
     __slots__ = (
@@ -108,6 +109,7 @@
         "arrived",
         "error",
         "has_response",
+        "has_started",
         "hold",
         "is_last",
         "payload",
@@ -127,6 +129,7 @@
     ):
         self.hold = hold
         self.has_response = False
+        self.has_started = False
         self.request = request
         self.payload = payload
         self.arrived = arrived
--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -249,6 +249,9 @@
         self._loop.call_soon(self._cancel_refused, pending)
 
     def _cancel_refused(self, pending: caller_requests.PendingRequest) -> None:
+        if not pending.has_started:
+            # Its task would end without the refusal.
+            return
         if pending.task is not None:
             pending.task.cancel()
         elif self._handled is pending:
@@ -480,6 +483,7 @@
     async def _respond(
         self, pending: caller_requests.PendingRequest
     ) -> web_response.StreamResponse:
+        pending.has_started = True
         if pending.error is not None:
             return self._responder.respond_malformed(pending.error)
         if pending.hold.is_refused and not pending.request.raw_headers:
--- a/tests/caller_stream_builders.py
+++ b/tests/caller_stream_builders.py
@@ -4,16 +4,20 @@
 ends may be malformed.
 """
 
+import asyncio
 import dataclasses
 import enum
 import random
 import zlib
 
+from swiftstile.gateway import callers
+
 __all__ = [
     "Answer",
     "CallerStream",
     "Ending",
     "StreamRequest",
+    "Transport",
     "answer_text",
     "divide",
     "long_heads_stream",
@@ -511,3 +515,55 @@
             reads.append(data[start:stop])
             start = stop
     return reads
+
+
+class Transport(asyncio.Transport):
+    """Takes what is written; the test delivers the reads.
+
+    Attributes:
+        written: What the connection wrote.
+        is_closed: Whether it closed or aborted the connection.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__()
+        self._loop = loop
+        self._is_paused = False
+        self.protocol: callers.CallerConnection | None = None
+        self.written = bytearray()
+        self.is_closed = False
+
+    def write(self, data):
+        self.written += data
+
+    def writelines(self, list_of_data):
+        self.written += b"".join(list_of_data)
+
+    def can_write_eof(self):
+        return True
+
+    def write_eof(self):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return self.is_closed
+
+    def is_reading(self):
+        return not self._is_paused and not self.is_closed
+
+    def pause_reading(self):
+        self._is_paused = True
+
+    def resume_reading(self):
+        self._is_paused = False
+
+    def close(self):
+        if not self.is_closed:
+            self.is_closed = True
+            self._loop.call_soon(self.protocol.connection_lost, None)
+
+    def abort(self):
+        self.close()
--- a/tests/unit/test_caller_streams.py
+++ b/tests/unit/test_caller_streams.py
@@ -34,58 +34,6 @@
 _TOLERANCE_S = 0.6
 
 
-class _Transport(asyncio.Transport):
-    """Takes what is written; the test delivers the reads.
-
-    Attributes:
-        written: What the connection wrote.
-        is_closed: Whether it closed or aborted the connection.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop):
-        super().__init__()
-        self._loop = loop
-        self._is_paused = False
-        self.protocol: callers.CallerConnection | None = None
-        self.written = bytearray()
-        self.is_closed = False
-
-    def write(self, data):
-        self.written += data
-
-    def writelines(self, list_of_data):
-        self.written += b"".join(list_of_data)
-
-    def can_write_eof(self):
-        return True
-
-    def write_eof(self):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def is_closing(self):
-        return self.is_closed
-
-    def is_reading(self):
-        return not self._is_paused and not self.is_closed
-
-    def pause_reading(self):
-        self._is_paused = True
-
-    def resume_reading(self):
-        self._is_paused = False
-
-    def close(self):
-        if not self.is_closed:
-            self.is_closed = True
-            self._loop.call_soon(self.protocol.connection_lost, None)
-
-    def abort(self):
-        self.close()
-
-
 class _Responder(caller_requests.Responder):
     """Answers with what was read of each request, after random waits."""
 
@@ -150,7 +98,7 @@
         self._connection = callers.CallerConnection(
             loop, _Responder(self._rng), self._connections, self._memory
         )
-        self._transport = _Transport(loop)
+        self._transport = caller_stream_builders.Transport(loop)
         self._transport.protocol = self._connection
 
     async def run(self) -> list[str]:
--- a/tests/unit/test_pipelined_requests_at_the_end.py
+++ b/tests/unit/test_pipelined_requests_at_the_end.py
@@ -1,16 +1,15 @@
 """Connections of callers at the end of a planned stop."""
 
 import asyncio
-import random
 
 from aiohttp import web
 import pytest
 
-from swiftstile.gateway import callers
 from swiftstile.gateway import caller_requests
+from swiftstile.gateway import callers
 from swiftstile.gateway import frontend
 from swiftstile.gateway import outcomes
-from tests.unit import test_caller_streams as streams_test
+from tests import caller_stream_builders
 
 
 class _Responder(caller_requests.Responder):
@@ -43,7 +42,7 @@
 
 def _connect(responder):
     loop = asyncio.get_running_loop()
-    transport = streams_test._Transport(loop)
+    transport = caller_stream_builders.Transport(loop)
     connection = callers.CallerConnection(loop, responder, set())
     transport.protocol = connection
     connection.connection_made(transport)
