Don't close lingering connections as idle

What callers saw: an answer of 300 kB that was read slowly was reset as idle connections were closed: 114,688 bytes arrived (review). Cause: a connection that only waits for its last answer to arrive has no request and counted as idle. Change: Frontend.close_idle and ForwardListener.stop_listening leave it.

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -89,6 +89,7 @@
     Attributes:
         last_response_at: When the last request was answered.
         answered_count: Requests that were answered.
+        is_lingering: Whether it only waits for its last response to arrive.
         ssl_context, peername, sockname: Attributes that `aiohttp` requires.
     """
 
@@ -111,7 +112,7 @@
         self._framing = request_framing.RequestFraming()
         self._is_closing = False
         self._ignores_input = False
-        self._is_lingering = False
+        self.is_lingering = False
         self._has_ended = False
         # The request that `_task` handles, until its response is known.
         self._handled: caller_requests.PendingRequest | None = None
@@ -291,7 +292,7 @@
         """Whether a request isn't answered, or an answer isn't delivered."""
         return (
             bool(self._queue)
-            or self._is_lingering
+            or self.is_lingering
             or self._output.is_unsent(self.transport)
         )
 
@@ -534,7 +535,7 @@
     async def _linger(self) -> None:
         """Lets the last response arrive before the connection closes."""
         self._stop_input()
-        self._is_lingering = True
+        self.is_lingering = True
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
             await asyncio.sleep(LINGER_S)
--- a/src/swiftstile/gateway/forward_listener.py
+++ b/src/swiftstile/gateway/forward_listener.py
@@ -109,7 +109,7 @@
         if self._listener is not None:
             self._listener.close()
         for connection in self._connections:
-            if not connection.pending_count:
+            if not connection.pending_count and not connection.is_lingering:
                 connection.close()
 
     async def run(self) -> None:
--- a/src/swiftstile/gateway/frontend.py
+++ b/src/swiftstile/gateway/frontend.py
@@ -102,6 +102,7 @@
             for connection in self._connections
             if not connection.pending_count
             and connection.head_started_at is None
+            and not connection.is_lingering
         ]
         for connection in idle:
             connection.close()
