Keep the channel of a streamed answer that can't announce its close

What callers saw: while a VM leaves, the request behind a streamed answer was read and dropped. Cause: the answer's head had been sent, without Connection: close, when the connection was to close behind it. Change: such a connection stays open until it is closed as idle or by a later answer.

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -551,7 +551,7 @@
             self._handled = None
         pending.has_response = True
         pending.hold.stage = request_holds.RequestStage.ANSWERING
-        if self._is_last_response(pending):
+        if self._is_last_response(pending, response.prepared):
             # No request is read behind it.
             pending.is_last = True
             response.force_close()
@@ -562,14 +562,22 @@
         await self._discard_body(pending)
 
     def _is_last_response(
-        self, pending: caller_requests.PendingRequest
+        self, pending: caller_requests.PendingRequest, has_begun: bool
     ) -> bool:
         """Whether a response is the last one on its connection.
 
-        While this VM leaves, all requests that were read are answered first.
+        While this VM leaves, all requests that were read are answered first. A
+        response whose head was sent can't announce the close any more.
         """
+        if pending.is_last:
+            return True
         is_alone = self._queue.last is pending
-        return pending.is_last or (self._responder.is_leaving and is_alone)
+        return self._responder.is_leaving and is_alone and not has_begun
+
+    @property
+    def _body_drain_s(self) -> float:
+        # A stop doesn't wait for callers that ignore their answers.
+        return LINGER_S if self._responder.is_leaving else BODY_DRAIN_TIMEOUT_S
 
     async def _discard_body(
         self, pending: caller_requests.PendingRequest
--- a/tests/unit/test_streams_while_leaving.py
+++ b/tests/unit/test_streams_while_leaving.py
@@ -6,7 +6,7 @@
 
 from swiftstile.gateway import caller_requests
 from swiftstile.gateway import callers
-from tests.unit import test_caller_streams as streams_test
+from tests import caller_stream_builders
 
 _REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -30,10 +30,10 @@
         return False
 
 
-def test_no_request_is_dropped_behind_a_streamed_answer_that_keeps_its_channel():
+def test_no_request_is_dropped_behind_a_streamed_answer():
     async def scenario():
         loop = asyncio.get_running_loop()
-        transport = streams_test._Transport(loop)
+        transport = caller_stream_builders.Transport(loop)
         connection = callers.CallerConnection(loop, _Streaming(), set())
         transport.protocol = connection
         connection.connection_made(transport)
