Tell early requests of a stop from late ones by when they were received

Cause: a request counted as received when its handler had read it, and as ending by itself at its deadline. Change: it is received at the end of its body, and ends by itself when its caller gives up. The usual time of a request is three times its expected time of service. Forwards are checked before each VM that is asked.

--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -586,7 +586,7 @@
         if payload.is_eof() or self._ignores_input:
             return
         try:
-            async with asyncio.timeout(BODY_DRAIN_TIMEOUT_S):
+            async with asyncio.timeout(self._body_drain_s):
                 while not payload.is_eof():
                     pending.hold.release(len(await payload.readany()))
         except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
--- a/src/swiftstile/gateway/daemon.py
+++ b/src/swiftstile/gateway/daemon.py
@@ -230,7 +230,9 @@
         self._renewer.stop(now)
         self._peers.send_now(self._report(self._peers.next_sequence()))
         step_down = asyncio.create_task(self._leadership.step_down())
-        await self._wait_until_answered(stop.arrivals_end_at, is_early=False)
+        await self._wait_until_answered(
+            stop.arrivals_end_at, returns_early=False
+        )
         self._stop_arrivals()
         await self._wait_until_answered(stop.ends_at)
         stop.phase = planned_stop.Phase.ENDED
@@ -251,16 +253,16 @@
         )
 
     async def _wait_until_answered(
-        self, until: float, is_early: bool = True
+        self, until: float, returns_early: bool = True
     ) -> None:
         """Waits until a time, or until all requests are answered.
 
         Args:
             until: The time, on the monotonic clock.
-            is_early: Whether to return before it.
+            returns_early: Whether to return before it.
         """
         while (left_s := until - clocks.monotonic()) > 0:
-            if is_early and self._open_requests.are_answered:
+            if returns_early and self._open_requests.are_answered:
                 return
             await asyncio.sleep(min(left_s, TICK_S / 2))
 
--- a/src/swiftstile/gateway/handler.py
+++ b/src/swiftstile/gateway/handler.py
@@ -48,8 +48,8 @@
 # about the time until a slot becomes free.
 OVERLOADED_TARGET_PAUSE_S = 0.1
 _FIRST_ERROR_STATUS = 400
-# Most answers take less than this many times the mean.
-_USUAL_TIMES = 2
+# Nearly all answers take less than this many times the mean.
+_USUAL_TIMES = 3
 
 
 class RequestHandler:
@@ -294,8 +294,12 @@
         if request.body_exists:
             incoming.hold.stage = request_holds.RequestStage.RECEIVING
             await _send_continue(request)
-            async with self._send_limits.limited(
-                lambda: self._stop.latest_receive(end), "read body"
+            gives_up_at = arrived + (inbound.timeout_s or MAX_WAIT_S)
+            async with self._send_limits.limit_wait(
+                lambda: self._stop.latest_receive(
+                    incoming.hold.received_at, gives_up_at
+                ),
+                "read body",
             ):
                 body = await request_bodies.read_body(
                     request.content,
@@ -303,7 +307,6 @@
                     end,
                     config.limits.max_body_bytes,
                 )
-            incoming.hold.received_at = clocks.monotonic()
         return exchange.Call(
             request.method,
             request.raw_path,
@@ -343,12 +346,12 @@
                 call.deadline, latest_send() + waiter.expected_s
             )
             if self._needs_other_vm(state):
-                self._check_time_left(latest_send, waiter, state)
-                call.begin_send()
-                return await self._forward(call, waiter, origin, state, trace)
+                return await self._forward(
+                    call, waiter, origin, state, trace, latest_send
+                )
             call.hold.stage = request_holds.RequestStage.WAITING
             try:
-                async with self._send_limits.limited(
+                async with self._send_limits.limit_wait(
                     latest_send, "wait for a slot"
                 ):
                     with self.upload_slots.waiting(waiter.service):
@@ -440,8 +443,8 @@
         received_at = call.hold.received_at
         return self._stop.latest_send(
             clocks.monotonic() if received_at is None else received_at,
-            call.deadline,
-            max(waiter.route.objective_s, _USUAL_TIMES * waiter.expected_s),
+            max(call.deadline, call.gives_up_at),
+            _USUAL_TIMES * waiter.expected_s,
         )
 
     def _check_time_left(self, latest_send, waiter, state) -> None:
@@ -461,7 +464,7 @@
         )
 
     async def _forward(
-        self, call, waiter, origin, state, trace
+        self, call, waiter, origin, state, trace, latest_send
     ) -> responses.UpstreamResponse:
         """Lets another VM send a request, unless another one forwarded it."""
         if origin is not None:
@@ -485,6 +488,8 @@
             )
 
         while True:
+            self._check_time_left(latest_send, waiter, state)
+            call.begin_send()
             self._record_send(call, waiter, None, state, trace)
             try:
                 return await self._forwarder.forward(
--- a/src/swiftstile/gateway/open_requests.py
+++ b/src/swiftstile/gateway/open_requests.py
@@ -1,6 +1,6 @@
 """Reports the requests that a stopping process hasn't answered.
 
-Each of them leaves one line in the log with where it stood, so that a request
+Each of them leaves one line in the log with its stage, so that a request
 without an answer is found in the log of the VM that read it.
 """
 
@@ -9,6 +9,7 @@
 
 from swiftstile import clocks
 from swiftstile import metrics
+from swiftstile.gateway import caller_requests
 from swiftstile.gateway import callers
 from swiftstile.gateway import decision_log
 from swiftstile.gateway import interfaces
@@ -55,6 +56,7 @@
         self._meters = meters
 
     def __iter__(self) -> collections.abc.Iterator[callers.CallerConnection]:
+        """Returns all open connections."""
         for connections in self._listeners:
             yield from connections
 
@@ -99,7 +101,9 @@
             connection.close()
         return count
 
-    def _record(self, pending, earlier: int) -> None:
+    def _record(
+        self, pending: caller_requests.PendingRequest, earlier: int
+    ) -> None:
         hold = pending.hold
         hold.is_cut = True
         self._meters.requests.add("cut")
--- a/src/swiftstile/gateway/request_holds.py
+++ b/src/swiftstile/gateway/request_holds.py
@@ -42,7 +42,7 @@
         on_change: Called when less is held.
 
     Attributes:
-        head_bytes: As above.
+        head_bytes: Memory of its head.
         buffer: What was read of its body and is neither assembled nor sent.
         is_passed_on: Whether a part of it may have been sent to an upstream or
             to another VM. Only until then it can be refused with the promise
@@ -51,7 +51,8 @@
             a few bytes now and then don't count.
         is_refused: Whether it was refused.
         is_cut: Whether the process stopped before it was answered.
-        received_at: When all of it had been received; None before.
+        received_at: When all of it had been received, on the monotonic clock;
+            None before.
         stage: What it waits for.
         upstream: The upstream or VM that it was sent to last.
         refusal: Why, until `take_refusal` was called.
@@ -86,7 +87,11 @@
         self._released_bytes = 0
         self._progress_bytes = 0
         self.progress_at = now = clocks.monotonic()
-        self.received_at = now if payload is None else None
+        self.received_at: float | None = None
+        if payload is None:
+            self.received_at = now
+        else:
+            payload.on_eof(self._note_whole)
         self.buffer = piece_buffers.PieceBuffer()
         self.is_passed_on = False
         self.is_refused = False
@@ -95,6 +100,9 @@
         self.upstream = ""
         self.refusal: outcomes.GatewayError | None = None
 
+    def _note_whole(self) -> None:
+        self.received_at = clocks.monotonic()
+
     @property
     def held_bytes(self) -> int:
         """Bytes that it holds."""
--- a/src/swiftstile/gateway/send_limits.py
+++ b/src/swiftstile/gateway/send_limits.py
@@ -9,6 +9,7 @@
 
 __all__ = ["SendLimits"]
 
+# Returns the latest time of a send, on the monotonic clock.
 LatestTime = collections.abc.Callable[[], float]
 
 
@@ -49,13 +50,16 @@
 
     Args:
         stop: The stop of this process.
+
+    Attributes:
+        stop: As above.
     """
 
     def __init__(self, stop: planned_stop.PlannedStop):
         self.stop = stop
         self._latest_by_timeout: dict[asyncio.Timeout, LatestTime] = {}
 
-    def limited(self, latest: LatestTime, step: str) -> _LimitedWait:
+    def limit_wait(self, latest: LatestTime, step: str) -> _LimitedWait:
         """Returns a context that limits a wait to the time the stop leaves.
 
         Args:
