Free what an upstream connection received with the connection

An upstream connection and the reader of its responses referred to each other, so that what both held of an answer that was given up (128 kB of its body and up to 256 kB that were not read yet) stayed until a full collection of garbage.

--- a/src/swiftstile/gateway/connections.py
+++ b/src/swiftstile/gateway/connections.py
@@ -231,6 +231,10 @@
         elif self._reader is not None:
             exc = self._end_response(self._reader, exc)
         self._fail(exc or ConnectionResetError("closed by the server"))
+        # A caller that reads slowly may refer to the body for long.
+        self._unread = b""
+        if self._reader is not None:
+            self._reader.detach()
         super().connection_lost(exc)
 
     def _end_response(
--- a/src/swiftstile/gateway/response_bodies.py
+++ b/src/swiftstile/gateway/response_bodies.py
@@ -10,6 +10,10 @@
 MAX_UNREAD_BYTES = 1 << 17
 
 
+def _ignore() -> None:
+    """Does nothing."""
+
+
 class ResponseBody:
     """The received part of a body, until it is taken.
 
@@ -56,8 +60,13 @@
         """Marks it as incomplete; received bytes aren't returned any more."""
         if not self._has_ended:
             self._error = self._error or error
+            self._pieces.clear()
             self._notify()
 
+    def detach(self) -> None:
+        """Stops reporting that parts were taken."""
+        self._on_taken = _ignore
+
     def _notify(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/src/swiftstile/gateway/response_reader.py
+++ b/src/swiftstile/gateway/response_reader.py
@@ -24,6 +24,10 @@
 _SPLIT_BYTES = 3
 
 
+def _ignore() -> None:
+    """Does nothing."""
+
+
 class ResponseReader:
     """Splits the bytes behind one request into heads and bodies.
 
@@ -56,6 +60,16 @@
         self._interim = 0
         self._framing: response_framing.Framing | None = None
 
+    def detach(self) -> None:
+        """Ends reading for good, and stops reporting that parts were taken.
+
+        The callback refers to the connection, which refers to this object: all
+        received bytes would else stay until the next collection of garbage.
+        """
+        self._on_taken = _ignore
+        self._partial = b""
+        self.body.detach()
+
     def feed(self, data: bytes) -> bytes:
         """Reads received bytes; returns those behind the end of the response.
 
