--- a/src/swiftstile/progress.py
+++ b/src/swiftstile/progress.py
@@ -43,6 +43,18 @@
         aiohttp.ClientError: The connection broke.
     """
     chunks: list[bytes] = []
+    try:
+        await _read_all(content, chunks, stall_timeout_s)
+        return b"".join(chunks)
+    finally:
+        # An error refers to this frame, and may be kept.
+        chunks.clear()
+
+
+async def _read_all(
+    content: aiohttp.StreamReader, chunks: list[bytes], stall_timeout_s: float
+) -> None:
+    """Reads a whole body, see `read_body`."""
     received = 0
     while not content.at_eof():
         already_read = len(chunks)
@@ -58,7 +70,6 @@
             raise errors.AnswerTooLargeError(
                 f"over {MAX_BODY_BYTES} bytes", step="read body"
             )
-    return b"".join(chunks)
 
 
 async def _read_more(
