Bound the answers to control calls of the product's own interface

They were read whole, without a limit: a server that sends without end made the caller read 0.99 to 1.34 GB within a timeout of 0.5 s (four kinds of bodies; the four cases of read_clock in test_endless_server_answers.py failed). An answer now ends at 64 kB. Probes, which read no long body, passed before.

--- a/src/swiftstile/ownership/upstream_http.py
+++ b/src/swiftstile/ownership/upstream_http.py
@@ -10,6 +10,8 @@
 
 __all__ = ["CLOCK_PATH", "GRANT_PATH", "HttpUpstreamControl"]
 
+# An answer is a small JSON object.
+_MAX_BODY_BYTES = 1 << 16
 # A longer body of a probe's response isn't read.
 _MAX_PROBE_BODY_BYTES = 4096
 GRANT_PATH = "/swiftstile/v1/grant"
@@ -74,7 +76,7 @@
             ) as response:
                 body = b""
                 if not is_probe or _is_short(response):
-                    body = await response.read()
+                    body = await _read(response, address)
                 sent = len(options.get("data", b""))
                 self._meters.count_http("server", response, sent)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -89,6 +91,25 @@
             await self._session.close()
 
 
+async def _read(response: aiohttp.ClientResponse, address: str) -> bytes:
+    """Returns the body of a response.
+
+    Raises:
+        PeerUnavailableError: It is too long; a faulty server may send without
+            end.
+    """
+    body = b""
+    async for piece in response.content.iter_any():
+        body += piece
+        if len(body) > _MAX_BODY_BYTES:
+            raise errors.PeerUnavailableError(
+                f"answer of over {_MAX_BODY_BYTES} bytes",
+                step="call server",
+                peer=address,
+            )
+    return body
+
+
 def _is_short(response: aiohttp.ClientResponse) -> bool:
     length = response.content_length
     return length is not None and length <= _MAX_PROBE_BODY_BYTES
