--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -255,7 +255,7 @@
         """Drops what wasn't parsed, and what the caller still sends."""
         self._ignores_input = True
         self._parser = None
-        self._framing.clear()
+        self._framing = request_framing.RequestFraming()
         self._is_reading_paused = False
         if self.transport is not None:
             super().resume_reading(resume_parser=False)
@@ -304,7 +304,7 @@
         self._task.cancel()
         # These refer to this object, and all would wait for the collector.
         self._parser = self._handled = None
-        self._framing.clear()
+        self._framing = request_framing.RequestFraming()
         self._record_held()
         self._memory.unwatch(self)
 
--- a/src/swiftstile/gateway/request_framing.py
+++ b/src/swiftstile/gateway/request_framing.py
@@ -105,10 +105,6 @@
         """Adds received bytes."""
         self._data = self._data + data if self._data else data
 
-    def clear(self) -> None:
-        """Drops all input, as no more will be parsed."""
-        self.__init__()
-
     def next_part(self, now: float) -> bytes | None:
         """Takes what the parser has to be given next.
 
