--- a/src/swiftstile/gateway/callers.py
+++ b/src/swiftstile/gateway/callers.py
@@ -39,11 +39,6 @@
 
 __all__ = ["CallerConnection"]
 
-# Longest line that the parser accepts, in bytes. The operator's limit is lower
-# and may change, so it is checked for each request.
-MAX_LINE_BYTES = 65536
-# Bytes of a body that are buffered before reading pauses.
-_BODY_BUFFER_BYTES = 1 << 16
 # How long the rest of a body is read and discarded after the response was sent:
 # a caller that is still sending might not read the response otherwise.
 BODY_DRAIN_TIMEOUT_S = 5.0
@@ -101,7 +96,7 @@
         self._responder = responder
         self._connections = connections
         self._memory = memory or memory_account.AccountPart()
-        self._parser = self._make_parser()
+        self._parser = request_framing.make_parser(self, self._loop)
         self._queue = request_queue.RequestQueue()
         self._request_received: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
@@ -119,17 +114,6 @@
         self.peername = None
         self.sockname = None
 
-    def _make_parser(self) -> http.HttpRequestParser:
-        return http.HttpRequestParser(
-            self,
-            self._loop,
-            _BODY_BUFFER_BYTES,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            payload_exception=aiohttp.ClientPayloadError,
-            auto_decompress=False,
-        )
-
     @property
     def head_started_at(self) -> float | None:
         """When reading an incomplete head started, if there is one."""
@@ -353,7 +337,7 @@
         self._framing.on_parsed(messages, self._reading_paused)
         if self._framing.has_ended_with_trailers:
             # A used one would add the last of them to the next request.
-            self._parser = self._make_parser()
+            self._parser = request_framing.make_parser(self, self._loop)
         for message, payload in messages:
             if not self._append_request(message, payload, now, head_bytes):
                 self._stop_input()
@@ -364,14 +348,9 @@
             self._stop_input()
             return False
         if self._framing.head_bytes:
-            self._check_head_bytes()
+            self._framing.check_head(self._responder.max_header_bytes)
         return True
 
-    def _check_head_bytes(self) -> None:
-        limit = self._responder.max_header_bytes
-        if self._framing.head_bytes > limit + MAX_LINE_BYTES:
-            raise http_exceptions.LineTooLong(b"a head that doesn't end", limit)
-
     def _end_malformed(
         self, error: http_exceptions.HttpProcessingError
     ) -> None:
--- a/src/swiftstile/gateway/request_framing.py
+++ b/src/swiftstile/gateway/request_framing.py
@@ -9,9 +9,12 @@
 refused, as they could hide a request.
 """
 
+import asyncio
 import enum
 import re
 
+import aiohttp
+from aiohttp import base_protocol
 from aiohttp import hdrs
 from aiohttp import http
 from aiohttp import http_exceptions
@@ -19,8 +22,13 @@
 
 from swiftstile.gateway import caller_input
 
-__all__ = ["RequestFraming"]
+__all__ = ["MAX_LINE_BYTES", "RequestFraming", "make_parser"]
 
+# Longest line that the parser accepts, in bytes. The operator's limit is lower
+# and may change, so it is checked for each request.
+MAX_LINE_BYTES = 65536
+# Bytes of a body that are buffered before reading pauses.
+_BODY_BUFFER_BYTES = 1 << 16
 _LINE_END = b"\r\n"
 _HEAD_END = b"\r\n\r\n"
 # Bytes of an unfinished line of a chunked body that are kept; more than the
@@ -30,6 +38,21 @@
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,64})(?:;[^\n]*)?\r?\n")
 
 
+def make_parser(
+    protocol: base_protocol.BaseProtocol, loop: asyncio.AbstractEventLoop
+) -> http.HttpRequestParser:
+    """Returns the parser of a connection."""
+    return http.HttpRequestParser(
+        protocol,
+        loop,
+        _BODY_BUFFER_BYTES,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+        payload_exception=aiohttp.ClientPayloadError,
+        auto_decompress=False,
+    )
+
+
 class _Place(enum.Enum):
     """Where in a request the next byte belongs."""
 
@@ -170,6 +193,20 @@
         if has_ended:
             self._place, self._payload = _Place.BETWEEN, None
 
+    def check_head(self, max_bytes: int) -> None:
+        """Checks the length of an unfinished head.
+
+        Args:
+            max_bytes: Longest head allowed, without its first line.
+
+        Raises:
+            LineTooLong: It is too long.
+        """
+        if self.head_bytes > max_bytes + MAX_LINE_BYTES:
+            raise http_exceptions.LineTooLong(
+                b"a head that doesn't end", max_bytes
+            )
+
     def _begin_body(
         self, message: http.RawRequestMessage, payload: streams.StreamReader
     ) -> None:
--- a/tests/unit/test_gateway_request_framing.py
+++ b/tests/unit/test_gateway_request_framing.py
@@ -13,7 +13,6 @@
 from swiftstile.gateway import request_framing
 from tests import caller_stream_builders
 
-_MAX_LINE_BYTES = 1 << 16
 _SIZED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n"
 _CHUNKED_HEAD = (
     b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -37,8 +36,8 @@
             protocol,
             self._loop,
             1 << 30,
-            max_line_size=_MAX_LINE_BYTES,
-            max_field_size=_MAX_LINE_BYTES,
+            max_line_size=request_framing.MAX_LINE_BYTES,
+            max_field_size=request_framing.MAX_LINE_BYTES,
         )
         protocol._parser = self._parser
         self.framing = request_framing.RequestFraming()
