--- a/tests/integration/test_late_requests.py
+++ b/tests/integration/test_late_requests.py
@@ -128,3 +128,17 @@
         assert await channel.status() == 200
 
     asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
+
+
+def test_uploads_are_not_ended_for_a_pause_of_their_upstream(tmp_path):
+    async def scenario(site):
+        gateway = await late_requests.prepare(site, work_s=0.1)
+        for server in site.cluster.by_id.values():
+            server.read_pause_s = 1.8
+        channel = await late_requests.Channel.open(gateway)
+        gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(2.2)
+        # More than the buffers on the way to the upstream hold.
+        assert (await channel.upload(16_000_000))[1] == 200
+
+    asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
--- a/tests/integration/users_standins.py
+++ b/tests/integration/users_standins.py
@@ -408,6 +408,7 @@
         arrivals: All requests that reached its current run, run or not.
         listener: Where it listens.
         long_answer_s: Time that it takes to send a long answer.
+        read_pause_s: Time from the head of a request until it reads the body.
         noise: What it sends besides its answers, if anything.
         echoes_ids_of_orders: Whether it returns the ids of grants and releases.
     """
@@ -455,6 +456,7 @@
         self._runner: web.AppRunner | None = None
         self.listener: asyncio.Server | None = None
         self.long_answer_s = 0.0
+        self.read_pause_s = 0.0
         self.noise: foreign_bytes.Noise | None = None
         self.echoes_ids_of_orders = False
         self._is_restarting = False
@@ -735,6 +737,8 @@
         self.cluster.record_run(
             Run(attempt, request.method, key, self.name, _now())
         )
+        if request.body_exists:
+            await asyncio.sleep(self.read_pause_s)
         body = await request.read()
         await asyncio.sleep(self.work_s)
         load = f"{self.running},{self.waiting},{self.slots}"
