Give the tests of late requests their own objectives and more time

Cause: gave the shared route an objective of 0.8 s for another test; with it, requests of 1.5 s are sent while 0.84 s are left and get 502 at the end. The second test had 0.2 s between the start of its answer and the end of the stop. The second has a grace of 12 s: its answer begins 0.7 s before and ends 0.2 s after the last requests end. No source of the product changes.

--- a/tests/integration/late_requests.py
+++ b/tests/integration/late_requests.py
@@ -1,12 +1,13 @@
 """Raw channels of callers, and a VM with a route of long requests."""
 
 import asyncio
+import signal
 import uuid
 
 from tests.integration import gateways
 from tests.integration import users_standins
 
-__all__ = ["Channel", "prepare"]
+__all__ = ["Channel", "prepare", "restart_with_grace"]
 
 # Longer than the grace of 6 s, so that only the stop ends a request.
 _ROUTE_TIMEOUT = "9000ms"
@@ -54,10 +55,18 @@
         return attempt, await self.status()
 
 
-async def prepare(site: gateways.Site, work_s: float) -> gateways.Gateway:
-    """Returns a VM with a route of long requests, served in `work_s`."""
+async def prepare(
+    site: gateways.Site, work_s: float, **spec: str
+) -> gateways.Gateway:
+    """Returns a VM with a route of long requests, served in `work_s`.
+
+    Args:
+        site: The site.
+        work_s: Time that upstreams take.
+        spec: Further fields of the route.
+    """
     route = users_standins.plain_route(
-        "/slow/", "unsafe", _ROUTE_TIMEOUT, objective="800ms"
+        "/slow/", "unsafe", _ROUTE_TIMEOUT, **spec
     )
     site.store.put("op", "config", users_standins.config(2, route))
     for server in site.cluster.by_id.values():
@@ -72,3 +81,13 @@
 
     await site.until(has_route, 10)
     return gateway
+
+
+async def restart_with_grace(site: gateways.Site, grace: str) -> None:
+    """Restarts the first VM with another grace."""
+    gateway = site.gateways[0]
+    text = gateway.settings.read_text()
+    gateway.settings.write_text(text.replace("grace = 6s", f"grace = {grace}"))
+    await gateway.stop(signal.SIGTERM)
+    await gateway.start()
+    await site.until(site.is_serving, 20)
--- a/tests/integration/test_late_requests.py
+++ b/tests/integration/test_late_requests.py
@@ -4,6 +4,8 @@
 import json
 import signal
 
+import pytest
+
 from tests.integration import gateways
 from tests.integration import late_requests
 from tests.integration import users_standins
@@ -48,9 +50,14 @@
     asyncio.run(gateways.Site(tmp_path, 2).run_scenario(scenario))
 
 
-def test_requests_that_wait_for_slots_in_a_stop_are_refused_in_time(tmp_path):
+@pytest.mark.parametrize(
+    "spec", [{}, {"objective": "800ms"}], ids=["usual", "longer-than-usual"]
+)
+def test_requests_that_wait_for_slots_in_a_stop_are_refused_in_time(
+    tmp_path, spec
+):
     async def scenario(site):
-        gateway = await late_requests.prepare(site, work_s=1.5)
+        gateway = await late_requests.prepare(site, work_s=1.5, **spec)
         channels = [
             await late_requests.Channel.open(gateway) for _ in range(60)
         ]
@@ -101,12 +108,8 @@
 
 def test_stop_ends_before_a_short_grace(tmp_path):
     async def scenario(site):
+        await late_requests.restart_with_grace(site, "1s")
         gateway = site.gateways[0]
-        text = gateway.settings.read_text().replace("grace = 6s", "grace = 1s")
-        gateway.settings.write_text(text)
-        await gateway.stop(signal.SIGTERM)
-        await gateway.start()
-        await site.until(site.is_serving, 20)
         started = asyncio.get_running_loop().time()
         assert await gateway.stop(signal.SIGTERM) == 0
         assert asyncio.get_running_loop().time() - started < 1
@@ -116,10 +119,11 @@
 
 def test_answers_in_progress_are_not_cut_as_the_last_requests_end(tmp_path):
     async def scenario(site):
-        gateway = await late_requests.prepare(site, work_s=2.4)
+        await late_requests.restart_with_grace(site, "12s")
+        gateway = await late_requests.prepare(site, work_s=7.0)
         for server in site.cluster.by_id.values():
-            # From 4.9 s to 5.3 s after the signal; requests end at 5.1 s.
-            server.long_answer_s = 0.4
+            # From 9.5 s to 10.4 s after the signal; requests end at 10.2 s.
+            server.long_answer_s = 0.9
         channel = await late_requests.Channel.open(gateway)
         gateway.send_signal(signal.SIGTERM)
         await asyncio.sleep(2.5)
--- a/tests/integration/test_pipelined_uploads_in_a_stop.py
+++ b/tests/integration/test_pipelined_uploads_in_a_stop.py
@@ -11,7 +11,9 @@
     tmp_path,
 ):
     async def scenario(site):
-        gateway = await late_requests.prepare(site, work_s=0.4)
+        gateway = await late_requests.prepare(
+            site, work_s=0.4, objective="800ms"
+        )
         channel = await late_requests.Channel.open(gateway)
         gateway.send_signal(signal.SIGTERM)
         await asyncio.sleep(1)
